Build, format, lint, base package and the planner's interface

Contracts that the daemons and the decision cores share: events and commands of the planner, the verdict, the boot clock, the bounded ring and the log.

No functional change.

--- /dev/null
+++ b/bench/yw_bench.cpp
@@ -0,0 +1,50 @@
+#include "command.h"
+
+#include <fmt/core.h>
+
+#include <array>
+#include <cstdio>
+#include <string_view>
+
+namespace
+{
+
+using yuccawheel::bench::Command;
+
+constexpr int ExitUsage = 2;
+
+int printVersion(int /*argc*/, char ** /*argv*/)
+{
+    fmt::print("yw-bench {}\n", YW_VERSION);
+    return 0;
+}
+
+constexpr std::array Commands{
+    Command{"version", "print the version", printVersion},
+};
+
+void printUsage(std::FILE *file)
+{
+    fmt::print(file, "usage: yw-bench COMMAND [options]\n\ncommands:\n");
+    for (const Command &command : Commands) {
+        fmt::print(file, "  {:<10} {}\n", command.name, command.brief);
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string_view name = argc > 1 ? argv[1] : "";
+    if (name == "--help") {
+        printUsage(stdout);
+        return 0;
+    }
+    for (const Command &command : Commands) {
+        if (command.name == name || (name == "--version" && command.name == "version")) {
+            return command.run(argc - 1, argv + 1);
+        }
+    }
+    printUsage(stderr);
+    return ExitUsage;
+}
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <fmt/core.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace yuccawheel::base
+{
+
+enum class LogLevel : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// One structured line: `time=… level=… event=… key=value …`. Values with spaces or quotes are quoted.
+/// The line is handed to the log thread when the object goes out of scope.
+class LogLine
+{
+public:
+    LogLine(LogLevel level, std::string_view event);
+    ~LogLine();
+    LogLine(const LogLine &) = delete;
+    LogLine &operator=(const LogLine &) = delete;
+
+    /// Adds a text value, quoted and escaped where needed.
+    LogLine &with(std::string_view key, std::string_view value);
+    /// Adds a value of any type that fmt can print.
+    template <typename Value>
+    requires(!std::is_convertible_v<Value, std::string_view>) LogLine &with(std::string_view key, const Value &value)
+    {
+        return with(key, std::string_view(fmt::format("{}", value)));
+    }
+
+private:
+    bool enabled_;
+    std::string text_;
+};
+
+/// Starts a log line of an event, for example `logInfo("task_placed").with("task", id);`.
+inline LogLine logDebug(std::string_view event)
+{
+    return LogLine(LogLevel::Debug, event);
+}
+inline LogLine logInfo(std::string_view event)
+{
+    return LogLine(LogLevel::Info, event);
+}
+inline LogLine logWarning(std::string_view event)
+{
+    return LogLine(LogLevel::Warning, event);
+}
+inline LogLine logError(std::string_view event)
+{
+    return LogLine(LogLevel::Error, event);
+}
+
+/// Runs the thread that writes log lines to standard error; lines logged without one are written at once.
+/// A full ring drops lines, counts them, and says so in a line of its own.
+class LogWriter
+{
+public:
+    explicit LogWriter(LogLevel lowest);
+    ~LogWriter();
+    LogWriter(const LogWriter &) = delete;
+    LogWriter &operator=(const LogWriter &) = delete;
+
+    /// Returns how many lines a full ring has dropped since the start of the process.
+    static std::uint64_t dropped();
+
+private:
+    struct Impl;
+    Impl *impl_;
+};
+
+} // namespace yuccawheel::base
