Replicated log: pure core, log on disk, fakes of network, disk and clock

The agreed log as a state machine without input or output (ReplicatedLog), its files (FileLogStorage) and the loop that joins them (Replica). The algorithm is Raft with pre-vote, check-quorum, learners, read confirmation and single-server changes of the replica set. A replica is named by its node and the generation of its disk, so an empty disk is a new replica: it asks to join, catches up as a learner and only then becomes a voter.

Proof: coordination_log_test, with drops, delays, duplicates, reordering, one-way cuts, pauses, drifting clocks, kills and power losses at write boundaries, failed syncs and lost disks in combination.

--- /dev/null
+++ b/fakes/fake_cluster.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "base/clock.h"
+#include "coordination/file_log_storage.h"
+#include "coordination/replica.h"
+#include "fakes/fake_disk.h"
+#include "fakes/fake_network.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace yuccawheel::fakes
+{
+
+/// Replicas of a log on fake disks and a fake network, in virtual time. It applies what they commit, and ends the
+/// process if two of them disagree or an acknowledged entry is missing.
+class FakeCluster
+{
+public:
+    struct Options {
+        std::uint32_t replicas = 3;
+        std::uint64_t seed = 1;
+        std::size_t snapshotEvery = 2000; ///< Bytes.
+        std::size_t retainedBytes = 500;
+        std::size_t segmentBytes = 1500;
+    };
+    using Value = std::uint64_t;
+
+    explicit FakeCluster(Options options);
+
+    /// Runs in steps of a millisecond.
+    void run(std::chrono::milliseconds duration);
+    /// Runs until the condition holds. Returns whether it came to hold within the limit.
+    template <typename Condition>
+    bool runUntil(Condition condition, std::chrono::milliseconds limit)
+    {
+        for (std::chrono::milliseconds passed{0}; passed < limit; ++passed) {
+            if (condition()) {
+                return true;
+            }
+            step();
+        }
+        return condition();
+    }
+
+    /// Proposes a new value at the replica that thinks it leads, if there is one. Returns whether it was taken.
+    bool propose(std::uint32_t node);
+    /// Asks for a read; its answer is checked against all that was acknowledged by now.
+    bool read(std::uint32_t node);
+
+    void kill(std::uint32_t node);
+    void losePower(std::uint32_t node);
+    /// Ends the process and empties the disk.
+    void loseDisk(std::uint32_t node);
+    void start(std::uint32_t node);
+    void pause(std::uint32_t node, std::chrono::milliseconds duration);
+    void setClockRate(std::uint32_t node, double rate);
+
+    bool running(std::uint32_t node) const;
+    const coordination::ReplicatedLog &log(std::uint32_t node) const;
+    FakeDisk &disk(std::uint32_t node);
+    FakeNetwork<coordination::Message> &network()
+    {
+        return network_;
+    }
+    base::TimePoint now() const
+    {
+        return now_;
+    }
+    /// Returns the node that leads with the highest term, or 0.
+    std::uint32_t leader() const;
+    /// True if all run, are voters and have applied the same entries, up to the last.
+    bool settled() const;
+    /// Ends the process unless every acknowledged value is in the state of every running replica.
+    void checkAcknowledged() const;
+    const std::set<Value> &acknowledged() const
+    {
+        return acknowledged_;
+    }
+    std::uint64_t readsServed() const
+    {
+        return readsServed_;
+    }
+    /// Kinds of storage error that ended a replica, in order.
+    const std::vector<coordination::StorageError> &storageErrors() const
+    {
+        return storageErrors_;
+    }
+
+private:
+    struct Application {
+        coordination::Index index = 0;
+        std::set<Value> values;
+    };
+    struct Node {
+        std::unique_ptr<FakeDisk> disk;
+        std::unique_ptr<coordination::FileLogStorage> storage;
+        std::unique_ptr<coordination::Replica> replica;
+        Application application;
+        base::TimePoint pausedUntil{};
+        double clockRate = 1.0;
+        std::vector<coordination::Message> waiting; ///< Arrived during a pause.
+        std::map<coordination::Index, std::pair<coordination::Term, Value>> proposed;
+        std::map<std::uint64_t, coordination::Index> reads; ///< Highest index acknowledged when the read began.
+    };
+
+    void step();
+    base::TimePoint localTime(const Node &node) const;
+    coordination::ReplicaSettings settingsOf(std::uint32_t number);
+    void flush(Node &node, std::uint32_t number);
+    void handle(Node &node, std::uint32_t number, const coordination::ReplicaOutput &output);
+    void apply(Node &node, const coordination::Entry &entry);
+    void stop(Node &node);
+    void checkLeader(const Node &node);
+
+    Options options_;
+    FakeNetwork<coordination::Message> network_;
+    std::map<std::uint32_t, Node> nodes_;
+    base::TimePoint now_{std::chrono::hours(1)};
+    std::uint32_t nextGeneration_ = 100;
+    std::uint64_t nextRead_ = 1;
+    std::uint64_t readsServed_ = 0;
+    Value nextValue_ = 1;
+    std::map<coordination::Index, coordination::Entry> agreed_; ///< What any replica ever applied.
+    std::map<coordination::Term, coordination::ReplicaId> leaders_;
+    std::set<Value> acknowledged_;
+    coordination::Index acknowledgedIndex_ = 0;
+    std::vector<coordination::StorageError> storageErrors_;
+};
+
+} // namespace yuccawheel::fakes
--- /dev/null
+++ b/fakes/fake_disk.cpp
@@ -0,0 +1,213 @@
+#include "fakes/fake_disk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccawheel::fakes
+{
+
+using coordination::AppendFile;
+using coordination::StorageError;
+using coordination::StorageFailure;
+
+class FakeDisk::File : public AppendFile
+{
+public:
+    File(FakeDisk &disk, std::shared_ptr<Inode> inode) : disk_(disk), inode_(std::move(inode))
+    {
+    }
+    StorageResult<void> append(std::string_view data) override
+    {
+        return disk_.append(*inode_, data);
+    }
+    StorageResult<void> sync() override
+    {
+        return disk_.sync(*inode_);
+    }
+
+private:
+    FakeDisk &disk_;
+    std::shared_ptr<Inode> inode_;
+};
+
+std::uint64_t FakeDisk::below(std::uint64_t bound)
+{
+    return bound == 0 ? 0 : random_() % bound;
+}
+
+bool FakeDisk::killsNow()
+{
+    ++operations_;
+    return killAt_ && operations_ > *killAt_;
+}
+
+void FakeDisk::setName(const std::string &name, std::shared_ptr<Inode> inode)
+{
+    if (inode) {
+        names_[name] = inode;
+    } else {
+        names_.erase(name);
+    }
+    pending_.push_back(NameChange{name, std::move(inode)});
+}
+
+coordination::StorageResult<std::unique_ptr<AppendFile>> FakeDisk::create(const std::string &name)
+{
+    const bool killed = killsNow();
+    const auto found = names_.find(name);
+    if (found != names_.end()) {
+        found->second->content.clear();
+        found->second->synced = 0;
+    } else {
+        setName(name, std::make_shared<Inode>());
+    }
+    if (killed) {
+        throw ProcessKilled{};
+    }
+    return std::make_unique<File>(*this, names_[name]);
+}
+
+coordination::StorageResult<std::unique_ptr<AppendFile>> FakeDisk::openAppend(const std::string &name)
+{
+    const auto found = names_.find(name);
+    if (found == names_.end()) {
+        return tl::unexpected(StorageError{StorageFailure::NotFound, name});
+    }
+    return std::make_unique<File>(*this, found->second);
+}
+
+coordination::StorageResult<std::string>
+FakeDisk::read(const std::string &name, std::uint64_t offset, std::size_t size) const
+{
+    const auto found = names_.find(name);
+    if (found == names_.end()) {
+        return tl::unexpected(StorageError{StorageFailure::NotFound, name});
+    }
+    const std::string &content = found->second->content;
+    return offset >= content.size() ? std::string() : content.substr(offset, size);
+}
+
+coordination::StorageResult<std::uint64_t> FakeDisk::size(const std::string &name) const
+{
+    const auto found = names_.find(name);
+    if (found == names_.end()) {
+        return tl::unexpected(StorageError{StorageFailure::NotFound, name});
+    }
+    return found->second->content.size();
+}
+
+coordination::StorageResult<std::vector<std::string>> FakeDisk::list() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, inode] : names_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+coordination::StorageResult<void> FakeDisk::rename(const std::string &from, const std::string &to)
+{
+    const bool killed = killsNow();
+    const auto inode = names_.at(from);
+    setName(to, inode);
+    setName(from, nullptr);
+    if (killed) {
+        throw ProcessKilled{};
+    }
+    return {};
+}
+
+coordination::StorageResult<void> FakeDisk::remove(const std::string &name)
+{
+    const bool killed = killsNow();
+    setName(name, nullptr);
+    if (killed) {
+        throw ProcessKilled{};
+    }
+    return {};
+}
+
+coordination::StorageResult<void> FakeDisk::syncFolder()
+{
+    if (killsNow()) {
+        throw ProcessKilled{};
+    }
+    durableNames_ = names_;
+    pending_.clear();
+    return {};
+}
+
+coordination::StorageResult<std::uint64_t> FakeDisk::freeBytes() const
+{
+    const std::uint64_t used = usedBytes();
+    return used >= capacity_ ? 0 : capacity_ - used;
+}
+
+std::uint64_t FakeDisk::usedBytes() const
+{
+    std::uint64_t used = 0;
+    for (const auto &[name, inode] : names_) {
+        used += inode->content.size();
+    }
+    return used;
+}
+
+coordination::StorageResult<void> FakeDisk::append(Inode &inode, std::string_view data)
+{
+    if (killsNow()) {
+        inode.content.append(data.substr(0, below(data.size() + 1)));
+        throw ProcessKilled{};
+    }
+    const std::uint64_t used = usedBytes();
+    const std::uint64_t room = used >= capacity_ ? 0 : capacity_ - used;
+    inode.content.append(data.substr(0, room));
+    if (data.size() > room) {
+        return tl::unexpected(StorageError{StorageFailure::NoSpace, "fake disk"});
+    }
+    return {};
+}
+
+coordination::StorageResult<void> FakeDisk::sync(Inode &inode)
+{
+    if (killsNow()) {
+        throw ProcessKilled{};
+    }
+    if (failSyncAt_ && operations_ > *failSyncAt_) {
+        return tl::unexpected(StorageError{StorageFailure::SyncFailed, "fake disk"});
+    }
+    inode.synced = inode.content.size();
+    return {};
+}
+
+// Any subset of the unsynced changes may have reached the disk: names one by one, and bytes with holes of zeros.
+void FakeDisk::losePower()
+{
+    for (NameChange &change : pending_) {
+        if (below(2) == 0) {
+            continue;
+        }
+        if (change.inode) {
+            durableNames_[change.name] = change.inode;
+        } else {
+            durableNames_.erase(change.name);
+        }
+    }
+    pending_.clear();
+    names_ = durableNames_;
+    for (auto &[name, inode] : names_) {
+        std::string &content = inode->content;
+        content.resize(inode->synced + below(content.size() - inode->synced + 1));
+        if (const std::size_t lost = content.size() - inode->synced; lost > 0 && below(2) == 0) {
+            const std::size_t from = inode->synced + below(lost);
+            std::fill_n(content.begin() + static_cast<std::ptrdiff_t>(from), below(content.size() - from + 1), '\0');
+        }
+        inode->synced = content.size();
+    }
+}
+
+void FakeDisk::damage(const std::string &name, std::uint64_t offset)
+{
+    names_.at(name)->content.at(offset) ^= 0x10;
+}
+
+} // namespace yuccawheel::fakes
--- /dev/null
+++ b/fakes/fake_network.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace yuccawheel::fakes
+{
+
+/// Chances are in percent; delays are drawn evenly, so messages overtake one another.
+struct LinkFaults {
+    unsigned dropPercent = 0;
+    unsigned duplicatePercent = 0;
+    std::chrono::milliseconds leastDelay{1};
+    std::chrono::milliseconds mostDelay{1};
+};
+
+/// Carries messages between numbered nodes in virtual time.
+template <typename Message>
+class FakeNetwork
+{
+public:
+    struct Delivery {
+        std::uint32_t from = 0;
+        std::uint32_t to = 0;
+        Message message;
+    };
+
+    explicit FakeNetwork(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    void setFaults(LinkFaults faults)
+    {
+        faults_ = faults;
+    }
+    /// Cuts one direction. Nothing tells the sender.
+    void cut(std::uint32_t from, std::uint32_t to)
+    {
+        cuts_.emplace(from, to);
+    }
+    void heal()
+    {
+        cuts_.clear();
+    }
+
+    void send(std::uint32_t from, std::uint32_t to, const Message &message, base::TimePoint now)
+    {
+        ++sent_;
+        if (cuts_.contains({from, to}) || chance(faults_.dropPercent)) {
+            return;
+        }
+        enqueue(from, to, message, now);
+        if (chance(faults_.duplicatePercent)) {
+            enqueue(from, to, message, now);
+        }
+    }
+
+    /// Takes the messages due, in order of their delivery; those on a link cut meanwhile are lost.
+    std::vector<Delivery> due(base::TimePoint now)
+    {
+        std::vector<Delivery> deliveries;
+        while (!queue_.empty() && queue_.begin()->first <= now) {
+            auto item = queue_.extract(queue_.begin());
+            if (!cuts_.contains({item.mapped().from, item.mapped().to})) {
+                deliveries.push_back(std::move(item.mapped()));
+            }
+        }
+        return deliveries;
+    }
+
+    std::uint64_t sent() const
+    {
+        return sent_;
+    }
+
+private:
+    bool chance(unsigned percent)
+    {
+        return random_() % 100 < percent;
+    }
+    void enqueue(std::uint32_t from, std::uint32_t to, const Message &message, base::TimePoint now)
+    {
+        const auto span = static_cast<std::uint64_t>((faults_.mostDelay - faults_.leastDelay).count()) + 1;
+        const auto delay = faults_.leastDelay + std::chrono::milliseconds(random_() % span);
+        queue_.emplace(now + delay, Delivery{from, to, message});
+    }
+
+    std::mt19937_64 random_;
+    LinkFaults faults_;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> cuts_;
+    std::multimap<base::TimePoint, Delivery> queue_;
+    std::uint64_t sent_ = 0;
+};
+
+} // namespace yuccawheel::fakes
--- /dev/null
+++ b/src/coordination/checksum.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace yuccawheel::coordination
+{
+
+/// XXH64 of the data.
+std::uint64_t checksum(std::string_view data, std::uint64_t seed = 0);
+
+} // namespace yuccawheel::coordination
--- /dev/null
+++ b/src/coordination/replica.cpp
@@ -0,0 +1,181 @@
+#include "coordination/replica.h"
+
+#include "base/invariant.h"
+
+#include <iterator>
+#include <utility>
+
+namespace yuccawheel::coordination
+{
+
+namespace
+{
+
+constexpr std::size_t MaxFlushBytes = std::size_t{1024} * 1024;
+
+} // namespace
+
+StorageResult<std::unique_ptr<Replica>>
+Replica::start(ReplicaSettings settings, LogStorage &storage, base::TimePoint now)
+{
+    auto state = storage.recover();
+    if (!state) {
+        return tl::unexpected(state.error());
+    }
+    auto snapshot = storage.loadSnapshot();
+    if (!snapshot) {
+        return tl::unexpected(snapshot.error());
+    }
+    return std::unique_ptr<Replica>(
+        new Replica(std::move(settings), storage, std::move(*state), std::move(*snapshot), now));
+}
+
+Replica::Replica(
+    ReplicaSettings settings, LogStorage &storage, RecoveredState state, std::string snapshot, base::TimePoint now)
+    : settings_(std::move(settings))
+    , storage_(storage)
+    , log_(settings_.log, std::move(state), storage, now)
+{
+    if (log_.applied() > 0) {
+        loaded_ = std::move(snapshot);
+    }
+}
+
+StorageResult<void> Replica::formCluster(LogStorage &storage, ClusterId cluster, ReplicaId self, const ReplicaSet &set)
+{
+    const auto held = storage.recover();
+    if (!held) {
+        return tl::unexpected(held.error());
+    }
+    if (held->hardState.self != ReplicaId{}) {
+        return tl::unexpected(StorageError{StorageFailure::InUse, "the folder already holds a replica"});
+    }
+    const RecoveredState state = ReplicatedLog::bootstrap(cluster, self, set);
+    return storage.save(state.hardState, state.entries);
+}
+
+void Replica::tick(base::TimePoint now)
+{
+    log_.tick(now);
+}
+
+void Replica::receive(const Message &message, base::TimePoint now)
+{
+    log_.receive(message, now);
+}
+
+tl::expected<Position, ProposeError> Replica::propose(std::string data)
+{
+    if (diskFull_) {
+        return tl::unexpected(ProposeError{ProposeFailure::DiskFull, log_.leader()});
+    }
+    return log_.propose(std::move(data));
+}
+
+tl::expected<void, ProposeError> Replica::read(std::uint64_t read)
+{
+    return log_.read(read);
+}
+
+tl::expected<Position, ProposeError> Replica::removeReplica(ReplicaId id, base::TimePoint now)
+{
+    return log_.removeReplica(id, now);
+}
+
+// Messages leave only with what they promise on disk: that is the whole order of this loop.
+StorageResult<ReplicaOutput> Replica::flush(base::TimePoint now)
+{
+    YW_INVARIANT(!failed_, "a replica must not go on after a failed write");
+    ReplicaOutput output;
+    output.snapshot = std::exchange(loaded_, std::nullopt);
+    const std::size_t appliedBefore = appliedBytes_;
+    while (true) {
+        Ready ready = log_.takeReady(now);
+        if (ready.empty()) {
+            return output;
+        }
+        if (auto done = persist(ready); !done) {
+            failed_ = true;
+            return tl::unexpected(done.error());
+        }
+        log_.persisted(now);
+        if (ready.snapshot) {
+            output.committed.clear();
+        }
+        collect(std::move(ready), output);
+        if (appliedBytes_ > appliedBefore + MaxFlushBytes) {
+            output.more = true;
+            return output;
+        }
+    }
+}
+
+StorageResult<void> Replica::persist(const Ready &ready)
+{
+    if (ready.hardState && ready.snapshot) {
+        if (auto done = storage_.save(ready.hardState, {}); !done) {
+            return done;
+        }
+    }
+    if (ready.snapshot) {
+        if (auto done = storage_.installSnapshot(*ready.snapshot); !done) {
+            return done;
+        }
+    }
+    if (!ready.needsSync()) {
+        return {};
+    }
+    if (auto done = storage_.save(ready.snapshot ? std::nullopt : ready.hardState, ready.entries); !done) {
+        return done;
+    }
+    const auto free = storage_.freeBytes();
+    diskFull_ = free && *free < settings_.diskReserveBytes;
+    return {};
+}
+
+void Replica::collect(Ready ready, ReplicaOutput &output)
+{
+    if (ready.snapshot) {
+        output.snapshot = std::move(ready.snapshot->bytes);
+        appliedBytes_ = 0;
+    }
+    for (const Entry &entry : ready.committed) {
+        appliedBytes_ += sizeOf(entry);
+    }
+    std::move(ready.messages.begin(), ready.messages.end(), std::back_inserter(output.messages));
+    std::move(ready.committed.begin(), ready.committed.end(), std::back_inserter(output.committed));
+    std::move(ready.reads.begin(), ready.reads.end(), std::back_inserter(waitingReads_));
+    std::erase_if(waitingReads_, [&](const ReadReady &read) {
+        const bool due = read.refused || read.index <= log_.applied();
+        if (due) {
+            output.reads.push_back(read);
+        }
+        return due;
+    });
+}
+
+bool Replica::snapshotDue() const
+{
+    return appliedBytes_ >= settings_.snapshotEvery;
+}
+
+StorageResult<void> Replica::saveSnapshot(Index index, std::string_view bytes)
+{
+    YW_INVARIANT(index == log_.applied(), "a snapshot holds the state after the last applied entry");
+    if (index == log_.snapshotIndex()) {
+        return {};
+    }
+    SnapshotMeta meta = log_.describeSnapshot(index);
+    if (auto done = storage_.saveSnapshot(meta, bytes); !done) {
+        if (done.error().failure == StorageFailure::NoSpace) {
+            return {};
+        }
+        failed_ = true;
+        return done;
+    }
+    appliedBytes_ = 0;
+    log_.snapshotSaved(meta);
+    return {};
+}
+
+} // namespace yuccawheel::coordination
