--- /dev/null
+++ b/src/protocol/frame.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace yuccawheel::protocol
+{
+
+/// Version of the inner protocol. Processes of different versions refuse each other.
+inline constexpr std::uint16_t ProtocolVersion = 1;
+
+inline constexpr std::size_t MaxPayloadBytes = 4U << 20U;
+inline constexpr std::size_t MaxHelloBytes = 1024;
+
+/// Number of a message type on the wire; never reused for another message.
+enum class MessageType : std::uint16_t {
+    Hello = 1,
+    HelloReply = 2,
+    Heartbeat = 3,
+    Error = 4,
+
+    Submit = 20,
+    SubmitReply = 21,
+    CancelJob = 22,
+    CancelJobReply = 23,
+    AcquireZone = 24,
+    AcquireZoneReply = 25,
+    RenewZone = 26,
+    RenewZoneReply = 27,
+    Watch = 28,
+    WatchReply = 29,
+    StateUpdate = 30,
+    Query = 31,
+    QueryReply = 32,
+    ChangeReplica = 33,
+    ChangeReplicaReply = 34,
+
+    Replication = 50,
+
+    UpstreamUpdates = 70,
+    ShareMessage = 71,
+    KeyRequest = 72,
+    KeyReply = 73,
+};
+
+enum class FrameKind : std::uint8_t { Request = 0, Response = 1, Notice = 2 };
+
+/// One message between two processes. A response carries the correlation number of its request.
+struct Frame {
+    MessageType type = MessageType::Heartbeat;
+    FrameKind kind = FrameKind::Notice;
+    std::uint64_t correlation = 0;
+    std::string payload;
+};
+
+/// Header on the wire, big endian: payload bytes (4), type (2), kind (1), correlation (8).
+inline constexpr std::size_t FrameHeaderBytes = 15;
+using FrameHeader = std::array<unsigned char, FrameHeaderBytes>;
+
+FrameHeader encodeHeader(const Frame &frame);
+
+struct DecodedHeader {
+    std::uint32_t payloadBytes = 0;
+    Frame frame;
+};
+/// Nothing if the kind is unknown. The caller checks the payload's size against its own limit.
+std::optional<DecodedHeader> decodeHeader(const FrameHeader &header);
+
+} // namespace yuccawheel::protocol
--- /dev/null
+++ b/src/protocol/identity.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "protocol/codec.h"
+#include "protocol/frame.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace yuccawheel::protocol
+{
+
+enum class Role : std::uint8_t { Entry, Scheduler, Store };
+
+constexpr std::string_view toString(Role role)
+{
+    switch (role) {
+    case Role::Entry:
+        return "entry";
+    case Role::Scheduler:
+        return "scheduler";
+    case Role::Store:
+        return "store";
+    }
+    return "unknown";
+}
+
+} // namespace yuccawheel::protocol
+
+YW_MSGPACK_ENUM(yuccawheel::protocol::Role, yuccawheel::protocol::Role::Store)
+
+namespace yuccawheel::protocol
+{
+
+/// Who a process is. `incarnation` grows with each restart.
+struct Identity {
+    std::string cluster;
+    Role role = Role::Entry;
+    std::string node;
+    std::string zone;
+    std::uint64_t incarnation = 0;
+
+    MSGPACK_DEFINE(cluster, role, node, zone, incarnation)
+};
+
+/// First frame on every connection. The version and the cluster are checked before anything else is read.
+struct Hello {
+    static constexpr MessageType Type = MessageType::Hello;
+    std::uint16_t version = ProtocolVersion;
+    Identity identity;
+
+    MSGPACK_DEFINE(version, identity)
+};
+
+struct HelloReply {
+    static constexpr MessageType Type = MessageType::HelloReply;
+    bool accepted = false;
+    std::string reason;
+    Identity identity;
+
+    MSGPACK_DEFINE(accepted, reason, identity)
+};
+
+} // namespace yuccawheel::protocol
--- /dev/null
+++ b/src/protocol/listener.cpp
@@ -0,0 +1,89 @@
+#include "protocol/listener.h"
+
+#include "base/log.h"
+#include "protocol/handshake.h"
+
+#include <utility>
+
+namespace yuccawheel::protocol
+{
+
+namespace asio = boost::asio;
+
+Listener::Listener(asio::io_context &io, const asio::ip::tcp::endpoint &address, Identity self, Callbacks callbacks)
+    : io_(io)
+    , acceptor_(io, address)
+    , self_(std::move(self))
+    , callbacks_(std::move(callbacks))
+    , alive_(std::make_shared<Listener *>(this))
+{
+    accept();
+}
+
+Listener::~Listener()
+{
+    *alive_ = nullptr;
+    stop();
+}
+
+asio::ip::tcp::endpoint Listener::address() const
+{
+    return acceptor_.local_endpoint();
+}
+
+void Listener::stop()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    const auto channels = std::exchange(channels_, {});
+    for (const auto &channel : channels) {
+        channel->close("stopping");
+    }
+}
+
+void Listener::accept()
+{
+    acceptor_.async_accept([alive = alive_](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+        Listener *const self = *alive;
+        if (self == nullptr || error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            acceptHandshake(
+                std::move(socket),
+                self->self_,
+                [alive](asio::ip::tcp::socket accepted, Identity peer) {
+                    if (*alive != nullptr) {
+                        (*alive)->onHandshake(std::move(accepted), std::move(peer));
+                    }
+                },
+                [](const std::string &reason) { base::logWarning("peer_refused").with("reason", reason); });
+        }
+        self->accept();
+    });
+}
+
+void Listener::onHandshake(asio::ip::tcp::socket socket, Identity peer)
+{
+    const auto channel = std::make_shared<Channel>(std::move(socket), std::move(peer));
+    channels_.insert(channel);
+    if (callbacks_.opened) {
+        callbacks_.opened(channel);
+    }
+    channel->start({[alive = alive_](const ChannelPtr &from, Frame frame) {
+                        if (*alive != nullptr && (*alive)->callbacks_.frame) {
+                            (*alive)->callbacks_.frame(from, std::move(frame));
+                        }
+                    },
+                    [alive = alive_](const ChannelPtr &from, std::string_view) {
+                        if (*alive == nullptr) {
+                            return;
+                        }
+                        (*alive)->channels_.erase(from);
+                        if ((*alive)->callbacks_.closed) {
+                            (*alive)->callbacks_.closed(from);
+                        }
+                    }});
+}
+
+} // namespace yuccawheel::protocol
--- /dev/null
+++ b/src/protocol/listener.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "protocol/channel.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <unordered_set>
+
+namespace yuccawheel::protocol
+{
+
+/// Accepts connections from the other processes of the cluster and refuses all others.
+class Listener
+{
+public:
+    struct Callbacks {
+        std::function<void(const ChannelPtr &)> opened;
+        std::function<void(const ChannelPtr &, Frame)> frame;
+        std::function<void(const ChannelPtr &)> closed;
+    };
+
+    /// Throws boost::system::system_error if the address cannot be bound.
+    Listener(boost::asio::io_context &io,
+             const boost::asio::ip::tcp::endpoint &address,
+             Identity self,
+             Callbacks callbacks);
+    ~Listener();
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    boost::asio::ip::tcp::endpoint address() const;
+    /// Stops accepting and closes every connection.
+    void stop();
+
+private:
+    void accept();
+    void onHandshake(boost::asio::ip::tcp::socket socket, Identity peer);
+
+    boost::asio::io_context &io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    Identity self_;
+    Callbacks callbacks_;
+    std::unordered_set<ChannelPtr> channels_;
+    std::shared_ptr<Listener *> alive_;
+};
+
+} // namespace yuccawheel::protocol
