--- a/src/protocol/listener.cpp
+++ b/src/protocol/listener.cpp
@@ -11,8 +11,7 @@
 namespace asio = boost::asio;
 
 Listener::Listener(asio::io_context &io, const asio::ip::tcp::endpoint &address, Identity self, Callbacks callbacks)
-    : io_(io)
-    , acceptor_(io, address)
+    : acceptor_(io, address)
     , self_(std::move(self))
     , callbacks_(std::move(callbacks))
     , alive_(std::make_shared<Listener *>(this))
--- a/src/protocol/listener.h
+++ b/src/protocol/listener.h
@@ -38,7 +38,6 @@
     void accept();
     void onHandshake(boost::asio::ip::tcp::socket socket, Identity peer);
 
-    boost::asio::io_context &io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     Identity self_;
     Callbacks callbacks_;
