--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -28,7 +28,7 @@
     onTimer();
 }
 
-bool Channel::send(Frame frame)
+bool Channel::send(const Frame &frame)
 {
     const std::size_t bytes = FrameHeaderBytes + frame.payload.size();
     if (!open_ || frame.payload.size() > MaxPayloadBytes || queuedBytes_ + bytes > MaxQueuedBytes) {
--- a/src/protocol/channel.h
+++ b/src/protocol/channel.h
@@ -41,7 +41,7 @@
     void start(Callbacks callbacks);
 
     /// Queues a frame. Returns false if the channel is closed or its queue is full; the frame was then not sent.
-    bool send(Frame frame);
+    bool send(const Frame &frame);
 
     /// Sends a message that expects no answer.
     template <typename Message>
--- a/src/protocol/peer.cpp
+++ b/src/protocol/peer.cpp
@@ -52,7 +52,7 @@
     }
     const std::uint64_t correlation = nextCorrelation_++;
     frame.correlation = correlation;
-    if (!channel_->send(std::move(frame))) {
+    if (!channel_->send(frame)) {
         done(tl::make_unexpected(RequestError{ErrorCode::Overloaded, base::Verdict::NotRun, "send queue full", {}}));
         return;
     }
@@ -155,7 +155,8 @@
 void Peer::onFrame(const ChannelPtr &channel, Frame frame)
 {
     if (frame.kind == FrameKind::Response) {
-        finish(frame.correlation, std::move(frame));
+        const std::uint64_t correlation = frame.correlation;
+        finish(correlation, std::move(frame));
     } else if (callbacks_.notice) {
         callbacks_.notice(channel, std::move(frame));
     }
