Cluster state: configuration, jobs, zones and their owners, built from the agreed log

Submissions are idempotent by id; of two at one version the first wins. Zones for new jobs are chosen by the leader before the entry is proposed.

--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -176,14 +176,21 @@
     return {buffer.data(), buffer.size()};
 }
 
-// Untrusted bytes: the limits bound what one message can make the unpacker allocate.
+/// Where bytes come from. The limits bound what one message can make the unpacker allocate.
+enum class Origin : std::uint8_t {
+    Network,
+    OwnDisk, ///< Checksummed before; may be much larger.
+};
+
 template <typename Message>
-tl::expected<Message, DecodeError> decode(std::string_view bytes)
+tl::expected<Message, DecodeError> decode(std::string_view bytes, Origin origin = Origin::Network)
 {
-    static const msgpack::unpack_limit limits(1U << 20U, 1U << 16U, 1U << 23U, 1U << 23U, 1U << 16U, 32);
+    static const msgpack::unpack_limit network(1U << 16U, 1U << 12U, 1U << 23U, 1U << 23U, 1U << 12U, 32);
+    static const msgpack::unpack_limit ownDisk(1U << 26U, 1U << 26U, 1U << 28U, 1U << 28U, 1U << 12U, 32);
     try {
         std::size_t offset = 0;
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limits);
+        const auto handle = msgpack::unpack(
+            bytes.data(), bytes.size(), offset, nullptr, nullptr, origin == Origin::Network ? network : ownDisk);
         if (offset != bytes.size()) {
             return tl::make_unexpected(DecodeError{"bytes after the message"});
         }
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -33,6 +33,7 @@
     Watch = 28,
     WatchReply = 29,
     StateUpdate = 30,
+    WatchAck = 35,
     Query = 31,
     QueryReply = 32,
     ChangeReplica = 33,
--- /dev/null
+++ b/src/protocol/messages.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include "placement/job.h"
+#include "protocol/codec.h"
+#include "protocol/frame.h"
+#include "protocol/identity.h"
+#include "protocol/index_set.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Requests and notices between entries, schedulers and store replicas. Each request names its reply type.
+
+namespace yuccawheel::protocol
+{
+
+struct NamedJob {
+    std::string name;
+    placement::JobId id = 0;
+
+    bool operator==(const NamedJob &) const = default;
+    MSGPACK_DEFINE(name, id)
+};
+
+enum class SubmitOutcome : std::uint8_t {
+    Accepted,
+    VersionConflict, ///< Another submission made the next version first.
+    SubmissionConflict, ///< The submission id was used for other content.
+    Rejected, ///< The content contradicts what is in force; `message` says how.
+};
+
+struct SubmitReply {
+    static constexpr MessageType Type = MessageType::SubmitReply;
+    SubmitOutcome outcome = SubmitOutcome::Accepted;
+    std::uint64_t version = 0;
+    std::vector<NamedJob> jobs;
+    bool resent = false;
+    std::uint64_t winnerVersion = 0;
+    std::string winnerSubmission;
+    std::string message;
+
+    bool operator==(const SubmitReply &) const = default;
+    MSGPACK_DEFINE(outcome, version, jobs, resent, winnerVersion, winnerSubmission, message)
+};
+
+/// An operator's document. Services and teams change the configuration; jobs do not.
+struct Submit {
+    static constexpr MessageType Type = MessageType::Submit;
+    using Reply = SubmitReply;
+    std::string submission;
+    std::optional<std::uint64_t> expectedVersion; ///< Needed if the configuration changes.
+    std::vector<placement::TeamQuota> teams;
+    std::vector<placement::JobSpec> services;
+    std::vector<std::string> removedTeams;
+    std::vector<std::string> removedServices;
+    std::vector<placement::JobSpec> jobs;
+
+    bool changesConfiguration() const
+    {
+        return !teams.empty() || !services.empty() || !removedTeams.empty() || !removedServices.empty();
+    }
+    MSGPACK_DEFINE(submission, expectedVersion, teams, services, removedTeams, removedServices, jobs)
+};
+
+struct CancelJobReply {
+    static constexpr MessageType Type = MessageType::CancelJobReply;
+    base::Verdict verdict = base::Verdict::MayHaveRun;
+    bool done = false; ///< Every task has its final word.
+
+    MSGPACK_DEFINE(verdict, done)
+};
+
+struct CancelJob {
+    static constexpr MessageType Type = MessageType::CancelJob;
+    using Reply = CancelJobReply;
+    placement::JobId job = 0;
+
+    MSGPACK_DEFINE(job)
+};
+
+/// The scheduler that owns a zone's workers.
+struct ZoneOwner {
+    std::string zone;
+    std::uint64_t epoch = 0;
+    std::string node;
+    std::string innerAddress;
+    std::string workerAddress;
+
+    bool operator==(const ZoneOwner &) const = default;
+    MSGPACK_DEFINE(zone, epoch, node, innerAddress, workerAddress)
+};
+
+struct AcquireZoneReply {
+    static constexpr MessageType Type = MessageType::AcquireZoneReply;
+    std::uint64_t epoch = 0;
+
+    MSGPACK_DEFINE(epoch)
+};
+
+struct AcquireZone {
+    static constexpr MessageType Type = MessageType::AcquireZone;
+    using Reply = AcquireZoneReply;
+    ZoneOwner candidate; ///< Its epoch is not read.
+
+    MSGPACK_DEFINE(candidate)
+};
+
+/// Final words on tasks of one job since the last report.
+struct JobProgress {
+    placement::JobId job = 0;
+    IndexSet succeeded;
+    IndexSet failed;
+    IndexSet notRun;
+    IndexSet mayHaveRun;
+
+    MSGPACK_DEFINE(job, succeeded, failed, notRun, mayHaveRun)
+};
+
+struct ZoneSummary {
+    placement::Resources capacity;
+    placement::Resources reserved;
+    std::uint32_t workers = 0;
+    std::uint32_t waitingTasks = 0;
+
+    MSGPACK_DEFINE(capacity, reserved, workers, waitingTasks)
+};
+
+struct RenewZoneReply {
+    static constexpr MessageType Type = MessageType::RenewZoneReply;
+    std::uint64_t configurationVersion = 0;
+
+    MSGPACK_DEFINE(configurationVersion)
+};
+
+/// Keeps a zone's ownership and reports progress, which is agreed on before the answer.
+struct RenewZone {
+    static constexpr MessageType Type = MessageType::RenewZone;
+    using Reply = RenewZoneReply;
+    std::string zone;
+    std::uint64_t epoch = 0;
+    ZoneSummary summary;
+    std::vector<JobProgress> progress;
+
+    MSGPACK_DEFINE(zone, epoch, summary, progress)
+};
+
+struct WatchReply {
+    static constexpr MessageType Type = MessageType::WatchReply;
+    std::uint64_t index = 0;
+
+    MSGPACK_DEFINE(index)
+};
+
+/// Asks for the state that concerns one zone, and for each change after it, as StateUpdate notices.
+struct Watch {
+    static constexpr MessageType Type = MessageType::Watch;
+    using Reply = WatchReply;
+    std::string zone;
+
+    MSGPACK_DEFINE(zone)
+};
+
+/// A share of a job or service that was given to a zone.
+struct ShareAssignment {
+    placement::JobSpec spec;
+    std::uint32_t firstIndex = 0;
+    std::uint32_t count = 0;
+    IndexSet finished;
+
+    MSGPACK_DEFINE(spec, firstIndex, count, finished)
+};
+
+/// Changes up to a place in the log. Updates of lower indices than the last one applied are ignored.
+struct StateUpdate {
+    static constexpr MessageType Type = MessageType::StateUpdate;
+    std::uint64_t index = 0;
+    bool full = false; ///< Replaces all that was known: what is not named any more was dropped.
+    bool last = true; ///< False if further parts of the same full state follow.
+    std::uint64_t configurationVersion = 0;
+    bool configurationChanged = false;
+    std::vector<placement::TeamQuota> teams;
+    std::vector<NamedJob> services;
+    std::vector<ShareAssignment> assigned;
+    std::vector<placement::JobId> cancelled;
+    std::vector<placement::JobId> dropped;
+    std::optional<ZoneOwner> owner;
+
+    MSGPACK_DEFINE(index,
+                   full,
+                   last,
+                   configurationVersion,
+                   configurationChanged,
+                   teams,
+                   services,
+                   assigned,
+                   cancelled,
+                   dropped,
+                   owner)
+};
+
+/// Says which configuration a watching daemon has in force.
+struct WatchAck {
+    static constexpr MessageType Type = MessageType::WatchAck;
+    std::uint64_t index = 0;
+    std::uint64_t configurationVersion = 0;
+
+    MSGPACK_DEFINE(index, configurationVersion)
+};
+
+enum class QueryKind : std::uint8_t {
+    Configuration,
+    ConfigurationStatus,
+    Jobs,
+    Job,
+    Store,
+    Workers,
+    Explain,
+    Drain,
+    Undrain,
+    Report,
+};
+
+struct QueryReply {
+    static constexpr MessageType Type = MessageType::QueryReply;
+    std::string json;
+
+    MSGPACK_DEFINE(json)
+};
+
+/// Asks a store replica or a scheduler for something to show to an operator.
+struct Query {
+    static constexpr MessageType Type = MessageType::Query;
+    using Reply = QueryReply;
+    QueryKind kind = QueryKind::Configuration;
+    std::string argument;
+
+    MSGPACK_DEFINE(kind, argument)
+};
+
+} // namespace yuccawheel::protocol
+
+YW_MSGPACK_ENUM(yuccawheel::protocol::SubmitOutcome, yuccawheel::protocol::SubmitOutcome::Rejected)
+YW_MSGPACK_ENUM(yuccawheel::protocol::QueryKind, yuccawheel::protocol::QueryKind::Report)
--- /dev/null
+++ b/src/store/cluster_state.cpp
@@ -0,0 +1,313 @@
+#include "store/cluster_state.h"
+
+#include "base/invariant.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace yuccawheel::store
+{
+
+namespace
+{
+
+constexpr std::size_t RememberedSubmissions = 100'000;
+constexpr std::size_t RememberedVersions = 1'000;
+
+// The expected version is part of the content: the same document sent for another version is another submission.
+std::uint64_t contentHash(const protocol::Submit &submit)
+{
+    const std::string bytes = protocol::encode(submit);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+// Two specs are the same service if they differ in the id only.
+bool sameSpec(placement::JobSpec left, const placement::JobSpec &right)
+{
+    left.id = right.id;
+    return protocol::encode(left) == protocol::encode(right);
+}
+
+} // namespace
+
+protocol::IndexSet JobRecord::finished() const
+{
+    protocol::IndexSet all = succeeded;
+    all.insert(failed);
+    all.insert(notRun);
+    all.insert(mayHaveRun);
+    return all;
+}
+
+bool JobRecord::hasShareIn(std::string_view zone) const
+{
+    return std::any_of(shares.begin(), shares.end(), [zone](const Share &share) { return share.zone == zone; });
+}
+
+base::Verdict JobRecord::verdict() const
+{
+    if (!succeeded.empty() || !failed.empty()) {
+        return base::Verdict::Ran;
+    }
+    return notRun.size() == spec.tasks ? base::Verdict::NotRun : base::Verdict::MayHaveRun;
+}
+
+ApplyResult ClusterState::apply(std::uint64_t index, const LogEntry &entry)
+{
+    YW_INVARIANT(index > data_.index, "entries are applied in order, each once");
+    data_.index = index;
+    ApplyResult result;
+    result.reply = std::visit([&](const auto &value) { return applyEntry(value, result.change); }, entry);
+    return result;
+}
+
+const JobRecord *ClusterState::findJob(placement::JobId id) const
+{
+    const auto found = data_.jobs.find(id);
+    return found == data_.jobs.end() ? nullptr : &found->second;
+}
+
+const protocol::ZoneOwner *ClusterState::owner(const std::string &zone) const
+{
+    const auto found = data_.owners.find(zone);
+    return found == data_.owners.end() ? nullptr : &found->second;
+}
+
+const protocol::SubmitReply *ClusterState::findSubmission(const std::string &submission) const
+{
+    const auto found = data_.submissions.find(submission);
+    return found == data_.submissions.end() ? nullptr : &found->second.reply;
+}
+
+// A resend gets the first answer again, whatever has changed since.
+ApplyReply ClusterState::applyEntry(const SubmissionEntry &entry, StateChange &change)
+{
+    const std::uint64_t hash = contentHash(entry.submit);
+    const auto known = data_.submissions.find(entry.submit.submission);
+    if (known != data_.submissions.end()) {
+        protocol::SubmitReply reply = known->second.reply;
+        if (known->second.contentHash != hash) {
+            reply = {};
+            reply.outcome = protocol::SubmitOutcome::SubmissionConflict;
+            reply.message = "the submission id was used for other content";
+        }
+        reply.resent = true;
+        return reply;
+    }
+    const protocol::SubmitReply reply = accept(entry, change);
+    remember(entry.submit.submission, hash, reply);
+    return reply;
+}
+
+protocol::SubmitReply ClusterState::accept(const SubmissionEntry &entry, StateChange &change)
+{
+    const bool changesConfiguration = entry.submit.changesConfiguration();
+    if (changesConfiguration && entry.submit.expectedVersion != data_.version) {
+        return versionConflict(entry.submit.expectedVersion.value_or(0));
+    }
+    protocol::SubmitReply reply;
+    if (changesConfiguration) {
+        changeConfiguration(entry, change);
+    }
+    for (std::size_t i = 0; i < entry.submit.jobs.size(); ++i) {
+        const placement::JobSpec &spec = entry.submit.jobs[i];
+        reply.jobs.push_back({spec.name, addJob(spec, entry.jobShares.at(i), entry.acceptedAt, change)});
+    }
+    reply.version = data_.version;
+    return reply;
+}
+
+protocol::SubmitReply ClusterState::versionConflict(std::uint64_t expected) const
+{
+    protocol::SubmitReply reply;
+    reply.outcome = protocol::SubmitOutcome::VersionConflict;
+    reply.version = data_.version;
+    for (const Version &version : data_.versions) {
+        if (version.number == expected + 1) {
+            reply.winnerVersion = version.number;
+            reply.winnerSubmission = version.submission;
+        }
+    }
+    return reply;
+}
+
+void ClusterState::changeConfiguration(const SubmissionEntry &entry, StateChange &change)
+{
+    ++data_.version;
+    data_.versions.push_back({data_.version, entry.submit.submission});
+    if (data_.versions.size() > RememberedVersions) {
+        data_.versions.pop_front();
+    }
+    change.configuration = true;
+    for (const std::string &team : entry.submit.removedTeams) {
+        data_.teams.erase(team);
+    }
+    for (const placement::TeamQuota &team : entry.submit.teams) {
+        data_.teams[team.team] = team;
+    }
+    for (const std::string &service : entry.submit.removedServices) {
+        const auto found = data_.services.find(service);
+        if (found != data_.services.end()) {
+            cancelRecord(data_.jobs.at(found->second), entry.acceptedAt, change);
+            data_.services.erase(found);
+        }
+    }
+    for (std::size_t i = 0; i < entry.submit.services.size(); ++i) {
+        const placement::JobSpec &spec = entry.submit.services[i];
+        const auto found = data_.services.find(spec.name);
+        if (found != data_.services.end()) {
+            JobRecord &current = data_.jobs.at(found->second);
+            if (sameSpec(spec, current.spec)) {
+                continue;
+            }
+            cancelRecord(current, entry.acceptedAt, change);
+        }
+        data_.services[spec.name] = addJob(spec, entry.serviceShares.at(i), entry.acceptedAt, change);
+    }
+}
+
+placement::JobId
+ClusterState::addJob(const placement::JobSpec &spec, const Shares &shares, WallTime at, StateChange &change)
+{
+    JobRecord record;
+    record.spec = spec;
+    record.spec.id = data_.nextJob++;
+    record.shares = shares;
+    record.acceptedAt = at;
+    const placement::JobId id = record.spec.id;
+    data_.jobs.emplace(id, std::move(record));
+    change.assigned.push_back(id);
+    return id;
+}
+
+void ClusterState::cancelRecord(JobRecord &record, WallTime at, StateChange &change)
+{
+    if (record.cancelled || record.done()) {
+        return;
+    }
+    record.cancelled = true;
+    change.cancelled.push_back(record.spec.id);
+    if (record.shares.empty()) {
+        record.notRun.insert(protocol::IndexRange{0, record.spec.tasks});
+        record.doneAt = at;
+    }
+}
+
+void ClusterState::remember(const std::string &submission, std::uint64_t hash, const protocol::SubmitReply &reply)
+{
+    data_.submissions[submission] = {hash, reply};
+    data_.submissionOrder.push_back(submission);
+    if (data_.submissionOrder.size() > RememberedSubmissions) {
+        data_.submissions.erase(data_.submissionOrder.front());
+        data_.submissionOrder.pop_front();
+    }
+}
+
+ApplyReply ClusterState::applyEntry(const CancelEntry &entry, StateChange &change)
+{
+    const auto found = data_.jobs.find(entry.job);
+    if (found == data_.jobs.end()) {
+        return protocol::CancelJobReply{base::Verdict::MayHaveRun, true};
+    }
+    cancelRecord(found->second, entry.at, change);
+    return protocol::CancelJobReply{found->second.verdict(), found->second.done()};
+}
+
+// The log's index is the epoch, so a later owner always has the higher one.
+ApplyReply ClusterState::applyEntry(const ZoneEntry &entry, StateChange &change)
+{
+    const protocol::ZoneOwner *const current = owner(entry.candidate.zone);
+    if ((current == nullptr ? 0 : current->epoch) != entry.replacedEpoch) {
+        return protocol::AcquireZoneReply{0};
+    }
+    protocol::ZoneOwner next = entry.candidate;
+    next.epoch = data_.index;
+    data_.owners[next.zone] = next;
+    change.ownerOf = next.zone;
+    return protocol::AcquireZoneReply{next.epoch};
+}
+
+ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange & /*change*/)
+{
+    const protocol::ZoneOwner *const current = owner(entry.zone);
+    if (current == nullptr || current->epoch != entry.epoch) {
+        return std::monostate{};
+    }
+    for (const protocol::JobProgress &progress : entry.progress) {
+        const auto found = data_.jobs.find(progress.job);
+        if (found != data_.jobs.end()) {
+            recordProgress(found->second, progress, entry.at);
+        }
+    }
+    return std::monostate{};
+}
+
+// The first certain word on a task stays; "may have run" gives way to a later certain one.
+void ClusterState::recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at)
+{
+    const auto addNew = [&record](protocol::IndexSet &target, protocol::IndexSet words) {
+        words.erase(record.succeeded);
+        words.erase(record.failed);
+        words.erase(record.notRun);
+        target.insert(words);
+        if (&target != &record.mayHaveRun) {
+            record.mayHaveRun.erase(words);
+        }
+    };
+    addNew(record.succeeded, progress.succeeded);
+    addNew(record.failed, progress.failed);
+    addNew(record.notRun, progress.notRun);
+    addNew(record.mayHaveRun, progress.mayHaveRun);
+    if (!record.done() && record.finished().size() >= record.spec.tasks) {
+        record.doneAt = at;
+    }
+}
+
+ApplyReply ClusterState::applyEntry(const MoveEntry &entry, StateChange &change)
+{
+    const protocol::ZoneOwner *const current = owner(entry.lostZone);
+    if ((current == nullptr ? 0 : current->epoch) != entry.lostEpoch) {
+        return std::monostate{};
+    }
+    for (const MoveEntry::Move &move : entry.moves) {
+        const auto found = data_.jobs.find(move.job);
+        if (found == data_.jobs.end() || found->second.done()) {
+            continue;
+        }
+        Shares &shares = found->second.shares;
+        shares.erase(std::remove_if(
+                         shares.begin(), shares.end(), [&move](const Share &share) { return share.zone == move.from; }),
+                     shares.end());
+        shares.insert(shares.end(), move.to.begin(), move.to.end());
+        change.assigned.push_back(move.job);
+    }
+    return std::monostate{};
+}
+
+ApplyReply ClusterState::applyEntry(const ForgetEntry &entry, StateChange &change)
+{
+    for (const placement::JobId job : entry.jobs) {
+        const auto found = data_.jobs.find(job);
+        if (found != data_.jobs.end() && found->second.done()) {
+            data_.jobs.erase(found);
+            change.forgotten.push_back(job);
+        }
+    }
+    return std::monostate{};
+}
+
+std::string ClusterState::snapshot() const
+{
+    return protocol::encode(data_);
+}
+
+tl::expected<ClusterState, protocol::DecodeError> ClusterState::restore(std::string_view bytes)
+{
+    return protocol::decode<Data>(bytes, protocol::Origin::OwnDisk).map([](Data data) {
+        ClusterState state;
+        state.data_ = std::move(data);
+        return state;
+    });
+}
+
+} // namespace yuccawheel::store
--- /dev/null
+++ b/src/store/cluster_state.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "protocol/messages.h"
+#include "store/log_entry.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace yuccawheel::store
+{
+
+/// A job or service as the log has it.
+struct JobRecord {
+    placement::JobSpec spec;
+    Shares shares;
+    protocol::IndexSet succeeded;
+    protocol::IndexSet failed;
+    protocol::IndexSet notRun;
+    protocol::IndexSet mayHaveRun;
+    bool cancelled = false;
+    WallTime acceptedAt{0};
+    WallTime doneAt{0}; ///< Zero until every task has its final word.
+
+    MSGPACK_DEFINE(spec, shares, succeeded, failed, notRun, mayHaveRun, cancelled, acceptedAt, doneAt)
+
+    /// Task indices that have their final word.
+    protocol::IndexSet finished() const;
+    bool done() const
+    {
+        return doneAt.count() != 0;
+    }
+    bool hasShareIn(std::string_view zone) const;
+    /// What can be said of the job as a whole: "not run" only if each task surely never ran.
+    base::Verdict verdict() const;
+};
+
+/// What an applied entry changed, for those that watch.
+struct StateChange {
+    bool configuration = false;
+    std::vector<placement::JobId> assigned; ///< New, or with changed shares.
+    std::vector<placement::JobId> cancelled;
+    std::vector<placement::JobId> forgotten;
+    std::optional<std::string> ownerOf; ///< Zone whose owner changed.
+};
+
+/// Answer to whoever proposed the entry. Progress, moves and removals have none.
+using ApplyReply =
+    std::variant<std::monostate, protocol::SubmitReply, protocol::CancelJobReply, protocol::AcquireZoneReply>;
+
+struct ApplyResult {
+    ApplyReply reply;
+    StateChange change;
+};
+
+/// The state that the agreed log builds: configuration, jobs, their zones, and the zones' owners.
+/// Pure: the same entries give the same state on each replica.
+class ClusterState
+{
+public:
+    /// Applies a committed entry. Indices grow by any step.
+    ApplyResult apply(std::uint64_t index, const LogEntry &entry);
+
+    std::string snapshot() const;
+    static tl::expected<ClusterState, protocol::DecodeError> restore(std::string_view bytes);
+
+    std::uint64_t index() const
+    {
+        return data_.index;
+    }
+    std::uint64_t configurationVersion() const
+    {
+        return data_.version;
+    }
+    const std::map<std::string, placement::TeamQuota> &teams() const
+    {
+        return data_.teams;
+    }
+    /// Names of the services in force, with the job that runs each.
+    const std::map<std::string, placement::JobId> &services() const
+    {
+        return data_.services;
+    }
+    const std::map<placement::JobId, JobRecord> &jobs() const
+    {
+        return data_.jobs;
+    }
+    const JobRecord *findJob(placement::JobId id) const;
+    const protocol::ZoneOwner *owner(const std::string &zone) const;
+    /// First answer to a submission, if it is still remembered.
+    const protocol::SubmitReply *findSubmission(const std::string &submission) const;
+
+private:
+    struct Remembered {
+        std::uint64_t contentHash = 0;
+        protocol::SubmitReply reply;
+        MSGPACK_DEFINE(contentHash, reply)
+    };
+    struct Version {
+        std::uint64_t number = 0;
+        std::string submission;
+        MSGPACK_DEFINE(number, submission)
+    };
+    struct Data {
+        std::uint64_t index = 0;
+        std::uint64_t version = 0;
+        std::map<std::string, placement::TeamQuota> teams;
+        std::map<std::string, placement::JobId> services;
+        std::map<placement::JobId, JobRecord> jobs;
+        std::map<std::string, protocol::ZoneOwner> owners;
+        std::map<std::string, Remembered> submissions;
+        std::deque<std::string> submissionOrder;
+        std::deque<Version> versions;
+        placement::JobId nextJob = 1;
+        MSGPACK_DEFINE(index, version, teams, services, jobs, owners, submissions, submissionOrder, versions, nextJob)
+    };
+
+    ApplyReply applyEntry(const SubmissionEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const CancelEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const ZoneEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const ProgressEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const MoveEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const ForgetEntry &entry, StateChange &change);
+
+    protocol::SubmitReply accept(const SubmissionEntry &entry, StateChange &change);
+    protocol::SubmitReply versionConflict(std::uint64_t expected) const;
+    void changeConfiguration(const SubmissionEntry &entry, StateChange &change);
+    placement::JobId addJob(const placement::JobSpec &spec, const Shares &shares, WallTime at, StateChange &change);
+    void cancelRecord(JobRecord &record, WallTime at, StateChange &change);
+    void remember(const std::string &submission, std::uint64_t contentHash, const protocol::SubmitReply &reply);
+    void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
+
+    Data data_;
+};
+
+} // namespace yuccawheel::store
--- /dev/null
+++ b/src/store/log_entry.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "protocol/messages.h"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace yuccawheel::store
+{
+
+/// Wall-clock time since the Unix epoch, given by the leader that proposed the entry; for display and retention only.
+using WallTime = std::chrono::milliseconds;
+
+/// A range of a job's task indices, given to one zone.
+struct Share {
+    std::string zone;
+    std::uint32_t firstIndex = 0;
+    std::uint32_t count = 0;
+
+    bool operator==(const Share &) const = default;
+    MSGPACK_DEFINE(zone, firstIndex, count)
+};
+
+using Shares = std::vector<Share>;
+
+// Entries of the agreed log. Whatever depends on the leader's view, such as the choice of zones, is decided before the
+// entry is proposed and stands in it, so that each replica applies the same change.
+
+struct SubmissionEntry {
+    protocol::Submit submit;
+    std::vector<Shares> serviceShares; ///< One for each service of the submission.
+    std::vector<Shares> jobShares; ///< One for each job of the submission.
+    WallTime acceptedAt{0};
+
+    MSGPACK_DEFINE(submit, serviceShares, jobShares, acceptedAt)
+};
+
+struct CancelEntry {
+    placement::JobId job = 0;
+    WallTime at{0};
+
+    MSGPACK_DEFINE(job, at)
+};
+
+struct ZoneEntry {
+    protocol::ZoneOwner candidate;
+    std::uint64_t replacedEpoch = 0; ///< Applies only if the zone's epoch is still this one.
+
+    MSGPACK_DEFINE(candidate, replacedEpoch)
+};
+
+struct ProgressEntry {
+    std::string zone;
+    std::uint64_t epoch = 0;
+    std::vector<protocol::JobProgress> progress;
+    WallTime at{0};
+
+    MSGPACK_DEFINE(zone, epoch, progress, at)
+};
+
+/// Gives the unfinished part of shares of a lost zone to other zones.
+struct MoveEntry {
+    struct Move {
+        placement::JobId job = 0;
+        std::string from;
+        Shares to;
+
+        MSGPACK_DEFINE(job, from, to)
+    };
+    std::uint64_t lostEpoch = 0; ///< Applies only if the lost zone's epoch is still this one.
+    std::string lostZone;
+    std::vector<Move> moves;
+    WallTime at{0};
+
+    MSGPACK_DEFINE(lostEpoch, lostZone, moves, at)
+};
+
+/// Drops finished jobs that were kept long enough for their submitter to read the outcome.
+struct ForgetEntry {
+    std::vector<placement::JobId> jobs;
+
+    MSGPACK_DEFINE(jobs)
+};
+
+using LogEntry = std::variant<SubmissionEntry, CancelEntry, ZoneEntry, ProgressEntry, MoveEntry, ForgetEntry>;
+
+std::string encodeEntry(const LogEntry &entry);
+tl::expected<LogEntry, protocol::DecodeError> decodeEntry(std::string_view bytes);
+
+} // namespace yuccawheel::store
