Read and check the daemons' settings

Faults are collected with file, line, key, the value found and what is allowed; none is thrown. A settings file may include one file shared by the VMs.

--- /dev/null
+++ b/src/settings/process_settings.cpp
@@ -0,0 +1,173 @@
+#include "settings/process_settings.h"
+
+#include "base/scope_guard.h"
+#include "settings/reader.h"
+#include "settings/setting_table.h"
+#include "settings/units.h"
+
+#include <fmt/core.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace yuccawheel::settings
+{
+
+namespace
+{
+
+constexpr std::size_t LongestSettingsFile = 1U << 20U;
+// A lease must outlive a few lost heartbeats, or a short network fault would stop healthy tasks.
+constexpr int HeartbeatsPerLease = 4;
+
+void checkUniqueNodes(const std::vector<Peer> &peers, const std::string &key, Reader &root)
+{
+    std::set<std::string> nodes;
+    for (const Peer &peer : peers) {
+        if (!nodes.insert(peer.node).second) {
+            root.reportValue(key, fmt::format("each node once, but {} stands twice", peer.node));
+        }
+    }
+}
+
+void checkTogether(const ProcessSettings &settings, Reader &root)
+{
+    checkUniqueNodes(settings.stores, "stores", root);
+    checkUniqueNodes(settings.entries, "entries", root);
+    checkUniqueNodes(settings.schedulers, "schedulers", root);
+    if (settings.lease < settings.heartbeat * HeartbeatsPerLease) {
+        root.reportValue("lease",
+                         fmt::format("at least {} heartbeats, here {}",
+                                     HeartbeatsPerLease,
+                                     formatDuration(settings.heartbeat * HeartbeatsPerLease)));
+    }
+    if (settings.drainLimit < settings.drainDelay) {
+        root.reportValue("drain_limit",
+                         fmt::format("at least drain_delay, here {}", formatDuration(settings.drainDelay)));
+    }
+}
+
+/// The settings file and the one that it includes, joined into one mapping.
+struct Source {
+    std::string file;
+    YAML::Node node;
+};
+
+std::optional<Source> readSource(const std::string &file, Problems &problems)
+{
+    const auto text = readFile(file, LongestSettingsFile);
+    if (!text) {
+        problems.push_back(text.error());
+        return std::nullopt;
+    }
+    auto node = parseYaml(*text, file);
+    if (!node) {
+        problems.push_back(node.error());
+        return std::nullopt;
+    }
+    return Source{file, *node};
+}
+
+std::optional<Source> readIncluded(const Source &source, Problems &problems)
+{
+    Problems ignored;
+    const auto path = Reader(source.file, source.node, "", ignored).read("include", pathRule());
+    if (!path) {
+        return std::nullopt;
+    }
+    return readSource((std::filesystem::path(source.file).parent_path() / *path).string(), problems);
+}
+
+} // namespace
+
+tl::expected<ProcessSettings, Problems> loadProcessSettings(const std::string &file, Program program)
+{
+    Problems problems;
+    const auto source = readSource(file, problems);
+    if (!source) {
+        return tl::unexpected(problems);
+    }
+    Reader root(source->file, source->node, "", problems);
+    root.read("include", pathRule());
+    if (const auto included = readIncluded(*source, problems)) {
+        root.merge(Reader(included->file, included->node, "", problems));
+    }
+    ProcessSettings settings;
+    readSettings(root, program, settings);
+    if (problems.empty()) {
+        checkTogether(settings, root);
+    }
+    if (!problems.empty()) {
+        return tl::unexpected(problems);
+    }
+    return settings;
+}
+
+Problem problemAt(const ProcessSettings &settings, std::string_view key, std::string allowed)
+{
+    for (const KeyPosition &position : settings.positions) {
+        if (position.key == key) {
+            return {position.file, position.line, position.key, position.value, std::move(allowed)};
+        }
+    }
+    return {"", 0, std::string(key), "nothing", std::move(allowed)};
+}
+
+namespace
+{
+
+// Binds as the daemons do; the socket is closed again at once.
+int bindError(const Endpoint &endpoint)
+{
+    sockaddr_in6 six{};
+    sockaddr_in four{};
+    six.sin6_family = AF_INET6;
+    six.sin6_port = htons(endpoint.port);
+    four.sin_family = AF_INET;
+    four.sin_port = htons(endpoint.port);
+    const bool isSix = endpoint.isIpv6();
+    inet_pton(isSix ? AF_INET6 : AF_INET,
+              endpoint.ip.c_str(),
+              isSix ? static_cast<void *>(&six.sin6_addr) : static_cast<void *>(&four.sin_addr));
+    const int descriptor = socket(isSix ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return errno;
+    }
+    const base::ScopeGuard closer([descriptor] { close(descriptor); });
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const auto *const address =
+        isSix ? reinterpret_cast<const sockaddr *>(&six) : reinterpret_cast<const sockaddr *>(&four);
+    if (bind(descriptor, address, isSix ? sizeof(six) : sizeof(four)) != 0 || listen(descriptor, 1) != 0) {
+        return errno;
+    }
+    return 0;
+}
+
+} // namespace
+
+Problems checkListeners(const ProcessSettings &settings)
+{
+    Problems problems;
+    const auto check = [&](const std::optional<Endpoint> &endpoint, std::string_view key) {
+        const int error = endpoint ? bindError(*endpoint) : 0;
+        if (error != 0) {
+            problems.push_back(
+                problemAt(settings, key, fmt::format("an address of this VM that is free ({})", std::strerror(error))));
+        }
+    };
+    check(settings.listen.caller, "listen.caller");
+    check(settings.listen.operators, "listen.operator");
+    check(settings.listen.upstream, "listen.upstream");
+    check(settings.listen.worker, "listen.worker");
+    check(settings.listen.inner, "listen.inner");
+    check(settings.listen.health, "listen.health");
+    return problems;
+}
+
+} // namespace yuccawheel::settings
--- /dev/null
+++ b/src/settings/reader.cpp
@@ -0,0 +1,279 @@
+#include "settings/reader.h"
+
+#include "base/scope_guard.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+
+namespace yuccawheel::settings
+{
+
+namespace
+{
+
+constexpr std::size_t LongestQuote = 80;
+
+int lineNumber(const YAML::Mark &mark)
+{
+    return mark.line >= 0 ? mark.line + 1 : 0;
+}
+
+// Untrusted bytes end up on terminals and in logs: control characters are escaped and long values cut.
+std::string quoted(std::string_view text)
+{
+    std::string result = "'";
+    for (const char c : text.substr(0, LongestQuote)) {
+        const auto byte = static_cast<unsigned char>(c);
+        result += byte < ' ' || byte == 0x7f ? fmt::format("\\x{:02x}", byte) : std::string(1, c);
+    }
+    return result + (text.size() > LongestQuote ? "…'" : "'");
+}
+
+std::string describe(const YAML::Node &node)
+{
+    switch (node.Type()) {
+    case YAML::NodeType::Scalar:
+        return node.Tag() == "!" ? "the text " + quoted(node.Scalar()) : quoted(node.Scalar());
+    case YAML::NodeType::Sequence:
+        return fmt::format("a list of {}", node.size());
+    case YAML::NodeType::Map:
+        return "a mapping";
+    case YAML::NodeType::Null:
+    case YAML::NodeType::Undefined:
+        break;
+    }
+    return "nothing";
+}
+
+} // namespace
+
+tl::expected<YAML::Node, Problem> parseYaml(const std::string &text, const std::string &file)
+{
+    try {
+        const std::vector<YAML::Node> documents = YAML::LoadAll(text);
+        if (documents.size() > 1) {
+            return tl::unexpected(Problem{file, 0, "", fmt::format("{} documents", documents.size()), "one document"});
+        }
+        return documents.empty() ? YAML::Node(YAML::NodeType::Map) : documents.front();
+    } catch (const YAML::Exception &exception) {
+        return tl::unexpected(Problem{file, lineNumber(exception.mark), "", exception.msg, "well-formed YAML"});
+    } catch (const std::exception &exception) {
+        return tl::unexpected(Problem{file, 0, "", exception.what(), "well-formed YAML"});
+    }
+}
+
+tl::expected<std::string, Problem> readFile(const std::string &file, std::size_t longest)
+{
+    std::FILE *const stream = std::fopen(file.c_str(), "rbe");
+    if (stream == nullptr) {
+        return tl::unexpected(Problem{file, 0, "", std::strerror(errno), "a readable file"});
+    }
+    const base::ScopeGuard closer([stream] { std::fclose(stream); });
+    std::string text(longest + 1, '\0');
+    text.resize(std::fread(text.data(), 1, text.size(), stream));
+    if (std::ferror(stream) != 0) {
+        return tl::unexpected(Problem{file, 0, "", "a read error", "a readable file"});
+    }
+    if (text.size() > longest) {
+        return tl::unexpected(
+            Problem{file, 0, "", fmt::format("more than {} bytes", longest), fmt::format("at most {} bytes", longest)});
+    }
+    return text;
+}
+
+Reader::Reader(std::string file, const YAML::Node &node, std::string path, Problems &problems)
+    : file_(std::move(file))
+    , path_(std::move(path))
+    , line_(lineNumber(node.Mark()))
+    , problems_(&problems)
+{
+    if (node.IsMap()) {
+        index(node);
+    } else {
+        problems_->push_back({file_, line_, path_, describe(node), "a mapping"});
+    }
+}
+
+// yaml-cpp keeps both values of a key that stands twice and finds the first, so repeats are looked for here.
+void Reader::index(const YAML::Node &node)
+{
+    std::set<std::string> seen;
+    for (const auto &entry : node) {
+        if (!entry.first.IsScalar()) {
+            problems_->push_back({file_,
+                                  lineNumber(entry.first.Mark()),
+                                  path_,
+                                  "a key that is " + describe(entry.first),
+                                  "text as key"});
+            continue;
+        }
+        const std::string &key = entry.first.Scalar();
+        if (!seen.insert(key).second) {
+            problems_->push_back(
+                {file_, lineNumber(entry.first.Mark()), pathOf(key), "the key a second time", "each key once"});
+            continue;
+        }
+        entries_.push_back({key, file_, lineNumber(entry.first.Mark()), entry.second});
+    }
+}
+
+const Reader::Entry *Reader::lookUp(const std::string &key) const
+{
+    const auto found =
+        std::find_if(entries_.begin(), entries_.end(), [&](const Entry &entry) { return entry.key == key; });
+    return found == entries_.end() ? nullptr : &*found;
+}
+
+const Reader::Entry *Reader::find(const std::string &key)
+{
+    known_.insert(key);
+    return lookUp(key);
+}
+
+bool Reader::has(const std::string &key)
+{
+    return find(key) != nullptr;
+}
+
+int Reader::lineOf(const std::string &key)
+{
+    const Entry *const entry = find(key);
+    return entry != nullptr ? entry->line : line_;
+}
+
+std::string Reader::fileOf(const std::string &key)
+{
+    const Entry *const entry = find(key);
+    return entry != nullptr ? entry->file : file_;
+}
+
+bool Reader::isScalar(const std::string &key)
+{
+    const Entry *const entry = find(key);
+    return entry != nullptr && entry->value.IsScalar();
+}
+
+std::string Reader::textOf(const std::string &key)
+{
+    return isScalar(key) ? find(key)->value.Scalar() : "";
+}
+
+void Reader::merge(const Reader &other)
+{
+    for (const Entry &entry : other.entries_) {
+        if (const Entry *const own = lookUp(entry.key)) {
+            problems_->push_back({entry.file,
+                                  entry.line,
+                                  pathOf(entry.key),
+                                  "the key a second time",
+                                  fmt::format("each key once, it stands in {}:{}", own->file, own->line)});
+        } else {
+            entries_.push_back(entry);
+        }
+    }
+}
+
+Reader Reader::childOrEmpty(const std::string &key)
+{
+    auto reader = child(key);
+    return reader ? std::move(*reader) : Reader(file_, YAML::Node(YAML::NodeType::Map), pathOf(key), *problems_);
+}
+
+std::optional<Reader> Reader::child(const std::string &key)
+{
+    const Entry *const entry = find(key);
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    return Reader(entry->file, entry->value, pathOf(key), *problems_);
+}
+
+std::vector<Reader> Reader::children(const std::string &key, std::size_t most)
+{
+    std::vector<Reader> readers;
+    const Entry *const entry = find(key);
+    if (entry == nullptr) {
+        return readers;
+    }
+    if (!entry->value.IsSequence() || entry->value.size() > most) {
+        report(*entry, fmt::format("a list of at most {} mappings", most));
+        return readers;
+    }
+    for (std::size_t i = 0; i < entry->value.size(); ++i) {
+        readers.emplace_back(entry->file, entry->value[i], fmt::format("{}[{}]", pathOf(key), i), *problems_);
+    }
+    return readers;
+}
+
+std::vector<std::string> Reader::names(const std::string &key)
+{
+    std::vector<std::string> result;
+    const Entry *const entry = find(key);
+    if (entry == nullptr) {
+        return result;
+    }
+    if (!entry->value.IsSequence()) {
+        report(*entry, "a list of names");
+        return result;
+    }
+    const auto rule = nameRule();
+    for (std::size_t i = 0; i < entry->value.size(); ++i) {
+        const YAML::Node element = entry->value[i];
+        const auto name = element.IsScalar() ? rule.parse(element.Scalar()) : std::nullopt;
+        if (name) {
+            result.push_back(*name);
+        } else {
+            report({fmt::format("{}[{}]", key, i), entry->file, entry->line, element}, rule.allowed);
+        }
+    }
+    return result;
+}
+
+bool Reader::isAcceptableScalar(const YAML::Node &node, bool quotedAllowed)
+{
+    return node.IsScalar() && (quotedAllowed || node.Tag() != "!");
+}
+
+void Reader::report(const Entry &entry, const std::string &allowed)
+{
+    problems_->push_back({entry.file, entry.line, pathOf(entry.key), describe(entry.value), allowed});
+}
+
+void Reader::reportMissing(const std::string &key, const std::string &allowed)
+{
+    problems_->push_back({file_, line_, pathOf(key), "nothing", allowed});
+}
+
+void Reader::reportValue(const std::string &key, const std::string &allowed)
+{
+    const Entry *const entry = find(key);
+    if (entry == nullptr) {
+        reportMissing(key, allowed);
+    } else {
+        report(*entry, allowed);
+    }
+}
+
+void Reader::finish()
+{
+    std::string allowed;
+    for (const std::string &key : known_) {
+        allowed += (allowed.empty() ? "one of " : ", ") + key;
+    }
+    for (const Entry &entry : entries_) {
+        if (!known_.contains(entry.key)) {
+            problems_->push_back({entry.file, entry.line, path_, "the unknown key " + quoted(entry.key), allowed});
+        }
+    }
+}
+
+std::string Reader::pathOf(const std::string &key) const
+{
+    return path_.empty() ? key : path_ + "." + key;
+}
+
+} // namespace yuccawheel::settings
--- /dev/null
+++ b/tests/settings_process_test.cpp
@@ -0,0 +1,152 @@
+#include "settings/process_settings.h"
+#include "settings/units.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+using namespace yuccawheel::settings;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string Valid = R"(cluster: demo
+zone: a
+node: a1
+listen:
+  caller: 127.0.0.1:0
+  operator: 127.0.0.1:0
+  upstream: 127.0.0.1:0
+  worker: 127.0.0.1:0
+  inner: "[::1]:0"
+  health: 127.0.0.1:0
+stores: [{node: a1, zone: a, address: 127.0.0.1:7400}]
+entries: [{node: a1, zone: a, address: 127.0.0.1:7401}]
+schedulers: [{node: a1, zone: a, address: 127.0.0.1:7402, worker_address: 127.0.0.1:7403}]
+token_file: token
+data_dir: data
+)";
+
+class SettingsFile : public testing::Test
+{
+protected:
+    SettingsFile()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "yw-settings-XXXXXX").string();
+        folder_ = mkdtemp(pattern.data());
+    }
+    ~SettingsFile() override
+    {
+        std::filesystem::remove_all(folder_);
+    }
+    std::string write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(folder_ / name) << text;
+        return (folder_ / name).string();
+    }
+    auto load(const std::string &text, Program program = Program::Entry) const
+    {
+        return loadProcessSettings(write("settings.yaml", text), program);
+    }
+    /// Returns `LINE KEY` of each problem.
+    std::string faults(const std::string &text, Program program = Program::Entry) const
+    {
+        const auto loaded = load(text, program);
+        std::string result;
+        for (const Problem &problem : loaded ? Problems{} : loaded.error()) {
+            EXPECT_FALSE(problem.found.empty() || problem.allowed.empty());
+            result += (result.empty() ? "" : "; ") + std::to_string(problem.line) + " " + problem.key;
+        }
+        return result;
+    }
+    /// Returns the valid settings with one line replaced.
+    static std::string with(const std::string &line, const std::string &replacement)
+    {
+        std::string text = Valid;
+        return text.replace(text.find(line), line.size(), replacement);
+    }
+
+    std::filesystem::path folder_;
+};
+
+} // namespace
+
+TEST_F(SettingsFile, everyRoleReadsOneFileAndDefaultsHold)
+{
+    for (const Program program : {Program::Entry, Program::Scheduler, Program::Store}) {
+        const auto settings = load(Valid, program);
+        ASSERT_TRUE(settings) << toString(settings.error());
+        EXPECT_EQ(settings->heartbeat, 500ms);
+        EXPECT_EQ(settings->listen.inner, (Endpoint{"::1", 0}));
+        EXPECT_EQ(toString(*settings->schedulers.at(0).workerAddress), "127.0.0.1:7403");
+        EXPECT_TRUE(checkListeners(*settings).empty() || settings->listen.inner->isIpv6());
+    }
+}
+
+TEST_F(SettingsFile, eachFaultNamesItsLineAndKey)
+{
+    EXPECT_EQ(faults(with("zone: a\n", "")), "1 zone");
+    EXPECT_EQ(faults(with("zone: a\n", "zone: [a]\n")), "2 zone");
+    EXPECT_EQ(faults(Valid + "lese: 10s\n"), "16 ");
+    EXPECT_EQ(faults(Valid + "lease: 10\n"), "16 lease");
+    EXPECT_EQ(faults(Valid + "lease: 2h\n"), "16 lease");
+    EXPECT_EQ(faults(Valid + "lease: 1s\n"), "16 lease");
+    EXPECT_EQ(faults(Valid + "zone: b\n"), "16 zone");
+    EXPECT_EQ(faults(Valid + "drain_limit: 1s\n"), "16 drain_limit");
+    EXPECT_EQ(faults(with("address: 127.0.0.1:7400", "address: localhost:7400")), "11 stores[0].address");
+    EXPECT_EQ(faults(with("address: 127.0.0.1:7400", "address: 127.0.0.1:0")), "11 stores[0].address");
+    EXPECT_EQ(faults(with("caller: 127.0.0.1:0", "caller: 127.0.0.1:65536")), "5 listen.caller");
+    EXPECT_EQ(faults(with("caller: 127.0.0.1:0", "callers: 127.0.0.1:0")), "5 listen.caller; 5 listen");
+    EXPECT_EQ(faults(with("node: a1\n", "node: a1\nobjective: speed\nlease: x\n")), "4 objective; 5 lease");
+    EXPECT_EQ(faults(with(", worker_address: 127.0.0.1:7403", "")), "13 schedulers[0].worker_address");
+    EXPECT_EQ(faults("cluster: [\n"), "2 ");
+    EXPECT_EQ(faults(Valid + "---\n" + Valid), "0 ");
+    EXPECT_EQ(faults("- a\n").substr(0, 2), "1 ");
+}
+
+TEST_F(SettingsFile, includedFileIsReadAndNamedInItsFaults)
+{
+    write("cluster.yaml", "cluster: demo\nlog_level: loud\n");
+    const auto bad = load(with("cluster: demo\n", "include: cluster.yaml\n"));
+    ASSERT_FALSE(bad);
+    EXPECT_EQ(bad.error().at(0).file, (folder_ / "cluster.yaml").string());
+    EXPECT_EQ(bad.error().at(0).line, 2);
+    write("cluster.yaml", "cluster: demo\nlog_level: error\n");
+    const auto good = load(with("cluster: demo\n", "include: cluster.yaml\n"));
+    ASSERT_TRUE(good) << toString(good.error());
+    EXPECT_EQ(good->logLevel, yuccawheel::base::LogLevel::Error);
+    EXPECT_EQ(faults("include: cluster.yaml\n" + Valid), "1 cluster");
+}
+
+TEST_F(SettingsFile, addressThatCannotBeBoundIsReportedAtItsKey)
+{
+    const auto settings = load(with("caller: 127.0.0.1:0", "caller: 192.0.2.1:80"));
+    ASSERT_TRUE(settings);
+    const auto problems = checkListeners(*settings);
+    ASSERT_FALSE(problems.empty());
+    EXPECT_EQ(problems.at(0).key, "listen.caller");
+    EXPECT_EQ(problems.at(0).line, 5);
+    EXPECT_EQ(problems.at(0).found, "192.0.2.1:80");
+}
+
+RC_GTEST_PROP(Units, formattedAmountsAreParsedBack, ())
+{
+    const auto amount = *rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 40);
+    RC_ASSERT(parseDuration(formatDuration(std::chrono::milliseconds(amount)))->count() == amount);
+    RC_ASSERT(parseMemory(formatMemory(amount)) == amount);
+    RC_ASSERT(parseCpu(formatCpu(amount)) == amount);
+}
+
+TEST(Units, malformedAmountsAreRefused)
+{
+    for (const char *text : {"", "s", "5", "5 s", "-5s", "1.5s", "99999999999999999999s", "9223372036854775807d"}) {
+        EXPECT_FALSE(parseDuration(text)) << text;
+    }
+    for (const char *text : {"", ".", "1.", ".5", "1.0001", "-1", "1e3", "9223372036854775807"}) {
+        EXPECT_FALSE(parseCpu(text)) << text;
+    }
+}
