--- /dev/null
+++ b/fakes/fake_worker.cpp
@@ -0,0 +1,239 @@
+#include "fakes/fake_worker.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/client.h"
+
+#include <fmt/core.h>
+
+#include <condition_variable>
+#include <fcntl.h>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+
+namespace yuccawheel::fakes
+{
+
+using base::BootClock;
+using base::TimePoint;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds PollGrace{2000}; ///< Added to a poll's own wait before it counts as lost.
+constexpr milliseconds RetryDelay{100};
+constexpr int HttpOk = 200;
+constexpr int HttpBadRequest = 400;
+constexpr int HttpConflict = 409;
+constexpr mode_t JournalMode = 0644;
+
+std::string_view toString(WorkerRecord::Kind kind)
+{
+    switch (kind) {
+    case WorkerRecord::Kind::Start:
+        return "start";
+    case WorkerRecord::Kind::End:
+        return "end";
+    case WorkerRecord::Kind::Violation:
+        return "violation";
+    }
+    return "";
+}
+
+} // namespace
+
+Journal::Journal(const std::string &path)
+{
+    if (!path.empty()) {
+        descriptor_ = open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, JournalMode);
+    }
+}
+
+Journal::~Journal()
+{
+    if (descriptor_ >= 0) {
+        close(descriptor_);
+    }
+}
+
+/// One write per line, so that lines of many processes never mix.
+void Journal::append(const std::string &worker, const WorkerRecord &record)
+{
+    if (descriptor_ < 0) {
+        return;
+    }
+    const std::string line = fmt::format("{} {} {} {} {} {}\n",
+                                         record.at.time_since_epoch().count(),
+                                         toString(record.kind),
+                                         record.task,
+                                         worker,
+                                         record.incarnation,
+                                         record.detail);
+    if (write(descriptor_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+        base::logError("journal_failed").with("worker", worker);
+    }
+}
+
+struct FakeWorker::Impl {
+    Impl(Options givenOptions, Journal &givenJournal)
+        : options(std::move(givenOptions))
+        , journal(givenJournal)
+        , state(options.worker, BootClock::now())
+        , scheduler(options.schedulers.front())
+        , thread([this] { run(); })
+    {
+    }
+
+    ~Impl()
+    {
+        {
+            const std::lock_guard lock(mutex);
+            stopping = true;
+        }
+        wake.notify_all();
+        thread.join();
+    }
+
+    void run();
+    bool pollOnce();
+    void onAnswer(const http::ClientResponse &response, TimePoint sentAt, std::uint64_t sentPower);
+    void tryNextScheduler();
+    /// Writes what happened to the journal before anybody else can hear of it.
+    void publishRecords();
+
+    const Options options;
+    Journal &journal;
+    std::mutex mutex;
+    std::condition_variable wake;
+    WorkerState state;
+    std::uint64_t power = 0; ///< Grows with each loss of power.
+    bool stopping = false;
+    std::size_t nextScheduler = 0;
+    settings::Endpoint scheduler;
+    std::thread thread;
+};
+
+void FakeWorker::Impl::run()
+{
+    std::unique_lock lock(mutex);
+    while (!stopping) {
+        bool answered = false;
+        if (!state.faults.hang) {
+            lock.unlock();
+            answered = pollOnce();
+            lock.lock();
+        }
+        if (!answered) {
+            wake.wait_for(lock, RetryDelay, [this] { return stopping; });
+        }
+    }
+}
+
+bool FakeWorker::Impl::pollOnce()
+{
+    http::ClientRequest request{"POST", "/v1/workers/" + options.worker.name + "/poll", {}, ""};
+    request.headers.push_back({"Content-Type", "application/json"});
+    std::uint64_t sentPower = 0;
+    const TimePoint sentAt = BootClock::now();
+    {
+        const std::lock_guard lock(mutex);
+        state.advance(sentAt);
+        request.body = state.poll(sentAt).dump();
+        publishRecords();
+        sentPower = power;
+    }
+    const auto response = http::call(scheduler, request, options.worker.wait + PollGrace);
+    const std::lock_guard lock(mutex);
+    if (!response || response->status != HttpOk) {
+        state.pollFailed();
+    }
+    if (!response) {
+        tryNextScheduler();
+        return false;
+    }
+    onAnswer(*response, sentAt, sentPower);
+    return response->status == HttpOk;
+}
+
+void FakeWorker::Impl::onAnswer(const http::ClientResponse &response, TimePoint sentAt, std::uint64_t sentPower)
+{
+    const json body = json::parse(response.body, nullptr, false);
+    // An answer to a poll from before a loss of power belongs to the last incarnation; a hung worker reads nothing.
+    if (sentPower != power || state.faults.hang) {
+        state.pollFailed();
+        return;
+    }
+    if (response.status == HttpOk && body.is_object()) {
+        if (!state.answer(body, sentAt, BootClock::now())) {
+            base::logInfo("epoch_refused").with("worker", options.worker.name).with("owner", body.value("owner", ""));
+            state.pollFailed();
+            tryNextScheduler();
+        }
+        publishRecords();
+        return;
+    }
+    if (response.status == HttpBadRequest) {
+        base::logError("poll_refused").with("worker", options.worker.name).with("answer", response.body);
+    }
+    if (body.is_object() && body.value("released", false)) {
+        state.release();
+    }
+    const bool redirected = response.status == HttpConflict && body.is_object() && body.contains("owner");
+    const auto owner = redirected ? settings::parseEndpoint(body.value("owner", "")) : std::nullopt;
+    if (owner) {
+        scheduler = *owner;
+    } else {
+        tryNextScheduler();
+    }
+}
+
+void FakeWorker::Impl::tryNextScheduler()
+{
+    nextScheduler = (nextScheduler + 1) % options.schedulers.size();
+    scheduler = options.schedulers[nextScheduler];
+}
+
+void FakeWorker::Impl::publishRecords()
+{
+    for (const WorkerRecord &record : state.takeRecords()) {
+        journal.append(options.worker.name, record);
+    }
+}
+
+FakeWorker::FakeWorker(Options options, Journal &journal) : impl_(std::make_unique<Impl>(std::move(options), journal))
+{
+}
+
+FakeWorker::~FakeWorker() = default;
+
+void FakeWorker::tick()
+{
+    const std::lock_guard lock(impl_->mutex);
+    impl_->state.advance(BootClock::now());
+    impl_->publishRecords();
+}
+
+void FakeWorker::setFaults(const WorkerFaults &faults)
+{
+    const std::lock_guard lock(impl_->mutex);
+    impl_->state.faults = faults;
+}
+
+WorkerFaults FakeWorker::faults() const
+{
+    const std::lock_guard lock(impl_->mutex);
+    return impl_->state.faults;
+}
+
+void FakeWorker::losePower()
+{
+    const std::lock_guard lock(impl_->mutex);
+    ++impl_->power;
+    impl_->state.losePower(BootClock::now());
+    impl_->publishRecords();
+}
+
+} // namespace yuccawheel::fakes
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,341 @@
+"""Whole-process clusters on loopback for tests and the demo: settings, start, readiness, faults, stop by pid."""
+
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "fakes"))
+sys.path.insert(0, str(ROOT / "operator"))
+from relay import Relay  # noqa: E402
+
+BIN = pathlib.Path(os.environ.get("YW_BIN", ROOT / "build" / "bin"))
+OVERALL_TIMEOUT_S = 120
+POLL_S = 0.05
+TOKEN = "loopback-token-for-tests"
+
+
+def wait_until(condition, what, timeout=OVERALL_TIMEOUT_S):
+    """Waits until `condition()` is true and returns its value."""
+    end = time.monotonic() + timeout
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise AssertionError(f"not seen within {timeout} s: {what}")
+        time.sleep(POLL_S)
+
+
+def request(address, method, path, body=None, headers=None, timeout=30):
+    """Sends one request and returns (status, headers, body). Raises OSError or HTTPException if no whole answer came."""
+    connection = http.client.HTTPConnection(*address, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.headers, answer.read()
+    finally:
+        connection.close()
+
+
+class Process:
+    """One child process with its log file. Ended by pid only."""
+
+    def __init__(self, name, arguments, folder, stdin=subprocess.DEVNULL):
+        self.name = name
+        self.arguments = [str(argument) for argument in arguments]
+        self.log = folder / f"{name}.log"
+        self._stdin = stdin
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(self.arguments, stdin=self._stdin, stdout=log, stderr=log)
+        self.pid = self.child.pid
+
+    def signal(self, number):
+        if self.child.poll() is None:
+            os.kill(self.pid, number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.child.wait()
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def terminate(self, timeout=OVERALL_TIMEOUT_S):
+        """Asks the process to end and returns its exit code."""
+        self.resume()
+        self.signal(signal.SIGTERM)
+        try:
+            return self.child.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+    def command(self, line):
+        """Writes one line to the standard input of a fake."""
+        self.child.stdin.write((line + "\n").encode())
+        self.child.stdin.flush()
+
+    def log_text(self):
+        return self.log.read_text(errors="replace")
+
+
+class Vm:
+    """Addresses of one entry VM and the daemons on it."""
+
+    def __init__(self, name, zone, ip, has_store):
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.has_store = has_store
+        kinds = ["caller", "operator", "upstream", "entry", "entry_health", "worker", "scheduler", "scheduler_health"]
+        kinds += ["store", "store_health"]
+        self.address = dict(zip(kinds, free_addresses(ip, len(kinds))))
+        self.entry = self.scheduler = self.store = None
+
+
+def free_addresses(ip, count):
+    """Picks ports of `ip` that are free, by binding to port 0."""
+    sockets = [socket.create_server((ip, 0)) for _ in range(count)]
+    addresses = [sock.getsockname() for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return addresses
+
+
+def text(address):
+    return f"{address[0]}:{address[1]}"
+
+
+class Cluster:
+    """Daemons of some zones. `zones` maps a zone to its number of VMs; the first VM of each zone in `stores` has a
+    disk. With `relays`, zones reach each other through relays that `cut` can silence. Every cluster takes a random
+    part of 127.0.0.0/8 for itself, so clusters don't meet."""
+
+    def __init__(self, zones=None, stores=None, relays=False, settings=None):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yuccawheel-"))
+        self.zones = zones or {"a": 1, "b": 1}
+        self.settings = {"heartbeat": "200ms", "lease": "3s", "drain_delay": "1s", "drain_limit": "20s"}
+        self.settings.update(settings or {})
+        self.processes = []
+        self.vms = []
+        self.journal = self.folder / "journal.txt"
+        self._links = {}
+        self._relays = relays
+        self._net = f"127.{random.randrange(1, 255)}.{random.randrange(0, 255)}"
+        numbers = itertools.count(1)
+        store_zones = list(self.zones) if stores is None else stores
+        for zone, count in self.zones.items():
+            for index in range(1, count + 1):
+                has_store = zone in store_zones and index == 1
+                self.vms.append(Vm(f"{zone}{index}", zone, f"{self._net}.{next(numbers)}", has_store))
+        token = self.folder / "token"
+        token.write_text(TOKEN + "\n")
+        token.chmod(0o600)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, traceback):
+        self.stop()
+        if kind is None:
+            shutil.rmtree(self.folder)
+        else:
+            print(f"logs are kept in {self.folder}", file=sys.stderr)
+
+    # Settings
+
+    def _seen_from(self, zone, vm, kind):
+        """Address of a listener as processes of `zone` have to dial it."""
+        if not self._relays or zone == vm.zone:
+            return text(vm.address[kind])
+        key = (zone, vm.name, kind)
+        if key not in self._links:
+            self._links[key] = Relay((vm.ip, 0), vm.address[kind])
+        return text(self._links[key].address)
+
+    def _peers(self, zone, role):
+        lines = []
+        for vm in self.vms:
+            if role == "store" and not vm.has_store:
+                continue
+            line = f"  - {{node: {role}-{vm.name}, zone: {vm.zone}, address: '{self._seen_from(zone, vm, role)}'"
+            if role == "scheduler":
+                line += f", worker_address: '{self._seen_from(zone, vm, 'worker')}'"
+            lines.append(line.replace("'", "") + "}")
+        return "\n".join(lines)
+
+    def settings_file(self, vm, role):
+        lines = ["cluster: loopback", f"zone: {vm.zone}", f"node: {role}-{vm.name}", "listen:"]
+        lines += [f"  inner: {text(vm.address[role])}", f"  health: {text(vm.address[role + '_health'])}"]
+        if role == "entry":
+            lines += [f"  {kind}: {text(vm.address[kind])}" for kind in ("caller", "operator", "upstream")]
+            lines.append(f"token_file: {self.folder / 'token'}")
+        if role == "scheduler":
+            lines.append(f"  worker: {text(vm.address['worker'])}")
+        if role == "store":
+            lines.append(f"data_dir: {self.data_dir(vm)}")
+        for key, value in self.settings.items():
+            lines.append(f"{key}: {value}")
+        roles = ["store"] if role == "store" else ["store", "entry", "scheduler"]
+        for peer_role, key in (("store", "stores"), ("entry", "entries"), ("scheduler", "schedulers")):
+            if peer_role in roles:
+                lines += [f"{key}:", self._peers(vm.zone, peer_role)]
+        path = self.folder / f"{role}-{vm.name}.yaml"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def data_dir(self, vm):
+        path = self.folder / f"data-{vm.name}"
+        path.mkdir(exist_ok=True)
+        return path
+
+    # Processes
+
+    def spawn(self, name, arguments, stdin=subprocess.DEVNULL):
+        process = Process(name, arguments, self.folder, stdin)
+        self.processes.append(process)
+        return process
+
+    def start(self):
+        """Starts every daemon and waits until all are ready."""
+        for vm in self.vms:
+            if vm.has_store:
+                vm.store = self.daemon(vm, "store")
+        for vm in self.vms:
+            vm.scheduler = self.daemon(vm, "scheduler")
+            vm.entry = self.daemon(vm, "entry")
+        for vm in self.vms:
+            for role in ("store", "scheduler", "entry"):
+                if role != "store" or vm.has_store:
+                    self.wait_ready(vm, role)
+
+    def daemon(self, vm, role):
+        return self.spawn(f"{role}-{vm.name}", [BIN / f"yw-{role}", "--settings", self.settings_file(vm, role)])
+
+    def is_ready(self, vm, role):
+        try:
+            return request(vm.address[f"{role}_health"], "GET", "/readyz", timeout=5)[0] == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def wait_ready(self, vm, role):
+        process = getattr(vm, role)
+
+        def ready():
+            if process.child.poll() is not None:
+                raise AssertionError(f"{process.name} ended:\n{process.log_text()[-2000:]}")
+            return self.is_ready(vm, role)
+
+        wait_until(ready, f"{process.name} is ready")
+
+    def workers(self, zone, count, **options):
+        """Starts one process with `count` fake workers of a zone."""
+        vms = [vm for vm in self.vms if vm.zone == zone]
+        arguments = [BIN / "fake-worker", "--name", f"w-{zone}", "--count", count, "--zone", zone]
+        arguments += ["--scheduler", ",".join(text(vm.address["worker"]) for vm in vms)]
+        arguments += ["--entry", ",".join(text(vm.address["upstream"]) for vm in vms)]
+        arguments += ["--journal", self.journal]
+        for key, value in options.items():
+            arguments += [f"--{key.replace('_', '-')}", value]
+        return self.spawn(f"workers-{zone}-{len(self.processes)}", arguments, subprocess.PIPE)
+
+    def stop(self):
+        """Stops every process of this cluster, by pid."""
+        for process in self.processes:
+            process.resume()
+            process.signal(signal.SIGTERM)
+        end = time.monotonic() + 10
+        for process in self.processes:
+            try:
+                process.child.wait(max(0, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+        for link in self._links.values():
+            link.close()
+
+    # Faults
+
+    def cut(self, zone, direction="both"):
+        """Silences every link between `zone` and the others: "out" (from it), "in" (towards it), "both", "none"."""
+        for (viewer, vm_name, _), relay in self._links.items():
+            target_zone = vm_name.rstrip("0123456789")
+            if viewer == zone:
+                relay.silence({"out": "forward", "in": "backward"}.get(direction, direction))
+            elif target_zone == zone:
+                relay.silence({"out": "backward", "in": "forward"}.get(direction, direction))
+
+    # Operators and callers
+
+    def operator(self, method, path, body=None, headers=None, vm=None, timeout=30):
+        """Sends an operator's request and returns (status, decoded body)."""
+        all_headers = {"Authorization": f"Bearer {TOKEN}"} | (headers or {})
+        address = (vm or self.vms[0]).address["operator"]
+        status, _, answer = request(address, method, path, body, all_headers, timeout)
+        return status, json.loads(answer or b"{}")
+
+    def submit(self, document, submission, expected_version=None, vm=None, timeout=30):
+        headers = {"Yw-Submission": submission}
+        if expected_version is not None:
+            headers["Yw-Expected-Version"] = str(expected_version)
+        return self.operator("POST", "/v1/submissions", str(document), headers, vm, timeout)
+
+    def call(self, service, rest="", method="GET", body=None, headers=None, vm=None, timeout=30):
+        """Sends a caller's request and returns (status, headers, body)."""
+        address = (vm or self.vms[0]).address["caller"]
+        return request(address, method, f"/serve/{service}/{rest}", body, headers, timeout)
+
+    # Journal of the fake workers
+
+    def records(self):
+        return read_journal(self.journal)
+
+
+class Record:
+    """One line of the journal: what happened to a task on a worker, at a time of the boot clock."""
+
+    def __init__(self, line):
+        nanoseconds, self.kind, self.task, self.worker, self.incarnation, self.detail = line.split()
+        self.time = int(nanoseconds) / 1e9
+        self.index = tuple(self.task.split(".")[:2])
+
+
+def read_journal(path):
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines(keepends=True)
+    return sorted((Record(line) for line in lines if line.endswith("\n")), key=lambda record: record.time)
+
+
+def journal_faults(records):
+    """Returns every breach of the platform's promises in a journal: violations that a worker saw itself, and task
+    indices that ran in two places at once."""
+    faults = [f"{r.worker}: {r.detail} {r.task}" for r in records if r.kind == "violation"]
+    running = {}
+    for record in records:
+        if record.kind == "start":
+            other = running.get(record.index)
+            if other:
+                faults.append(f"{record.task} on {record.worker} while {other.task} runs on {other.worker}")
+            running[record.index] = record
+        elif record.kind == "end":
+            current = running.get(record.index)
+            if current and (current.task, current.worker) == (record.task, record.worker):
+                del running[record.index]
+    return faults
--- /dev/null
+++ b/tests/fake_worker_test.cpp
@@ -0,0 +1,131 @@
+#include "fakes/worker_state.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+using namespace std::chrono_literals;
+using namespace yuccawheel;
+using nlohmann::json;
+
+namespace
+{
+
+json startCommand(const std::string &task, int milliCpu, const std::string &payload)
+{
+    return {{"command", "start"},
+            {"task", task},
+            {"reserved", {{"milli_cpu", milliCpu}, {"memory_mib", 100}}},
+            {"payload", payload},
+            {"detached_for_ms", 3000}};
+}
+
+class FakeWorkerTest : public testing::Test
+{
+protected:
+    /// Polls at `at` and takes an answer with these commands.
+    bool exchange(std::chrono::milliseconds at, int epoch, const std::string &owner, const std::vector<json> &commands)
+    {
+        const auto now = start_ + at;
+        state_.advance(now);
+        sent_ = state_.poll(now);
+        const json answer{{"epoch", {epoch, 0}},
+                          {"owner", owner},
+                          {"acknowledged", sent_["sequence"]},
+                          {"lease_ms", 1000},
+                          {"commands", commands}};
+        return state_.answer(answer, now, now);
+    }
+
+    /// State of a task in the last poll, or an empty text.
+    std::string reported(const std::string &task) const
+    {
+        for (const json &report : sent_["tasks"]) {
+            if (report["task"] == task) {
+                return report["state"];
+            }
+        }
+        return "";
+    }
+
+    int violations()
+    {
+        int count = 0;
+        for (const auto &record : state_.takeRecords()) {
+            count += record.kind == fakes::WorkerRecord::Kind::Violation ? 1 : 0;
+        }
+        return count;
+    }
+
+    const base::TimePoint start_{1h};
+    fakes::WorkerState state_{{}, start_};
+    json sent_;
+};
+
+TEST_F(FakeWorkerTest, runsATaskAndRepeatsItsEndUntilAcknowledged)
+{
+    exchange(0ms, 1, "x", {startCommand("1.0.0", 1000, "{run_ms: 200, result: fail}")});
+    exchange(100ms, 1, "x", {});
+    EXPECT_EQ(reported("1.0.0"), "running");
+    state_.advance(start_ + 300ms);
+    state_.poll(start_ + 300ms); // This poll gets no answer.
+    exchange(310ms, 1, "x", {startCommand("1.0.0", 1000, "")});
+    EXPECT_EQ(reported("1.0.0"), "failed");
+    exchange(320ms, 1, "x", {});
+    EXPECT_EQ(reported("1.0.0"), "failed") << "a start that comes again runs nothing and is answered by the state";
+    exchange(330ms, 1, "x", {});
+    EXPECT_EQ(reported("1.0.0"), "");
+    EXPECT_EQ(violations(), 0);
+}
+
+TEST_F(FakeWorkerTest, refusesLowerEpochsAndASecondOwnerDuringAGrant)
+{
+    EXPECT_TRUE(exchange(0ms, 5, "x", {}));
+    EXPECT_FALSE(exchange(10ms, 4, "x", {startCommand("1.0.0", 1000, "{run_ms: 9000}")}));
+    EXPECT_FALSE(exchange(900ms, 6, "y", {})) << "the grant of x lasts until 1000 ms";
+    EXPECT_TRUE(exchange(1001ms, 6, "y", {}));
+    EXPECT_FALSE(exchange(3000ms, 5, "x", {}));
+    state_.release();
+    EXPECT_TRUE(exchange(3001ms, 7, "x", {}));
+    EXPECT_EQ(state_.takeRecords().size(), 0U);
+}
+
+TEST_F(FakeWorkerTest, stopsATaskThatNoOwnerRenews)
+{
+    exchange(0ms, 1, "x", {startCommand("1.0.0", 1000, "{run_ms: 60000}")});
+    exchange(3500ms, 1, "x", {});
+    EXPECT_EQ(reported("1.0.0"), "stopped");
+    const auto records = state_.takeRecords();
+    ASSERT_EQ(records.size(), 2U);
+    EXPECT_EQ(records[1].at, start_ + 3000ms);
+}
+
+TEST_F(FakeWorkerTest, doesNotStartFromAnAnswerOlderThanTheLease)
+{
+    state_.poll(start_);
+    const std::vector<json> commands{startCommand("1.0.0", 1000, "{run_ms: 5}")};
+    const json answer{{"epoch", {1, 0}}, {"owner", "x"}, {"commands", commands}};
+    state_.answer(answer, start_, start_ + 4s);
+    EXPECT_EQ(state_.takeRecords().size(), 0U);
+}
+
+TEST_F(FakeWorkerTest, seesThePlatformsBreaches)
+{
+    exchange(0ms, 1, "x", {startCommand("1.0.0", 40000, "{run_ms: 1000}"), startCommand("1.0.1", 1, "{run_ms: 1000}")});
+    EXPECT_EQ(violations(), 1);
+    exchange(10ms, 1, "x", {startCommand("1.1.0", 30000, "{run_ms: 1000}")});
+    EXPECT_EQ(violations(), 1);
+}
+
+TEST_F(FakeWorkerTest, losesEverythingWithItsPower)
+{
+    exchange(0ms, 1, "x", {startCommand("1.0.0", 1000, "{run_ms: 1000}")});
+    const auto incarnation = sent_["incarnation"].get<int>();
+    state_.losePower(start_ + 10ms);
+    exchange(20ms, 1, "x", {});
+    EXPECT_EQ(sent_["incarnation"], incarnation + 1);
+    EXPECT_EQ(sent_["full"], true);
+    EXPECT_EQ(sent_["tasks"].size(), 0U);
+}
+
+} // namespace
