--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,209 @@
+#include "daemon/daemon.h"
+
+#include "base/log.h"
+#include "daemon/health_server.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cxxopts.hpp>
+#include <fmt/core.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+namespace yuccawheel::daemon
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+struct Arguments {
+    std::string settingsFile;
+    bool check = false;
+    std::optional<ExitCode> exit; ///< Set if there is nothing left to do.
+};
+
+Arguments parseArguments(int argc, char **argv, std::string_view name)
+{
+    cxxopts::Options options{std::string(name), "Part of the yuccawheel cluster scheduler."};
+    options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(), "FILE")(
+        "check", "check the settings and exit")("version", "print the version")("help", "print this help");
+    Arguments arguments;
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            fmt::print("{}\n", options.help());
+            arguments.exit = ExitCode::Ok;
+        } else if (parsed.count("version") > 0) {
+            fmt::print("{} {}\n", name, YW_VERSION);
+            arguments.exit = ExitCode::Ok;
+        } else if (!parsed.unmatched().empty() || parsed.count("settings") == 0) {
+            fmt::print(stderr, "{}: --settings FILE is needed, and no other argument\n", name);
+            arguments.exit = ExitCode::BadSettings;
+        } else {
+            arguments.settingsFile = parsed["settings"].as<std::string>();
+            arguments.check = parsed.count("check") > 0;
+        }
+    } catch (const cxxopts::exceptions::exception &error) {
+        fmt::print(stderr, "{}: {}\n", name, error.what());
+        arguments.exit = ExitCode::BadSettings;
+    }
+    return arguments;
+}
+
+// Milliseconds since the Unix epoch: grows with each restart as long as the wall clock does not go back.
+std::uint64_t newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+protocol::Role roleOf(settings::Program program)
+{
+    switch (program) {
+    case settings::Program::Entry:
+        return protocol::Role::Entry;
+    case settings::Program::Scheduler:
+        return protocol::Role::Scheduler;
+    case settings::Program::Store:
+        return protocol::Role::Store;
+    }
+    return protocol::Role::Entry;
+}
+
+// Drains at the first signal; ends the process at the second one or at the hard limit.
+class Shutdown
+{
+public:
+    Shutdown(Context &context, Service &service)
+        : context_(context)
+        , service_(service)
+        , signals_(context.io, SIGTERM, SIGINT)
+        , limit_(context.io)
+    {
+        signals_.async_wait([this](const boost::system::error_code &error, int) {
+            if (!error) {
+                begin();
+            }
+        });
+    }
+
+    bool draining() const
+    {
+        return draining_;
+    }
+    ExitCode exitCode() const
+    {
+        return exitCode_;
+    }
+
+private:
+    void begin()
+    {
+        draining_ = true;
+        base::logInfo("drain_started").with("in_progress", service_.inProgress());
+        signals_.async_wait([this](const boost::system::error_code &error, int) {
+            if (!error) {
+                cutOff("second_signal");
+            }
+        });
+        limit_.expires_after(context_.settings.drainDelay + context_.settings.drainLimit);
+        limit_.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                cutOff("drain_limit");
+            }
+        });
+        service_.drain([this] {
+            base::logInfo("drain_finished");
+            context_.io.stop();
+        });
+    }
+
+    void cutOff(std::string_view reason)
+    {
+        const std::size_t cut = service_.inProgress();
+        base::logWarning("drain_cut_off").with("reason", reason).with("in_progress", cut);
+        if (cut > 0) {
+            exitCode_ = ExitCode::CutOff;
+        }
+        context_.io.stop();
+    }
+
+    Context &context_;
+    Service &service_;
+    asio::signal_set signals_;
+    asio::steady_timer limit_;
+    bool draining_ = false;
+    ExitCode exitCode_ = ExitCode::Ok;
+};
+
+int serve(const settings::ProcessSettings &settings,
+          settings::Program program,
+          std::string_view name,
+          const ServiceFactory &factory)
+{
+    const base::LogWriter log(settings.logLevel);
+    base::MetricsRegistry metrics;
+    asio::io_context io(1);
+    Context context{
+        io, settings, metrics, {settings.cluster, roleOf(program), settings.node, settings.zone, newIncarnation()}};
+    base::logInfo("started")
+        .with("program", name)
+        .with("version", YW_VERSION)
+        .with("node", settings.node)
+        .with("zone", settings.zone);
+    const auto service = factory(context);
+    Shutdown shutdown(context, *service);
+    const HealthServer health(context, [&]() -> std::optional<std::string> {
+        return shutdown.draining() ? "draining" : service->notReadyReason();
+    });
+    io.run();
+    base::logInfo("stopped").with("exit_code", static_cast<int>(shutdown.exitCode()));
+    return static_cast<int>(shutdown.exitCode());
+}
+
+} // namespace
+
+asio::ip::tcp::endpoint toAsio(const settings::Endpoint &endpoint)
+{
+    return {asio::ip::make_address(endpoint.ip), endpoint.port};
+}
+
+std::optional<asio::ip::tcp::endpoint> parseAddress(std::string_view text)
+{
+    const auto endpoint = settings::parseEndpoint(text);
+    return endpoint ? std::optional(toAsio(*endpoint)) : std::nullopt;
+}
+
+int run(int argc, char **argv, settings::Program program, std::string_view name, const ServiceFactory &factory)
+{
+    const Arguments arguments = parseArguments(argc, argv, name);
+    if (arguments.exit) {
+        return static_cast<int>(*arguments.exit);
+    }
+    const auto settings = settings::loadProcessSettings(arguments.settingsFile, program);
+    if (!settings) {
+        fmt::print(stderr, "{}", settings::toString(settings.error()));
+        return static_cast<int>(ExitCode::BadSettings);
+    }
+    const settings::Problems unusable = settings::checkListeners(*settings);
+    if (!unusable.empty()) {
+        fmt::print(stderr, "{}", settings::toString(unusable));
+        return static_cast<int>(ExitCode::BadSettings);
+    }
+    if (arguments.check) {
+        fmt::print("{}: settings are in order\n", arguments.settingsFile);
+        return static_cast<int>(ExitCode::Ok);
+    }
+    try {
+        return serve(*settings, program, name, factory);
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "{}: {}\n", name, error.what());
+        return static_cast<int>(ExitCode::Failed);
+    }
+}
+
+} // namespace yuccawheel::daemon
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "protocol/identity.h"
+#include "settings/process_settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace yuccawheel::daemon
+{
+
+/// Exit codes of every daemon.
+enum class ExitCode : int {
+    Ok = 0,
+    Failed = 1,
+    BadSettings = 2, ///< Wrong command line or settings.
+    CutOff = 3, ///< Stopped while work was in progress: the hard limit or a second signal.
+};
+
+/// What a daemon's parts share. Lives as long as the process.
+struct Context {
+    boost::asio::io_context &io; ///< Run by the network thread, which is the main thread.
+    const settings::ProcessSettings &settings;
+    base::MetricsRegistry &metrics;
+    protocol::Identity self;
+};
+
+/// The work of one program. All calls are on the network thread.
+class Service
+{
+public:
+    virtual ~Service() = default;
+
+    /// Says why the process should get no traffic, or nothing if it is ready.
+    virtual std::optional<std::string> notReadyReason() const = 0;
+
+    /// Stops taking new work and calls `done` when the work in progress has ended.
+    virtual void drain(std::function<void()> done) = 0;
+
+    /// Number of pieces of work that ending the process now would cut off.
+    virtual std::size_t inProgress() const = 0;
+};
+
+using ServiceFactory = std::function<std::unique_ptr<Service>(Context &)>;
+
+/// Runs a program: command line, settings, log, health address, signals. Returns its exit code.
+int run(int argc, char **argv, settings::Program program, std::string_view name, const ServiceFactory &factory);
+
+/// Converts a checked address of the settings.
+boost::asio::ip::tcp::endpoint toAsio(const settings::Endpoint &endpoint);
+/// Parses an address that a process of the cluster sent; nothing if it is malformed.
+std::optional<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text);
+
+} // namespace yuccawheel::daemon
--- /dev/null
+++ b/src/daemon/health_server.cpp
@@ -0,0 +1,37 @@
+#include "daemon/health_server.h"
+
+#include "base/log.h"
+#include "daemon/json_api.h"
+
+namespace yuccawheel::daemon
+{
+
+HealthServer::HealthServer(Context &context, NotReady notReady) : context_(context), notReady_(std::move(notReady))
+{
+    const auto &address = context.settings.listen.health;
+    if (address) {
+        server_.emplace(
+            context.io,
+            toAsio(*address),
+            http::ServerOptions{},
+            [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); });
+        base::logInfo("listening").with("on", "health").with("port", server_->address().port());
+    }
+}
+
+void HealthServer::handle(const http::Request &request, const http::Responder &respond) const
+{
+    if (request.path == "/healthz") {
+        respond({200, "ok\n", "text/plain", {}});
+    } else if (request.path == "/readyz") {
+        const auto reason = notReady_();
+        respond({reason ? 503 : 200, reason.value_or("ready") + "\n", "text/plain", {}});
+    } else if (request.path == "/metrics") {
+        context_.metrics.gauge("yw_log_lines_dropped").set(static_cast<std::int64_t>(base::LogWriter::dropped()));
+        respond({200, context_.metrics.render(), "text/plain; version=0.0.4", {}});
+    } else {
+        respond(errorResponse(404, "not_found", "paths are /healthz, /readyz and /metrics"));
+    }
+}
+
+} // namespace yuccawheel::daemon
--- /dev/null
+++ b/src/daemon/health_server.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "daemon/daemon.h"
+#include "http/server.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace yuccawheel::daemon
+{
+
+/// Serves /healthz, /readyz and /metrics on the health address.
+class HealthServer
+{
+public:
+    using NotReady = std::function<std::optional<std::string>()>;
+
+    HealthServer(Context &context, NotReady notReady);
+
+private:
+    void handle(const http::Request &request, const http::Responder &respond) const;
+
+    Context &context_;
+    NotReady notReady_;
+    std::optional<http::Server> server_;
+};
+
+} // namespace yuccawheel::daemon
--- /dev/null
+++ b/src/store/store_client.cpp
@@ -0,0 +1,140 @@
+#include "store/store_client.h"
+
+#include "base/log.h"
+
+namespace yuccawheel::store
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds WatchTimeout{2000};
+constexpr std::chrono::milliseconds ProbeInterval{200};
+constexpr std::size_t NoReplica = static_cast<std::size_t>(-1);
+
+} // namespace
+
+StoreClient::StoreClient(asio::io_context &io,
+                         const std::vector<asio::ip::tcp::endpoint> &replicas,
+                         const protocol::Identity &self,
+                         OnUpdate onUpdate)
+    : io_(io)
+    , zone_(self.zone)
+    , onUpdate_(std::move(onUpdate))
+    , leader_(NoReplica)
+    , probeTimer_(io)
+    , alive_(std::make_shared<StoreClient *>(this))
+{
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+        protocol::Peer::Callbacks callbacks;
+        callbacks.notice = [this, i](const protocol::ChannelPtr &, const protocol::Frame &frame) {
+            onNotice(i, frame);
+        };
+        callbacks.closed = [this, i] {
+            loseLeader(i);
+        };
+        replicas_.push_back(std::make_unique<protocol::Peer>(io, replicas[i], self, std::move(callbacks)));
+    }
+    probe();
+}
+
+StoreClient::~StoreClient()
+{
+    *alive_ = nullptr;
+    // Closing a connection calls back; the callbacks must find no replica that is already gone.
+    const auto replicas = std::exchange(replicas_, {});
+}
+
+protocol::Peer *StoreClient::leaderPeer()
+{
+    return leader_ == NoReplica ? nullptr : replicas_[leader_].get();
+}
+
+// A request that surely did not run may be sent again; one that may have run is for the caller to judge.
+bool StoreClient::mayTryAgain(const protocol::RequestError &error)
+{
+    using protocol::ErrorCode;
+    if (error.code == ErrorCode::NotLeader) {
+        loseLeader(leader_);
+    }
+    return error.verdict == base::Verdict::NotRun
+        && (error.code == ErrorCode::NotLeader || error.code == ErrorCode::Unreachable
+            || error.code == ErrorCode::Overloaded || error.code == ErrorCode::NotReady);
+}
+
+// Asks every connected replica to be watched; only the leader accepts.
+void StoreClient::probe()
+{
+    if (leader_ == NoReplica) {
+        for (std::size_t i = 0; i < replicas_.size(); ++i) {
+            if (replicas_[i]->connected()) {
+                watch(i);
+            }
+        }
+    }
+    probeTimer_.expires_after(ProbeInterval);
+    probeTimer_.async_wait([alive = alive_](const boost::system::error_code &error) {
+        if (*alive != nullptr && !error) {
+            (*alive)->probe();
+        }
+    });
+}
+
+void StoreClient::watch(std::size_t replica)
+{
+    replicas_[replica]->request(protocol::Watch{zone_}, WatchTimeout, [this, alive = alive_, replica](auto answer) {
+        if (*alive == nullptr || !answer || leader_ != NoReplica) {
+            return;
+        }
+        leader_ = replica;
+        base::logInfo("store_leader").with("node", replicas_[replica]->identity().node);
+    });
+}
+
+void StoreClient::loseLeader(std::size_t replica)
+{
+    if (replica == leader_) {
+        leader_ = NoReplica;
+        watching_ = false;
+        receivingFull_ = false;
+    }
+}
+
+void StoreClient::onNotice(std::size_t replica, const protocol::Frame &frame)
+{
+    if (frame.type != protocol::MessageType::StateUpdate) {
+        return;
+    }
+    const auto update = protocol::decode<protocol::StateUpdate>(frame.payload);
+    if (!update) {
+        base::logError("unreadable_update").with("reason", update.error().message);
+        return;
+    }
+    if (replica == leader_) {
+        onUpdate(*update);
+    }
+}
+
+// A leader that was cut off may send a state older than what is already in force here; it is not applied.
+void StoreClient::onUpdate(const protocol::StateUpdate &update)
+{
+    if (update.index < index_) {
+        base::logWarning("older_state_ignored").with("index", update.index).with("known", index_);
+        return;
+    }
+    if (!update.full && !watching_) {
+        return;
+    }
+    lastContact_ = std::chrono::steady_clock::now();
+    index_ = update.index;
+    version_ = update.configurationVersion;
+    if (update.full && update.last) {
+        watching_ = true;
+    }
+    onUpdate_(update);
+    replicas_[leader_]->notify(protocol::WatchAck{index_, version_});
+}
+
+} // namespace yuccawheel::store
--- /dev/null
+++ b/src/store/store_client.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "protocol/messages.h"
+#include "protocol/peer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccawheel::store
+{
+
+/// A daemon's way to the agreed log: finds the leader among the replicas, sends requests to it, and keeps a watch on
+/// the state of one zone. All calls and callbacks are on the io_context's thread.
+class StoreClient
+{
+public:
+    /// Called for each update that is newer than what was seen before.
+    using OnUpdate = std::function<void(const protocol::StateUpdate &)>;
+
+    StoreClient(boost::asio::io_context &io,
+                const std::vector<boost::asio::ip::tcp::endpoint> &replicas,
+                const protocol::Identity &self,
+                OnUpdate onUpdate);
+    ~StoreClient();
+    StoreClient(const StoreClient &) = delete;
+    StoreClient &operator=(const StoreClient &) = delete;
+
+    /// Sends a request to the leader, trying again while it surely did not run and time is left.
+    template <typename Request>
+    void request(const Request &message,
+                 std::chrono::milliseconds timeout,
+                 std::function<void(tl::expected<typename Request::Reply, protocol::RequestError>)> done)
+    {
+        attempt<Request>(
+            std::make_shared<Request>(message), std::chrono::steady_clock::now() + timeout, std::move(done));
+    }
+
+    /// Says whether the leader answers: what this process knows is then up to date but for a moment.
+    bool current() const
+    {
+        return watching_;
+    }
+    /// Log index of the last update; zero before the first full one.
+    std::uint64_t index() const
+    {
+        return index_;
+    }
+    std::uint64_t configurationVersion() const
+    {
+        return version_;
+    }
+    /// When the leader was last heard.
+    std::chrono::steady_clock::time_point lastContact() const
+    {
+        return lastContact_;
+    }
+
+private:
+    template <typename Request>
+    using Done = std::function<void(tl::expected<typename Request::Reply, protocol::RequestError>)>;
+
+    template <typename Request>
+    void attempt(std::shared_ptr<Request> message, std::chrono::steady_clock::time_point deadline, Done<Request> done)
+    {
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
+        protocol::Peer *const leader = leaderPeer();
+        if (leader == nullptr) {
+            retry<Request>(message,
+                           deadline,
+                           std::move(done),
+                           {protocol::ErrorCode::Unreachable, base::Verdict::NotRun, "no store replica leads", {}});
+            return;
+        }
+        leader->request(*message, left, [this, alive = alive_, message, deadline, done](auto answer) {
+            if (answer || *alive == nullptr || !mayTryAgain(answer.error())) {
+                done(std::move(answer));
+                return;
+            }
+            retry<Request>(message, deadline, done, answer.error());
+        });
+    }
+
+    template <typename Request>
+    void retry(std::shared_ptr<Request> message,
+               std::chrono::steady_clock::time_point deadline,
+               Done<Request> done,
+               protocol::RequestError error)
+    {
+        if (std::chrono::steady_clock::now() + RetryDelay >= deadline) {
+            done(tl::make_unexpected(std::move(error)));
+            return;
+        }
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io_, RetryDelay);
+        timer->async_wait([this, alive = alive_, timer, message, deadline, done](const auto &) {
+            if (*alive != nullptr) {
+                attempt<Request>(message, deadline, done);
+            }
+        });
+    }
+
+    static constexpr std::chrono::milliseconds RetryDelay{100};
+
+    protocol::Peer *leaderPeer();
+    bool mayTryAgain(const protocol::RequestError &error);
+    void watch(std::size_t replica);
+    void onNotice(std::size_t replica, const protocol::Frame &frame);
+    void onUpdate(const protocol::StateUpdate &update);
+    void loseLeader(std::size_t replica);
+    void probe();
+
+    boost::asio::io_context &io_;
+    std::string zone_;
+    OnUpdate onUpdate_;
+    std::vector<std::unique_ptr<protocol::Peer>> replicas_;
+    std::size_t leader_ = 0;
+    bool watching_ = false;
+    bool receivingFull_ = false;
+    std::uint64_t index_ = 0;
+    std::uint64_t version_ = 0;
+    std::chrono::steady_clock::time_point lastContact_{};
+    boost::asio::steady_timer probeTimer_;
+    std::shared_ptr<StoreClient *> alive_;
+};
+
+} // namespace yuccawheel::store
