Planner: ledger, queue, best fit, gangs, retries, recovery

The first working planner: events in, commands out. Reservations are made in a ledger that asserts capacity at each change; task indices have one live attempt; the queue groups jobs by size so that a full zone costs one failed search a size.

Added to the interface: event RecoveryFinished; fields finished, recovered, startsRecorded, maybeStarted and firstAttempt of JobAssigned; command TasksNotRun (one notice for a range of indices that never started); StopReason::Missing. A worker whose leases ran out has to join again before its reports count.

--- a/src/placement/events.h
+++ b/src/placement/events.h
@@ -70,6 +70,14 @@
     JobSpec spec;
     std::uint32_t firstIndex = 0;
     std::uint32_t count = 0;
+    std::vector<std::uint32_t> finished; ///< Task indices that already have their final word.
+    /// An earlier owner may have started tasks of this share: an index whose state is unknown waits for
+    /// RecoveryFinished, and a non-repeatable one that no worker holds by then ends as "may have run".
+    bool recovered = false;
+    /// The earlier owners recorded each start of a non-repeatable index before they sent it, in `maybeStarted`.
+    bool startsRecorded = false;
+    std::vector<std::uint32_t> maybeStarted;
+    std::uint32_t firstAttempt = 0; ///< Lowest attempt number that no earlier owner has used.
 };
 struct JobCancelled {
     JobId job = 0;
@@ -77,6 +85,11 @@
 struct QuotasChanged {
     std::vector<TeamQuota> quotas;
 };
+/// A new owner knows all there is to recover: each share was assigned, and each worker that an earlier owner used has
+/// joined or its leases have run out. Until then no index of a recovered share is started, and tasks that workers hold
+/// of shares not assigned yet are kept; afterwards they are stopped.
+struct RecoveryFinished {
+};
 
 using Event = std::variant<WorkerJoined,
                            WorkerReported,
@@ -86,7 +99,8 @@
                            WorkerDrain,
                            JobAssigned,
                            JobCancelled,
-                           QuotasChanged>;
+                           QuotasChanged,
+                           RecoveryFinished>;
 
 // Commands and notices that the planner gives back.
 
@@ -97,7 +111,15 @@
     std::chrono::milliseconds waited{0}; ///< From assignment, or from the end of the last attempt.
     bool resumeFromCheckpoint = false;
 };
-enum class StopReason : std::uint8_t { Cancelled, Preempted, Drained, Overgrown, NotOurs, GangRollback };
+enum class StopReason : std::uint8_t {
+    Cancelled,
+    Preempted,
+    Drained,
+    Overgrown, ///< It, or a neighbour with the better claim, outgrew its reservation.
+    NotOurs, ///< No share here has this attempt; its end needs no report to anybody else.
+    GangRollback,
+    Missing, ///< A worker that joined again does not list it; its answer to this command tells what became of it.
+};
 struct StopTask {
     WorkerId worker = 0;
     TaskId task;
@@ -116,6 +138,12 @@
     base::Verdict verdict = base::Verdict::Ran;
     bool succeeded = false;
 };
+/// The final word on many indices at once: [firstIndex, firstIndex + count) never started and never will.
+struct TasksNotRun {
+    JobId job = 0;
+    std::uint32_t firstIndex = 0;
+    std::uint32_t count = 0;
+};
 /// A job cannot run on any VM of the zone as it is now. `missing` is what the nearest VM lacks.
 struct JobNeverFits {
     JobId job = 0;
@@ -131,6 +159,7 @@
     std::string text;
 };
 
-using Command = std::variant<StartTask, StopTask, ThrottleTask, TaskDone, JobNeverFits, JobShareDone, DecisionNote>;
+using Command =
+    std::variant<StartTask, StopTask, ThrottleTask, TaskDone, TasksNotRun, JobNeverFits, JobShareDone, DecisionNote>;
 
 } // namespace yuccawheel::placement
--- /dev/null
+++ b/src/placement/fit_index.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "placement/events.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace yuccawheel::placement
+{
+
+/// How much a worker is in use; placing prefers the lower value.
+enum class Occupancy : std::uint8_t {
+    Busy, ///< Runs tasks.
+    IdleInBusyRack,
+    IdleRack, ///< No worker of its rack runs anything.
+};
+
+/// Finds the worker on which an amount fits with the least left over, without looking at each worker.
+/// Workers lie in a grid by the level of their free processors and memory, one grid for each number of free
+/// accelerators.
+class FitIndex
+{
+public:
+    /// Sets the largest capacity of a worker, which scales the levels. Workers in the index keep their place.
+    void setLargest(const Resources &largest);
+
+    /// Puts a worker into the index or moves it to where its free amount belongs.
+    void update(WorkerId worker, const Resources &free, Occupancy occupancy);
+    void remove(WorkerId worker);
+    bool contains(WorkerId worker) const
+    {
+        return worker < entries_.size() && entries_[worker].grid != NoGrid;
+    }
+
+    /// Finds a worker with room for `need`, other than `avoid`.
+    std::optional<WorkerId> find(const Resources &need, std::optional<WorkerId> avoid = std::nullopt) const;
+
+private:
+    static constexpr int Levels = 64;
+    static constexpr int AcceleratorLevels = 9;
+    static constexpr int Occupancies = 3;
+    static constexpr std::uint32_t None = 0xffffffff;
+    static constexpr std::uint8_t NoGrid = 0xff;
+    static constexpr int MaxWalk = 128; ///< Workers looked at in one cell.
+
+    struct Grid {
+        std::array<std::uint64_t, Levels> rows{}; ///< A bit for each cell that holds workers.
+        std::array<std::array<std::uint32_t, Levels>, Levels> heads{};
+        std::uint32_t size = 0;
+    };
+    struct Entry {
+        Resources free;
+        std::uint32_t next = None;
+        std::uint32_t previous = None;
+        std::uint8_t grid = NoGrid;
+        std::uint8_t row = 0;
+        std::uint8_t column = 0;
+    };
+    struct Best {
+        WorkerId worker = None;
+        int score = 0;
+    };
+
+    static int level(std::int64_t amount, std::int64_t largest);
+    void unlink(WorkerId worker);
+    void link(WorkerId worker, std::uint8_t grid, std::uint8_t row, std::uint8_t column);
+    WorkerId firstThatFits(std::uint32_t head, const Resources &need, std::optional<WorkerId> avoid) const;
+    std::optional<WorkerId> findInGrid(const Grid &grid, const Resources &need, std::optional<WorkerId> avoid) const;
+    WorkerId findInRow(const Grid &grid,
+                       int row,
+                       std::uint64_t columns,
+                       const Resources &need,
+                       std::optional<WorkerId> avoid,
+                       int &column) const;
+
+    Resources largest_{1, 1, 0};
+    std::vector<Entry> entries_;
+    std::array<std::unique_ptr<Grid>, static_cast<std::size_t>(Occupancies) * AcceleratorLevels> grids_;
+};
+
+} // namespace yuccawheel::placement
--- a/src/placement/resources.h
+++ b/src/placement/resources.h
@@ -45,6 +45,20 @@
     {
         return milliCpu <= other.milliCpu && memoryMib <= other.memoryMib && accelerators <= other.accelerators;
     }
+    /// Returns how often this amount fits in the other one; an amount of nothing fits a billion times.
+    constexpr std::int64_t timesIn(const Resources &other) const
+    {
+        std::int64_t times = 1'000'000'000;
+        const auto limit = [&times](std::int64_t need, std::int64_t has) {
+            if (need > 0) {
+                times = has <= 0 ? 0 : (has / need < times ? has / need : times);
+            }
+        };
+        limit(milliCpu, other.milliCpu);
+        limit(memoryMib, other.memoryMib);
+        limit(accelerators, other.accelerators);
+        return times;
+    }
     constexpr bool nonNegative() const
     {
         return milliCpu >= 0 && memoryMib >= 0 && accelerators >= 0;
@@ -55,4 +69,20 @@
     }
 };
 
+/// Returns the larger of two amounts in each resource.
+constexpr Resources larger(const Resources &left, const Resources &right)
+{
+    return {left.milliCpu > right.milliCpu ? left.milliCpu : right.milliCpu,
+            left.memoryMib > right.memoryMib ? left.memoryMib : right.memoryMib,
+            left.accelerators > right.accelerators ? left.accelerators : right.accelerators};
+}
+
+/// Returns the smaller of two amounts in each resource.
+constexpr Resources smaller(const Resources &left, const Resources &right)
+{
+    return {left.milliCpu < right.milliCpu ? left.milliCpu : right.milliCpu,
+            left.memoryMib < right.memoryMib ? left.memoryMib : right.memoryMib,
+            left.accelerators < right.accelerators ? left.accelerators : right.accelerators};
+}
+
 } // namespace yuccawheel::placement
--- /dev/null
+++ b/src/placement/team_table.cpp
@@ -0,0 +1,61 @@
+#include "placement/team_table.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace yuccawheel::placement
+{
+
+namespace
+{
+
+constexpr std::int64_t ShareSteps = 64; ///< A band starts at this fraction of the zone and doubles.
+constexpr std::uint8_t HighestBand = 7;
+
+std::int64_t excess(std::int64_t used, std::int64_t guaranteed, std::int64_t total)
+{
+    return total <= 0 || used <= guaranteed ? 0 : (used - guaranteed) * ShareSteps / total;
+}
+
+} // namespace
+
+TeamId TeamTable::idOf(const std::string &name)
+{
+    const auto [found, isNew] = ids_.try_emplace(name, static_cast<TeamId>(teams_.size()));
+    if (isNew) {
+        teams_.push_back({name, {}, {}});
+    }
+    return found->second;
+}
+
+void TeamTable::setQuotas(const std::vector<TeamQuota> &quotas)
+{
+    for (Team &team : teams_) {
+        team.guaranteed = {};
+    }
+    for (const TeamQuota &quota : quotas) {
+        teams_[idOf(quota.team)].guaranteed = quota.guaranteed;
+    }
+    quotasSet_ = !quotas.empty();
+}
+
+bool TeamTable::withinQuota(TeamId team, const Resources &more) const
+{
+    return !quotasSet_ || (teams_[team].used + more).fitsIn(teams_[team].guaranteed);
+}
+
+std::uint8_t TeamTable::band(TeamId team, const Resources &total) const
+{
+    const Team &entry = teams_[team];
+    if (!quotasSet_ || (entry.used.fitsIn(entry.guaranteed) && entry.used != entry.guaranteed)) {
+        return 0;
+    }
+    const std::int64_t share =
+        std::max({excess(entry.used.milliCpu, entry.guaranteed.milliCpu, total.milliCpu),
+                  excess(entry.used.memoryMib, entry.guaranteed.memoryMib, total.memoryMib),
+                  excess(entry.used.accelerators, entry.guaranteed.accelerators, total.accelerators)});
+    const int doublings = std::bit_width(static_cast<std::uint64_t>(share));
+    return static_cast<std::uint8_t>(std::min(1 + doublings, int{HighestBand}));
+}
+
+} // namespace yuccawheel::placement
--- /dev/null
+++ b/src/placement/worker_events.cpp
@@ -0,0 +1,252 @@
+#include "placement/zone_events.h"
+
+#include <algorithm>
+
+namespace yuccawheel::placement
+{
+
+namespace
+{
+
+constexpr std::chrono::minutes DrainPatience{5}; ///< Tasks that end by themselves within this are left alone.
+
+} // namespace
+
+bool mayAdopt(const ZoneState &zone, JobHandle handle, const TaskId &task)
+{
+    const Job &job = zone.jobs[handle];
+    if (job.cancelled || task.index < job.firstIndex || task.index - job.firstIndex >= job.slots.size()) {
+        return false;
+    }
+    const TaskSlot &slot = job.slots[task.index - job.firstIndex];
+    return slot.live == NoHandle && slot.state != SlotState::Done
+        && (!slot.started || slot.state == SlotState::Uncertain);
+}
+
+void WorkerEvents::handle(const WorkerJoined &event)
+{
+    Worker &worker = enter(event);
+    ++worker.session;
+    worker.liveness = Liveness::Up;
+    resendStops(event.worker);
+    applyCapacity(event.worker, event.capacity);
+    compareWithList(event);
+    for (const WorkerJoined::Held &held : event.running) {
+        takeHeld(event.worker, held);
+    }
+    zone_.refresh(event.worker);
+    zone_.markDirty(event.worker);
+}
+
+Worker &WorkerEvents::enter(const WorkerJoined &event)
+{
+    if (event.worker >= zone_.workers.size()) {
+        zone_.workers.resize(event.worker + 1);
+    }
+    zone_.ledger.grow(zone_.workers.size());
+    const auto [found, isNew] = zone_.rackIds.try_emplace(event.rack, static_cast<RackId>(zone_.racks.size()));
+    if (isNew) {
+        zone_.racks.push_back({event.rack, {}, 0});
+    }
+    Worker &worker = zone_.workers[event.worker];
+    worker.name = event.name;
+    const auto leave = [&](Rack &rack) {
+        rack.workers.erase(std::remove(rack.workers.begin(), rack.workers.end(), event.worker), rack.workers.end());
+        rack.busyWorkers -= worker.busy ? 1 : 0;
+    };
+    if (worker.rack < zone_.racks.size()) {
+        leave(zone_.racks[worker.rack]);
+    }
+    worker.rack = found->second;
+    zone_.racks[worker.rack].workers.push_back(event.worker);
+    zone_.racks[worker.rack].busyWorkers += worker.busy ? 1 : 0;
+    return worker;
+}
+
+// A worker that came back smaller than what is reserved there keeps its tasks with cut reservations until they stop.
+void WorkerEvents::applyCapacity(WorkerId worker, const Resources &capacity)
+{
+    if (zone_.ledger.reserved(worker).fitsIn(capacity)) {
+        zone_.setCapacity(worker, capacity);
+        return;
+    }
+    Resources left = capacity;
+    for (const LiveHandle live : zone_.workers[worker].tasks) {
+        const Resources before = zone_.jobs.live(live).reserved;
+        const Resources cut = smaller(before, left);
+        left -= cut;
+        if (cut != before) {
+            zone_.resize(live, cut);
+            zone_.requestStop(live, StopReason::Overgrown, true);
+        }
+    }
+    zone_.setCapacity(worker, capacity);
+}
+
+// What the list lacks has ended, or its StartTask was lost on the way; the worker's answer to a stop tells which.
+void WorkerEvents::compareWithList(const WorkerJoined &event)
+{
+    const std::vector<LiveHandle> tasks = zone_.workers[event.worker].tasks;
+    for (const LiveHandle live : tasks) {
+        LiveTask &task = zone_.jobs.live(live);
+        const bool listed = std::any_of(
+            event.running.begin(), event.running.end(), [&](const auto &held) { return held.task == task.task; });
+        if (listed) {
+            task.seenRunning = true;
+            task.session = zone_.workers[event.worker].session;
+        }
+        if (!listed && !task.stopping) {
+            zone_.requestStop(live, StopReason::Missing, false);
+        }
+    }
+}
+
+void WorkerEvents::takeHeld(WorkerId worker, const WorkerJoined::Held &held)
+{
+    if (findOn(worker, held.task)) {
+        return;
+    }
+    const auto handle = zone_.jobs.find(held.task.job);
+    const bool ours = handle && mayAdopt(zone_, *handle, held.task);
+    const bool waits = !handle && !zone_.recoveryFinished && zone_.endedJobs.count(held.task.job) == 0;
+    const LiveHandle live = zone_.adopt(held.task, ours ? *handle : NoHandle, worker, held.reserved);
+    if (waits) {
+        zone_.unclaimed.emplace(held.task.job, live);
+    } else if (!ours) {
+        zone_.requestStop(live, StopReason::NotOurs, false);
+    } else if (zone_.jobs.live(live).reserved != held.reserved) {
+        zone_.requestStop(live, StopReason::Overgrown, true);
+    }
+}
+
+void WorkerEvents::handle(const WorkerReported &event)
+{
+    if (event.worker >= zone_.workers.size() || zone_.workers[event.worker].liveness == Liveness::Gone) {
+        return;
+    }
+    for (const TaskReport &report : event.tasks) {
+        takeReport(event.worker, report);
+    }
+}
+
+void WorkerEvents::takeReport(WorkerId worker, const TaskReport &report)
+{
+    const auto live = findOn(worker, report.task);
+    if (!live) {
+        if (report.state == TaskState::Running) {
+            zone_.outbox.emplace_back(StopTask{worker, report.task, StopReason::NotOurs, false});
+        }
+        return;
+    }
+    if (report.state != TaskState::Running) {
+        endings_.ended(*live, report.state);
+        return;
+    }
+    LiveTask &task = zone_.jobs.live(*live);
+    task.seenRunning = true;
+    task.peak = larger(task.peak, report.usage);
+}
+
+std::optional<LiveHandle> WorkerEvents::findOn(WorkerId worker, const TaskId &task) const
+{
+    if (const auto live = zone_.jobs.findLive(task)) {
+        return zone_.jobs.live(*live).worker == worker ? live : std::nullopt;
+    }
+    // Attempts of no known share are only in the worker's own list.
+    for (const LiveHandle live : zone_.workers[worker].tasks) {
+        if (zone_.jobs.live(live).task == task) {
+            return live;
+        }
+    }
+    return std::nullopt;
+}
+
+void WorkerEvents::handle(const WorkerSilent &event)
+{
+    if (event.worker < zone_.workers.size() && zone_.workers[event.worker].liveness == Liveness::Up) {
+        zone_.workers[event.worker].liveness = Liveness::Silent;
+        zone_.refresh(event.worker);
+    }
+}
+
+void WorkerEvents::handle(const WorkerBack &event)
+{
+    if (event.worker < zone_.workers.size() && zone_.workers[event.worker].liveness == Liveness::Silent) {
+        zone_.workers[event.worker].liveness = Liveness::Up;
+        resendStops(event.worker);
+        zone_.refresh(event.worker);
+        zone_.markDirty(event.worker);
+    }
+}
+
+void WorkerEvents::resendStops(WorkerId worker)
+{
+    for (const LiveHandle live : zone_.workers[worker].tasks) {
+        const LiveTask &task = zone_.jobs.live(live);
+        if (task.stopping) {
+            zone_.outbox.emplace_back(StopTask{worker, task.task, task.reason, task.checkpointing});
+        }
+    }
+}
+
+void WorkerEvents::handle(const WorkerLeasesExpired &event)
+{
+    if (event.worker >= zone_.workers.size() || zone_.workers[event.worker].liveness == Liveness::Gone) {
+        return;
+    }
+    Worker &worker = zone_.workers[event.worker];
+    worker.liveness = Liveness::Gone;
+    const std::vector<LiveHandle> tasks = worker.tasks;
+    for (const LiveHandle live : tasks) {
+        endings_.lost(live);
+    }
+    zone_.setCapacity(event.worker, {});
+    zone_.refresh(event.worker);
+    for (auto entry = zone_.unclaimed.begin(); entry != zone_.unclaimed.end();) {
+        const bool gone = std::find(tasks.begin(), tasks.end(), entry->second) != tasks.end();
+        entry = gone ? zone_.unclaimed.erase(entry) : std::next(entry);
+    }
+}
+
+void WorkerEvents::handle(const WorkerDrain &event)
+{
+    if (event.worker >= zone_.workers.size()) {
+        zone_.workers.resize(event.worker + 1);
+    }
+    Worker &worker = zone_.workers[event.worker];
+    if (event.drain && !worker.draining) {
+        zone_.drained.push_back(event.worker);
+    } else if (!event.drain) {
+        std::erase(zone_.drained, event.worker);
+    }
+    worker.draining = event.drain;
+    if (worker.liveness != Liveness::Gone) {
+        zone_.refresh(event.worker);
+        zone_.markDirty(event.worker);
+    }
+}
+
+// Service replicas move a few at a time; tasks that would run on for long are checkpointed and go on elsewhere.
+void WorkerEvents::moveDrained()
+{
+    for (const WorkerId worker : zone_.drained) {
+        if (zone_.workers[worker].liveness != Liveness::Up) {
+            continue;
+        }
+        for (const LiveHandle live : zone_.workers[worker].tasks) {
+            const LiveTask &task = zone_.jobs.live(live);
+            if (task.job == NoHandle || task.stopping) {
+                continue;
+            }
+            const Job &job = zone_.jobs[task.job];
+            const bool isService = job.spec.kind == JobKind::Service;
+            const bool disrupts = isService && job.disrupted() >= job.spec.maxDisruption;
+            const bool endsSoon = !isService && task.startedAt + job.runTime <= zone_.now + DrainPatience;
+            if (job.spec.repeatable && !disrupts && !endsSoon) {
+                zone_.requestStop(live, StopReason::Drained, true);
+            }
+        }
+    }
+}
+
+} // namespace yuccawheel::placement
--- /dev/null
+++ b/src/placement/zone_state.cpp
@@ -0,0 +1,383 @@
+#include "placement/zone_state.h"
+
+#include "base/invariant.h"
+
+#include <algorithm>
+
+namespace yuccawheel::placement
+{
+
+bool ZoneState::acceptsTasks(WorkerId worker) const
+{
+    const Worker &entry = workers[worker];
+    return entry.liveness == Liveness::Up && !entry.draining && entry.health.allowsMoreThan(entry.tasks.size());
+}
+
+void ZoneState::refresh(WorkerId worker)
+{
+    setBusy(worker);
+    const Worker &entry = workers[worker];
+    const bool forReservation = entry.holder != NoHandle && entry.holder == reservation.job;
+    if (!acceptsTasks(worker) || (entry.holder != NoHandle && !forReservation)) {
+        open.remove(worker);
+        held.remove(worker);
+        return;
+    }
+    const bool idleRack = racks[entry.rack].busyWorkers == 0;
+    const Occupancy occupancy = entry.busy ? Occupancy::Busy
+        : idleRack                         ? Occupancy::IdleRack
+                                           : Occupancy::IdleInBusyRack;
+    FitIndex &home = forReservation ? held : open;
+    (forReservation ? open : held).remove(worker);
+    home.update(worker, ledger.free(worker), occupancy);
+}
+
+// The occupancy of a rack's idle workers changes with the first and the last busy worker of the rack.
+void ZoneState::setBusy(WorkerId worker)
+{
+    Worker &entry = workers[worker];
+    const bool busy = !entry.tasks.empty();
+    if (entry.busy == busy) {
+        return;
+    }
+    entry.busy = busy;
+    Rack &rack = racks[entry.rack];
+    rack.busyWorkers += busy ? 1 : -1;
+    if (rack.busyWorkers != (busy ? 1U : 0U)) {
+        return;
+    }
+    for (const WorkerId other : rack.workers) {
+        if (other != worker && workers[other].liveness != Liveness::Gone) {
+            refresh(other);
+        }
+    }
+}
+
+void ZoneState::markDirty(WorkerId worker)
+{
+    if (!workers[worker].dirty) {
+        workers[worker].dirty = true;
+        dirty.push_back(worker);
+    }
+}
+
+void ZoneState::hold(JobHandle job, WorkerId worker)
+{
+    YW_INVARIANT(workers[worker].holder == NoHandle, "a worker is kept free for one job at a time");
+    workers[worker].holder = job;
+    jobs[job].hold.workers.push_back(worker);
+    refresh(worker);
+}
+
+void ZoneState::releaseHold(JobHandle job)
+{
+    if (reservation.job == job) {
+        reservation = {};
+    }
+    std::vector<WorkerId> freed;
+    freed.swap(jobs[job].hold.workers);
+    for (const WorkerId worker : freed) {
+        workers[worker].holder = NoHandle;
+        refresh(worker);
+        markDirty(worker);
+    }
+}
+
+void ZoneState::setCapacity(WorkerId worker, const Resources &capacity)
+{
+    const auto count = [this](const Resources &amount, int change) {
+        if (amount.isZero()) {
+            return;
+        }
+        const auto found = std::find_if(capacityClasses.begin(),
+                                        capacityClasses.end(),
+                                        [&](const CapacityClass &entry) { return entry.capacity == amount; });
+        if (found == capacityClasses.end()) {
+            capacityClasses.push_back({amount, 1});
+        } else {
+            found->workers += change;
+        }
+    };
+    const Resources before = ledger.capacity(worker);
+    if (before == capacity) {
+        return;
+    }
+    count(before, -1);
+    count(capacity, 1);
+    ledger.setCapacity(worker, capacity);
+    open.setLargest(capacity);
+    held.setLargest(capacity);
+    std::vector<JobId> again;
+    again.swap(neverFitJobs);
+    for (const JobId job : again) {
+        if (const auto handle = jobs.find(job)) {
+            jobs[*handle].awaitsCapacity = false;
+            enqueue(*handle);
+        }
+    }
+}
+
+bool ZoneState::fitsAnyWorker(const Resources &amount) const
+{
+    return std::any_of(capacityClasses.begin(), capacityClasses.end(), [&](const CapacityClass &entry) {
+        return entry.workers > 0 && amount.fitsIn(entry.capacity);
+    });
+}
+
+LiveHandle ZoneState::start(JobHandle handle, std::uint32_t slotNumber, WorkerId worker)
+{
+    Job &job = jobs[handle];
+    TaskSlot &slot = job.slots[slotNumber];
+    YW_INVARIANT(job.spec.repeatable || !slot.started, "a non-repeatable task index starts at most once");
+    YW_INVARIANT(workers[worker].liveness == Liveness::Up, "tasks start on workers that answer");
+    YW_INVARIANT(!job.cancelled, "a cancelled job starts nothing");
+    reserve(job.team, worker, job.size);
+    LiveTask task;
+    task.task = {job.spec.id, job.firstIndex + slotNumber, slot.nextAttempt};
+    task.job = handle;
+    task.worker = worker;
+    task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
+    task.reserved = job.size;
+    task.startedAt = now;
+    task.session = workers[worker].session;
+    const LiveHandle live = jobs.addLive(task);
+    workers[worker].tasks.push_back(live);
+    slot.started = true;
+    slot.lastWorker = worker;
+    ++slot.nextAttempt;
+    refresh(worker);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - slot.waitingSince);
+    outbox.emplace_back(StartTask{worker, task.task, task.reserved, waited, slot.checkpointed});
+    return live;
+}
+
+LiveHandle ZoneState::adopt(const TaskId &id, JobHandle handle, WorkerId worker, const Resources &reserved)
+{
+    LiveTask task;
+    task.task = id;
+    task.job = handle;
+    task.worker = worker;
+    task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
+    task.reserved = smaller(larger(reserved, {}), ledger.free(worker));
+    task.startedAt = now;
+    task.session = workers[worker].session;
+    task.seenRunning = true;
+    if (handle != NoHandle && jobs.slotOf(handle, id.index)->state == SlotState::Fresh) {
+        --jobs[handle].freshCount;
+    }
+    const LiveHandle live = jobs.addLive(task);
+    workers[worker].tasks.push_back(live);
+    if (handle != NoHandle) {
+        TaskSlot &slot = *jobs.slotOf(handle, id.index);
+        slot.started = true;
+        slot.ran = true;
+        slot.lastWorker = worker;
+        slot.nextAttempt = std::max(slot.nextAttempt, id.attempt + 1);
+        reserve(jobs[handle].team, worker, task.reserved);
+    } else {
+        ledger.reserve(worker, task.reserved);
+    }
+    refresh(worker);
+    return live;
+}
+
+// A stop that waits for a checkpoint becomes a plain one after a while, see Planner.
+void ZoneState::requestStop(LiveHandle live, StopReason reason, bool checkpointFirst)
+{
+    constexpr std::chrono::seconds UrgentGrace{3};
+    constexpr std::chrono::seconds CheckpointGrace{30};
+    LiveTask &task = jobs.live(live);
+    if (task.stopping && (!task.checkpointing || checkpointFirst)) {
+        return;
+    }
+    if (!task.stopping && task.job != NoHandle) {
+        ++jobs[task.job].stoppingCount;
+    }
+    task.stopping = true;
+    task.checkpointing = checkpointFirst;
+    task.reason = reason;
+    if (checkpointFirst) {
+        task.stopDeadline = now + (reason == StopReason::Preempted ? UrgentGrace : CheckpointGrace);
+        checkpoints.push_back(task.task);
+    }
+    outbox.emplace_back(StopTask{task.worker, task.task, reason, checkpointFirst});
+}
+
+LiveTask ZoneState::release(LiveHandle live)
+{
+    const LiveTask task = jobs.live(live);
+    Worker &worker = workers[task.worker];
+    const LiveHandle last = worker.tasks.back();
+    worker.tasks[task.position] = last;
+    jobs.live(last).position = task.position;
+    worker.tasks.pop_back();
+    if (task.job != NoHandle) {
+        unreserve(jobs[task.job].team, task.worker, task.reserved);
+        jobs[task.job].stoppingCount -= task.stopping ? 1 : 0;
+    } else {
+        ledger.release(task.worker, task.reserved);
+    }
+    jobs.removeLive(live);
+    refresh(task.worker);
+    markDirty(task.worker);
+    return task;
+}
+
+void ZoneState::resize(LiveHandle live, const Resources &reserved)
+{
+    LiveTask &task = jobs.live(live);
+    const TeamId team = jobs[task.job].team;
+    unreserve(team, task.worker, task.reserved);
+    task.reserved = reserved;
+    reserve(team, task.worker, reserved);
+    refresh(task.worker);
+}
+
+void ZoneState::reserve(TeamId team, WorkerId worker, const Resources &amount)
+{
+    ledger.reserve(worker, amount);
+    teams.charge(team, amount);
+    updateBand(team);
+}
+
+void ZoneState::unreserve(TeamId team, WorkerId worker, const Resources &amount)
+{
+    ledger.release(worker, amount);
+    teams.discharge(team, amount);
+    updateBand(team);
+}
+
+void ZoneState::updateBand(TeamId team)
+{
+    queue.setBand(team, teams.band(team, ledger.totalCapacity()));
+}
+
+std::uint32_t ZoneState::takeSlot(JobHandle handle)
+{
+    Job &job = jobs[handle];
+    if (!job.ready.empty()) {
+        const std::uint32_t slot = job.ready.back();
+        job.ready.pop_back();
+        return slot;
+    }
+    while (job.slots[job.nextFresh].state != SlotState::Fresh) {
+        ++job.nextFresh;
+    }
+    --job.freshCount;
+    return job.nextFresh++;
+}
+
+void ZoneState::makeReady(JobHandle handle, std::uint32_t slotNumber)
+{
+    Job &job = jobs[handle];
+    TaskSlot &slot = job.slots[slotNumber];
+    YW_INVARIANT(slot.live == NoHandle && slot.state != SlotState::Done, "only an ended attempt is started again");
+    slot.state = SlotState::Ready;
+    job.ready.push_back(slotNumber);
+}
+
+void ZoneState::enqueue(JobHandle handle)
+{
+    Job &job = jobs[handle];
+    const std::uint32_t startable = job.startable();
+    if (queue.contains(handle) || startable == 0 || job.cancelled || job.rollingBack) {
+        return;
+    }
+    if (job.spec.kind == JobKind::Gang && startable + job.doneCount < job.slots.size()) {
+        return;
+    }
+    updateSize(handle);
+    if (!checkNeverFits(handle)) {
+        queue.push({handle, job.team, job.size, job.spec.kind == JobKind::Gang, job.rank});
+    }
+}
+
+// A learned size that no worker holds is a wrong one, so the declared size stands.
+bool ZoneState::updateSize(JobHandle handle)
+{
+    Job &job = jobs[handle];
+    const Estimate estimate = estimator.estimate(job.history, job.spec);
+    const Resources wanted = larger(estimate.size, job.floor);
+    const Resources before = job.size;
+    job.size = fitsAnyWorker(wanted) ? wanted : job.spec.perTask;
+    job.runTime = estimate.runTime;
+    job.estimateVersion = estimator.version(job.history);
+    return job.size != before;
+}
+
+bool ZoneState::checkNeverFits(JobHandle handle)
+{
+    Job &job = jobs[handle];
+    std::int64_t room = 0;
+    Resources missing;
+    std::int64_t nearest = std::numeric_limits<std::int64_t>::max();
+    for (const CapacityClass &entry : capacityClasses) {
+        if (entry.workers == 0) {
+            continue;
+        }
+        room += job.size.timesIn(entry.capacity) * entry.workers;
+        const Resources lacks = larger(job.size - entry.capacity, {});
+        const std::int64_t distance = lacks.milliCpu + (lacks.memoryMib / 4) + (lacks.accelerators * 1000);
+        if (distance < nearest) {
+            nearest = distance;
+            missing = lacks;
+        }
+    }
+    const std::int64_t needed = job.spec.kind == JobKind::Gang ? job.startable() : 1;
+    const bool before = job.neverFits;
+    job.neverFits = room < needed && nearest != std::numeric_limits<std::int64_t>::max();
+    if (!job.neverFits) {
+        return false;
+    }
+    missing = missing.isZero() ? job.size * (needed - room) : missing;
+    if (!before || missing != job.missing) {
+        outbox.emplace_back(JobNeverFits{job.spec.id, missing});
+    }
+    job.missing = missing;
+    if (!job.awaitsCapacity) {
+        job.awaitsCapacity = true;
+        neverFitJobs.push_back(job.spec.id);
+    }
+    return true;
+}
+
+void ZoneState::conclude(JobHandle handle, std::uint32_t slotNumber, base::Verdict verdict, bool succeeded)
+{
+    Job &job = jobs[handle];
+    TaskSlot &slot = job.slots[slotNumber];
+    YW_INVARIANT(slot.live == NoHandle, "the final word follows the end of the last attempt");
+    YW_INVARIANT(slot.state != SlotState::Done, "a task index gets one final word");
+    slot.state = SlotState::Done;
+    ++job.doneCount;
+    outbox.emplace_back(
+        TaskDone{{job.spec.id, job.firstIndex + slotNumber, slot.nextAttempt - (slot.nextAttempt > 0 ? 1 : 0)},
+                 verdict,
+                 succeeded});
+}
+
+void ZoneState::finishIfDone(JobHandle handle)
+{
+    constexpr std::size_t RememberedJobs = 65'536;
+    const Job &job = jobs[handle];
+    if (job.doneCount < job.slots.size()) {
+        return;
+    }
+    const JobId id = job.spec.id;
+    outbox.emplace_back(JobShareDone{id});
+    queue.erase(handle);
+    releaseHold(handle);
+    jobs.remove(handle);
+    endedJobs.insert(id);
+    endedOrder.push(id);
+    if (endedOrder.size() > RememberedJobs) {
+        endedJobs.erase(endedOrder.front());
+        endedOrder.pop();
+    }
+}
+
+void ZoneState::note(JobId job, std::string text)
+{
+    outbox.emplace_back(DecisionNote{job, std::move(text)});
+}
+
+} // namespace yuccawheel::placement
--- /dev/null
+++ b/tests/placement_planner_test.cpp
@@ -0,0 +1,192 @@
+#include "placement/planner.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace yuccawheel::placement;
+using namespace std::chrono_literals;
+using yuccawheel::base::TimePoint;
+using yuccawheel::base::Verdict;
+
+namespace
+{
+
+constexpr Resources Capacity{64'000, 262'144, 0};
+
+/// Drives a planner by hand on virtual time and keeps the commands of the last decision.
+struct PlannerTest : testing::Test {
+    void join(WorkerId worker,
+              const std::string &rack = "r1",
+              Resources capacity = Capacity,
+              std::vector<WorkerJoined::Held> running = {})
+    {
+        planner.handle(WorkerJoined{worker, "vm" + std::to_string(worker), rack, capacity, std::move(running)}, now);
+    }
+    static JobSpec job(JobId id, std::uint32_t tasks, Resources size, JobKind kind = JobKind::Batch)
+    {
+        JobSpec spec;
+        spec.id = id;
+        spec.name = "job-" + std::to_string(id);
+        spec.team = "routes";
+        spec.kind = kind;
+        spec.tasks = tasks;
+        spec.perTask = size;
+        spec.declaredRunTime = 60s;
+        return spec;
+    }
+    void assign(const JobSpec &spec)
+    {
+        JobAssigned event;
+        event.spec = spec;
+        event.count = spec.tasks;
+        planner.handle(event, now);
+    }
+    void report(WorkerId worker, const TaskId &task, TaskState state, Resources usage = {})
+    {
+        planner.handle(WorkerReported{worker, {{task, state, usage}}}, now);
+    }
+    void decide(std::chrono::milliseconds later = 10ms)
+    {
+        now += later;
+        commands.clear();
+        planner.decide(now, commands);
+    }
+    template <typename Kind>
+    std::vector<Kind> all() const
+    {
+        std::vector<Kind> found;
+        for (const Command &command : commands) {
+            if (const auto *content = std::get_if<Kind>(&command)) {
+                found.push_back(*content);
+            }
+        }
+        return found;
+    }
+
+    Planner planner{PlannerOptions{}};
+    TimePoint now{1h};
+    std::vector<Command> commands;
+};
+
+} // namespace
+
+TEST_F(PlannerTest, batchFillsOneWorkerBeforeTheNext)
+{
+    join(0);
+    join(1);
+    assign(job(1, 8, {8'000, 1'024, 0}));
+    decide();
+    const auto starts = all<StartTask>();
+    ASSERT_EQ(starts.size(), 8U);
+    for (const StartTask &start : starts) {
+        EXPECT_EQ(start.worker, starts.front().worker);
+    }
+}
+
+TEST_F(PlannerTest, gangStartsWholeOrNotAtAll)
+{
+    join(0);
+    join(1);
+    assign(job(1, 1, {32'000, 1'024, 0}));
+    decide();
+    assign(job(2, 4, {32'000, 1'024, 0}, JobKind::Gang));
+    decide();
+    EXPECT_TRUE(all<StartTask>().empty());
+    report(0, {1, 0, 0}, TaskState::Finished);
+    report(1, {1, 0, 0}, TaskState::Finished);
+    decide();
+    EXPECT_EQ(all<StartTask>().size(), 4U);
+}
+
+TEST_F(PlannerTest, cancelledBeforeItsStartIsNotRun)
+{
+    join(0);
+    assign(job(1, 3, {64'000, 1'024, 0}));
+    decide();
+    planner.handle(JobCancelled{1}, now);
+    decide();
+    ASSERT_EQ(all<TasksNotRun>().size(), 1U);
+    EXPECT_EQ(all<TasksNotRun>().front().firstIndex, 1U);
+    EXPECT_EQ(all<TasksNotRun>().front().count, 2U);
+    ASSERT_EQ(all<StopTask>().size(), 1U);
+    // The started one never reached the worker, which says so.
+    report(0, {1, 0, 0}, TaskState::Unknown);
+    decide();
+    ASSERT_EQ(all<TaskDone>().size(), 1U);
+    EXPECT_EQ(all<TaskDone>().front().verdict, Verdict::NotRun);
+    EXPECT_EQ(all<JobShareDone>().size(), 1U);
+}
+
+TEST_F(PlannerTest, nonRepeatableIsNeverStartedAgain)
+{
+    join(0);
+    join(1);
+    JobSpec spec = job(1, 1, {1'000, 1'024, 0});
+    spec.repeatable = false;
+    assign(spec);
+    decide();
+    ASSERT_EQ(all<StartTask>().size(), 1U);
+    planner.handle(WorkerLeasesExpired{all<StartTask>().front().worker}, now);
+    decide();
+    EXPECT_TRUE(all<StartTask>().empty());
+    ASSERT_EQ(all<TaskDone>().size(), 1U);
+    EXPECT_EQ(all<TaskDone>().front().verdict, Verdict::MayHaveRun);
+}
+
+TEST_F(PlannerTest, newOwnerAdoptsWhatWorkersHoldAndWaitsForTheRest)
+{
+    JobAssigned event;
+    event.spec = job(1, 3, {1'000, 1'024, 0});
+    event.count = 3;
+    event.recovered = true;
+    event.finished = {2};
+    event.firstAttempt = 100;
+    join(0, "r1", Capacity, {{{1, 0, 7}, {1'000, 1'024, 0}}, {{9, 0, 0}, {1'000, 1'024, 0}}});
+    planner.handle(event, now);
+    decide();
+    EXPECT_TRUE(all<StartTask>().empty());
+    EXPECT_TRUE(all<StopTask>().empty());
+    planner.handle(RecoveryFinished{}, now);
+    decide();
+    ASSERT_EQ(all<StartTask>().size(), 1U);
+    EXPECT_EQ(all<StartTask>().front().task, (TaskId{1, 1, 100}));
+    ASSERT_EQ(all<StopTask>().size(), 1U);
+    EXPECT_EQ(all<StopTask>().front().task, (TaskId{9, 0, 0}));
+    EXPECT_EQ(all<StopTask>().front().reason, StopReason::NotOurs);
+}
+
+TEST_F(PlannerTest, jobThatNeverFitsIsReportedOnceAndLookedAtAgain)
+{
+    join(0);
+    assign(job(1, 1, {80'000, 1'024, 0}));
+    assign(job(2, 1, {8'000, 1'024, 0}));
+    decide();
+    ASSERT_EQ(all<JobNeverFits>().size(), 1U);
+    EXPECT_EQ(all<JobNeverFits>().front().missing, (Resources{16'000, 0, 0}));
+    EXPECT_EQ(all<StartTask>().size(), 1U);
+    decide();
+    EXPECT_TRUE(all<JobNeverFits>().empty());
+    join(1, "r2", {96'000, 262'144, 0});
+    decide();
+    ASSERT_EQ(all<StartTask>().size(), 1U);
+    EXPECT_EQ(all<StartTask>().front().task.job, 1U);
+}
+
+TEST_F(PlannerTest, serviceReplicasSpreadOverRacks)
+{
+    join(0, "r1");
+    join(1, "r1");
+    join(2, "r2");
+    join(3, "r3");
+    assign(job(1, 3, {1'000, 1'024, 0}, JobKind::Service));
+    decide();
+    std::vector<WorkerId> workers;
+    for (const StartTask &start : all<StartTask>()) {
+        workers.push_back(start.worker == 1 ? 0 : start.worker);
+    }
+    std::sort(workers.begin(), workers.end());
+    EXPECT_EQ(workers, (std::vector<WorkerId>{0, 2, 3}));
+}
