Read, check and print the operators' documents

Fields are declared once with their range, default and printed form, so the parser, the canonical form used for diffs and the pages cannot drift apart. Every fault of a document is named at once, at most 200 of them.

--- /dev/null
+++ b/src/settings/document_fields.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "placement/job.h"
+#include "settings/reader.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace yuccawheel::settings
+{
+
+/// One field of a service, batch job or all-at-once job: how it is read and printed.
+struct JobField {
+    std::string key;
+    std::vector<placement::JobKind> kinds;
+    bool required = false;
+    std::string allowed;
+    std::string defaultValue;
+    std::string description;
+    std::function<void(Reader &reader, placement::JobSpec &job)> read;
+    std::function<std::string(const placement::JobSpec &job)> print;
+
+    bool appliesTo(placement::JobKind kind) const;
+};
+
+/// Returns every field, in canonical order.
+const std::vector<JobField> &jobFields();
+
+/// Reads `cpu`, `memory` and `accelerators`; a task must ask for some of the first two.
+placement::Resources readResources(Reader &reader, bool forTask);
+std::string formatResources(const placement::Resources &resources);
+
+/// Returns text as a YAML scalar, quoted where it would be read as something else.
+std::string formatText(const std::string &text);
+
+} // namespace yuccawheel::settings
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::size_t LongestQuote = 80;
+// A daemon reads documents in little memory; nobody reads more faults than this at once.
+constexpr std::size_t MostProblems = 200;
 
 int lineNumber(const YAML::Mark &mark)
 {
@@ -58,7 +60,13 @@
         if (documents.size() > 1) {
             return tl::unexpected(Problem{file, 0, "", fmt::format("{} documents", documents.size()), "one document"});
         }
-        return documents.empty() ? YAML::Node(YAML::NodeType::Map) : documents.front();
+        if (documents.empty() || documents.front().IsNull()) {
+            return YAML::Node(YAML::NodeType::Map);
+        }
+        if (!documents.front().IsMap()) {
+            return tl::unexpected(Problem{file, 1, "", describe(documents.front()), "a mapping"});
+        }
+        return documents.front();
     } catch (const YAML::Exception &exception) {
         return tl::unexpected(Problem{file, lineNumber(exception.mark), "", exception.msg, "well-formed YAML"});
     } catch (const std::exception &exception) {
@@ -85,36 +93,31 @@
     return text;
 }
 
-Reader::Reader(std::string file, const YAML::Node &node, std::string path, Problems &problems)
+Reader::Reader(std::string file, const YAML::Node &mapping, std::string path, Problems &problems)
     : file_(std::move(file))
     , path_(std::move(path))
-    , line_(lineNumber(node.Mark()))
+    , line_(lineNumber(mapping.Mark()))
     , problems_(&problems)
 {
-    if (node.IsMap()) {
-        index(node);
-    } else {
-        problems_->push_back({file_, line_, path_, describe(node), "a mapping"});
-    }
+    index(mapping);
 }
 
 // yaml-cpp keeps both values of a key that stands twice and finds the first, so repeats are looked for here.
-void Reader::index(const YAML::Node &node)
+void Reader::index(const YAML::Node &mapping)
 {
     std::set<std::string> seen;
-    for (const auto &entry : node) {
+    for (const auto &entry : mapping) {
         if (!entry.first.IsScalar()) {
-            problems_->push_back({file_,
-                                  lineNumber(entry.first.Mark()),
-                                  path_,
-                                  "a key that is " + describe(entry.first),
-                                  "text as key"});
+            add({file_,
+                 lineNumber(entry.first.Mark()),
+                 path_,
+                 "a key that is " + describe(entry.first),
+                 "text as key"});
             continue;
         }
         const std::string &key = entry.first.Scalar();
         if (!seen.insert(key).second) {
-            problems_->push_back(
-                {file_, lineNumber(entry.first.Mark()), pathOf(key), "the key a second time", "each key once"});
+            add({file_, lineNumber(entry.first.Mark()), pathOf(key), "the key a second time", "each key once"});
             continue;
         }
         entries_.push_back({key, file_, lineNumber(entry.first.Mark()), entry.second});
@@ -166,11 +169,11 @@
 {
     for (const Entry &entry : other.entries_) {
         if (const Entry *const own = lookUp(entry.key)) {
-            problems_->push_back({entry.file,
-                                  entry.line,
-                                  pathOf(entry.key),
-                                  "the key a second time",
-                                  fmt::format("each key once, it stands in {}:{}", own->file, own->line)});
+            add({entry.file,
+                 entry.line,
+                 pathOf(entry.key),
+                 "the key a second time",
+                 fmt::format("each key once, it stands in {}:{}", own->file, own->line)});
         } else {
             entries_.push_back(entry);
         }
@@ -189,7 +192,16 @@
     if (entry == nullptr) {
         return std::nullopt;
     }
-    return Reader(entry->file, entry->value, pathOf(key), *problems_);
+    return below(*entry);
+}
+
+std::optional<Reader> Reader::below(const Entry &entry)
+{
+    if (!entry.value.IsMap()) {
+        report(entry, "a mapping");
+        return std::nullopt;
+    }
+    return Reader(entry.file, entry.value, pathOf(entry.key), *problems_);
 }
 
 std::vector<Reader> Reader::children(const std::string &key, std::size_t most)
@@ -203,8 +215,12 @@
         report(*entry, fmt::format("a list of at most {} mappings", most));
         return readers;
     }
-    for (std::size_t i = 0; i < entry->value.size(); ++i) {
-        readers.emplace_back(entry->file, entry->value[i], fmt::format("{}[{}]", pathOf(key), i), *problems_);
+    std::size_t position = 0;
+    for (const auto &element : entry->value) {
+        const Entry child = elementOf(*entry, position++, element);
+        if (auto reader = below(child)) {
+            readers.push_back(std::move(*reader));
+        }
     }
     return readers;
 }
@@ -221,13 +237,14 @@
         return result;
     }
     const auto rule = nameRule();
-    for (std::size_t i = 0; i < entry->value.size(); ++i) {
-        const YAML::Node element = entry->value[i];
-        const auto name = element.IsScalar() ? rule.parse(element.Scalar()) : std::nullopt;
+    std::size_t position = 0;
+    for (const auto &node : entry->value) {
+        const Entry element = elementOf(*entry, position++, node);
+        const auto name = node.IsScalar() ? rule.parse(node.Scalar()) : std::nullopt;
         if (name) {
             result.push_back(*name);
         } else {
-            report({fmt::format("{}[{}]", key, i), entry->file, entry->line, element}, rule.allowed);
+            report(element, rule.allowed);
         }
     }
     return result;
@@ -238,14 +255,27 @@
     return node.IsScalar() && (quotedAllowed || node.Tag() != "!");
 }
 
+void Reader::add(Problem problem)
+{
+    if (problems_->size() < MostProblems) {
+        problems_->push_back(std::move(problem));
+    }
+}
+
+Reader::Entry Reader::elementOf(const Entry &list, std::size_t position, const YAML::Node &element)
+{
+    const int line = lineNumber(element.Mark());
+    return {fmt::format("{}[{}]", list.key, position), list.file, line > 0 ? line : list.line, element};
+}
+
 void Reader::report(const Entry &entry, const std::string &allowed)
 {
-    problems_->push_back({entry.file, entry.line, pathOf(entry.key), describe(entry.value), allowed});
+    add({entry.file, entry.line, pathOf(entry.key), describe(entry.value), allowed});
 }
 
 void Reader::reportMissing(const std::string &key, const std::string &allowed)
 {
-    problems_->push_back({file_, line_, pathOf(key), "nothing", allowed});
+    add({file_, line_, pathOf(key), "nothing", allowed});
 }
 
 void Reader::reportValue(const std::string &key, const std::string &allowed)
@@ -266,7 +296,7 @@
     }
     for (const Entry &entry : entries_) {
         if (!known_.contains(entry.key)) {
-            problems_->push_back({entry.file, entry.line, path_, "the unknown key " + quoted(entry.key), allowed});
+            add({entry.file, entry.line, path_, "the unknown key " + quoted(entry.key), allowed});
         }
     }
 }
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -16,7 +16,7 @@
 namespace yuccawheel::settings
 {
 
-/// Parses text that must hold exactly one YAML document. Never throws.
+/// Parses text that must hold one YAML document at most, and that a mapping; none counts as an empty one. Never throws.
 tl::expected<YAML::Node, Problem> parseYaml(const std::string &text, const std::string &file);
 
 /// Reads a whole file of at most `longest` bytes.
@@ -27,8 +27,7 @@
 class Reader
 {
 public:
-    /// A node that is not a mapping is reported and read as an empty one.
-    Reader(std::string file, const YAML::Node &node, std::string path, Problems &problems);
+    Reader(std::string file, const YAML::Node &mapping, std::string path, Problems &problems);
 
     /// Returns the value of a key, or nothing if it is absent or faulty.
     template <typename Value>
@@ -67,14 +66,14 @@
         }
     }
 
-    /// Returns a reader of the mapping below a key, or nothing if the key is absent.
+    /// Returns a reader of the mapping below a key, or nothing if the key is absent or faulty.
     std::optional<Reader> child(const std::string &key);
     /// Returns a reader of each element of the list below a key.
     std::vector<Reader> children(const std::string &key, std::size_t most);
     /// Returns the names in the list below a key.
     std::vector<std::string> names(const std::string &key);
 
-    /// Returns a reader of the mapping below a key, or of an empty mapping if the key is absent.
+    /// Returns a reader of the mapping below a key, or of an empty mapping if there is none.
     Reader childOrEmpty(const std::string &key);
     /// Adds the entries of another mapping; a key that stands in both is a fault.
     void merge(const Reader &other);
@@ -104,8 +103,11 @@
     const Entry *lookUp(const std::string &key) const;
     /// Like `lookUp`, and marks the key as known.
     const Entry *find(const std::string &key);
-    void index(const YAML::Node &node);
+    void index(const YAML::Node &mapping);
+    std::optional<Reader> below(const Entry &entry);
     static bool isAcceptableScalar(const YAML::Node &node, bool quotedAllowed);
+    static Entry elementOf(const Entry &list, std::size_t position, const YAML::Node &element);
+    void add(Problem problem);
     void report(const Entry &entry, const std::string &allowed);
     std::string pathOf(const std::string &key) const;
 
--- a/src/settings/rule.cpp
+++ b/src/settings/rule.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/units.h"
 
+#include <array>
+
 namespace yuccawheel::settings
 {
 
@@ -38,9 +40,36 @@
     };
 }
 
+// Text goes on into JSON and logs, which hold UTF-8 only.
+bool isUtf8(std::string_view text)
+{
+    constexpr std::array<std::uint32_t, 4> LowestOfLength{0x0, 0x80, 0x800, 0x10000};
+    for (std::size_t i = 0; i < text.size();) {
+        const auto lead = static_cast<unsigned char>(text[i]);
+        const std::size_t more = lead < 0x80 ? 0 : (lead & 0xe0U) == 0xc0 ? 1 : (lead & 0xf0U) == 0xe0 ? 2 : 3;
+        if ((more == 3 && (lead & 0xf8U) != 0xf0) || i + more >= text.size()) {
+            return false;
+        }
+        std::uint32_t code = more == 0 ? lead : lead & (0x3fU >> more);
+        for (std::size_t k = 1; k <= more; ++k) {
+            const auto next = static_cast<unsigned char>(text[i + k]);
+            if ((next & 0xc0U) != 0x80) {
+                return false;
+            }
+            code = (code << 6U) | (next & 0x3fU);
+        }
+        const bool surrogate = code >= 0xd800 && code <= 0xdfff;
+        if (code < LowestOfLength.at(more) || surrogate || code > 0x10ffff) {
+            return false;
+        }
+        i += more + 1;
+    }
+    return true;
+}
+
 std::optional<std::string> boundedText(std::string_view text, std::size_t shortest, std::size_t longest)
 {
-    if (text.size() < shortest || text.size() > longest) {
+    if (text.size() < shortest || text.size() > longest || !isUtf8(text)) {
         return std::nullopt;
     }
     return std::string(text);
@@ -95,7 +124,7 @@
 
 Rule<std::string> textRule(std::size_t longest)
 {
-    return {fmt::format("text of at most {} bytes", longest),
+    return {fmt::format("UTF-8 text of at most {} bytes", longest),
             [longest](std::string_view text) { return boundedText(text, 0, longest); },
             true};
 }
