--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -84,38 +84,40 @@
 struct ZoneOwner {
     std::string zone;
     std::uint64_t epoch = 0;
+    std::uint32_t takeovers = 0; ///< How many owners the zone has had, this one included.
     std::string node;
     std::string innerAddress;
     std::string workerAddress;
 
     bool operator==(const ZoneOwner &) const = default;
-    MSGPACK_DEFINE(zone, epoch, node, innerAddress, workerAddress)
+    MSGPACK_DEFINE(zone, epoch, takeovers, node, innerAddress, workerAddress)
 };
 
 struct AcquireZoneReply {
     static constexpr MessageType Type = MessageType::AcquireZoneReply;
-    std::uint64_t epoch = 0;
+    ZoneOwner owner; ///< The candidate with its new epoch.
 
-    MSGPACK_DEFINE(epoch)
+    MSGPACK_DEFINE(owner)
 };
 
 struct AcquireZone {
     static constexpr MessageType Type = MessageType::AcquireZone;
     using Reply = AcquireZoneReply;
-    ZoneOwner candidate; ///< Its epoch is not read.
+    ZoneOwner candidate; ///< Its epoch and takeovers are not read.
 
     MSGPACK_DEFINE(candidate)
 };
 
-/// Final words on tasks of one job since the last report.
+/// News of the tasks of one job since the last report.
 struct JobProgress {
     placement::JobId job = 0;
+    IndexSet started; ///< Of a job that is not repeatable: about to be started.
     IndexSet succeeded;
     IndexSet failed;
     IndexSet notRun;
     IndexSet mayHaveRun;
 
-    MSGPACK_DEFINE(job, succeeded, failed, notRun, mayHaveRun)
+    MSGPACK_DEFINE(job, started, succeeded, failed, notRun, mayHaveRun)
 };
 
 struct ZoneSummary {
@@ -142,8 +144,10 @@
     std::uint64_t epoch = 0;
     ZoneSummary summary;
     std::vector<JobProgress> progress;
+    std::vector<std::string> joinedWorkers; ///< Work is placed on a worker only after this was agreed on.
+    std::vector<std::string> leftWorkers; ///< Their leases have run out.
 
-    MSGPACK_DEFINE(zone, epoch, summary, progress)
+    MSGPACK_DEFINE(zone, epoch, summary, progress, joinedWorkers, leftWorkers)
 };
 
 struct WatchReply {
@@ -167,9 +171,11 @@
     placement::JobSpec spec;
     std::uint32_t firstIndex = 0;
     std::uint32_t count = 0;
+    std::uint64_t assignedAt = 0; ///< Log index. An owner of a lower epoch may have started its tasks.
+    IndexSet started; ///< Of a job that is not repeatable.
     IndexSet finished;
 
-    MSGPACK_DEFINE(spec, firstIndex, count, finished)
+    MSGPACK_DEFINE(spec, firstIndex, count, assignedAt, started, finished)
 };
 
 /// Changes up to a place in the log. Updates of lower indices than the last one applied are ignored.
@@ -186,6 +192,7 @@
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> dropped;
     std::optional<ZoneOwner> owner;
+    std::vector<std::string> workers; ///< In a full update: the zone's workers that may hold tasks.
 
     MSGPACK_DEFINE(index,
                    full,
@@ -197,7 +204,8 @@
                    assigned,
                    cancelled,
                    dropped,
-                   owner)
+                   owner,
+                   workers)
 };
 
 /// Says which configuration a watching daemon has in force.
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -73,6 +73,13 @@
     return found == data_.owners.end() ? nullptr : &found->second;
 }
 
+const std::set<std::string> &ClusterState::workers(const std::string &zone) const
+{
+    static const std::set<std::string> None;
+    const auto found = data_.workers.find(zone);
+    return found == data_.workers.end() ? None : found->second;
+}
+
 const protocol::SubmitReply *ClusterState::findSubmission(const std::string &submission) const
 {
     const auto found = data_.submissions.find(submission);
@@ -173,6 +180,9 @@
     record.spec = spec;
     record.spec.id = data_.nextJob++;
     record.shares = shares;
+    for (Share &share : record.shares) {
+        share.assignedAt = data_.index;
+    }
     record.acceptedAt = at;
     const placement::JobId id = record.spec.id;
     data_.jobs.emplace(id, std::move(record));
@@ -218,13 +228,14 @@
 {
     const protocol::ZoneOwner *const current = owner(entry.candidate.zone);
     if ((current == nullptr ? 0 : current->epoch) != entry.replacedEpoch) {
-        return protocol::AcquireZoneReply{0};
+        return protocol::AcquireZoneReply{current == nullptr ? protocol::ZoneOwner{} : *current};
     }
     protocol::ZoneOwner next = entry.candidate;
     next.epoch = data_.index;
+    next.takeovers = current == nullptr ? 1 : current->takeovers + 1;
     data_.owners[next.zone] = next;
     change.ownerOf = next.zone;
-    return protocol::AcquireZoneReply{next.epoch};
+    return protocol::AcquireZoneReply{next};
 }
 
 ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange & /*change*/)
@@ -239,6 +250,11 @@
             recordProgress(found->second, progress, entry.at);
         }
     }
+    std::set<std::string> &workers = data_.workers[entry.zone];
+    workers.insert(entry.joinedWorkers.begin(), entry.joinedWorkers.end());
+    for (const std::string &worker : entry.leftWorkers) {
+        workers.erase(worker);
+    }
     return std::monostate{};
 }
 
@@ -254,6 +270,7 @@
             record.mayHaveRun.erase(words);
         }
     };
+    record.started.insert(progress.started);
     addNew(record.succeeded, progress.succeeded);
     addNew(record.failed, progress.failed);
     addNew(record.notRun, progress.notRun);
@@ -278,7 +295,10 @@
         shares.erase(std::remove_if(
                          shares.begin(), shares.end(), [&move](const Share &share) { return share.zone == move.from; }),
                      shares.end());
-        shares.insert(shares.end(), move.to.begin(), move.to.end());
+        for (Share share : move.to) {
+            share.assignedAt = data_.index;
+            shares.push_back(std::move(share));
+        }
         change.assigned.push_back(move.job);
     }
     return std::monostate{};
--- a/src/store/cluster_state.h
+++ b/src/store/cluster_state.h
@@ -22,6 +22,7 @@
 struct JobRecord {
     placement::JobSpec spec;
     Shares shares;
+    protocol::IndexSet started; ///< Of a job that is not repeatable: may have been started.
     protocol::IndexSet succeeded;
     protocol::IndexSet failed;
     protocol::IndexSet notRun;
@@ -30,7 +31,7 @@
     WallTime acceptedAt{0};
     WallTime doneAt{0}; ///< Zero until every task has its final word.
 
-    MSGPACK_DEFINE(spec, shares, succeeded, failed, notRun, mayHaveRun, cancelled, acceptedAt, doneAt)
+    MSGPACK_DEFINE(spec, shares, started, succeeded, failed, notRun, mayHaveRun, cancelled, acceptedAt, doneAt)
 
     /// Task indices that have their final word.
     protocol::IndexSet finished() const;
@@ -95,6 +96,8 @@
     }
     const JobRecord *findJob(placement::JobId id) const;
     const protocol::ZoneOwner *owner(const std::string &zone) const;
+    /// Names of the workers of a zone that may hold tasks.
+    const std::set<std::string> &workers(const std::string &zone) const;
     /// First answer to a submission, if it is still remembered.
     const protocol::SubmitReply *findSubmission(const std::string &submission) const;
 
@@ -116,11 +119,13 @@
         std::map<std::string, placement::JobId> services;
         std::map<placement::JobId, JobRecord> jobs;
         std::map<std::string, protocol::ZoneOwner> owners;
+        std::map<std::string, std::set<std::string>> workers;
         std::map<std::string, Remembered> submissions;
         std::deque<std::string> submissionOrder;
         std::deque<Version> versions;
         placement::JobId nextJob = 1;
-        MSGPACK_DEFINE(index, version, teams, services, jobs, owners, submissions, submissionOrder, versions, nextJob)
+        MSGPACK_DEFINE(
+            index, version, teams, services, jobs, owners, workers, submissions, submissionOrder, versions, nextJob)
     };
 
     ApplyReply applyEntry(const SubmissionEntry &entry, StateChange &change);
--- a/src/store/log_entry.h
+++ b/src/store/log_entry.h
@@ -21,9 +21,10 @@
     std::string zone;
     std::uint32_t firstIndex = 0;
     std::uint32_t count = 0;
+    std::uint64_t assignedAt = 0; ///< Log index, set when the entry is applied.
 
     bool operator==(const Share &) const = default;
-    MSGPACK_DEFINE(zone, firstIndex, count)
+    MSGPACK_DEFINE(zone, firstIndex, count, assignedAt)
 };
 
 using Shares = std::vector<Share>;
@@ -58,9 +59,11 @@
     std::string zone;
     std::uint64_t epoch = 0;
     std::vector<protocol::JobProgress> progress;
+    std::vector<std::string> joinedWorkers;
+    std::vector<std::string> leftWorkers;
     WallTime at{0};
 
-    MSGPACK_DEFINE(zone, epoch, progress, at)
+    MSGPACK_DEFINE(zone, epoch, progress, joinedWorkers, leftWorkers, at)
 };
 
 /// Gives the unfinished part of shares of a lost zone to other zones.
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -122,6 +122,9 @@
 {
     if (update.index < index_) {
         base::logWarning("older_state_ignored").with("index", update.index).with("known", index_);
+        if (update.full) {
+            loseLeader(leader_);
+        }
         return;
     }
     if (!update.full && !watching_) {
