yw-scheduler: owns a zone's workers, places tasks, reports progress

End states of tasks are acknowledged to a worker only after the log has them; starts of non-repeatable tasks are agreed on before they are sent. Not run end to end yet.

--- a/src/placement/events.h
+++ b/src/placement/events.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -120,6 +121,8 @@
     GangRollback,
     Missing, ///< A worker that joined again does not list it; its answer to this command tells what became of it.
 };
+std::string_view toString(StopReason reason);
+
 struct StopTask {
     WorkerId worker = 0;
     TaskId task;
--- /dev/null
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -0,0 +1,370 @@
+#include "scheduler_service.h"
+
+#include "base/log.h"
+#include "daemon/json_api.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace yuccawheel::scheduler
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds AcquireTimeout{3'000};
+constexpr std::chrono::milliseconds RenewTimeout{3'000};
+constexpr std::size_t MaxWorkerName = 64;
+
+std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
+{
+    std::vector<boost::asio::ip::tcp::endpoint> addresses;
+    for (const settings::Peer &peer : peers) {
+        addresses.push_back(daemon::toAsio(peer.address));
+    }
+    return addresses;
+}
+
+bool isWorkerName(std::string_view name)
+{
+    return !name.empty() && name.size() <= MaxWorkerName && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    });
+}
+
+protocol::ZoneOwner selfAsOwner(const daemon::Context &context)
+{
+    protocol::ZoneOwner self;
+    self.zone = context.self.zone;
+    self.node = context.self.node;
+    for (const settings::Peer &peer : context.settings.schedulers) {
+        if (peer.node == self.node) {
+            self.innerAddress = settings::toString(peer.address);
+            self.workerAddress = peer.workerAddress ? settings::toString(*peer.workerAddress) : std::string();
+        }
+    }
+    return self;
+}
+
+} // namespace
+
+SchedulerService::SchedulerService(daemon::Context &context)
+    : context_(context)
+    , hub_(*this, context.settings.lease)
+    , self_(selfAsOwner(context))
+    , alive_(std::make_shared<SchedulerService *>(this))
+    , timer_(context.io)
+    , store_(context.io,
+             addressesOf(context.settings.stores),
+             context.self,
+             [this](const protocol::StateUpdate &update) { onUpdate(update); })
+{
+    const settings::Listeners &listen = context.settings.listen;
+    if (listen.inner) {
+        protocol::Listener::Callbacks callbacks;
+        callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
+            handleInner(channel, frame);
+        };
+        inner_.emplace(context.io, daemon::toAsio(*listen.inner), context.self, std::move(callbacks));
+    }
+    if (listen.worker) {
+        workerServer_.emplace(context.io,
+                              daemon::toAsio(*listen.worker),
+                              http::ServerOptions{},
+                              [this](const http::Request &request, http::Responder respond) {
+                                  handleWorker(request, std::move(respond));
+                              });
+        base::logInfo("listening").with("on", "worker").with("port", workerServer_->address().port());
+    }
+    onTick();
+}
+
+SchedulerService::~SchedulerService()
+{
+    *alive_ = nullptr;
+    planner_.reset();
+}
+
+std::optional<std::string> SchedulerService::notReadyReason() const
+{
+    if (store_.index() == 0) {
+        return "no state from the store yet";
+    }
+    return std::nullopt;
+}
+
+// The workers' tasks go on; the next owner of the zone recovers them from the workers' lists.
+void SchedulerService::drain(std::function<void()> done)
+{
+    draining_ = true;
+    if (hub_.owning()) {
+        stepDown("draining");
+    }
+    done();
+}
+
+std::size_t SchedulerService::inProgress() const
+{
+    return progress_.sending() ? 1 : 0;
+}
+
+void SchedulerService::onTick()
+{
+    const base::TimePoint now = base::BootClock::now();
+    if (hub_.owning()) {
+        pushBacklog();
+        hub_.tick(now);
+        checkRecovery();
+        if (!progress_.sending() && (now >= nextRenewal_ || progress_.urgent())) {
+            renew();
+        }
+    } else if (!acquiring_ && !draining_ && now >= nextRenewal_) {
+        tryAcquire();
+    }
+    timer_.expires_after(TickInterval);
+    timer_.async_wait([alive = alive_](const boost::system::error_code &error) {
+        if (*alive != nullptr && !error) {
+            (*alive)->onTick();
+        }
+    });
+}
+
+// Asks for the zone. The leader refuses while another owner's lease runs.
+void SchedulerService::tryAcquire()
+{
+    nextRenewal_ = base::BootClock::now() + context_.settings.heartbeat;
+    if (!store_.current()) {
+        return;
+    }
+    acquiring_ = true;
+    store_.request(protocol::AcquireZone{self_}, AcquireTimeout, [this, alive = alive_](auto answer) {
+        if (*alive == nullptr) {
+            return;
+        }
+        acquiring_ = false;
+        if (!answer) {
+            base::logDebug("zone_not_acquired").with("reason", answer.error().message);
+            hub_.setRedirect(answer.error().redirect);
+        } else if (answer->owner.node == self_.node && answer->owner.epoch > self_.epoch) {
+            becomeOwner(answer->owner);
+        }
+    });
+}
+
+void SchedulerService::becomeOwner(const protocol::ZoneOwner &owner)
+{
+    self_ = owner;
+    ownerSince_ = base::BootClock::now();
+    progress_ = {};
+    recovering_ = true;
+    hub_.startOwning(owner.epoch, owner.node, roster_, ownerSince_);
+    planner_ = std::make_unique<PlannerThread>(placement::PlannerOptions{context_.settings.objective, owner.epoch},
+                                               [this, alive = alive_] {
+                                                   boost::asio::post(context_.io, [this, alive] {
+                                                       if (*alive != nullptr) {
+                                                           takePlannerOutput();
+                                                       }
+                                                   });
+                                               });
+    pushToPlanner(placement::QuotasChanged{quotas_});
+    for (const auto &[job, share] : shares_) {
+        assignToPlanner(share);
+    }
+    base::logInfo("zone_acquired")
+        .with("zone", owner.zone)
+        .with("epoch", owner.epoch)
+        .with("shares", shares_.size())
+        .with("workers_before", roster_.size());
+}
+
+void SchedulerService::stepDown(const std::string &reason)
+{
+    base::logWarning("zone_given_up").with("epoch", self_.epoch).with("reason", reason);
+    hub_.stopOwning(knownOwner_ && knownOwner_->node != self_.node ? knownOwner_->workerAddress : std::string());
+    planner_.reset();
+    backlog_.clear();
+    progress_ = {};
+}
+
+void SchedulerService::renew()
+{
+    nextRenewal_ = base::BootClock::now() + context_.settings.heartbeat;
+    protocol::RenewZone request;
+    request.zone = self_.zone;
+    request.epoch = self_.epoch;
+    request.summary = hub_.summary();
+    progress_.fill(request);
+    store_.request(request, RenewTimeout, [this, alive = alive_, epoch = self_.epoch](auto answer) {
+        if (*alive != nullptr && hub_.owning() && epoch == self_.epoch) {
+            onRenewed(std::move(answer));
+        }
+    });
+}
+
+// Without an answer the zone may be cut off: the owner goes on, and workers refuse it as soon as another one has them.
+void SchedulerService::onRenewed(tl::expected<protocol::RenewZoneReply, protocol::RequestError> answer)
+{
+    if (!answer) {
+        progress_.failed();
+        if (answer.error().code == protocol::ErrorCode::NotOwner) {
+            stepDown(answer.error().message);
+        }
+        return;
+    }
+    const ProgressLog::Agreed agreed = progress_.committed();
+    for (const ProgressLog::HeldStart &held : agreed.starts) {
+        hub_.execute(held.start, held.session);
+    }
+    for (const PollMark &mark : agreed.marks) {
+        hub_.acknowledge(mark.worker, mark.session, mark.sequence);
+    }
+    for (const std::string &worker : agreed.joined) {
+        hub_.admit(worker);
+    }
+    hub_.flush(base::BootClock::now());
+}
+
+// Recovery ends when each worker that an earlier owner may have used has joined, or has surely stopped its tasks.
+void SchedulerService::checkRecovery()
+{
+    if (!recovering_) {
+        return;
+    }
+    const auto missing = hub_.missingWorkers();
+    if (!missing.empty()) {
+        std::chrono::milliseconds longest{0};
+        for (const auto &[job, share] : shares_) {
+            longest = std::max(longest, share.info.detachedFor);
+        }
+        if (base::BootClock::now() - ownerSince_ < leaseSurelyOver(longest)) {
+            return;
+        }
+        for (const std::string &worker : hub_.expireMissing()) {
+            progress_.addLeft(worker);
+        }
+    }
+    recovering_ = false;
+    pushToPlanner(placement::RecoveryFinished{});
+    base::logInfo("recovery_finished").with("epoch", self_.epoch).with("missing_workers", missing.size());
+}
+
+// What the log says must reach the planner, in order: it waits here while the ring is full.
+void SchedulerService::pushToPlanner(placement::Event event)
+{
+    if (planner_) {
+        backlog_.push_back(PlannerInput{std::move(event), 0, std::nullopt});
+        pushBacklog();
+    }
+}
+
+void SchedulerService::pushBacklog()
+{
+    while (!backlog_.empty() && planner_->tryPush(std::move(backlog_.front()))) {
+        backlog_.pop_front();
+    }
+}
+
+bool SchedulerService::onEvent(placement::Event event, std::uint64_t session, std::optional<std::uint64_t> sequence)
+{
+    PlannerInput input{std::move(event), session, std::nullopt};
+    if (sequence) {
+        const auto &reported = std::get<placement::WorkerReported>(std::get<placement::Event>(input.what));
+        input.mark = PollMark{reported.worker, session, *sequence};
+    }
+    return planner_ && backlog_.empty() && planner_->tryPush(std::move(input));
+}
+
+void SchedulerService::onNewWorker(const std::string &name)
+{
+    progress_.addJoined(name);
+}
+
+const JobInfo *SchedulerService::jobInfo(placement::JobId job) const
+{
+    const auto found = shares_.find(job);
+    return found == shares_.end() ? nullptr : &found->second.info;
+}
+
+void SchedulerService::takePlannerOutput()
+{
+    while (planner_) {
+        const auto output = planner_->takeOutput();
+        if (!output) {
+            break;
+        }
+        for (const PlannerOutput::Step &step : output->steps) {
+            execute(step);
+        }
+        for (const PollMark &mark : output->marks) {
+            progress_.addMark(mark);
+        }
+    }
+    hub_.flush(base::BootClock::now());
+}
+
+void SchedulerService::execute(const PlannerOutput::Step &step)
+{
+    if (const auto *start = std::get_if<placement::StartTask>(&step.command)) {
+        const JobInfo *const job = jobInfo(start->task.job);
+        if (job != nullptr && !job->repeatable) {
+            progress_.addStart(*start, step.session);
+        } else {
+            hub_.execute(*start, step.session);
+        }
+        context_.metrics.histogram("yw_wait_seconds").record(start->waited);
+        context_.metrics.counter("yw_task_starts_total").add();
+    } else if (const auto *stop = std::get_if<placement::StopTask>(&step.command)) {
+        hub_.execute(*stop, step.session);
+    } else if (const auto *throttle = std::get_if<placement::ThrottleTask>(&step.command)) {
+        hub_.execute(*throttle, step.session);
+    } else if (const auto *done = std::get_if<placement::TaskDone>(&step.command)) {
+        progress_.add(*done);
+        base::logInfo("task_done")
+            .with("task", placement::toString(done->task))
+            .with("verdict", base::toString(done->verdict))
+            .with("succeeded", done->succeeded);
+    } else if (const auto *notRun = std::get_if<placement::TasksNotRun>(&step.command)) {
+        progress_.add(*notRun);
+        base::logInfo("tasks_not_run")
+            .with("job", notRun->job)
+            .with("first", notRun->firstIndex)
+            .with("count", notRun->count);
+    } else if (const auto *never = std::get_if<placement::JobNeverFits>(&step.command)) {
+        base::logWarning("job_never_fits")
+            .with("job", never->job)
+            .with("missing_milli_cpu", never->missing.milliCpu)
+            .with("missing_memory_mib", never->missing.memoryMib)
+            .with("missing_accelerators", never->missing.accelerators);
+    } else if (const auto *shareDone = std::get_if<placement::JobShareDone>(&step.command)) {
+        base::logInfo("share_done").with("job", shareDone->job);
+    } else if (const auto *note = std::get_if<placement::DecisionNote>(&step.command)) {
+        base::logInfo("decision").with("job", note->job).with("text", note->text);
+    }
+}
+
+void SchedulerService::handleWorker(const http::Request &request, http::Responder respond)
+{
+    constexpr std::string_view Prefix = "/v1/workers/";
+    constexpr std::string_view Suffix = "/poll";
+    const std::string_view path = request.path;
+    if (path.size() <= Prefix.size() + Suffix.size() || path.substr(0, Prefix.size()) != Prefix
+        || path.substr(path.size() - Suffix.size()) != Suffix) {
+        respond(daemon::errorResponse(404, "not_found", "the path is /v1/workers/NAME/poll"));
+        return;
+    }
+    if (request.method != "POST") {
+        respond(daemon::errorResponse(405, "method_not_allowed", "the method is POST"));
+        return;
+    }
+    const std::string name(path.substr(Prefix.size(), path.size() - Prefix.size() - Suffix.size()));
+    if (!isWorkerName(name)) {
+        respond(
+            daemon::errorResponse(400, "bad_request", "a worker's name has 1 to 64 letters, digits, '-', '_', '.'"));
+        return;
+    }
+    hub_.poll(name, request, std::move(respond), base::BootClock::now());
+}
+
+} // namespace yuccawheel::scheduler
--- /dev/null
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "daemon/daemon.h"
+#include "http/server.h"
+#include "placement/planner.h"
+#include "planner_thread.h"
+#include "progress_log.h"
+#include "protocol/listener.h"
+#include "store/store_client.h"
+#include "worker_hub.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace yuccawheel::scheduler
+{
+
+/// The scheduler of one VM: a candidate for its zone, and while it owns the zone the planner of its workers.
+class SchedulerService
+    : public daemon::Service
+    , private HubListener
+{
+public:
+    explicit SchedulerService(daemon::Context &context);
+    ~SchedulerService() override;
+
+    std::optional<std::string> notReadyReason() const override;
+    void drain(std::function<void()> done) override;
+    std::size_t inProgress() const override;
+
+private:
+    /// A share of a job, with the part of it that workers and the planner need.
+    struct Share {
+        protocol::ShareAssignment assignment;
+        JobInfo info;
+        bool cancelled = false;
+    };
+
+    // HubListener.
+    bool onEvent(placement::Event event, std::uint64_t session, std::optional<std::uint64_t> sequence) override;
+    void onNewWorker(const std::string &name) override;
+    const JobInfo *jobInfo(placement::JobId job) const override;
+
+    // Ownership.
+    void tryAcquire();
+    void becomeOwner(const protocol::ZoneOwner &owner);
+    void stepDown(const std::string &reason);
+    void renew();
+    void onRenewed(tl::expected<protocol::RenewZoneReply, protocol::RequestError> answer);
+    void checkRecovery();
+
+    // State from the log.
+    void onUpdate(const protocol::StateUpdate &update);
+    void onOwner(const protocol::ZoneOwner &owner);
+    void dropUnnamed(const protocol::StateUpdate &update);
+    void assign(const protocol::ShareAssignment &assignment);
+    void assignToPlanner(const Share &share);
+    void cancel(placement::JobId job);
+    void drop(placement::JobId job);
+
+    // Decisions.
+    void takePlannerOutput();
+    void execute(const PlannerOutput::Step &step);
+    void pushToPlanner(placement::Event event);
+    void pushBacklog();
+
+    void handleWorker(const http::Request &request, http::Responder respond);
+    // Questions of operators, passed on by entries.
+    void handleInner(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
+    tl::expected<std::string, protocol::RequestError> answerQuery(const protocol::Query &query);
+    void explain(const protocol::ChannelPtr &channel, std::uint64_t correlation, placement::JobId job);
+    std::string workersJson() const;
+    void onTick();
+
+    daemon::Context &context_;
+    WorkerHub hub_;
+    ProgressLog progress_;
+    std::unique_ptr<PlannerThread> planner_; ///< There while this process owns the zone.
+    std::deque<PlannerInput> backlog_;       ///< State from the log that found the planner's ring full.
+    std::unordered_map<placement::JobId, Share> shares_;
+    std::vector<placement::TeamQuota> quotas_;
+    std::vector<std::string> roster_;
+    std::optional<protocol::ZoneOwner> knownOwner_;
+    protocol::ZoneOwner self_;
+    bool acquiring_ = false;
+    bool recovering_ = false;
+    bool draining_ = false;
+    base::TimePoint ownerSince_{};
+    base::TimePoint nextRenewal_{};
+    std::shared_ptr<SchedulerService *> alive_;
+    boost::asio::steady_timer timer_;
+    store::StoreClient store_;
+    std::optional<protocol::Listener> inner_;
+    std::optional<http::Server> workerServer_;
+};
+
+} // namespace yuccawheel::scheduler
--- a/src/protocol/index_set.cpp
+++ b/src/protocol/index_set.cpp
@@ -51,6 +51,13 @@
     }
 }
 
+void IndexSet::intersect(const IndexSet &other)
+{
+    IndexSet outside = *this;
+    outside.erase(other);
+    erase(outside);
+}
+
 bool IndexSet::contains(std::uint32_t index) const
 {
     const auto found =
--- a/src/protocol/index_set.h
+++ b/src/protocol/index_set.h
@@ -25,6 +25,8 @@
     void insert(IndexRange range);
     void insert(const IndexSet &other);
     void erase(const IndexSet &other);
+    /// Keeps only what lies in one of the ranges of the other set.
+    void intersect(const IndexSet &other);
     bool contains(std::uint32_t index) const;
     /// Number of indices in the set.
     std::uint32_t size() const;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -192,7 +192,8 @@
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> dropped;
     std::optional<ZoneOwner> owner;
-    std::vector<std::string> workers; ///< In a full update: the zone's workers that may hold tasks.
+    bool workersChanged = false;
+    std::vector<std::string> workers; ///< If changed, or in a full update: the zone's workers that may hold tasks.
 
     MSGPACK_DEFINE(index,
                    full,
@@ -205,6 +206,7 @@
                    cancelled,
                    dropped,
                    owner,
+                   workersChanged,
                    workers)
 };
 
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -44,6 +44,17 @@
     return std::any_of(shares.begin(), shares.end(), [zone](const Share &share) { return share.zone == zone; });
 }
 
+protocol::IndexSet JobRecord::indicesOf(std::string_view zone) const
+{
+    protocol::IndexSet indices;
+    for (const Share &share : shares) {
+        if (share.zone == zone) {
+            indices.insert(protocol::IndexRange{share.firstIndex, share.firstIndex + share.count});
+        }
+    }
+    return indices;
+}
+
 base::Verdict JobRecord::verdict() const
 {
     if (!succeeded.empty() || !failed.empty()) {
@@ -238,24 +249,40 @@
     return protocol::AcquireZoneReply{next};
 }
 
-ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange & /*change*/)
+// A zone's word counts only for the indices that are its own: a share that has moved is another zone's to report on.
+ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange &change)
 {
     const protocol::ZoneOwner *const current = owner(entry.zone);
     if (current == nullptr || current->epoch != entry.epoch) {
         return std::monostate{};
     }
-    for (const protocol::JobProgress &progress : entry.progress) {
+    for (protocol::JobProgress progress : entry.progress) {
         const auto found = data_.jobs.find(progress.job);
-        if (found != data_.jobs.end()) {
-            recordProgress(found->second, progress, entry.at);
+        if (found == data_.jobs.end()) {
+            continue;
+        }
+        const protocol::IndexSet own = found->second.indicesOf(entry.zone);
+        for (protocol::IndexSet *const set :
+             {&progress.started, &progress.succeeded, &progress.failed, &progress.notRun, &progress.mayHaveRun}) {
+            set->intersect(own);
         }
+        recordProgress(found->second, progress, entry.at);
+    }
+    changeWorkers(entry, change);
+    return std::monostate{};
+}
+
+void ClusterState::changeWorkers(const ProgressEntry &entry, StateChange &change)
+{
+    if (entry.joinedWorkers.empty() && entry.leftWorkers.empty()) {
+        return;
     }
     std::set<std::string> &workers = data_.workers[entry.zone];
     workers.insert(entry.joinedWorkers.begin(), entry.joinedWorkers.end());
     for (const std::string &worker : entry.leftWorkers) {
         workers.erase(worker);
     }
-    return std::monostate{};
+    change.workersOf = entry.zone;
 }
 
 // The first certain word on a task stays; "may have run" gives way to a later certain one.
--- a/src/store/cluster_state.h
+++ b/src/store/cluster_state.h
@@ -40,6 +40,8 @@
         return doneAt.count() != 0;
     }
     bool hasShareIn(std::string_view zone) const;
+    /// Task indices that were given to a zone.
+    protocol::IndexSet indicesOf(std::string_view zone) const;
     /// What can be said of the job as a whole: "not run" only if each task surely never ran.
     base::Verdict verdict() const;
 };
@@ -51,6 +53,7 @@
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> forgotten;
     std::optional<std::string> ownerOf; ///< Zone whose owner changed.
+    std::optional<std::string> workersOf; ///< Zone whose list of workers changed.
 };
 
 /// Answer to whoever proposed the entry. Progress, moves and removals have none.
@@ -141,7 +144,8 @@
     placement::JobId addJob(const placement::JobSpec &spec, const Shares &shares, WallTime at, StateChange &change);
     void cancelRecord(JobRecord &record, WallTime at, StateChange &change);
     void remember(const std::string &submission, std::uint64_t contentHash, const protocol::SubmitReply &reply);
-    void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
+    void changeWorkers(const ProgressEntry &entry, StateChange &change);
+    static void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
 
     Data data_;
 };
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -2,6 +2,9 @@
 
 #include "base/log.h"
 
+#include <iterator>
+#include <utility>
+
 namespace yuccawheel::store
 {
 
@@ -98,7 +101,7 @@
     if (replica == leader_) {
         leader_ = NoReplica;
         watching_ = false;
-        receivingFull_ = false;
+        fullParts_ = {};
     }
 }
 
@@ -107,18 +110,18 @@
     if (frame.type != protocol::MessageType::StateUpdate) {
         return;
     }
-    const auto update = protocol::decode<protocol::StateUpdate>(frame.payload);
+    auto update = protocol::decode<protocol::StateUpdate>(frame.payload);
     if (!update) {
         base::logError("unreadable_update").with("reason", update.error().message);
         return;
     }
     if (replica == leader_) {
-        onUpdate(*update);
+        onUpdate(std::move(*update));
     }
 }
 
 // A leader that was cut off may send a state older than what is already in force here; it is not applied.
-void StoreClient::onUpdate(const protocol::StateUpdate &update)
+void StoreClient::onUpdate(protocol::StateUpdate update)
 {
     if (update.index < index_) {
         base::logWarning("older_state_ignored").with("index", update.index).with("known", index_);
@@ -127,17 +130,32 @@
         }
         return;
     }
-    if (!update.full && !watching_) {
+    lastContact_ = std::chrono::steady_clock::now();
+    if (update.full ? !collectFull(update) : !watching_) {
         return;
     }
-    lastContact_ = std::chrono::steady_clock::now();
+    watching_ = true;
     index_ = update.index;
     version_ = update.configurationVersion;
-    if (update.full && update.last) {
-        watching_ = true;
-    }
     onUpdate_(update);
     replicas_[leader_]->notify(protocol::WatchAck{index_, version_});
 }
 
+// Joins the parts of a full state. Returns true, with the whole in `update`, once the last part is there.
+bool StoreClient::collectFull(protocol::StateUpdate &update)
+{
+    const auto append = [](auto &target, auto &source) {
+        target.insert(target.end(), std::make_move_iterator(source.begin()), std::make_move_iterator(source.end()));
+    };
+    append(fullParts_.assigned, update.assigned);
+    append(fullParts_.cancelled, update.cancelled);
+    if (!update.last) {
+        return false;
+    }
+    update.assigned = std::move(fullParts_.assigned);
+    update.cancelled = std::move(fullParts_.cancelled);
+    fullParts_ = {};
+    return true;
+}
+
 } // namespace yuccawheel::store
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -20,7 +20,7 @@
 class StoreClient
 {
 public:
-    /// Called for each update that is newer than what was seen before.
+    /// Called for each update that is newer than what was seen before. A full state comes as one update.
     using OnUpdate = std::function<void(const protocol::StateUpdate &)>;
 
     StoreClient(boost::asio::io_context &io,
@@ -111,7 +111,8 @@
     bool mayTryAgain(const protocol::RequestError &error);
     void watch(std::size_t replica);
     void onNotice(std::size_t replica, const protocol::Frame &frame);
-    void onUpdate(const protocol::StateUpdate &update);
+    void onUpdate(protocol::StateUpdate update);
+    bool collectFull(protocol::StateUpdate &update);
     void loseLeader(std::size_t replica);
     void probe();
 
@@ -121,7 +122,7 @@
     std::vector<std::unique_ptr<protocol::Peer>> replicas_;
     std::size_t leader_ = 0;
     bool watching_ = false;
-    bool receivingFull_ = false;
+    protocol::StateUpdate fullParts_; ///< Parts of a full state that is still arriving.
     std::uint64_t index_ = 0;
     std::uint64_t version_ = 0;
     std::chrono::steady_clock::time_point lastContact_{};
