--- a/src/store/cluster_state.h
+++ b/src/store/cluster_state.h
@@ -22,6 +22,7 @@
 struct JobRecord {
     placement::JobSpec spec;
     Shares shares;
+    protocol::IndexSet started; ///< Of a job that is not repeatable: may have been started.
     protocol::IndexSet succeeded;
     protocol::IndexSet failed;
     protocol::IndexSet notRun;
@@ -30,7 +31,7 @@
     WallTime acceptedAt{0};
     WallTime doneAt{0}; ///< Zero until every task has its final word.
 
-    MSGPACK_DEFINE(spec, shares, succeeded, failed, notRun, mayHaveRun, cancelled, acceptedAt, doneAt)
+    MSGPACK_DEFINE(spec, shares, started, succeeded, failed, notRun, mayHaveRun, cancelled, acceptedAt, doneAt)
 
     /// Task indices that have their final word.
     protocol::IndexSet finished() const;
@@ -39,6 +40,8 @@
         return doneAt.count() != 0;
     }
     bool hasShareIn(std::string_view zone) const;
+    /// Task indices that were given to a zone.
+    protocol::IndexSet indicesOf(std::string_view zone) const;
     /// What can be said of the job as a whole: "not run" only if each task surely never ran.
     base::Verdict verdict() const;
 };
@@ -50,6 +53,7 @@
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> forgotten;
     std::optional<std::string> ownerOf; ///< Zone whose owner changed.
+    std::optional<std::string> workersOf; ///< Zone whose list of workers changed.
 };
 
 /// Answer to whoever proposed the entry. Progress, moves and removals have none.
@@ -95,6 +99,8 @@
     }
     const JobRecord *findJob(placement::JobId id) const;
     const protocol::ZoneOwner *owner(const std::string &zone) const;
+    /// Names of the workers of a zone that may hold tasks.
+    const std::set<std::string> &workers(const std::string &zone) const;
     /// First answer to a submission, if it is still remembered.
     const protocol::SubmitReply *findSubmission(const std::string &submission) const;
 
@@ -116,11 +122,13 @@
         std::map<std::string, placement::JobId> services;
         std::map<placement::JobId, JobRecord> jobs;
         std::map<std::string, protocol::ZoneOwner> owners;
+        std::map<std::string, std::set<std::string>> workers;
         std::map<std::string, Remembered> submissions;
         std::deque<std::string> submissionOrder;
         std::deque<Version> versions;
         placement::JobId nextJob = 1;
-        MSGPACK_DEFINE(index, version, teams, services, jobs, owners, submissions, submissionOrder, versions, nextJob)
+        MSGPACK_DEFINE(
+            index, version, teams, services, jobs, owners, workers, submissions, submissionOrder, versions, nextJob)
     };
 
     ApplyReply applyEntry(const SubmissionEntry &entry, StateChange &change);
@@ -136,7 +144,8 @@
     placement::JobId addJob(const placement::JobSpec &spec, const Shares &shares, WallTime at, StateChange &change);
     void cancelRecord(JobRecord &record, WallTime at, StateChange &change);
     void remember(const std::string &submission, std::uint64_t contentHash, const protocol::SubmitReply &reply);
-    void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
+    void changeWorkers(const ProgressEntry &entry, StateChange &change);
+    static void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
 
     Data data_;
 };
