--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -107,6 +107,10 @@
     ledger.setCapacity(worker, capacity);
     open.setLargest(capacity);
     held.setLargest(capacity);
+    // Jobs that wait for room may now wait for a worker that is gone.
+    if (!before.fitsIn(capacity)) {
+        queue.wakeAll();
+    }
     std::vector<JobId> again;
     again.swap(neverFitJobs);
     for (const JobId job : again) {
