--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -1,4 +1,5 @@
 #include "command.h"
+#include "place.h"
 
 #include <fmt/core.h>
 
@@ -21,6 +22,8 @@
 
 constexpr std::array Commands{
     Command{"version", "print the version", printVersion},
+    Command{"bench", "print the signature of the decisions over a fixed mix", yuccawheel::bench::runSignature},
+    Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
 };
 
 void printUsage(std::FILE *file)
