--- a/src/settings/document.cpp
+++ b/src/settings/document.cpp
@@ -89,8 +89,8 @@
 void readRemovals(Reader &root, Document &document)
 {
     if (auto remove = root.child("remove")) {
-        document.removedTeams = remove->names("teams");
-        document.removedServices = remove->names("services");
+        document.removedTeams = remove->list("teams", nameRule(), MostItems);
+        document.removedServices = remove->list("services", nameRule(), MostItems);
         checkNotRemoved(*remove, "teams", document.removedTeams, document.teams, &TeamQuota::team);
         checkNotRemoved(*remove, "services", document.removedServices, document.services, &JobSpec::name);
         remove->finish();
--- a/src/settings/document_fields.cpp
+++ b/src/settings/document_fields.cpp
@@ -3,6 +3,7 @@
 #include "settings/units.h"
 
 #include <fmt/core.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -25,6 +26,7 @@
 constexpr std::int64_t MostAccelerators = 64;
 constexpr std::int64_t MostTeamFactor = 10'000;
 constexpr std::size_t LongestPayload = 16U << 10U;
+constexpr double MilliPerCore = 1'000;
 constexpr auto OneDay = 24h;
 
 const std::vector<JobKind> AllKinds{JobKind::Service, JobKind::Batch, JobKind::Gang};
@@ -53,6 +55,16 @@
     return std::to_string(value);
 }
 
+template <typename Value>
+nlohmann::ordered_json toJson(const Value &value)
+{
+    if constexpr (std::is_arithmetic_v<Value> || std::is_same_v<Value, std::string>) {
+        return value;
+    } else {
+        return format(value);
+    }
+}
+
 /// A field that holds one scalar. Its default is the one of a fresh JobSpec.
 template <typename Value, typename Target>
 JobField scalar(const std::string &key,
@@ -75,6 +87,9 @@
     field.print = [target](const JobSpec &job) {
         return format(job.*target);
     };
+    field.json = [target](const JobSpec &job) {
+        return toJson(job.*target);
+    };
     return field;
 }
 
@@ -94,6 +109,9 @@
     field.print = [](const JobSpec &job) {
         return formatResources(job.perTask);
     };
+    field.json = [](const JobSpec &job) {
+        return resourcesToJson(job.perTask);
+    };
     return field;
 }
 
@@ -177,6 +195,13 @@
         "{{cpu: {}, memory: {}{}}}", formatCpu(resources.milliCpu), formatMemory(resources.memoryMib), accelerators);
 }
 
+nlohmann::ordered_json resourcesToJson(const placement::Resources &resources)
+{
+    return {{"cpu", static_cast<double>(resources.milliCpu) / MilliPerCore},
+            {"memory", formatMemory(resources.memoryMib)},
+            {"accelerators", resources.accelerators}};
+}
+
 std::string formatText(const std::string &text)
 {
     // The words that YAML reads as nothing, although they are well-formed names.
--- a/src/settings/document_fields.h
+++ b/src/settings/document_fields.h
@@ -3,6 +3,8 @@
 #include "placement/job.h"
 #include "settings/reader.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <string>
 #include <vector>
@@ -20,6 +22,7 @@
     std::string description;
     std::function<void(Reader &reader, placement::JobSpec &job)> read;
     std::function<std::string(const placement::JobSpec &job)> print;
+    std::function<nlohmann::ordered_json(const placement::JobSpec &job)> json;
 
     bool appliesTo(placement::JobKind kind) const;
 };
@@ -30,6 +33,7 @@
 /// Reads `cpu`, `memory` and `accelerators`; a task must ask for some of the first two.
 placement::Resources readResources(Reader &reader, bool forTask);
 std::string formatResources(const placement::Resources &resources);
+nlohmann::ordered_json resourcesToJson(const placement::Resources &resources);
 
 /// Returns text as a YAML scalar, quoted where it would be read as something else.
 std::string formatText(const std::string &text);
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -46,10 +46,6 @@
                                      HeartbeatsPerLease,
                                      formatDuration(settings.heartbeat * HeartbeatsPerLease)));
     }
-    if (settings.drainLimit < settings.drainDelay) {
-        root.reportValue("drain_limit",
-                         fmt::format("at least drain_delay, here {}", formatDuration(settings.drainDelay)));
-    }
 }
 
 /// The settings file and the one that it includes, joined into one mapping.
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -204,50 +204,34 @@
     return Reader(entry.file, entry.value, pathOf(entry.key), *problems_);
 }
 
-std::vector<Reader> Reader::children(const std::string &key, std::size_t most)
+std::vector<Reader::Entry> Reader::elements(const std::string &key, std::size_t most, std::string_view what)
 {
-    std::vector<Reader> readers;
-    const Entry *const entry = find(key);
-    if (entry == nullptr) {
-        return readers;
+    std::vector<Entry> result;
+    const Entry *const list = find(key);
+    if (list == nullptr) {
+        return result;
     }
-    if (!entry->value.IsSequence() || entry->value.size() > most) {
-        report(*entry, fmt::format("a list of at most {} mappings", most));
-        return readers;
+    if (!list->value.IsSequence() || list->value.size() > most) {
+        report(*list, fmt::format("a list of at most {} {}", most, what));
+        return result;
     }
-    std::size_t position = 0;
-    for (const auto &element : entry->value) {
-        const Entry child = elementOf(*entry, position++, element);
-        if (auto reader = below(child)) {
-            readers.push_back(std::move(*reader));
-        }
+    for (const auto &element : list->value) {
+        const int line = lineNumber(element.Mark());
+        result.push_back(
+            {fmt::format("{}[{}]", key, result.size()), list->file, line > 0 ? line : list->line, element});
     }
-    return readers;
+    return result;
 }
 
-std::vector<std::string> Reader::names(const std::string &key)
+std::vector<Reader> Reader::children(const std::string &key, std::size_t most)
 {
-    std::vector<std::string> result;
-    const Entry *const entry = find(key);
-    if (entry == nullptr) {
-        return result;
-    }
-    if (!entry->value.IsSequence()) {
-        report(*entry, "a list of names");
-        return result;
-    }
-    const auto rule = nameRule();
-    std::size_t position = 0;
-    for (const auto &node : entry->value) {
-        const Entry element = elementOf(*entry, position++, node);
-        const auto name = node.IsScalar() ? rule.parse(node.Scalar()) : std::nullopt;
-        if (name) {
-            result.push_back(*name);
-        } else {
-            report(element, rule.allowed);
+    std::vector<Reader> readers;
+    for (const Entry &element : elements(key, most, "mappings")) {
+        if (auto reader = below(element)) {
+            readers.push_back(std::move(*reader));
         }
     }
-    return result;
+    return readers;
 }
 
 bool Reader::isAcceptableScalar(const YAML::Node &node, bool quotedAllowed)
@@ -262,12 +246,6 @@
     }
 }
 
-Reader::Entry Reader::elementOf(const Entry &list, std::size_t position, const YAML::Node &element)
-{
-    const int line = lineNumber(element.Mark());
-    return {fmt::format("{}[{}]", list.key, position), list.file, line > 0 ? line : list.line, element};
-}
-
 void Reader::report(const Entry &entry, const std::string &allowed)
 {
     add({entry.file, entry.line, pathOf(entry.key), describe(entry.value), allowed});
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -70,8 +70,22 @@
     std::optional<Reader> child(const std::string &key);
     /// Returns a reader of each element of the list below a key.
     std::vector<Reader> children(const std::string &key, std::size_t most);
-    /// Returns the names in the list below a key.
-    std::vector<std::string> names(const std::string &key);
+    /// Returns the scalars in the list below a key; faulty ones are left out.
+    template <typename Value>
+    std::vector<Value> list(const std::string &key, const Rule<Value> &rule, std::size_t most)
+    {
+        std::vector<Value> values;
+        for (const Entry &element : elements(key, most, "scalars")) {
+            auto value = isAcceptableScalar(element.value, rule.quotedAllowed) ? rule.parse(element.value.Scalar())
+                                                                               : std::nullopt;
+            if (value) {
+                values.push_back(std::move(*value));
+            } else {
+                report(element, rule.allowed);
+            }
+        }
+        return values;
+    }
 
     /// Returns a reader of the mapping below a key, or of an empty mapping if there is none.
     Reader childOrEmpty(const std::string &key);
@@ -106,7 +120,8 @@
     void index(const YAML::Node &mapping);
     std::optional<Reader> below(const Entry &entry);
     static bool isAcceptableScalar(const YAML::Node &node, bool quotedAllowed);
-    static Entry elementOf(const Entry &list, std::size_t position, const YAML::Node &element);
+    /// Returns the elements of the list below a key; none if it is absent or faulty.
+    std::vector<Entry> elements(const std::string &key, std::size_t most, std::string_view what);
     void add(Problem problem);
     void report(const Entry &entry, const std::string &allowed);
     std::string pathOf(const std::string &key) const;
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -1,11 +1,11 @@
 #include "settings/setting_table.h"
 
+#include "settings/setting_row.h"
 #include "settings/units.h"
 
 #include <fmt/core.h>
 
 #include <algorithm>
-#include <functional>
 #include <map>
 
 namespace yuccawheel::settings
@@ -19,13 +19,6 @@
 constexpr std::size_t MostStores = 7;
 constexpr std::size_t MostPeers = 64;
 
-/// One setting: its row of the page, and how it is read.
-struct Setting {
-    SettingInfo info;
-    std::vector<Program> requiredBy;
-    std::function<void(Reader &reader, const std::string &key, ProcessSettings &settings)> read;
-};
-
 std::string_view programName(Program program)
 {
     switch (program) {
@@ -48,7 +41,8 @@
     return names;
 }
 
-/// A scalar setting. An empty default leaves the target as it is.
+using Setting = SettingRow<ProcessSettings>;
+
 template <typename Value, typename Access>
 Setting scalar(const std::string &key,
                const std::string &defaultValue,
@@ -57,17 +51,8 @@
                Access access,
                const std::string &description)
 {
-    auto read = [rule, defaultValue, access](Reader &reader, const std::string &name, ProcessSettings &settings) {
-        auto value = reader.read(name, rule);
-        if (!value && !defaultValue.empty()) {
-            value = rule.parse(defaultValue);
-        }
-        if (value) {
-            std::invoke(access, settings) = std::move(*value);
-        }
-    };
     SettingInfo info{key, defaultValue, rule.allowed, programNames(requiredBy), description};
-    return {std::move(info), std::move(requiredBy), std::move(read)};
+    return scalarRow<ProcessSettings>(std::move(info), rule, std::move(requiredBy), access);
 }
 
 template <typename Access>
@@ -222,7 +207,7 @@
                  0s,
                  1h,
                  &ProcessSettings::drainLimit,
-                 "How long after the signal requests in progress may take. At least drain_delay."),
+                 "How long requests in progress may take after drain_delay; then they are cut off."),
         duration("request_timeout",
                  "30s",
                  10ms,
--- a/tests/settings_document_test.cpp
+++ b/tests/settings_document_test.cpp
@@ -1,4 +1,5 @@
 #include "settings/document.h"
+#include "settings/document_json.h"
 
 #include <fmt/core.h>
 #include <gtest/gtest.h>
@@ -165,6 +166,20 @@
     }
 }
 
+RC_GTEST_PROP(Document, jsonFormIsADocumentToo, ())
+{
+    const Document document{{{"t", arbitraryResources(false)}}, {arbitraryJob(JobKind::Service, 1)}, {}, {}, {}, {}};
+    const nlohmann::ordered_json json{{"teams", {toJson(document.teams[0])}},
+                                      {"services", {toJson(document.services[0])}}};
+    for (const int indent : {-1, 2}) {
+        const auto parsed = parseDocument(json.dump(indent), "f.json");
+        if (!parsed) {
+            RC_FAIL(toString(parsed.error()) + json.dump(indent));
+        }
+        RC_ASSERT(formatDocument(*parsed) == formatDocument(document));
+    }
+}
+
 // Bytes replaced, removed, doubled or cut at random: the parser answers each text and never throws or crashes.
 RC_GTEST_PROP(Document, damagedTextNeverThrows, ())
 {
