--- /dev/null
+++ b/src/store/store_client.cpp
@@ -0,0 +1,161 @@
+#include "store/store_client.h"
+
+#include "base/log.h"
+
+#include <iterator>
+#include <utility>
+
+namespace yuccawheel::store
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds WatchTimeout{2000};
+constexpr std::chrono::milliseconds ProbeInterval{200};
+constexpr std::size_t NoReplica = static_cast<std::size_t>(-1);
+
+} // namespace
+
+StoreClient::StoreClient(asio::io_context &io,
+                         const std::vector<asio::ip::tcp::endpoint> &replicas,
+                         const protocol::Identity &self,
+                         OnUpdate onUpdate)
+    : io_(io)
+    , zone_(self.zone)
+    , onUpdate_(std::move(onUpdate))
+    , leader_(NoReplica)
+    , probeTimer_(io)
+    , alive_(std::make_shared<StoreClient *>(this))
+{
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+        protocol::Peer::Callbacks callbacks;
+        callbacks.notice = [this, i](const protocol::ChannelPtr &, const protocol::Frame &frame) {
+            onNotice(i, frame);
+        };
+        callbacks.closed = [this, i] {
+            loseLeader(i);
+        };
+        replicas_.push_back(std::make_unique<protocol::Peer>(io, replicas[i], self, std::move(callbacks)));
+    }
+    probe();
+}
+
+StoreClient::~StoreClient()
+{
+    *alive_ = nullptr;
+    // Closing a connection calls back; the callbacks must find no replica that is already gone.
+    const auto replicas = std::exchange(replicas_, {});
+}
+
+protocol::Peer *StoreClient::leaderPeer()
+{
+    return leader_ == NoReplica ? nullptr : replicas_[leader_].get();
+}
+
+// A request that surely did not run may be sent again; one that may have run is for the caller to judge.
+bool StoreClient::mayTryAgain(const protocol::RequestError &error)
+{
+    using protocol::ErrorCode;
+    if (error.code == ErrorCode::NotLeader) {
+        loseLeader(leader_);
+    }
+    return error.verdict == base::Verdict::NotRun
+        && (error.code == ErrorCode::NotLeader || error.code == ErrorCode::Unreachable
+            || error.code == ErrorCode::Overloaded || error.code == ErrorCode::NotReady);
+}
+
+// Asks every connected replica to be watched; only the leader accepts.
+void StoreClient::probe()
+{
+    if (leader_ == NoReplica) {
+        for (std::size_t i = 0; i < replicas_.size(); ++i) {
+            if (replicas_[i]->connected()) {
+                watch(i);
+            }
+        }
+    }
+    probeTimer_.expires_after(ProbeInterval);
+    probeTimer_.async_wait([alive = alive_](const boost::system::error_code &error) {
+        if (*alive != nullptr && !error) {
+            (*alive)->probe();
+        }
+    });
+}
+
+void StoreClient::watch(std::size_t replica)
+{
+    replicas_[replica]->request(protocol::Watch{zone_}, WatchTimeout, [this, alive = alive_, replica](auto answer) {
+        if (*alive == nullptr || !answer || leader_ != NoReplica) {
+            return;
+        }
+        leader_ = replica;
+        base::logInfo("store_leader").with("node", replicas_[replica]->identity().node);
+    });
+}
+
+void StoreClient::loseLeader(std::size_t replica)
+{
+    if (replica == leader_) {
+        leader_ = NoReplica;
+        watching_ = false;
+        fullParts_ = {};
+    }
+}
+
+void StoreClient::onNotice(std::size_t replica, const protocol::Frame &frame)
+{
+    if (frame.type != protocol::MessageType::StateUpdate) {
+        return;
+    }
+    auto update = protocol::decode<protocol::StateUpdate>(frame.payload);
+    if (!update) {
+        base::logError("unreadable_update").with("reason", update.error().message);
+        return;
+    }
+    if (replica == leader_) {
+        onUpdate(std::move(*update));
+    }
+}
+
+// A leader that was cut off may send a state older than what is already in force here; it is not applied.
+void StoreClient::onUpdate(protocol::StateUpdate update)
+{
+    if (update.index < index_) {
+        base::logWarning("older_state_ignored").with("index", update.index).with("known", index_);
+        if (update.full) {
+            loseLeader(leader_);
+        }
+        return;
+    }
+    lastContact_ = std::chrono::steady_clock::now();
+    if (update.full ? !collectFull(update) : !watching_) {
+        return;
+    }
+    watching_ = true;
+    index_ = update.index;
+    version_ = update.configurationVersion;
+    onUpdate_(update);
+    replicas_[leader_]->notify(protocol::WatchAck{index_, version_});
+}
+
+// Joins the parts of a full state. Returns true, with the whole in `update`, once the last part is there.
+bool StoreClient::collectFull(protocol::StateUpdate &update)
+{
+    const auto append = [](auto &target, auto &source) {
+        target.insert(target.end(), std::make_move_iterator(source.begin()), std::make_move_iterator(source.end()));
+    };
+    append(fullParts_.assigned, update.assigned);
+    append(fullParts_.cancelled, update.cancelled);
+    if (!update.last) {
+        return false;
+    }
+    update.assigned = std::move(fullParts_.assigned);
+    update.cancelled = std::move(fullParts_.cancelled);
+    fullParts_ = {};
+    return true;
+}
+
+} // namespace yuccawheel::store
