yw-store: the replicated log behind the inner protocol

One thread owns the replica, its disk and the state; the leader answers daemons, pushes changes to those that watch, gives waiting jobs a zone, moves shares of lost zones and forgets finished jobs. Not run end to end yet.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,14 +23,18 @@
 struct Arguments {
     std::string settingsFile;
     bool check = false;
+    const Action *action = nullptr;
     std::optional<ExitCode> exit; ///< Set if there is nothing left to do.
 };
 
-Arguments parseArguments(int argc, char **argv, std::string_view name)
+Arguments parseArguments(int argc, char **argv, std::string_view name, const std::vector<Action> &actions)
 {
     cxxopts::Options options{std::string(name), "Part of the yuccawheel cluster scheduler."};
     options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(), "FILE")(
         "check", "check the settings and exit")("version", "print the version")("help", "print this help");
+    for (const Action &action : actions) {
+        options.add_options()(action.name, action.description);
+    }
     Arguments arguments;
     try {
         const auto parsed = options.parse(argc, argv);
@@ -46,6 +50,9 @@
         } else {
             arguments.settingsFile = parsed["settings"].as<std::string>();
             arguments.check = parsed.count("check") > 0;
+            for (const Action &action : actions) {
+                arguments.action = parsed.count(action.name) > 0 ? &action : arguments.action;
+            }
         }
     } catch (const cxxopts::exceptions::exception &error) {
         fmt::print(stderr, "{}: {}\n", name, error.what());
@@ -178,9 +185,14 @@
     return endpoint ? std::optional(toAsio(*endpoint)) : std::nullopt;
 }
 
-int run(int argc, char **argv, settings::Program program, std::string_view name, const ServiceFactory &factory)
+int run(int argc,
+        char **argv,
+        settings::Program program,
+        std::string_view name,
+        const ServiceFactory &factory,
+        const std::vector<Action> &actions)
 {
-    const Arguments arguments = parseArguments(argc, argv, name);
+    const Arguments arguments = parseArguments(argc, argv, name, actions);
     if (arguments.exit) {
         return static_cast<int>(*arguments.exit);
     }
@@ -189,6 +201,9 @@
         fmt::print(stderr, "{}", settings::toString(settings.error()));
         return static_cast<int>(ExitCode::BadSettings);
     }
+    if (arguments.action != nullptr) {
+        return arguments.action->run(*settings);
+    }
     const settings::Problems unusable = settings::checkListeners(*settings);
     if (!unusable.empty()) {
         fmt::print(stderr, "{}", settings::toString(unusable));
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace yuccawheel::daemon
 {
@@ -51,8 +52,20 @@
 
 using ServiceFactory = std::function<std::unique_ptr<Service>(Context &)>;
 
+/// Something a program does once, with checked settings, instead of serving: `--NAME`.
+struct Action {
+    std::string name;
+    std::string description;
+    std::function<int(const settings::ProcessSettings &)> run; ///< Returns the exit code.
+};
+
 /// Runs a program: command line, settings, log, health address, signals. Returns its exit code.
-int run(int argc, char **argv, settings::Program program, std::string_view name, const ServiceFactory &factory);
+int run(int argc,
+        char **argv,
+        settings::Program program,
+        std::string_view name,
+        const ServiceFactory &factory,
+        const std::vector<Action> &actions = {});
 
 /// Converts a checked address of the settings.
 boost::asio::ip::tcp::endpoint toAsio(const settings::Endpoint &endpoint);
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds TickInterval{20};
 constexpr std::chrono::milliseconds AcquireTimeout{3'000};
 constexpr std::chrono::milliseconds RenewTimeout{3'000};
+constexpr std::chrono::milliseconds ReleaseTimeout{1'000};
 constexpr std::size_t MaxWorkerName = 64;
 
 std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
@@ -99,10 +100,16 @@
 void SchedulerService::drain(std::function<void()> done)
 {
     draining_ = true;
-    if (hub_.owning()) {
-        stepDown("draining");
+    if (!hub_.owning()) {
+        done();
+        return;
     }
-    done();
+    stepDown("draining");
+    protocol::RenewZone release;
+    release.zone = self_.zone;
+    release.epoch = self_.epoch;
+    release.release = true;
+    store_.request(release, ReleaseTimeout, [done = std::move(done)](const auto &) { done(); });
 }
 
 std::size_t SchedulerService::inProgress() const
--- /dev/null
+++ b/src/programs/yw_store/store_service.cpp
@@ -0,0 +1,228 @@
+#include "store_service.h"
+
+#include "base/log.h"
+#include "coordination/checksum.h"
+#include "store/replication_codec.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/core.h>
+
+#include <random>
+#include <stdexcept>
+
+namespace yuccawheel::store
+{
+
+namespace
+{
+
+std::uint32_t randomGeneration()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint32_t>(1)(device);
+}
+
+StoreOptions optionsOf(const settings::ProcessSettings &settings)
+{
+    StoreOptions options;
+    options.zoneLease = settings.lease;
+    for (const settings::Peer &peer : settings.stores) {
+        options.nodeNames[nodeNumber(peer.node)] = peer.node;
+        options.addresses[nodeNumber(peer.node)] = settings::toString(peer.address);
+    }
+    return options;
+}
+
+std::string describe(const coordination::StorageError &error)
+{
+    return fmt::format("{}: {}", coordination::toString(error.failure), error.detail);
+}
+
+} // namespace
+
+std::uint32_t nodeNumber(const std::string &name)
+{
+    const auto number = static_cast<std::uint32_t>(coordination::checksum(name));
+    return number == 0 ? 1 : number;
+}
+
+StoreService::StoreService(daemon::Context &context)
+    : context_(context)
+    , alive_(std::make_shared<StoreService *>(this))
+    , thread_(startThread())
+{
+    protocol::Listener::Callbacks callbacks;
+    callbacks.opened = [this](const protocol::ChannelPtr &channel) {
+        onOpened(channel);
+    };
+    callbacks.frame = [this](const protocol::ChannelPtr &channel, protocol::Frame frame) {
+        onFrame(channel, std::move(frame));
+    };
+    callbacks.closed = [this](const protocol::ChannelPtr &channel) {
+        onClosed(channel);
+    };
+    listener_.emplace(context.io, daemon::toAsio(*context.settings.listen.inner), context.self, std::move(callbacks));
+    connectReplicas();
+}
+
+StoreService::~StoreService()
+{
+    *alive_ = nullptr;
+    thread_.reset();
+    listener_.reset();
+}
+
+std::unique_ptr<StoreThread> StoreService::startThread()
+{
+    const settings::ProcessSettings &settings = context_.settings;
+    auto files = coordination::openFolder(settings.dataDir);
+    if (!files) {
+        throw std::runtime_error(describe(files.error()));
+    }
+    auto storage = std::make_unique<coordination::FileLogStorage>(**files);
+    coordination::ReplicaSettings replicaSettings;
+    replicaSettings.log.self = {nodeNumber(settings.node), randomGeneration()};
+    replicaSettings.log.seed = context_.self.incarnation ^ replicaSettings.log.self.node;
+    for (const settings::Peer &peer : settings.stores) {
+        replicaSettings.log.nodes.push_back(nodeNumber(peer.node));
+    }
+    auto replica = coordination::Replica::start(replicaSettings, *storage, base::BootClock::now());
+    if (!replica) {
+        throw std::runtime_error(describe(replica.error()));
+    }
+    const auto wake = [this, alive = alive_] {
+        boost::asio::post(context_.io, [this, alive] {
+            if (*alive != nullptr) {
+                takeOutput();
+            }
+        });
+    };
+    const auto failed = [this](const std::string &reason) {
+        base::logError("disk_failed").with("reason", reason);
+        boost::asio::post(context_.io, [reason] { throw std::runtime_error(reason); });
+    };
+    return std::make_unique<StoreThread>(
+        std::move(*files), std::move(storage), std::move(*replica), optionsOf(settings), wake, failed);
+}
+
+void StoreService::connectReplicas()
+{
+    for (const settings::Peer &peer : context_.settings.stores) {
+        if (peer.node != context_.settings.node) {
+            replicas_[nodeNumber(peer.node)] = std::make_unique<protocol::Peer>(
+                context_.io, daemon::toAsio(peer.address), context_.self, protocol::Peer::Callbacks{});
+        }
+    }
+}
+
+std::optional<std::string> StoreService::notReadyReason() const
+{
+    return thread_->status().ready ? std::nullopt : std::optional<std::string>("no leader is known");
+}
+
+void StoreService::drain(std::function<void()> done)
+{
+    done();
+}
+
+std::size_t StoreService::inProgress() const
+{
+    return 0;
+}
+
+void StoreService::onOpened(const protocol::ChannelPtr &channel)
+{
+    const ClientId id = nextClient_++;
+    clients_[id] = channel;
+    clientIds_[channel.get()] = id;
+}
+
+void StoreService::onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame)
+{
+    if (frame.type == protocol::MessageType::Replication) {
+        if (channel->peer().role != protocol::Role::Store) {
+            channel->close("replication from another role");
+            return;
+        }
+        auto message = decodeReplication(frame.payload);
+        if (!message) {
+            channel->close("malformed replication message");
+        } else if (!thread_->tryPush(StoreInput{std::move(*message)})) {
+            context_.metrics.counter("yw_store_replication_dropped_total").add();
+        }
+        return;
+    }
+    const auto correlation = frame.correlation;
+    const bool isRequest = frame.kind == protocol::FrameKind::Request;
+    ClientRequest request{clientIds_.at(channel.get()), channel->peer(), std::move(frame)};
+    if (!thread_->tryPush(StoreInput{std::move(request)}) && isRequest) {
+        channel->reply(
+            correlation,
+            protocol::RequestError{protocol::ErrorCode::Overloaded, base::Verdict::NotRun, "the replica is busy", {}});
+    }
+}
+
+void StoreService::onClosed(const protocol::ChannelPtr &channel)
+{
+    const auto found = clientIds_.find(channel.get());
+    if (found == clientIds_.end()) {
+        return;
+    }
+    const ClientId id = found->second;
+    clients_.erase(id);
+    clientIds_.erase(found);
+    // A full ring only delays this: an answer to a closed connection is dropped here anyway.
+    thread_->tryPush(StoreInput{StoreInput::ClientGone{id}});
+}
+
+void StoreService::takeOutput()
+{
+    while (auto output = thread_->takeOutput()) {
+        for (const coordination::Message &message : output->messages) {
+            send(message);
+        }
+        for (const ClientFrame &frame : output->frames) {
+            const auto client = clients_.find(frame.client);
+            // A daemon that doesn't read fast enough would miss updates, so it has to start again from a full state.
+            if (client != clients_.end() && !client->second->send(frame.frame)) {
+                const protocol::ChannelPtr channel = client->second;
+                channel->close("send queue full");
+            }
+        }
+    }
+    context_.metrics.gauge("yw_store_applied_index").set(static_cast<std::int64_t>(thread_->status().applied));
+    context_.metrics.gauge("yw_store_leads").set(thread_->status().leads ? 1 : 0);
+}
+
+// Messages between replicas may be lost at any time; the log repeats what matters.
+void StoreService::send(const coordination::Message &message)
+{
+    const auto peer = replicas_.find(message.to.node);
+    if (peer != replicas_.end()) {
+        peer->second->notifyFrame(protocol::Frame{
+            protocol::MessageType::Replication, protocol::FrameKind::Notice, 0, encodeReplication(message)});
+    }
+}
+
+int formCluster(const settings::ProcessSettings &settings)
+{
+    auto files = coordination::openFolder(settings.dataDir);
+    if (!files) {
+        fmt::print(stderr, "{}\n", describe(files.error()));
+        return static_cast<int>(daemon::ExitCode::Failed);
+    }
+    coordination::FileLogStorage storage(**files);
+    const coordination::ReplicaId self{nodeNumber(settings.node), randomGeneration()};
+    const coordination::ReplicaSet set{{{self, true}}};
+    std::random_device device;
+    const coordination::ClusterId cluster = std::uniform_int_distribution<coordination::ClusterId>(1)(device);
+    const auto formed = coordination::Replica::formCluster(storage, cluster, self, set);
+    if (!formed) {
+        fmt::print(stderr, "the cluster was not formed: {}\n", describe(formed.error()));
+        return static_cast<int>(daemon::ExitCode::Failed);
+    }
+    fmt::print("cluster {:016x} formed; start yw-store on every store VM\n", cluster);
+    return static_cast<int>(daemon::ExitCode::Ok);
+}
+
+} // namespace yuccawheel::store
--- /dev/null
+++ b/src/programs/yw_store/store_service.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "daemon/daemon.h"
+#include "protocol/listener.h"
+#include "protocol/peer.h"
+#include "store_thread.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace yuccawheel::store
+{
+
+/// Number of a node in the replicated log, derived from its name so that all settings agree on it.
+std::uint32_t nodeNumber(const std::string &name);
+
+/// One store replica: its connections to the others and to the daemons, around the replica's thread.
+class StoreService : public daemon::Service
+{
+public:
+    /// Throws std::runtime_error if the data folder can't be used.
+    explicit StoreService(daemon::Context &context);
+    ~StoreService() override;
+
+    std::optional<std::string> notReadyReason() const override;
+    void drain(std::function<void()> done) override;
+    std::size_t inProgress() const override;
+
+private:
+    std::unique_ptr<StoreThread> startThread();
+    void connectReplicas();
+    void onOpened(const protocol::ChannelPtr &channel);
+    void onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame);
+    void onClosed(const protocol::ChannelPtr &channel);
+    void takeOutput();
+    void send(const coordination::Message &message);
+
+    daemon::Context &context_;
+    std::shared_ptr<StoreService *> alive_;
+    std::map<std::uint32_t, std::unique_ptr<protocol::Peer>> replicas_; ///< The others, by node number.
+    std::unordered_map<ClientId, protocol::ChannelPtr> clients_;
+    std::unordered_map<const protocol::Channel *, ClientId> clientIds_;
+    ClientId nextClient_ = 1;
+    std::unique_ptr<StoreThread> thread_;
+    std::optional<protocol::Listener> listener_;
+};
+
+/// Writes the state of a new cluster, with this replica and those named in the settings, to an empty data folder.
+/// Returns an exit code.
+int formCluster(const settings::ProcessSettings &settings);
+
+} // namespace yuccawheel::store
--- /dev/null
+++ b/src/programs/yw_store/store_thread.cpp
@@ -0,0 +1,104 @@
+#include "store_thread.h"
+
+#include "base/log.h"
+
+#include <chrono>
+
+namespace yuccawheel::store
+{
+
+namespace
+{
+
+constexpr std::size_t InputRingItems = 4'096;
+constexpr std::size_t OutputRingItems = 1'024;
+constexpr std::size_t MaxInputsPerRound = 256;
+constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds FullRingWait{1};
+
+WallTime wallNow()
+{
+    return std::chrono::duration_cast<WallTime>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+StoreThread::StoreThread(std::unique_ptr<coordination::FileSystem> files,
+                         std::unique_ptr<coordination::FileLogStorage> storage,
+                         std::unique_ptr<coordination::Replica> replica,
+                         const StoreOptions &options,
+                         std::function<void()> wake,
+                         std::function<void(std::string)> failed)
+    : files_(std::move(files))
+    , storage_(std::move(storage))
+    , replica_(std::move(replica))
+    , core_(*replica_, options, base::BootClock::now())
+    , wake_(std::move(wake))
+    , failed_(std::move(failed))
+    , input_(InputRingItems)
+    , output_(OutputRingItems)
+    , thread_([this] { run(); })
+{
+}
+
+StoreThread::~StoreThread()
+{
+    stopping_ = true;
+    input_.close();
+    thread_.join();
+}
+
+// Takes what has arrived, up to a bound, and syncs once for all of it.
+void StoreThread::run()
+{
+    while (!stopping_) {
+        auto input = input_.popFor(TickInterval);
+        for (std::size_t taken = 0; input; ++taken) {
+            handle(*input);
+            input = taken < MaxInputsPerRound ? input_.tryPop() : std::nullopt;
+        }
+        core_.tick(base::BootClock::now(), wallNow());
+        if (!flush()) {
+            return;
+        }
+    }
+}
+
+void StoreThread::handle(StoreInput &input)
+{
+    const base::TimePoint now = base::BootClock::now();
+    if (const auto *message = std::get_if<coordination::Message>(&input.what)) {
+        core_.receive(*message, now);
+    } else if (const auto *request = std::get_if<ClientRequest>(&input.what)) {
+        core_.request(*request, now, wallNow());
+    } else {
+        core_.clientGone(std::get<StoreInput::ClientGone>(input.what).client);
+    }
+}
+
+bool StoreThread::flush()
+{
+    bool more = true;
+    while (more && !stopping_) {
+        auto output = core_.flush(base::BootClock::now());
+        if (!output) {
+            failed_(std::string(coordination::toString(output.error().failure)) + ": " + output.error().detail);
+            return false;
+        }
+        more = output->more;
+        const bool empty = output->messages.empty() && output->frames.empty();
+        while (!empty && !stopping_ && !output_.tryPush(std::move(*output))) {
+            wake_();
+            std::this_thread::sleep_for(FullRingWait);
+        }
+        if (!empty) {
+            wake_();
+        }
+    }
+    status_.leads = core_.leads();
+    status_.ready = core_.leads() || core_.log().leader().node != 0;
+    status_.applied = core_.state().index();
+    return true;
+}
+
+} // namespace yuccawheel::store
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -146,8 +146,9 @@
     std::vector<JobProgress> progress;
     std::vector<std::string> joinedWorkers; ///< Work is placed on a worker only after this was agreed on.
     std::vector<std::string> leftWorkers; ///< Their leases have run out.
+    bool release = false; ///< The owner gives the zone up.
 
-    MSGPACK_DEFINE(zone, epoch, summary, progress, joinedWorkers, leftWorkers)
+    MSGPACK_DEFINE(zone, epoch, summary, progress, joinedWorkers, leftWorkers, release)
 };
 
 struct WatchReply {
@@ -166,7 +167,8 @@
     MSGPACK_DEFINE(zone)
 };
 
-/// A share of a job or service that was given to a zone.
+/// A share of a job or service that was given to a zone: a range of task indices. Indices of the range that are
+/// another zone's stand in `finished`.
 struct ShareAssignment {
     placement::JobSpec spec;
     std::uint32_t firstIndex = 0;
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -51,6 +51,12 @@
         return channel_ && channel_->notify(message);
     }
 
+    /// Like `notify`, for a frame that is already encoded.
+    bool notifyFrame(const Frame &frame)
+    {
+        return channel_ && channel_->send(frame);
+    }
+
     bool connected() const
     {
         return channel_ != nullptr;
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -1,10 +1,9 @@
 #include "store/cluster_state.h"
 
 #include "base/invariant.h"
+#include "coordination/checksum.h"
 
 #include <algorithm>
-#include <xxhash.h>
-
 namespace yuccawheel::store
 {
 
@@ -17,8 +16,7 @@
 // The expected version is part of the content: the same document sent for another version is another submission.
 std::uint64_t contentHash(const protocol::Submit &submit)
 {
-    const std::string bytes = protocol::encode(submit);
-    return XXH3_64bits(bytes.data(), bytes.size());
+    return coordination::checksum(protocol::encode(submit));
 }
 
 // Two specs are the same service if they differ in the id only.
@@ -307,30 +305,49 @@
     }
 }
 
+// The lost zone gets a new epoch with the move, so that its former owner can report nothing on what it has lost.
 ApplyReply ClusterState::applyEntry(const MoveEntry &entry, StateChange &change)
 {
-    const protocol::ZoneOwner *const current = owner(entry.lostZone);
-    if ((current == nullptr ? 0 : current->epoch) != entry.lostEpoch) {
+    const auto lost = data_.owners.find(entry.lostZone);
+    if ((lost == data_.owners.end() ? 0 : lost->second.epoch) != entry.lostEpoch) {
         return std::monostate{};
     }
+    if (lost != data_.owners.end()) {
+        lost->second.epoch = data_.index;
+        change.ownerOf = entry.lostZone;
+    }
     for (const MoveEntry::Move &move : entry.moves) {
         const auto found = data_.jobs.find(move.job);
-        if (found == data_.jobs.end() || found->second.done()) {
-            continue;
-        }
-        Shares &shares = found->second.shares;
-        shares.erase(std::remove_if(
-                         shares.begin(), shares.end(), [&move](const Share &share) { return share.zone == move.from; }),
-                     shares.end());
-        for (Share share : move.to) {
-            share.assignedAt = data_.index;
-            shares.push_back(std::move(share));
+        if (found != data_.jobs.end() && !found->second.done()) {
+            moveShares(found->second, move, entry.at);
+            change.assigned.push_back(move.job);
         }
-        change.assigned.push_back(move.job);
     }
     return std::monostate{};
 }
 
+// A task that is not repeatable and may have been started is not moved: nobody can tell any more whether it ran.
+void ClusterState::moveShares(JobRecord &record, const MoveEntry::Move &move, WallTime at)
+{
+    if (move.from.empty() != record.shares.empty()) {
+        return;
+    }
+    if (!record.spec.repeatable) {
+        protocol::IndexSet unprovable = record.indicesOf(move.from);
+        unprovable.intersect(record.started);
+        unprovable.erase(record.finished());
+        record.mayHaveRun.insert(unprovable);
+    }
+    std::erase_if(record.shares, [&move](const Share &share) { return share.zone == move.from; });
+    for (Share share : move.to) {
+        share.assignedAt = data_.index;
+        record.shares.push_back(std::move(share));
+    }
+    if (record.finished().size() >= record.spec.tasks) {
+        record.doneAt = at;
+    }
+}
+
 ApplyReply ClusterState::applyEntry(const ForgetEntry &entry, StateChange &change)
 {
     for (const placement::JobId job : entry.jobs) {
--- a/src/store/cluster_state.h
+++ b/src/store/cluster_state.h
@@ -144,6 +144,7 @@
     placement::JobId addJob(const placement::JobSpec &spec, const Shares &shares, WallTime at, StateChange &change);
     void cancelRecord(JobRecord &record, WallTime at, StateChange &change);
     void remember(const std::string &submission, std::uint64_t contentHash, const protocol::SubmitReply &reply);
+    void moveShares(JobRecord &record, const MoveEntry::Move &move, WallTime at);
     void changeWorkers(const ProgressEntry &entry, StateChange &change);
     static void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
 
--- a/src/store/log_entry.h
+++ b/src/store/log_entry.h
@@ -66,11 +66,11 @@
     MSGPACK_DEFINE(zone, epoch, progress, joinedWorkers, leftWorkers, at)
 };
 
-/// Gives the unfinished part of shares of a lost zone to other zones.
+/// Gives shares to zones: of jobs that wait for one, or the unfinished part of those of a lost zone.
 struct MoveEntry {
     struct Move {
         placement::JobId job = 0;
-        std::string from;
+        std::string from; ///< Empty for a job that has no zone yet.
         Shares to;
 
         MSGPACK_DEFINE(job, from, to)
--- /dev/null
+++ b/src/store/replication_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "coordination/message.h"
+#include "protocol/codec.h"
+#include "protocol/frame.h"
+
+#include <string>
+#include <string_view>
+
+namespace yuccawheel::store
+{
+
+/// Encodes a message between replicas for the inner protocol.
+std::string encodeReplication(const coordination::Message &message);
+tl::expected<coordination::Message, protocol::DecodeError> decodeReplication(std::string_view bytes);
+
+} // namespace yuccawheel::store
