--- /dev/null
+++ b/src/http/proxy_exchange.cpp
@@ -0,0 +1,412 @@
+#include "http/proxy_exchange.h"
+
+#include "base/log.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cstdlib>
+#include <limits>
+
+namespace yuccawheel::http
+{
+
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned TooManyRequests = 429;
+constexpr const char *VerdictField = "Yw-Verdict";
+constexpr const char *ServiceField = "Yw-Service";
+
+bool isHopByHop(beast::http::field name)
+{
+    using beast::http::field;
+    switch (name) {
+    case field::connection:
+    case field::keep_alive:
+    case field::proxy_connection:
+    case field::proxy_authenticate:
+    case field::proxy_authorization:
+    case field::te:
+    case field::trailer:
+    case field::transfer_encoding:
+    case field::upgrade:
+    case field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// Copies what concerns both ends. Fields that Connection names concern this connection only (RFC 9110, 7.6.1).
+void copyEndToEnd(const beast::http::fields &source, beast::http::fields &target)
+{
+    beast::http::token_list named(source[beast::http::field::connection]);
+    for (const auto &field : source) {
+        if (isHopByHop(field.name()) || named.exists(field.name_string())) {
+            continue;
+        }
+        if (field.name() == beast::http::field::unknown) {
+            target.insert(field.name_string(), field.value());
+        } else {
+            target.insert(field.name(), field.value());
+        }
+    }
+}
+
+bool isNeedBuffer(const boost::system::error_code &error)
+{
+    return error == beast::http::error::need_buffer;
+}
+
+} // namespace
+
+Exchange::Exchange(ProxyCore &core,
+                   ProxySessionPtr session,
+                   UpstreamConnectionPtr connection,
+                   const routing::Decision &decision)
+    : core_(core)
+    , session_(std::move(session))
+    , connection_(std::move(connection))
+    , attempt_(decision.attempt)
+    , upstream_(decision.upstream)
+    , startedAt_(base::BootClock::now())
+{
+}
+
+Exchange::~Exchange()
+{
+    core_.chunks.give(std::move(upload_));
+    core_.chunks.give(std::move(download_));
+}
+
+void Exchange::start()
+{
+    if (connection_->reused) {
+        sendHead();
+        return;
+    }
+    const std::string &address = connection_->address;
+    const auto colon = address.rfind(':');
+    Error invalid; // The announcement's address was checked when it was parsed.
+    const auto ip = asio::ip::make_address(address.substr(0, colon), invalid);
+    const auto port = static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+    connectLimit_ = startedAt_ + core_.options.limits.connect;
+    connection_->socket.async_connect(Endpoint(ip, port),
+                                      [self = shared_from_this()](const Error &result) { self->connected(result); });
+}
+
+void Exchange::connected(const Error &error)
+{
+    if (ended_) {
+        return;
+    }
+    connectLimit_ = base::TimePoint::max();
+    if (error) {
+        end(routing::AttemptOutcome::NotSent);
+        return;
+    }
+    Error ignored;
+    connection_->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    sendHead();
+}
+
+void Exchange::sendHead()
+{
+    const auto &source = session_->parser().get();
+    headRequest_ = source.method() == beast::http::verb::head;
+    request_.emplace();
+    request_->method_string(source.method_string());
+    const std::string_view rest = session_->request().rest;
+    request_->target(beast::string_view(rest.data(), rest.size()));
+    copyEndToEnd(source.base(), *request_);
+    request_->set(beast::http::field::host, connection_->address);
+    const std::string_view service = session_->request().service;
+    request_->set(ServiceField, beast::string_view(service.data(), service.size()));
+    if (session_->parser().chunked()) {
+        request_->chunked(true);
+    }
+    const std::string_view prefix = session_->bodyPrefix();
+    request_->body().data = prefix.empty() ? nullptr : const_cast<char *>(prefix.data());
+    request_->body().size = prefix.size();
+    request_->body().more = !session_->bodyComplete();
+    requestSerializer_.emplace(*request_);
+    writeRequest();
+}
+
+void Exchange::writeRequest()
+{
+    writeStarted_ = true;
+    beast::http::async_write(
+        connection_->socket, *requestSerializer_, [self = shared_from_this()](const Error &error, std::size_t bytes) {
+            self->requestWritten(error, bytes);
+        });
+}
+
+// After a write error the upstream may still have answered early, so what it sent is read to find out.
+void Exchange::requestWritten(const Error &error, std::size_t bytes)
+{
+    if (ended_) {
+        return;
+    }
+    bytesWritten_ += bytes;
+    const bool failed = error && !isNeedBuffer(error);
+    if (failed && bytesWritten_ == 0) {
+        end(routing::AttemptOutcome::NotSent);
+        return;
+    }
+    if (!reading_) {
+        reading_ = true;
+        readHead();
+    }
+    if (failed) {
+        return;
+    }
+    if (request_->body().more) {
+        readCaller();
+    } else {
+        uploadDone_ = true;
+    }
+}
+
+void Exchange::readCaller()
+{
+    if (upload_ == nullptr) {
+        upload_ = core_.chunks.take();
+    }
+    auto &body = session_->parser().get().body();
+    body.data = upload_->data();
+    body.size = upload_->size();
+    session_->expectRead();
+    beast::http::async_read_some(
+        session_->socket(),
+        session_->buffer(),
+        session_->parser(),
+        [self = shared_from_this()](const Error &error, std::size_t /*bytes*/) { self->callerRead(error); });
+}
+
+void Exchange::callerRead(const Error &error)
+{
+    if (ended_) {
+        return;
+    }
+    session_->doneReading();
+    if (error && !isNeedBuffer(error)) {
+        session_->bodyFailed(error);
+        callerGone();
+        return;
+    }
+    const std::size_t size = upload_->size() - session_->parser().get().body().size;
+    const bool done = session_->parser().is_done();
+    if (size == 0 && !done) {
+        readCaller();
+        return;
+    }
+    request_->body().data = size == 0 ? nullptr : upload_->data();
+    request_->body().size = size;
+    request_->body().more = !done;
+    writeRequest();
+}
+
+void Exchange::readHead()
+{
+    answerParser_.emplace();
+    answerParser_->header_limit(static_cast<std::uint32_t>(core_.options.limits.headerBytes));
+    answerParser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    answerParser_->skip(headRequest_);
+    beast::http::async_read_header(
+        connection_->socket,
+        connection_->buffer,
+        *answerParser_,
+        [self = shared_from_this()](const Error &error, std::size_t /*bytes*/) { self->headRead(error); });
+}
+
+// An answer that ends with its connection can't be told from one cut short, so it counts as cut.
+void Exchange::headRead(const Error &error)
+{
+    if (ended_) {
+        return;
+    }
+    latency_ = base::BootClock::now() - startedAt_;
+    if (error) {
+        base::logWarning("upstream_cut").with("address", connection_->address).with("error", error.message());
+        end(routing::AttemptOutcome::Cut);
+        return;
+    }
+    const auto &head = answerParser_->get();
+    const unsigned status = head.result_int();
+    if (status < FirstFinalStatus) {
+        readHead();
+        return;
+    }
+    if (answerParser_->need_eof() && !headRequest_) {
+        end(routing::AttemptOutcome::Cut);
+        return;
+    }
+    const bool busy = status == ServiceUnavailable || status == TooManyRequests;
+    if (busy && head[VerdictField] == "not-run") {
+        end(routing::AttemptOutcome::Refused);
+        return;
+    }
+    startAnswer();
+}
+
+void Exchange::startAnswer()
+{
+    const auto &head = answerParser_->get();
+    answer_.emplace();
+    answer_->result(head.result_int());
+    answer_->reason(head.reason());
+    copyEndToEnd(head.base(), *answer_);
+    answer_->set(VerdictField, "ran");
+    if (answerParser_->chunked()) {
+        answer_->chunked(true);
+    }
+    if (core_.closing || !session_->parser().keep_alive()) {
+        answer_->set(beast::http::field::connection, "close");
+    }
+    const auto type = head[beast::http::field::content_type];
+    session_->recordAnswer(head.result_int(), std::string_view(type.data(), type.size()));
+    answerSerializer_.emplace(*answer_);
+    answer_->body().data = nullptr;
+    answer_->body().size = 0;
+    answer_->body().more = false;
+    answerParser_->eager(true);
+    if (answerParser_->is_done()) {
+        answerSerializer_->split(headRequest_);
+        writeAnswer();
+    } else {
+        download_ = core_.chunks.take();
+        readBody();
+    }
+}
+
+void Exchange::readBody()
+{
+    auto &body = answerParser_->get().body();
+    body.data = download_->data();
+    body.size = download_->size();
+    beast::http::async_read_some(
+        connection_->socket,
+        connection_->buffer,
+        *answerParser_,
+        [self = shared_from_this()](const Error &error, std::size_t /*bytes*/) { self->bodyRead(error); });
+}
+
+void Exchange::bodyRead(const Error &error)
+{
+    if (ended_) {
+        return;
+    }
+    if (error && !isNeedBuffer(error)) {
+        base::logWarning("upstream_cut").with("address", connection_->address).with("error", error.message());
+        end(routing::AttemptOutcome::Cut);
+        return;
+    }
+    const std::size_t size = download_->size() - answerParser_->get().body().size;
+    const bool done = answerParser_->is_done();
+    if (size == 0 && !done) {
+        readBody();
+        return;
+    }
+    session_->recordAnswerBody(std::string_view(download_->data(), size));
+    answer_->body().data = size == 0 ? nullptr : download_->data();
+    answer_->body().size = size;
+    answer_->body().more = !done;
+    writeAnswer();
+}
+
+void Exchange::writeAnswer()
+{
+    answerStarted_ = true;
+    session_->expectWrite();
+    const auto written = [self = shared_from_this()](const Error &error, std::size_t /*bytes*/) {
+        self->answerWritten(error);
+    };
+    if (headRequest_) {
+        beast::http::async_write_header(session_->socket(), *answerSerializer_, written);
+    } else {
+        beast::http::async_write(session_->socket(), *answerSerializer_, written);
+    }
+}
+
+void Exchange::answerWritten(const Error &error)
+{
+    if (ended_) {
+        return;
+    }
+    session_->doneWriting();
+    if (error && !isNeedBuffer(error)) {
+        callerGone();
+    } else if (answerParser_->is_done()) {
+        answerComplete();
+    } else {
+        readBody();
+    }
+}
+
+void Exchange::answerComplete()
+{
+    const bool serverError = answerParser_->get().result_int() >= FirstServerError;
+    end(serverError ? routing::AttemptOutcome::ServerError : routing::AttemptOutcome::Answered, true);
+}
+
+base::TimePoint Exchange::connectLimit() const
+{
+    return connectLimit_;
+}
+
+// While a write is under way, part of it may have left already.
+void Exchange::timedOut()
+{
+    if (!ended_) {
+        end(writeStarted_ ? routing::AttemptOutcome::TimedOut : routing::AttemptOutcome::NotSent);
+    }
+}
+
+void Exchange::callerGone()
+{
+    if (!ended_) {
+        end(writeStarted_ ? routing::AttemptOutcome::CallerGone : routing::AttemptOutcome::NotSent);
+    }
+}
+
+bool Exchange::answerStarted() const
+{
+    return answerStarted_;
+}
+
+// The connection is dealt with before the router hears of the end, since it may give the slot to another request.
+void Exchange::end(routing::AttemptOutcome outcome, bool answered)
+{
+    ended_ = true;
+    const bool reusable = answered && uploadDone_ && answerParser_->keep_alive();
+    releaseConnection(outcome, reusable);
+    const ProxySessionPtr session = std::move(session_);
+    session->exchangeEnded(routing::AttemptResult{outcome, latency_, answerStarted_}, answered, uploadDone_);
+}
+
+void Exchange::releaseConnection(routing::AttemptOutcome outcome, bool reusable)
+{
+    const base::TimePoint now = base::BootClock::now();
+    if (reusable) {
+        core_.pool.give(connection_, core_.router.upstream(upstream_).share.connectionLimit(now), now);
+    } else if (outcome == routing::AttemptOutcome::TimedOut || outcome == routing::AttemptOutcome::CallerGone) {
+        Error ignored;
+        connection_->socket.cancel(ignored);
+        core_.linger(connection_, attempt_);
+    } else {
+        connection_->close();
+    }
+    connection_.reset();
+}
+
+} // namespace yuccawheel::http
--- /dev/null
+++ b/src/http/proxy_server.cpp
@@ -0,0 +1,267 @@
+#include "http/proxy_server.h"
+
+#include "base/log.h"
+#include "http/proxy_core.h"
+#include "http/proxy_session.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/core.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+namespace yuccawheel::http
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+constexpr std::chrono::milliseconds TickInterval{10};
+constexpr std::chrono::milliseconds AcceptPause{100};
+} // namespace
+
+class ProxyServer::Impl
+{
+public:
+    Impl(ProxyOptions proxyOptions, std::shared_ptr<routing::KeyStore> keys)
+        : options(std::move(proxyOptions))
+        , acceptor(context.get_executor())
+        , acceptTimer(context)
+        , timer(context)
+        , core(context.get_executor(), options, std::move(keys))
+    {
+    }
+
+    tl::expected<std::uint16_t, std::string> listen();
+    void accept();
+    void accepted(const boost::system::error_code &error, Socket socket);
+    void tick();
+    void continueDrain(base::TimePoint now);
+    void finishDrain(std::size_t cut);
+    void stopAccepting();
+    void shutDown();
+
+    const ProxyOptions options;
+    asio::io_context context{1};
+    Acceptor acceptor;
+    asio::steady_timer acceptTimer;
+    asio::steady_timer timer;
+    ProxyCore core;
+    std::atomic<bool> ready{true};
+    bool draining = false;
+    base::TimePoint stopAcceptingAt;
+    base::TimePoint hardLimitAt;
+    Drained drained;
+    std::thread thread;
+};
+
+tl::expected<std::uint16_t, std::string> ProxyServer::Impl::listen()
+{
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(options.address, error);
+    if (error) {
+        return tl::unexpected(fmt::format("{}: {}", options.address, error.message()));
+    }
+    const Endpoint endpoint(ip, options.port);
+    acceptor.open(endpoint.protocol(), error);
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return tl::unexpected(fmt::format("{}:{}: {}", options.address, options.port, error.message()));
+    }
+    return acceptor.local_endpoint().port();
+}
+
+void ProxyServer::Impl::accept()
+{
+    acceptor.async_accept(
+        [this](const boost::system::error_code &error, auto socket) { accepted(error, Socket(std::move(socket))); });
+}
+
+// Without free descriptors accepting again at once would spin, so it waits a little.
+void ProxyServer::Impl::accepted(const boost::system::error_code &error, Socket socket)
+{
+    if (error == asio::error::operation_aborted || !acceptor.is_open()) {
+        return;
+    }
+    if (error) {
+        base::logWarning("accept_failed").with("error", error.message());
+        acceptTimer.expires_after(AcceptPause);
+        acceptTimer.async_wait([this](const boost::system::error_code &cancelled) {
+            if (!cancelled) {
+                accept();
+            }
+        });
+        return;
+    }
+    boost::system::error_code gone;
+    const auto peer = socket.remote_endpoint(gone);
+    if (!gone && core.sessionCount() < options.limits.connections) {
+        const auto session = std::make_shared<ProxySession>(core, std::move(socket), peer.address().to_string());
+        core.add(session);
+        session->start();
+    }
+    accept();
+}
+
+void ProxyServer::Impl::tick()
+{
+    timer.expires_after(TickInterval);
+    timer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        const base::TimePoint now = base::BootClock::now();
+        core.tick(now);
+        if (draining) {
+            continueDrain(now);
+        }
+        tick();
+    });
+}
+
+void ProxyServer::Impl::continueDrain(base::TimePoint now)
+{
+    if (now < stopAcceptingAt) {
+        return;
+    }
+    stopAccepting();
+    core.closeIdleSessions();
+    if (core.sessionCount() == 0) {
+        finishDrain(0);
+    } else if (now >= hardLimitAt) {
+        finishDrain(core.cutSessions());
+    }
+}
+
+void ProxyServer::Impl::finishDrain(std::size_t cut)
+{
+    draining = false;
+    core.pool.closeIdle();
+    core.sayFarewell();
+    base::logInfo("drained").with("cut_requests", cut);
+    if (const Drained done = std::exchange(drained, nullptr)) {
+        done(DrainReport{cut});
+    }
+}
+
+void ProxyServer::Impl::stopAccepting()
+{
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+}
+
+// Handlers hold sessions, and sessions use the core: so the handlers go first.
+void ProxyServer::Impl::shutDown()
+{
+    stopAccepting();
+    timer.cancel();
+    acceptTimer.cancel();
+    core.shutDown();
+    context.restart();
+    context.poll();
+}
+
+ProxyServer::ProxyServer(ProxyOptions options, std::shared_ptr<routing::KeyStore> keys)
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(keys)))
+{
+}
+
+ProxyServer::~ProxyServer()
+{
+    impl_->context.stop();
+    if (impl_->thread.joinable()) {
+        impl_->thread.join();
+    }
+    impl_->shutDown();
+}
+
+void ProxyServer::setPeerSink(PeerSink sink)
+{
+    impl_->core.peerSink = std::move(sink);
+}
+
+tl::expected<std::uint16_t, std::string> ProxyServer::start()
+{
+    auto port = impl_->listen();
+    if (port) {
+        impl_->accept();
+        impl_->tick();
+        impl_->thread = std::thread([this] { impl_->context.run(); });
+    }
+    return port;
+}
+
+void ProxyServer::announce(routing::UpstreamAnnouncement announcement, AnnounceReply reply)
+{
+    asio::post(impl_->context, [this, announcement = std::move(announcement), reply = std::move(reply)] {
+        const auto result = impl_->core.router.announce(announcement, base::BootClock::now());
+        impl_->core.deliver();
+        if (reply) {
+            reply(result);
+        }
+    });
+}
+
+void ProxyServer::receive(routing::UpstreamUpdate update)
+{
+    asio::post(impl_->context, [this, update = std::move(update)] {
+        impl_->core.router.receive(update, base::BootClock::now());
+        impl_->core.deliver();
+    });
+}
+
+void ProxyServer::receive(routing::ShareMessage message)
+{
+    asio::post(impl_->context, [this, message = std::move(message)] {
+        impl_->core.router.receive(message, base::BootClock::now());
+        impl_->core.deliver();
+    });
+}
+
+bool ProxyServer::ready() const
+{
+    return impl_->ready;
+}
+
+// Answers ask callers to close their connections during the delay, so that few are idle when it ends.
+void ProxyServer::drain(base::Duration delay, base::Duration hardLimit, Drained done)
+{
+    impl_->ready = false;
+    asio::post(impl_->context, [this, delay, hardLimit, done = std::move(done)]() mutable {
+        const base::TimePoint now = base::BootClock::now();
+        impl_->core.closing = true;
+        impl_->draining = true;
+        impl_->stopAcceptingAt = now + delay;
+        impl_->hardLimitAt = now + hardLimit;
+        impl_->drained = std::move(done);
+        base::logInfo("draining").with("active", impl_->core.activeSessions());
+    });
+}
+
+void ProxyServer::cutOff()
+{
+    asio::post(impl_->context, [this] {
+        if (impl_->draining) {
+            impl_->stopAccepting();
+            impl_->finishDrain(impl_->core.cutSessions());
+        }
+    });
+}
+
+ProxyStatistics ProxyServer::statistics() const
+{
+    auto promise = std::make_shared<std::promise<ProxyStatistics>>();
+    auto future = promise->get_future();
+    asio::post(impl_->context, [this, promise] { promise->set_value(impl_->core.snapshot()); });
+    return future.get();
+}
+
+} // namespace yuccawheel::http
--- /dev/null
+++ b/src/http/proxy_session.cpp
@@ -0,0 +1,513 @@
+#include "http/proxy_session.h"
+
+#include "base/invariant.h"
+#include "base/log.h"
+#include "http/proxy_exchange.h"
+
+#define XXH_INLINE_ALL
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <xxhash.h>
+
+namespace yuccawheel::http
+{
+
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr unsigned BadRequest = 400;
+constexpr unsigned KeyConflict = 409;
+constexpr unsigned AnswerGone = 410;
+constexpr unsigned BodyTooLarge = 413;
+constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned NotImplemented = 501;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+constexpr unsigned VersionNotSupported = 505;
+constexpr unsigned Http11 = 11;
+constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+bool isNeedBuffer(const boost::system::error_code &error)
+{
+    return error == beast::http::error::need_buffer;
+}
+
+bool isHttpError(const boost::system::error_code &error)
+{
+    return error.category() == beast::http::make_error_code(beast::http::error::bad_chunk).category();
+}
+
+unsigned statusOf(const boost::system::error_code &error)
+{
+    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow) {
+        return HeaderTooLarge;
+    }
+    return error == beast::http::error::body_limit ? BodyTooLarge : BadRequest;
+}
+
+unsigned statusOf(routing::Rejection rejection)
+{
+    constexpr unsigned NotFound = 404;
+    constexpr unsigned TooManyRequests = 429;
+    switch (rejection) {
+    case routing::Rejection::UnknownService:
+        return NotFound;
+    case routing::Rejection::CallerOverShare:
+        return TooManyRequests;
+    case routing::Rejection::DeadlinePassed:
+        return GatewayTimeout;
+    case routing::Rejection::NoUpstream:
+    case routing::Rejection::Overloaded:
+        break;
+    }
+    return Unavailable;
+}
+
+std::string_view toString(routing::Rejection rejection)
+{
+    switch (rejection) {
+    case routing::Rejection::UnknownService:
+        return "unknown service";
+    case routing::Rejection::NoUpstream:
+        return "no upstream offers the service now";
+    case routing::Rejection::Overloaded:
+        return "overloaded";
+    case routing::Rejection::CallerOverShare:
+        return "too many requests of this caller are waiting";
+    case routing::Rejection::DeadlinePassed:
+        break;
+    }
+    return "the time ran out before a slot was free";
+}
+
+std::string_view toString(routing::AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case routing::AttemptOutcome::Answered:
+        return "answered";
+    case routing::AttemptOutcome::ServerError:
+        return "server-error";
+    case routing::AttemptOutcome::Refused:
+        return "refused";
+    case routing::AttemptOutcome::NotSent:
+        return "not-sent";
+    case routing::AttemptOutcome::Cut:
+        return "cut";
+    case routing::AttemptOutcome::TimedOut:
+        return "timed-out";
+    case routing::AttemptOutcome::CallerGone:
+        break;
+    }
+    return "caller-gone";
+}
+
+} // namespace
+
+ProxySession::ProxySession(ProxyCore &core, Socket socket, std::string peer)
+    : core_(core)
+    , socket_(std::move(socket))
+    , peer_(std::move(peer))
+    , buffer_(core.options.limits.headerBytes + ChunkBytes)
+{
+}
+
+ProxySession::~ProxySession()
+{
+    core_.chunks.give(std::move(drainChunk_));
+}
+
+void ProxySession::start()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    readHead();
+}
+
+void ProxySession::readHead()
+{
+    phase_ = Phase::ReadingHead;
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(core_.options.limits.headerBytes));
+    parser_->body_limit(core_.options.limits.bodyBytes);
+    readLimit_ = base::BootClock::now() + core_.options.limits.idle;
+    beast::http::async_read_header(
+        socket_, buffer_, *parser_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+            self->headRead(error);
+        });
+}
+
+void ProxySession::headRead(const boost::system::error_code &error)
+{
+    if (phase_ != Phase::ReadingHead) {
+        return;
+    }
+    doneReading();
+    if (error) {
+        headFailed(error);
+        return;
+    }
+    ++core_.statistics.requests;
+    startedAt_ = base::BootClock::now();
+    bodyComplete_ = false;
+    prefixSize_ = 0;
+    bodyErrorStatus_ = 0;
+    record_.reset();
+    if (const auto broken = checkFraming()) {
+        answerError(broken->status, broken->message, base::Verdict::NotRun);
+        return;
+    }
+    const auto method = parser_->get().method();
+    const bool safe = method == beast::http::verb::get || method == beast::http::verb::head;
+    const CallerHeaders headers{
+        field("Yw-Repeatable"), field("Yw-Key"), field("Yw-Urgency"), field("Yw-Timeout-Ms"), field("Yw-Caller")};
+    const auto parsed = parseCallerRequest(view(parser_->get().target()), safe, headers, core_.options.timeouts);
+    if (!parsed) {
+        answerError(parsed.error().status, parsed.error().message, base::Verdict::NotRun);
+        return;
+    }
+    request_ = *parsed;
+    caller_ = request_.caller.empty() ? peer_ : std::string(request_.caller);
+    requestLimit_ = startedAt_ + request_.timeout;
+    continueBody();
+}
+
+// Where the head is broken, nothing after it on the connection can be trusted to be a request.
+void ProxySession::headFailed(const boost::system::error_code &error)
+{
+    if (!isHttpError(error) || error == beast::http::error::end_of_stream
+        || error == beast::http::error::partial_message) {
+        close();
+        return;
+    }
+    ++core_.statistics.requests;
+    answerError(statusOf(error), "the request's head is malformed or too large", base::Verdict::NotRun);
+}
+
+// Framing on which two programs could disagree is refused: a second request could hide in the first one's body.
+std::optional<CallerRequestError> ProxySession::checkFraming() const
+{
+    const auto &head = parser_->get();
+    if (head.version() != Http11) {
+        return CallerRequestError{VersionNotSupported, "only version 1.1 of HTTP is served"};
+    }
+    if (head.count(beast::http::field::host) != 1) {
+        return CallerRequestError{BadRequest, "one Host field is needed"};
+    }
+    const std::size_t encodings = head.count(beast::http::field::transfer_encoding);
+    const bool plainChunked = encodings == 1 && beast::iequals(head[beast::http::field::transfer_encoding], "chunked");
+    if (encodings > 0 && !plainChunked) {
+        return CallerRequestError{NotImplemented, "the only transfer coding is chunked"};
+    }
+    if (encodings > 0 && head.count(beast::http::field::content_length) > 0) {
+        return CallerRequestError{BadRequest, "both Content-Length and Transfer-Encoding"};
+    }
+    if (head.method() == beast::http::verb::connect || head.count(beast::http::field::upgrade) > 0) {
+        return CallerRequestError{NotImplemented, "tunnels are not offered"};
+    }
+    for (const char *name : {"Yw-Repeatable", "Yw-Key", "Yw-Urgency", "Yw-Timeout-Ms", "Yw-Caller"}) {
+        if (head.count(name) > 1) {
+            return CallerRequestError{BadRequest, "a Yw- field stands more than once"};
+        }
+    }
+    return std::nullopt;
+}
+
+void ProxySession::continueBody()
+{
+    phase_ = Phase::ReadingBody;
+    if (parser_->is_done()) {
+        bodyComplete_ = true;
+        bodyReady();
+        return;
+    }
+    if (!beast::iequals(parser_->get()[beast::http::field::expect], "100-continue")) {
+        readBody();
+        return;
+    }
+    expectWrite();
+    asio::async_write(socket_,
+                      asio::buffer(ContinueLine.data(), ContinueLine.size()),
+                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                          self->doneWriting();
+                          if (error) {
+                              self->close();
+                          } else if (self->phase_ == Phase::ReadingBody) {
+                              self->readBody();
+                          }
+                      });
+}
+
+// Reads the start of the body, which is all of it for most requests; the rest is streamed once a slot is free.
+void ProxySession::readBody()
+{
+    const std::size_t limit = core_.options.limits.replayBytes;
+    const auto remaining = parser_->content_length_remaining();
+    if (prefix_.size() == prefixSize_) {
+        const std::size_t more = remaining ? static_cast<std::size_t>(std::min<std::uint64_t>(*remaining, limit))
+                                           : std::min(limit, prefixSize_ + ChunkBytes);
+        prefix_.resize(std::min(limit, prefixSize_ + more));
+    }
+    auto &body = parser_->get().body();
+    body.data = prefix_.data() + prefixSize_;
+    body.size = prefix_.size() - prefixSize_;
+    expectRead();
+    beast::http::async_read_some(
+        socket_, buffer_, *parser_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+            self->bodyRead(error);
+        });
+}
+
+void ProxySession::bodyRead(const boost::system::error_code &error)
+{
+    if (phase_ != Phase::ReadingBody) {
+        return;
+    }
+    doneReading();
+    if (error && !isNeedBuffer(error)) {
+        if (isHttpError(error) && error != beast::http::error::partial_message) {
+            answerError(statusOf(error), "the request's body is malformed or too large", base::Verdict::NotRun);
+        } else {
+            close();
+        }
+        return;
+    }
+    prefixSize_ = prefix_.size() - parser_->get().body().size;
+    bodyComplete_ = parser_->is_done();
+    if (bodyComplete_ || prefixSize_ == core_.options.limits.replayBytes) {
+        bodyReady();
+    } else {
+        readBody();
+    }
+}
+
+void ProxySession::bodyReady()
+{
+    if (request_.repeatable) {
+        route();
+    } else {
+        reserveKey();
+    }
+}
+
+void ProxySession::reserveKey()
+{
+    phase_ = Phase::ReservingKey;
+    record_.emplace();
+    if (core_.keys == nullptr) {
+        keyReplied(routing::KeyReply{});
+        return;
+    }
+    const std::uint64_t number = ++requestNumber_;
+    const routing::KeyReservation reservation{std::string(request_.key), requestDigest(), request_.timeout};
+    const auto keys = core_.keys;
+    const auto executor = core_.executor;
+    keys->reserve(reservation,
+                  [self = shared_from_this(), number, executor, keys, key = reservation.key](routing::KeyReply reply) {
+                      asio::post(executor, [self, number, keys, key, reply = std::move(reply)] {
+                          if (self->phase_ == Phase::ReservingKey && self->requestNumber_ == number) {
+                              self->keyReplied(reply);
+                          } else if (reply.status == routing::KeyStatus::Fresh) {
+                              keys->finish(routing::KeyOutcome{key, base::Verdict::NotRun, std::nullopt});
+                          }
+                      });
+                  });
+}
+
+void ProxySession::keyReplied(const routing::KeyReply &reply)
+{
+    switch (reply.status) {
+    case routing::KeyStatus::Fresh:
+        keyReserved_ = true;
+        route();
+        break;
+    case routing::KeyStatus::Known:
+        if (reply.answer) {
+            answerStored(*reply.answer, reply.verdict);
+        } else if (reply.verdict == base::Verdict::Ran) {
+            answerError(AnswerGone, "the request ran; its answer is no longer kept", reply.verdict);
+        } else {
+            answerError(GatewayTimeout, "an attempt with this key has no known end", reply.verdict);
+        }
+        break;
+    case routing::KeyStatus::Conflict:
+        answerError(KeyConflict, "the key belongs to a request with other content", reply.verdict);
+        break;
+    case routing::KeyStatus::Unreachable:
+        answerError(
+            GatewayTimeout, "the key cannot be looked up; nothing was dispatched now", base::Verdict::MayHaveRun);
+        break;
+    }
+}
+
+void ProxySession::route()
+{
+    phase_ = Phase::Waiting;
+    routing::RequestInfo info;
+    info.service = request_.service;
+    info.caller = caller_;
+    info.urgency = request_.urgency;
+    info.deadline = requestLimit_;
+    info.repeatable = request_.repeatable;
+    info.replayable = bodyComplete_;
+    core_.route(shared_from_this(), info);
+}
+
+void ProxySession::decided(const routing::Decision &decision)
+{
+    decision_ = decision;
+    switch (decision.kind) {
+    case routing::DecisionKind::Dispatch:
+        startExchange(decision);
+        break;
+    case routing::DecisionKind::Queued:
+        base::logInfo("request_queued")
+            .with("request", decision.request)
+            .with("service", request_.service)
+            .with("caller", caller_);
+        break;
+    case routing::DecisionKind::Reject:
+        rejected(decision);
+        break;
+    }
+}
+
+void ProxySession::startExchange(const routing::Decision &decision)
+{
+    const routing::Upstream &upstream = core_.router.upstream(decision.upstream);
+    const base::TimePoint now = base::BootClock::now();
+    base::logInfo("request_dispatched")
+        .with("request", decision.request)
+        .with("service", request_.service)
+        .with("caller", caller_)
+        .with("executor", upstream.info.executor)
+        .with("zone", upstream.zone)
+        .with("waited_us", (now - startedAt_) / std::chrono::microseconds(1));
+    phase_ = Phase::Exchanging;
+    auto connection = core_.pool.take(upstream.info.address, upstream.share.connectionLimit(now));
+    YW_INVARIANT(connection != nullptr, "a slot brings a connection with it");
+    exchange_ = std::make_shared<Exchange>(core_, shared_from_this(), std::move(connection), decision);
+    exchange_->start();
+}
+
+void ProxySession::rejected(const routing::Decision &decision)
+{
+    base::logInfo("request_rejected")
+        .with("request", decision.request)
+        .with("service", request_.service)
+        .with("caller", caller_)
+        .with("reason", toString(decision.rejection))
+        .with("verdict", base::toString(decision.verdict));
+    finishKey(decision.verdict);
+    answerError(statusOf(decision.rejection), toString(decision.rejection), decision.verdict, decision.retryAfter);
+}
+
+void ProxySession::exchangeEnded(const routing::AttemptResult &result, bool answered, bool reusable)
+{
+    exchange_.reset();
+    phase_ = Phase::Waiting;
+    const routing::FinishResult finish = core_.finished(decision_.request, decision_.attempt, result);
+    base::logInfo("request_ended")
+        .with("request", decision_.request)
+        .with("executor", core_.router.upstream(decision_.upstream).info.executor)
+        .with("outcome", toString(result.outcome))
+        .with("retrying", finish.retrying)
+        .with("verdict", base::toString(finish.verdict));
+    if (!finish.retrying) {
+        finishKey(answered ? base::Verdict::Ran : finish.verdict);
+        if (answered) {
+            ++core_.statistics.answered;
+            requestEnded(reusable && !core_.closing && parser_->keep_alive());
+        } else {
+            failed(result, finish.verdict);
+        }
+    }
+    core_.deliver();
+}
+
+// An answer that has begun can't be followed by an error: closing before its end tells the caller that it was cut.
+void ProxySession::failed(const routing::AttemptResult &result, base::Verdict verdict)
+{
+    const bool late = base::BootClock::now() >= requestLimit_;
+    if (bodyErrorStatus_ != 0 && !result.answerStarted) {
+        answerError(bodyErrorStatus_, "the request's body is malformed, too large or late", verdict);
+    } else if (result.answerStarted || result.outcome == routing::AttemptOutcome::CallerGone) {
+        ++core_.statistics.mayHaveRun;
+        close();
+    } else if (late) {
+        answerError(GatewayTimeout, "the upstream did not answer in time", verdict);
+    } else if (verdict == base::Verdict::NotRun) {
+        answerError(Unavailable, "no upstream took the request", verdict, std::chrono::seconds(1));
+    } else {
+        answerError(BadGateway, "the upstream ended the connection before a whole answer", verdict);
+    }
+}
+
+void ProxySession::finishKey(base::Verdict verdict)
+{
+    if (!keyReserved_) {
+        return;
+    }
+    keyReserved_ = false;
+    routing::KeyOutcome outcome{std::string(request_.key), verdict, std::nullopt};
+    if (verdict == base::Verdict::Ran) {
+        outcome.answer = std::move(record_);
+    }
+    core_.keys->finish(outcome);
+}
+
+void ProxySession::recordAnswer(unsigned status, std::string_view contentType)
+{
+    if (record_) {
+        record_->status = status;
+        record_->contentType = contentType;
+    }
+}
+
+void ProxySession::recordAnswerBody(std::string_view body)
+{
+    if (!record_) {
+        return;
+    }
+    if (record_->body.size() + body.size() > core_.options.limits.storedAnswerBytes) {
+        record_.reset();
+    } else {
+        record_->body += body;
+    }
+}
+
+void ProxySession::bodyFailed(const boost::system::error_code &error)
+{
+    if (isHttpError(error) && error != beast::http::error::partial_message) {
+        bodyErrorStatus_ = statusOf(error);
+    }
+}
+
+std::uint64_t ProxySession::requestDigest() const
+{
+    const auto &head = parser_->get();
+    const auto method = head.method_string();
+    const auto target = head.target();
+    const std::uint64_t length = parser_->content_length().value_or(0);
+    std::uint64_t digest = XXH64(method.data(), method.size(), length);
+    digest = XXH64(target.data(), target.size(), digest);
+    return XXH64(prefix_.data(), prefixSize_, digest);
+}
+
+std::string_view ProxySession::field(std::string_view name) const
+{
+    return view(parser_->get()[beast::string_view(name.data(), name.size())]);
+}
+
+} // namespace yuccawheel::http
--- /dev/null
+++ b/src/routing/announcement.cpp
@@ -0,0 +1,166 @@
+#include "routing/announcement.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace yuccawheel::routing
+{
+
+namespace
+{
+
+constexpr std::size_t MaxNameLength = 64;
+constexpr std::size_t MaxServices = 64;
+constexpr std::size_t MaxBodyLength = std::size_t{16} * 1024;
+constexpr std::uint32_t MaxSlots = 4096;
+constexpr unsigned MaxPort = 65535;
+
+using Json = nlohmann::json;
+using Error = tl::unexpected<AnnouncementError>;
+
+Error error(std::string message)
+{
+    return Error(AnnouncementError{std::move(message)});
+}
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxNameLength && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
+            || c == '.';
+    });
+}
+
+template <typename Number>
+std::optional<Number> number(const Json &object, const char *key, std::uint64_t least, std::uint64_t most)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    const auto value = found->get<std::uint64_t>();
+    if (value < least || value > most) {
+        return std::nullopt;
+    }
+    return static_cast<Number>(value);
+}
+
+std::string text(const Json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+// Reads one decimal number of at most `most` that fills the text.
+bool isNumber(std::string_view digits, unsigned most)
+{
+    unsigned value = 0;
+    const auto [end, status] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return status == std::errc() && end == digits.data() + digits.size() && value <= most;
+}
+
+bool isAddress(std::string_view address)
+{
+    constexpr unsigned MaxOctet = 255;
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos || !isNumber(address.substr(colon + 1), MaxPort)
+        || address.substr(colon + 1) == "0") {
+        return false;
+    }
+    std::string_view host = address.substr(0, colon);
+    for (int octet = 0; octet < 3; ++octet) {
+        const auto dot = host.find('.');
+        if (dot == std::string_view::npos || !isNumber(host.substr(0, dot), MaxOctet)) {
+            return false;
+        }
+        host.remove_prefix(dot + 1);
+    }
+    return isNumber(host, MaxOctet);
+}
+
+tl::expected<std::vector<std::string>, AnnouncementError> services(const Json &object)
+{
+    const auto found = object.find("services");
+    if (found == object.end() || !found->is_array() || found->size() > MaxServices) {
+        return error("services: a list of at most 64 names is needed");
+    }
+    std::vector<std::string> names;
+    for (const Json &service : *found) {
+        if (!service.is_string() || !isName(service.get_ref<const std::string &>())) {
+            return error("services: a name has 1 to 64 letters, digits, '-', '_' or '.'");
+        }
+        names.push_back(service.get<std::string>());
+    }
+    return names;
+}
+
+tl::expected<UpstreamState, AnnouncementError> state(const Json &object)
+{
+    const std::string name = text(object, "state");
+    if (name == "serving") {
+        return UpstreamState::Serving;
+    }
+    if (name == "leaving") {
+        return UpstreamState::Leaving;
+    }
+    return error("state: serving or leaving is needed");
+}
+
+} // namespace
+
+tl::expected<UpstreamAnnouncement, AnnouncementError> parseAnnouncement(std::string_view json)
+{
+    if (json.size() > MaxBodyLength) {
+        return error("the body is longer than 16 KiB");
+    }
+    const Json object = Json::parse(json, nullptr, false);
+    if (!object.is_object()) {
+        return error("the body isn't a JSON object");
+    }
+    const auto incarnation = number<std::uint64_t>(object, "incarnation", 0, UINT64_MAX);
+    const auto slots = number<std::uint32_t>(object, "slots", 1, MaxSlots);
+    const auto connections = number<std::uint32_t>(object, "connections", 1, UINT32_MAX);
+    auto names = services(object);
+    const auto status = state(object);
+    UpstreamAnnouncement announcement;
+    announcement.executor = text(object, "executor");
+    announcement.address = text(object, "address");
+    if (!isName(announcement.executor)) {
+        return error("executor: a name has 1 to 64 letters, digits, '-', '_' or '.'");
+    }
+    if (!isAddress(announcement.address)) {
+        return error("address: IP:PORT is needed");
+    }
+    if (!incarnation || !slots || !connections) {
+        return error("incarnation, slots and connections: whole numbers in range are needed");
+    }
+    if (!names || !status) {
+        return tl::unexpected(names ? status.error() : names.error());
+    }
+    announcement.incarnation = *incarnation;
+    announcement.slots = *slots;
+    announcement.connections = *connections;
+    announcement.services = std::move(*names);
+    announcement.state = *status;
+    announcement.running = number<std::uint32_t>(object, "running", 0, UINT32_MAX);
+    return announcement;
+}
+
+std::string formatAnnouncement(const UpstreamAnnouncement &announcement)
+{
+    Json object{{"executor", announcement.executor},
+                {"incarnation", announcement.incarnation},
+                {"address", announcement.address},
+                {"slots", announcement.slots},
+                {"connections", announcement.connections},
+                {"services", announcement.services},
+                {"state", announcement.state == UpstreamState::Serving ? "serving" : "leaving"}};
+    if (announcement.running) {
+        object["running"] = *announcement.running;
+    }
+    return object.dump();
+}
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/src/routing/announcement.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "routing/types.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace yuccawheel::routing
+{
+
+/// Says what is wrong with an announcement, in words for its sender.
+struct AnnouncementError {
+    std::string message;
+};
+
+/// Parses the JSON body of an upstream's heartbeat.
+tl::expected<UpstreamAnnouncement, AnnouncementError> parseAnnouncement(std::string_view json);
+
+/// Returns the JSON body of a heartbeat.
+std::string formatAnnouncement(const UpstreamAnnouncement &announcement);
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/src/routing/router_dispatch.cpp
@@ -0,0 +1,298 @@
+#include "base/invariant.h"
+#include "routing/router.h"
+
+#include <algorithm>
+
+namespace yuccawheel::routing
+{
+
+namespace
+{
+
+/// Part of a service's slots that bulk requests leave free for others.
+constexpr std::uint32_t BulkReserveDivisor = 8;
+/// Slots below which no part is kept free from bulk requests.
+constexpr std::uint32_t BulkReserveMinimum = 4;
+constexpr std::uint32_t SlotsPerLoan = 2;
+constexpr base::Duration AskInterval = std::chrono::milliseconds(1);
+constexpr base::Duration ShortestRetryAfter = std::chrono::seconds(1);
+constexpr base::Duration LongestRetryAfter = std::chrono::seconds(30);
+/// A latency measured so long ago counts half, so that a slow upstream is tried again.
+constexpr base::Duration LatencyHalfLife = std::chrono::seconds(5);
+constexpr int MaxLatencyHalvings = 6;
+
+base::Duration agedLatency(const Upstream &upstream, base::TimePoint now)
+{
+    const auto halvings = std::min<std::int64_t>((now - upstream.lastAnswer) / LatencyHalfLife, MaxLatencyHalvings);
+    return upstream.latency / (std::int64_t{1} << std::max<std::int64_t>(halvings, 0));
+}
+
+} // namespace
+
+Router::Service &Router::serviceAt(ServiceIndex index)
+{
+    if (services_.size() <= index) {
+        services_.resize(table_.serviceCount());
+    }
+    return services_[index];
+}
+
+bool Router::eligible(const Upstream &upstream, base::TimePoint now) const
+{
+    if (!table_.serving(upstream, now)) {
+        return false;
+    }
+    const HealthState health = upstream.health.state(now);
+    return health == HealthState::Healthy || (health == HealthState::Probation && upstream.share.inUse() == 0);
+}
+
+// Lists the upstreams with a free slot for an attempt that ends before `end`. Upstreams where the request has already
+// failed count only if there is no other.
+Router::Capacity Router::gather(const Request *request, ServiceIndex service, base::TimePoint end, base::TimePoint now)
+{
+    local_.clear();
+    remote_.clear();
+    Capacity capacity;
+    const std::size_t excludedCount =
+        request == nullptr ? 0 : std::min<std::size_t>(request->excludedCount, MaxExcluded);
+    for (const UpstreamIndex index : table_.upstreamsOf(service)) {
+        const Upstream &upstream = table_.at(index);
+        if (!table_.serving(upstream, now)) {
+            continue;
+        }
+        ++capacity.serving;
+        const std::uint32_t usable = upstream.share.usable(now);
+        if (!eligible(upstream, now)) {
+            continue;
+        }
+        capacity.usable += usable;
+        const std::uint32_t free = upstream.share.available(end, now);
+        const bool excluded = excludedCount > 0
+            && std::find(request->excluded.begin(), request->excluded.begin() + excludedCount, index)
+                != request->excluded.begin() + excludedCount;
+        if (free > 0 && !excluded) {
+            capacity.free += free;
+            auto &list = upstream.local ? local_ : remote_;
+            list.push_back(Candidate{index, upstream.share.inUse(), usable, agedLatency(upstream, now)});
+        }
+    }
+    return capacity;
+}
+
+// Refuses early what would wait in vain: the caller can then go elsewhere or come back later.
+std::optional<Rejection>
+Router::admission(const RequestInfo &info, ServiceIndex service, const Capacity &capacity, base::TimePoint now)
+{
+    Service &state = serviceAt(service);
+    if (capacity.serving == 0) {
+        return Rejection::NoUpstream;
+    }
+    if (now >= info.deadline) {
+        return Rejection::DeadlinePassed;
+    }
+    if (state.queue.empty()) {
+        return std::nullopt;
+    }
+    const std::string caller(info.caller);
+    if (state.queue.sizeOf(caller) >= options_.maxWaitingPerCaller) {
+        return Rejection::CallerOverShare;
+    }
+    const auto ahead = static_cast<std::int64_t>(state.queue.sizeAhead(info.urgency));
+    const base::Duration wait = state.latency * ahead / std::max<std::int64_t>(capacity.usable, 1);
+    if (now + wait > info.deadline) {
+        return Rejection::Overloaded;
+    }
+    if (state.queue.size() >= options_.maxWaiting) {
+        const auto victim = state.queue.newestBelow(info.urgency);
+        if (!victim) {
+            return Rejection::Overloaded;
+        }
+        evict(*victim);
+    }
+    return std::nullopt;
+}
+
+void Router::evict(RequestId id)
+{
+    Request *victim = findRequest(id);
+    YW_INVARIANT(victim != nullptr && victim->state == RequestState::Waiting, "only waiting requests are evicted");
+    Service &state = serviceAt(victim->service);
+    state.queue.remove(id, victim->urgency, victim->caller);
+    --waiting_;
+    decisions_.push_back(reject(Rejection::Overloaded, victim, &state));
+}
+
+// Suggests to come back when the present queue should have been served.
+Decision Router::reject(Rejection rejection, Request *request, const Service *service)
+{
+    Decision decision;
+    decision.kind = DecisionKind::Reject;
+    decision.rejection = rejection;
+    decision.retryAfter = ShortestRetryAfter;
+    if (service != nullptr) {
+        const auto backlog = service->latency * static_cast<std::int64_t>(service->queue.size());
+        decision.retryAfter = std::clamp(backlog, ShortestRetryAfter, LongestRetryAfter);
+    }
+    if (request != nullptr) {
+        decision.request = request->id;
+        decision.verdict = request->verdict;
+        freeRequest(*request);
+    }
+    ++counters_.rejected;
+    return decision;
+}
+
+bool Router::bulkAllowed(const Capacity &capacity) const
+{
+    const std::uint32_t reserve = (capacity.usable + BulkReserveDivisor - 1) / BulkReserveDivisor;
+    return capacity.usable < BulkReserveMinimum || capacity.free > reserve;
+}
+
+// `gather` has just listed the candidates. The entry's own zone comes first; other zones only hold borrowed slots.
+Decision Router::dispatch(Request &request, base::TimePoint now)
+{
+    const auto &candidates = local_.empty() ? remote_ : local_;
+    const UpstreamIndex index = candidates[choice_->choose(candidates)].upstream;
+    Upstream &upstream = table_.at(index);
+    YW_INVARIANT(table_.serving(upstream, now), "a leaving or silent upstream gets no request");
+    const LoanId loan = upstream.share.acquire(request.deadline + options_.loans.abandonGrace, now);
+    YW_INVARIANT(upstream.share.inUse() <= upstream.share.usable(now), "slots in use stay within the entry's share");
+    request.attempt = newAttempt(request, index, loan);
+    request.state = RequestState::Running;
+    ++request.attempts;
+    ++counters_.dispatched;
+    Decision decision;
+    decision.kind = DecisionKind::Dispatch;
+    decision.request = request.id;
+    decision.attempt = request.attempt;
+    decision.upstream = index;
+    return decision;
+}
+
+void Router::enqueue(Request &request, bool front, base::TimePoint now)
+{
+    WaitQueue &queue = serviceAt(request.service).queue;
+    request.state = RequestState::Waiting;
+    request.queuedAt = now;
+    if (front) {
+        queue.pushFront(request.id, request.urgency, request.caller);
+    } else {
+        queue.push(request.id, request.urgency, request.caller);
+    }
+    ++waiting_;
+}
+
+void Router::dispatchWaiting(ServiceIndex service, base::TimePoint now)
+{
+    WaitQueue &queue = serviceAt(service).queue;
+    while (!queue.empty()) {
+        const auto any = queue.front(true);
+        Request *request = findRequest(*any);
+        YW_INVARIANT(request != nullptr && request->state == RequestState::Waiting, "only waiting requests are queued");
+        if (request->deadline <= now) {
+            queue.popFront(true);
+            --waiting_;
+            decisions_.push_back(reject(Rejection::DeadlinePassed, request, &serviceAt(service)));
+            continue;
+        }
+        Capacity capacity = gather(request, service, request->deadline + options_.loans.abandonGrace, now);
+        bool allowBulk = true;
+        if (request->urgency == Urgency::Bulk && !bulkAllowed(capacity)) {
+            allowBulk = false;
+            const auto other = queue.front(false);
+            if (!other) {
+                return;
+            }
+            request = findRequest(*other);
+            capacity = gather(request, service, request->deadline + options_.loans.abandonGrace, now);
+        }
+        if (capacity.free == 0 && request->excludedCount > 0) {
+            request->excludedCount = 0;
+            capacity = gather(request, service, request->deadline + options_.loans.abandonGrace, now);
+        }
+        if (capacity.free == 0) {
+            return;
+        }
+        queue.popFront(allowBulk);
+        --waiting_;
+        decisions_.push_back(dispatch(*request, now));
+    }
+}
+
+void Router::dispatchAllWaiting(base::TimePoint now)
+{
+    if (waiting_ == 0) {
+        return;
+    }
+    for (ServiceIndex service = 0; service < services_.size(); ++service) {
+        if (!services_[service].queue.empty()) {
+            dispatchWaiting(service, now);
+            askForSlots(service, now);
+        }
+    }
+}
+
+void Router::dispatchFreed(UpstreamIndex upstream, base::TimePoint now)
+{
+    if (waiting_ == 0) {
+        return;
+    }
+    for (const ServiceIndex service : table_.at(upstream).services) {
+        dispatchWaiting(service, now);
+    }
+}
+
+// Asks peers of the zone first. Slots of other zones cost a longer way, so they are asked for only once a request has
+// waited for a while.
+void Router::askForSlots(ServiceIndex service, base::TimePoint now)
+{
+    Service &state = serviceAt(service);
+    const auto front = state.queue.front(true);
+    if (!front || now - state.lastAsk < AskInterval) {
+        return;
+    }
+    state.lastAsk = now;
+    const bool remoteToo = now - findRequest(*front)->queuedAt >= options_.remoteAfter;
+    auto wanted = static_cast<std::uint32_t>(state.queue.size());
+    const auto &offering = table_.upstreamsOf(service);
+    const std::size_t start = offering.empty() ? 0 : nextGeneration_ % offering.size();
+    for (const bool local : {true, false}) {
+        for (std::size_t i = 0; i < offering.size() && wanted > 0 && (local || remoteToo); ++i) {
+            const UpstreamIndex index = offering[(start + i) % offering.size()];
+            const Upstream &upstream = table_.at(index);
+            if (upstream.local == local && eligible(upstream, now)) {
+                wanted -= std::min(wanted, loans_.ask(index, std::min(wanted, SlotsPerLoan), now));
+            }
+        }
+    }
+}
+
+bool Router::neededHere(const Upstream &upstream) const
+{
+    return std::any_of(upstream.services.begin(), upstream.services.end(), [this](ServiceIndex service) {
+        return service < services_.size() && !services_[service].queue.empty();
+    });
+}
+
+void Router::expireWaiting(base::TimePoint now)
+{
+    if (waiting_ == 0) {
+        return;
+    }
+    std::vector<RequestId> waiting;
+    for (Service &service : services_) {
+        service.queue.list(waiting);
+    }
+    for (const RequestId id : waiting) {
+        Request *request = findRequest(id);
+        YW_INVARIANT(request != nullptr, "a queued request exists");
+        if (request->deadline <= now) {
+            Service &service = serviceAt(request->service);
+            service.queue.remove(id, request->urgency, request->caller);
+            --waiting_;
+            decisions_.push_back(reject(Rejection::DeadlinePassed, request, &service));
+        }
+    }
+}
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/src/routing/upstream_choice.cpp
@@ -0,0 +1,100 @@
+#include "routing/upstream_choice.h"
+
+#include <algorithm>
+#include <random>
+
+namespace yuccawheel::routing
+{
+
+namespace
+{
+
+class RoundRobin final : public UpstreamChoice
+{
+public:
+    // Candidates come in the order of the table, so the next one is the first above the last pick.
+    std::size_t choose(std::span<const Candidate> candidates) override
+    {
+        const auto next = std::find_if(candidates.begin(), candidates.end(), [this](const Candidate &candidate) {
+            return candidate.upstream > last_;
+        });
+        const auto pick = next == candidates.end() ? candidates.begin() : next;
+        last_ = pick->upstream;
+        return static_cast<std::size_t>(pick - candidates.begin());
+    }
+
+private:
+    UpstreamIndex last_ = 0;
+};
+
+class LeastOutstanding final : public UpstreamChoice
+{
+public:
+    explicit LeastOutstanding(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    // Starts at a random place, so that entries that see the same counts don't all pick the same upstream.
+    std::size_t choose(std::span<const Candidate> candidates) override
+    {
+        const std::size_t start = random_() % candidates.size();
+        std::size_t best = start;
+        for (std::size_t i = 1; i < candidates.size(); ++i) {
+            const std::size_t at = (start + i) % candidates.size();
+            if (candidates[at].outstanding < candidates[best].outstanding) {
+                best = at;
+            }
+        }
+        return best;
+    }
+
+private:
+    std::minstd_rand random_;
+};
+
+class TwoChoices final : public UpstreamChoice
+{
+public:
+    explicit TwoChoices(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    std::size_t choose(std::span<const Candidate> candidates) override
+    {
+        if (candidates.size() == 1) {
+            return 0;
+        }
+        const std::size_t first = random_() % candidates.size();
+        const std::size_t second = (first + 1 + random_() % (candidates.size() - 1)) % candidates.size();
+        return cost(candidates[second]) < cost(candidates[first]) ? second : first;
+    }
+
+private:
+    // Expected wait: load relative to the share, times the time of an answer. An unknown latency counts as a short one.
+    static double cost(const Candidate &candidate)
+    {
+        constexpr double UnknownLatencySeconds = 1e-4;
+        const double latency =
+            std::max(std::chrono::duration<double>(candidate.latency).count(), UnknownLatencySeconds);
+        return latency * (candidate.outstanding + 1.0) / std::max(candidate.usable, 1U);
+    }
+
+    std::minstd_rand random_;
+};
+
+} // namespace
+
+std::unique_ptr<UpstreamChoice> makeUpstreamChoice(ChoiceKind kind, std::uint64_t seed)
+{
+    switch (kind) {
+    case ChoiceKind::RoundRobin:
+        return std::make_unique<RoundRobin>();
+    case ChoiceKind::LeastOutstanding:
+        return std::make_unique<LeastOutstanding>(seed);
+    case ChoiceKind::TwoChoices:
+        break;
+    }
+    return std::make_unique<TwoChoices>(seed);
+}
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/src/routing/upstream_table.cpp
@@ -0,0 +1,194 @@
+#include "routing/upstream_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccawheel::routing
+{
+
+UpstreamTable::UpstreamTable(UpstreamTableOptions options) : options_(std::move(options))
+{
+}
+
+tl::expected<UpstreamIndex, AnnounceError> UpstreamTable::announce(const UpstreamAnnouncement &announcement,
+                                                                   base::TimePoint now)
+{
+    const Upstream *known = find(announcement.executor);
+    const bool sameIncarnation = known != nullptr && known->info.incarnation == announcement.incarnation;
+    const UpstreamUpdate update{announcement, options_.zone, sameIncarnation ? known->sequence + 1 : 1, {}};
+    return apply(update, now, now, true);
+}
+
+tl::expected<UpstreamIndex, AnnounceError> UpstreamTable::receive(const UpstreamUpdate &update, base::TimePoint now)
+{
+    return apply(update, now - update.age, now, false);
+}
+
+// Leaving is final within an incarnation: a late heartbeat must not bring a leaving upstream back.
+tl::expected<UpstreamIndex, AnnounceError>
+UpstreamTable::apply(const UpstreamUpdate &update, base::TimePoint heard, base::TimePoint now, bool direct)
+{
+    const UpstreamAnnouncement &fresh = update.announcement;
+    const auto index = findOrReserve(fresh.executor);
+    if (!index) {
+        return index;
+    }
+    Upstream &upstream = upstreams_[*index];
+    if (upstream.known && fresh.incarnation < upstream.info.incarnation) {
+        return tl::unexpected(AnnounceError::StaleIncarnation);
+    }
+    const bool restarted = !upstream.known || fresh.incarnation > upstream.info.incarnation;
+    const bool leaving =
+        fresh.state == UpstreamState::Leaving || (!restarted && upstream.info.state == UpstreamState::Leaving);
+    const bool newer = restarted || update.sequence > upstream.sequence;
+    const bool changed = restarted || leaving != (upstream.info.state == UpstreamState::Leaving)
+        || (newer && upstream.info.services != fresh.services);
+    if (newer && upstream.info.services != fresh.services && !setServices(*index, fresh.services)) {
+        return tl::unexpected(AnnounceError::TooManyServices);
+    }
+    if (newer) {
+        upstream.info = fresh;
+        upstream.zone = update.zone;
+        upstream.local = update.zone == options_.zone;
+        upstream.sequence = update.sequence;
+        upstream.lastHeard = std::max(upstream.lastHeard, heard);
+    }
+    if (restarted) {
+        upstream.health = Health();
+        upstream.latency = {};
+    }
+    upstream.info.state = leaving ? UpstreamState::Leaving : UpstreamState::Serving;
+    upstream.known = true;
+    if (direct) {
+        relay(upstream, changed, now);
+    }
+    return *index;
+}
+
+void UpstreamTable::relay(Upstream &upstream, bool changed, base::TimePoint now)
+{
+    if (changed || now - upstream.lastRelayed >= options_.relayInterval) {
+        upstream.lastRelayed = now;
+        updates_.push_back(UpstreamUpdate{upstream.info, upstream.zone, upstream.sequence, now - upstream.lastHeard});
+    }
+}
+
+tl::expected<UpstreamIndex, AnnounceError> UpstreamTable::findOrReserve(std::string_view executor)
+{
+    if (const auto found = byExecutor_.find(executor); found != byExecutor_.end()) {
+        return found->second;
+    }
+    if (byExecutor_.size() >= options_.maxUpstreams) {
+        return tl::unexpected(AnnounceError::TooManyUpstreams);
+    }
+    UpstreamIndex index = 0;
+    if (free_.empty()) {
+        index = static_cast<UpstreamIndex>(upstreams_.size());
+        upstreams_.emplace_back();
+    } else {
+        index = free_.back();
+        free_.pop_back();
+        upstreams_[index] = Upstream();
+    }
+    byExecutor_.emplace(executor, index);
+    return index;
+}
+
+bool UpstreamTable::setServices(UpstreamIndex index, const std::vector<std::string> &services)
+{
+    Upstream &upstream = upstreams_[index];
+    for (const ServiceIndex service : upstream.services) {
+        std::erase(byService_[service], index);
+    }
+    upstream.services.clear();
+    for (const std::string &name : services) {
+        if (serviceIndex_.size() >= options_.maxServices && !serviceIndex_.contains(name)) {
+            return false;
+        }
+        const auto [entry, added] = serviceIndex_.try_emplace(name, static_cast<ServiceIndex>(byService_.size()));
+        if (added) {
+            byService_.emplace_back();
+        }
+        std::vector<UpstreamIndex> &offering = byService_[entry->second];
+        const auto place = std::lower_bound(offering.begin(), offering.end(), index);
+        if (place == offering.end() || *place != index) {
+            offering.insert(place, index);
+            upstream.services.push_back(entry->second);
+        }
+    }
+    return true;
+}
+
+void UpstreamTable::forgetSilent(base::TimePoint now)
+{
+    for (UpstreamIndex index = 0; index < upstreams_.size(); ++index) {
+        Upstream &upstream = upstreams_[index];
+        const ExecutorShare &share = upstream.share;
+        const bool unused = share.inUse() == 0 && share.lent() == 0 && share.loansTaken().empty();
+        if (upstream.known && unused && now - upstream.lastHeard > options_.forget) {
+            setServices(index, {});
+            byExecutor_.erase(upstream.info.executor);
+            upstream = Upstream();
+            free_.push_back(index);
+        }
+    }
+}
+
+std::vector<UpstreamUpdate> UpstreamTable::takeUpdates()
+{
+    return std::exchange(updates_, {});
+}
+
+bool UpstreamTable::serving(const Upstream &upstream, base::TimePoint now) const
+{
+    return upstream.known && upstream.info.state == UpstreamState::Serving
+        && now - upstream.lastHeard < options_.silence;
+}
+
+Upstream &UpstreamTable::at(UpstreamIndex index)
+{
+    return upstreams_[index];
+}
+
+const Upstream &UpstreamTable::at(UpstreamIndex index) const
+{
+    return upstreams_[index];
+}
+
+Upstream *UpstreamTable::find(std::string_view executor)
+{
+    const auto found = byExecutor_.find(executor);
+    return found == byExecutor_.end() ? nullptr : &upstreams_[found->second];
+}
+
+const Upstream *UpstreamTable::find(std::string_view executor) const
+{
+    const auto found = byExecutor_.find(executor);
+    return found == byExecutor_.end() ? nullptr : &upstreams_[found->second];
+}
+
+std::size_t UpstreamTable::size() const
+{
+    return upstreams_.size();
+}
+
+std::optional<ServiceIndex> UpstreamTable::findService(std::string_view service) const
+{
+    const auto found = serviceIndex_.find(service);
+    if (found == serviceIndex_.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+const std::vector<UpstreamIndex> &UpstreamTable::upstreamsOf(ServiceIndex service) const
+{
+    return byService_[service];
+}
+
+std::size_t UpstreamTable::serviceCount() const
+{
+    return byService_.size();
+}
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/tests/routing_proxy_test.cpp
@@ -0,0 +1,167 @@
+#include "fakes/fake_upstream.h"
+#include "fakes/http_client.h"
+#include "http/proxy_server.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+using namespace yuccawheel;
+using namespace std::chrono_literals;
+using fakes::ClientAnswer;
+using fakes::FakeUpstream;
+using fakes::FakeUpstreamOptions;
+using fakes::sendRaw;
+using fakes::sendRequest;
+
+namespace
+{
+
+/// One entry with its upstreams_, all in this process.
+class ProxyTest : public testing::Test
+{
+protected:
+    void startProxy(http::ProxyOptions options = {})
+    {
+        options.router.entry = "a";
+        options.router.zone = "z1";
+        options.router.entries = {{"a", "z1"}};
+        proxy_ = std::make_unique<http::ProxyServer>(std::move(options), keys_);
+        port_ = proxy_->start().value();
+    }
+    void addUpstream(FakeUpstreamOptions options = {})
+    {
+        options.executor = "e" + std::to_string(upstreams_.size());
+        upstreams_.push_back(std::make_unique<FakeUpstream>(options));
+        announce(*upstreams_.back());
+    }
+    void announce(const FakeUpstream &upstream)
+    {
+        std::promise<bool> done;
+        proxy_->announce(upstream.announcement(), [&](auto result) { done.set_value(result.has_value()); });
+        ASSERT_TRUE(done.get_future().get());
+    }
+
+    std::shared_ptr<routing::KeyStore> keys_;
+    std::unique_ptr<http::ProxyServer> proxy_;
+    std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+    std::uint16_t port_ = 0;
+};
+
+const std::string Head = "GET /serve/loan-check/x HTTP/1.1\r\nHost: a\r\n";
+
+} // namespace
+
+TEST_F(ProxyTest, answersComeWholeWithTheirVerdict)
+{
+    startProxy();
+    addUpstream();
+    const ClientAnswer answer = sendRequest(port_, "GET", "/serve/loan-check/van/7?x=1");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.verdict, "ran");
+    EXPECT_EQ(answer.body, "ok /van/7?x=1");
+    const std::string large(3'000'000, 'q');
+    EXPECT_TRUE(sendRequest(port_, "POST", "/serve/loan-check/echo", {{"Yw-Repeatable", "yes"}}, large).body == large);
+    EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/bytes/5000000").body.size(), 5'000'000);
+    EXPECT_EQ(sendRequest(port_, "HEAD", "/serve/loan-check/x").status, 200);
+    EXPECT_EQ(proxy_->statistics().answered, 4);
+}
+
+TEST_F(ProxyTest, failuresSayWhetherTheRequestMayHaveRun)
+{
+    startProxy();
+    EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/x").status, 404);
+    addUpstream();
+    const ClientAnswer cut = sendRequest(port_, "POST", "/serve/loan-check/close", {{"Yw-Repeatable", "yes"}});
+    EXPECT_EQ(cut.status, 502);
+    EXPECT_EQ(cut.verdict, "may-have-run");
+    EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/cut").status, 0) << "half an answer is no answer";
+    const ClientAnswer refused = sendRequest(port_, "GET", "/serve/loan-check/refuse");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.verdict, "not-run");
+    EXPECT_EQ(refused.retryAfter, "1");
+    const ClientAnswer late = sendRequest(port_, "GET", "/serve/loan-check/stall", {{"Yw-Timeout-Ms", "50"}});
+    EXPECT_EQ(late.status, 504);
+    EXPECT_EQ(late.verdict, "may-have-run");
+    EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/error").verdict, "ran");
+}
+
+TEST_F(ProxyTest, slotsAreNeverExceededAndLateAnswersReachNobody)
+{
+    startProxy();
+    for (const std::uint32_t slots : {2U, 3U}) {
+        FakeUpstreamOptions options;
+        options.slots = slots;
+        options.connections = slots;
+        options.delay = 3ms;
+        addUpstream(options);
+    }
+    std::vector<std::thread> callers;
+    callers.reserve(12);
+    std::atomic<int> wrong{0};
+    std::atomic<int> answered{0};
+    for (int caller = 0; caller < 12; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int i = 0; i < 40; ++i) {
+                const std::string path = "/" + std::to_string(caller) + "." + std::to_string(i);
+                const bool late = i % 8 == 7;
+                const auto answer = sendRequest(port_,
+                                                "GET",
+                                                "/serve/loan-check" + (late ? std::string("/delay/40") : path),
+                                                {{"Yw-Timeout-Ms", late ? "15" : "5000"}});
+                answered += answer.status == 200 ? 1 : 0;
+                wrong += answer.status == 200 && answer.body != "ok " + path ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(wrong, 0);
+    EXPECT_EQ(answered, 12 * 35);
+    EXPECT_LE(upstreams_[0]->counts().maxRunning, 2);
+    EXPECT_LE(upstreams_[1]->counts().maxRunning, 3);
+    EXPECT_LE(upstreams_[0]->counts().maxConnections, 2);
+    EXPECT_LE(upstreams_[1]->counts().maxConnections, 3);
+}
+
+TEST_F(ProxyTest, badInputIsRefusedAndDisturbsNobody)
+{
+    http::ProxyOptions options;
+    options.limits.bodyBytes = 1000;
+    options.limits.idle = 200ms;
+    options.limits.read = 200ms;
+    startProxy(options);
+    addUpstream();
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"BROKEN\r\n\r\n", "400"},
+        {Head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", "400"},
+        {Head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+        {Head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "400"},
+        {Head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "501"},
+        {Head + "Transfer-Encoding: xchunked\r\n\r\n", "501"},
+        {Head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+        {Head + "Content-Length: -1\r\n\r\n", "400"},
+        {Head + "Content-Length: 5000\r\n\r\n", "413"},
+        {Head + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n" + std::string(2000, 'x'), "413"},
+        {Head + "X: " + std::string(20'000, 'x') + "\r\n\r\n", "431"},
+        {Head + "Host: b\r\n\r\n", "400"},
+        {Head + "Yw-Urgency: soon\r\n\r\n", "400"},
+        {Head + "Yw-Urgency: urgent\r\nYw-Urgency: bulk\r\n\r\n", "400"},
+        {Head + "Yw-Timeout-Ms: 99999999\r\n\r\n", "400"},
+        {Head + "Content-Length: 10\r\n\r\nslow", "408"},
+        {"GET /serve/loan-check/slow HTT", "408"},
+        {"GET /other HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", "404"},
+        {"POST /serve/loan-check/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", "400"},
+        {"GET /serve/loan-check/x HTTP/1.0\r\nHost: a\r\nConnection: close\r\n\r\n", "505"},
+    };
+    for (const auto &[text, status] : cases) {
+        const std::string answer = sendRaw(port_, text);
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 " + status) << text.substr(0, 200);
+        EXPECT_NE(answer.find("Yw-Verdict: not-run"), std::string::npos) << text.substr(0, 200);
+        EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << "one answer only: " << text.substr(0, 200);
+    }
+    EXPECT_EQ(upstreams_[0]->counts().requests, 0);
+    EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/x").status, 200);
+}
