--- /dev/null
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -0,0 +1,87 @@
+#include "entry_peers.h"
+
+#include "base/log.h"
+#include "protocol/routing_messages.h"
+
+#include <boost/asio/post.hpp>
+
+namespace yuccawheel::entry
+{
+
+// The proxy calls back on its own thread; the connections belong to the network thread.
+EntryPeers::EntryPeers(daemon::Context &context, http::ProxyServer &proxy)
+    : context_(context)
+    , proxy_(proxy)
+    , alive_(std::make_shared<EntryPeers *>(this))
+{
+    protocol::Listener::Callbacks callbacks;
+    callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
+        onFrame(channel, frame);
+    };
+    listener_.emplace(context.io, daemon::toAsio(*context.settings.listen.inner), context.self, std::move(callbacks));
+    for (const settings::Peer &peer : context.settings.entries) {
+        if (peer.node != context.self.node) {
+            peers_[peer.node] = std::make_unique<protocol::Peer>(
+                context.io, daemon::toAsio(peer.address), context.self, protocol::Peer::Callbacks{});
+        }
+    }
+    proxy.setPeerSink([this, alive = alive_](std::vector<routing::UpstreamUpdate> updates,
+                                             std::vector<routing::ShareMessage> messages) {
+        boost::asio::post(context_.io, [this, alive, updates = std::move(updates), messages = std::move(messages)] {
+            if (*alive != nullptr) {
+                send(updates, messages);
+            }
+        });
+    });
+}
+
+EntryPeers::~EntryPeers()
+{
+    *alive_ = nullptr;
+}
+
+void EntryPeers::send(const std::vector<routing::UpstreamUpdate> &updates,
+                      const std::vector<routing::ShareMessage> &messages)
+{
+    if (!updates.empty()) {
+        for (const auto &[node, peer] : peers_) {
+            peer->notify(protocol::UpstreamUpdates{updates});
+        }
+    }
+    for (const routing::ShareMessage &message : messages) {
+        if (message.to.empty()) {
+            for (const auto &[node, peer] : peers_) {
+                peer->notify(protocol::ShareNotice{message});
+            }
+        } else if (const auto peer = peers_.find(message.to); peer != peers_.end()) {
+            peer->second->notify(protocol::ShareNotice{message});
+        }
+    }
+}
+
+void EntryPeers::onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
+{
+    if (channel->peer().role != protocol::Role::Entry) {
+        channel->close("not an entry");
+        return;
+    }
+    if (frame.type == protocol::MessageType::UpstreamUpdates) {
+        auto updates = protocol::decode<protocol::UpstreamUpdates>(frame.payload);
+        if (!updates) {
+            channel->close("malformed updates");
+            return;
+        }
+        for (routing::UpstreamUpdate &update : updates->updates) {
+            proxy_.receive(std::move(update));
+        }
+    } else if (frame.type == protocol::MessageType::ShareMessage) {
+        auto notice = protocol::decode<protocol::ShareNotice>(frame.payload);
+        if (!notice) {
+            channel->close("malformed share message");
+            return;
+        }
+        proxy_.receive(std::move(notice->message));
+    }
+}
+
+} // namespace yuccawheel::entry
--- /dev/null
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -0,0 +1,139 @@
+#include "entry_service.h"
+
+#include "base/log.h"
+#include "daemon/json_api.h"
+#include "routing/announcement.h"
+
+#include <boost/asio/post.hpp>
+
+#include <stdexcept>
+
+namespace yuccawheel::entry
+{
+
+namespace
+{
+
+std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
+{
+    std::vector<boost::asio::ip::tcp::endpoint> addresses;
+    for (const settings::Peer &peer : peers) {
+        addresses.push_back(daemon::toAsio(peer.address));
+    }
+    return addresses;
+}
+
+http::ProxyOptions proxyOptions(const daemon::Context &context)
+{
+    http::ProxyOptions options;
+    options.address = context.settings.listen.caller->ip;
+    options.port = context.settings.listen.caller->port;
+    options.timeouts.standard = context.settings.requestTimeout;
+    options.router.entry = context.self.node;
+    options.router.zone = context.self.zone;
+    options.router.incarnation = context.self.incarnation;
+    options.router.seed = context.self.incarnation;
+    for (const settings::Peer &peer : context.settings.entries) {
+        options.router.entries.push_back({peer.node, peer.zone});
+    }
+    return options;
+}
+
+http::Response announceResponse(const tl::expected<void, routing::AnnounceError> &result,
+                                std::chrono::milliseconds heartbeat)
+{
+    if (result) {
+        return daemon::jsonResponse(200, {{"heartbeat_ms", heartbeat.count()}});
+    }
+    switch (result.error()) {
+    case routing::AnnounceError::StaleIncarnation:
+        return daemon::errorResponse(409, "stale_incarnation", "a later incarnation has announced itself");
+    case routing::AnnounceError::TooManyUpstreams:
+        return daemon::errorResponse(503, "too_many_upstreams", "this entry knows as many upstreams as it can");
+    case routing::AnnounceError::TooManyServices:
+        return daemon::errorResponse(503, "too_many_services", "this entry knows as many services as it can");
+    }
+    return daemon::errorResponse(500, "internal", "unknown error");
+}
+
+} // namespace
+
+EntryService::EntryService(daemon::Context &context)
+    : context_(context)
+    , proxy_(proxyOptions(context), nullptr)
+    , peers_(context, proxy_)
+    , store_(context.io, addressesOf(context.settings.stores), context.self, [](const protocol::StateUpdate &update) {
+        if (update.configurationChanged) {
+            base::logInfo("configuration_applied").with("version", update.configurationVersion);
+        }
+    })
+{
+    const auto port = proxy_.start();
+    if (!port) {
+        throw std::runtime_error(port.error());
+    }
+    base::logInfo("listening").with("on", "caller").with("port", *port);
+    if (context.settings.listen.operators) {
+        operators_.emplace(context, store_, [this] { return upstreamsJson(); });
+    }
+    upstreamServer_.emplace(
+        context.io,
+        daemon::toAsio(*context.settings.listen.upstream),
+        http::ServerOptions{},
+        [this](const http::Request &request, const http::Responder &respond) { handleUpstream(request, respond); });
+    base::logInfo("listening").with("on", "upstream").with("port", upstreamServer_->address().port());
+}
+
+EntryService::~EntryService() = default;
+
+std::optional<std::string> EntryService::notReadyReason() const
+{
+    return proxy_.ready() ? std::nullopt : std::optional<std::string>("the proxy does not take callers");
+}
+
+void EntryService::drain(std::function<void()> done)
+{
+    const auto &settings = context_.settings;
+    proxy_.drain(settings.drainDelay,
+                 settings.drainDelay + settings.drainLimit,
+                 [this, done = std::move(done)](const http::DrainReport &report) {
+                     boost::asio::post(context_.io, [done, cut = report.cutRequests] {
+                         if (cut > 0) {
+                             base::logWarning("requests_cut_off").with("count", cut);
+                         }
+                         done();
+                     });
+                 });
+}
+
+std::size_t EntryService::inProgress() const
+{
+    return proxy_.statistics().active;
+}
+
+// The proxy's thread owns the table of upstreams; its answer comes back to the network thread.
+void EntryService::handleUpstream(const http::Request &request, const http::Responder &respond)
+{
+    if (request.path != "/v1/upstreams" || request.method != "POST") {
+        respond(daemon::errorResponse(404, "not_found", "the request is POST /v1/upstreams"));
+        return;
+    }
+    auto announcement = routing::parseAnnouncement(request.body);
+    if (!announcement) {
+        respond(daemon::errorResponse(400, "bad_request", announcement.error().message));
+        return;
+    }
+    proxy_.announce(std::move(*announcement),
+                    [this, respond](const tl::expected<void, routing::AnnounceError> &result) {
+                        boost::asio::post(context_.io, [this, respond, result] {
+                            respond(announceResponse(result, context_.settings.heartbeat));
+                        });
+                    });
+}
+
+std::string EntryService::upstreamsJson() const
+{
+    return nlohmann::json{{"upstreams", nlohmann::json::array()}}.dump();
+}
+
+} // namespace yuccawheel::entry
--- /dev/null
+++ b/src/programs/yw_entry/entry_service.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "daemon/daemon.h"
+#include "entry_peers.h"
+#include "http/proxy_server.h"
+#include "http/server.h"
+#include "operator_api.h"
+#include "store/store_client.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace yuccawheel::entry
+{
+
+/// One entry: callers, upstreams and operators at its addresses, the other entries beside it.
+class EntryService : public daemon::Service
+{
+public:
+    /// Throws std::runtime_error if the proxy can't start.
+    explicit EntryService(daemon::Context &context);
+    ~EntryService() override;
+
+    std::optional<std::string> notReadyReason() const override;
+    void drain(std::function<void()> done) override;
+    std::size_t inProgress() const override;
+
+private:
+    void handleUpstream(const http::Request &request, const http::Responder &respond);
+    std::string upstreamsJson() const;
+
+    daemon::Context &context_;
+    http::ProxyServer proxy_;
+    EntryPeers peers_;
+    store::StoreClient store_;
+    std::optional<OperatorApi> operators_;
+    std::optional<http::Server> upstreamServer_;
+};
+
+} // namespace yuccawheel::entry
--- /dev/null
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -0,0 +1,293 @@
+#include "operator_api.h"
+
+#include "base/log.h"
+#include "daemon/json_api.h"
+#include "settings/document.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace yuccawheel::entry
+{
+
+namespace
+{
+
+using nlohmann::json;
+using protocol::QueryKind;
+
+constexpr std::chrono::milliseconds StoreTimeout{8'000};
+constexpr std::chrono::milliseconds SchedulerTimeout{2'000};
+constexpr std::size_t LongestSubmissionId = 128;
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [next, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || next != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool isSubmissionId(std::string_view id)
+{
+    return !id.empty() && id.size() <= LongestSubmissionId
+        && std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
+json problemsJson(const settings::Problems &problems)
+{
+    json list = json::array();
+    for (const settings::Problem &problem : problems) {
+        list.push_back(
+            {{"line", problem.line}, {"key", problem.key}, {"found", problem.found}, {"allowed", problem.allowed}});
+    }
+    return list;
+}
+
+protocol::Submit toSubmit(settings::Document document)
+{
+    protocol::Submit submit;
+    submit.teams = std::move(document.teams);
+    submit.services = std::move(document.services);
+    submit.removedTeams = std::move(document.removedTeams);
+    submit.removedServices = std::move(document.removedServices);
+    submit.jobs = std::move(document.batch);
+    submit.jobs.insert(submit.jobs.end(), document.allAtOnce.begin(), document.allAtOnce.end());
+    return submit;
+}
+
+http::Response submitResponse(const protocol::SubmitReply &reply)
+{
+    switch (reply.outcome) {
+    case protocol::SubmitOutcome::Accepted: {
+        json jobs = json::array();
+        for (const protocol::NamedJob &job : reply.jobs) {
+            jobs.push_back({{"name", job.name}, {"id", job.id}});
+        }
+        return daemon::jsonResponse(200,
+                                    {{"version", reply.version}, {"jobs", std::move(jobs)}, {"resent", reply.resent}});
+    }
+    case protocol::SubmitOutcome::VersionConflict:
+        return daemon::jsonResponse(
+            409,
+            {{"error", "version_conflict"},
+             {"message", "another submission made this version first; look at it and submit again"},
+             {"verdict", "not-run"},
+             {"version", reply.version},
+             {"winner", {{"version", reply.winnerVersion}, {"submission", reply.winnerSubmission}}}});
+    case protocol::SubmitOutcome::SubmissionConflict:
+        return daemon::errorResponse(409, "submission_conflict", reply.message);
+    case protocol::SubmitOutcome::Rejected:
+        return daemon::errorResponse(400, "rejected", reply.message);
+    }
+    return daemon::errorResponse(500, "internal", "unknown outcome");
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(daemon::Context &context, store::StoreClient &store, UpstreamsJson upstreams)
+    : context_(context)
+    , store_(store)
+    , upstreams_(std::move(upstreams))
+    , token_(context.settings.tokenFile)
+{
+    for (const settings::Peer &peer : context.settings.schedulers) {
+        schedulers_.push_back(std::make_unique<protocol::Peer>(
+            context.io, daemon::toAsio(peer.address), context.self, protocol::Peer::Callbacks{}));
+    }
+    server_.emplace(context.io,
+                    daemon::toAsio(*context.settings.listen.operators),
+                    http::ServerOptions{},
+                    [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); });
+    base::logInfo("listening").with("on", "operator").with("port", server_->address().port());
+}
+
+void OperatorApi::handle(const http::Request &request, const http::Responder &respond)
+{
+    if (!token_.matches(request.header("authorization"))) {
+        base::logWarning("operator_refused").with("peer", request.peer).with("path", request.path);
+        context_.metrics.counter("yw_operator_refused_total").add();
+        respond(daemon::errorResponse(401, "unauthorized", "the operators' token is needed"));
+        return;
+    }
+    route(request, respond);
+}
+
+void OperatorApi::route(const http::Request &request, const http::Responder &respond)
+{
+    const std::string_view path = request.path;
+    const bool get = request.method == "GET";
+    const bool post = request.method == "POST";
+    const auto under = [path](std::string_view prefix, std::string_view suffix) -> std::optional<std::string> {
+        if (path.size() <= prefix.size() + suffix.size() || path.substr(0, prefix.size()) != prefix
+            || path.substr(path.size() - suffix.size()) != suffix) {
+            return std::nullopt;
+        }
+        const auto middle = path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
+        return middle.find('/') == std::string_view::npos ? std::optional(std::string(middle)) : std::nullopt;
+    };
+    if (path == "/v1/submissions" && post) {
+        submit(request, respond);
+    } else if (path == "/v1/configuration" && get) {
+        askStore(QueryKind::Configuration, {}, respond);
+    } else if (path == "/v1/configuration/status" && get) {
+        askStore(QueryKind::ConfigurationStatus, {}, respond);
+    } else if (path == "/v1/jobs" && get) {
+        askStore(QueryKind::Jobs, std::string(request.parameter("state")), respond);
+    } else if (path == "/v1/store" && get) {
+        askStore(QueryKind::Store, {}, respond);
+    } else if (path == "/v1/report" && get) {
+        askStore(QueryKind::Report, std::string(request.parameter("since")), respond);
+    } else if (path == "/v1/workers" && get) {
+        workers(respond);
+    } else if (path == "/v1/upstreams" && get) {
+        respond({200, upstreams_(), "application/json", {}});
+    } else if (const auto cancelled = under("/v1/jobs/", "/cancel"); cancelled && post) {
+        cancel(*cancelled, respond);
+    } else if (const auto explained = under("/v1/jobs/", "/explain"); explained && get) {
+        explain(*explained, respond);
+    } else if (const auto shown = under("/v1/jobs/", ""); shown && get) {
+        askStore(QueryKind::Job, *shown, respond);
+    } else if (const auto drained = under("/v1/workers/", "/drain"); drained && post) {
+        drain(*drained, true, respond);
+    } else if (const auto undrained = under("/v1/workers/", "/undrain"); undrained && post) {
+        drain(*undrained, false, respond);
+    } else if (!get && !post) {
+        respond(daemon::errorResponse(405, "method_not_allowed", "the methods are GET and POST"));
+    } else {
+        respond(daemon::errorResponse(404, "not_found", "no such path and method in the operators' interface"));
+    }
+}
+
+void OperatorApi::submit(const http::Request &request, const http::Responder &respond)
+{
+    const std::string submission(request.header("yw-submission"));
+    if (!isSubmissionId(submission)) {
+        respond(
+            daemon::errorResponse(400, "bad_request", "Yw-Submission: 1 to 128 visible ASCII characters are needed"));
+        return;
+    }
+    auto document = settings::parseDocument(request.body, "document");
+    if (!document) {
+        json body{{"error", "bad_document"},
+                  {"message", settings::toString(document.error())},
+                  {"verdict", "not-run"},
+                  {"problems", problemsJson(document.error())}};
+        respond(daemon::jsonResponse(400, body));
+        return;
+    }
+    protocol::Submit submit = toSubmit(std::move(*document));
+    submit.submission = submission;
+    const std::string_view expected = request.header("yw-expected-version");
+    if (!expected.empty()) {
+        submit.expectedVersion = parseNumber(expected);
+    }
+    if (submit.changesConfiguration() && !submit.expectedVersion) {
+        respond(daemon::errorResponse(
+            400, "bad_request", "Yw-Expected-Version: the version in force is needed to change the configuration"));
+        return;
+    }
+    store_.request(submit, StoreTimeout, [respond, submission](const auto &answer) {
+        base::logInfo("submission")
+            .with("id", submission)
+            .with("outcome", answer ? std::to_string(static_cast<int>(answer->outcome)) : answer.error().message);
+        respond(answer ? submitResponse(*answer) : daemon::errorResponse(answer.error()));
+    });
+}
+
+void OperatorApi::askStore(QueryKind kind, std::string argument, const http::Responder &respond)
+{
+    store_.request(protocol::Query{kind, std::move(argument)}, StoreTimeout, [respond](const auto &answer) {
+        respond(answer ? http::Response{200, answer->json, "application/json", {}}
+                       : daemon::errorResponse(answer.error()));
+    });
+}
+
+// Finds the number of a job that is given by number or by name.
+void OperatorApi::resolveJob(const std::string &job,
+                             const http::Responder &respond,
+                             std::function<void(placement::JobId)> then)
+{
+    store_.request(
+        protocol::Query{QueryKind::Job, job}, StoreTimeout, [respond, then = std::move(then)](const auto &answer) {
+            if (!answer) {
+                respond(daemon::errorResponse(answer.error()));
+                return;
+            }
+            then(json::parse(answer->json).at("id").template get<placement::JobId>());
+        });
+}
+
+void OperatorApi::cancel(const std::string &job, const http::Responder &respond)
+{
+    resolveJob(job, respond, [this, respond](placement::JobId id) {
+        store_.request(protocol::CancelJob{id}, StoreTimeout, [respond, id](const auto &answer) {
+            if (!answer) {
+                respond(daemon::errorResponse(answer.error()));
+                return;
+            }
+            respond(daemon::jsonResponse(
+                200, {{"id", id}, {"verdict", base::toString(answer->verdict)}, {"done", answer->done}}));
+        });
+    });
+}
+
+void OperatorApi::askSchedulers(const protocol::Query &query, std::function<void(Gathering &)> done)
+{
+    const auto gathering = std::make_shared<Gathering>();
+    gathering->done = std::move(done);
+    gathering->open = schedulers_.size();
+    for (const auto &scheduler : schedulers_) {
+        scheduler->request(query, SchedulerTimeout, [gathering](const auto &answer) {
+            if (answer) {
+                gathering->answers.push_back(answer->json);
+            } else {
+                gathering->errors.push_back(answer.error());
+            }
+            if (--gathering->open == 0) {
+                gathering->done(*gathering);
+            }
+        });
+    }
+}
+
+void OperatorApi::explain(const std::string &job, const http::Responder &respond)
+{
+    resolveJob(job, respond, [this, respond](placement::JobId id) {
+        askSchedulers({QueryKind::Explain, std::to_string(id)}, [respond, id](const Gathering &gathering) {
+            json zones = json::array();
+            for (const std::string &answer : gathering.answers) {
+                zones.push_back(json::parse(answer));
+            }
+            respond(daemon::jsonResponse(200, {{"job", id}, {"zones", std::move(zones)}}));
+        });
+    });
+}
+
+void OperatorApi::workers(const http::Responder &respond)
+{
+    askSchedulers({QueryKind::Workers, {}}, [respond](const Gathering &gathering) {
+        json workers = json::array();
+        for (const std::string &answer : gathering.answers) {
+            for (json &worker : json::parse(answer).at("workers")) {
+                workers.push_back(std::move(worker));
+            }
+        }
+        respond(daemon::jsonResponse(200, {{"workers", std::move(workers)}}));
+    });
+}
+
+void OperatorApi::drain(const std::string &worker, bool drain, const http::Responder &respond)
+{
+    askSchedulers({drain ? QueryKind::Drain : QueryKind::Undrain, worker}, [respond](const Gathering &gathering) {
+        if (!gathering.answers.empty()) {
+            respond(daemon::jsonResponse(200, json::object()));
+            return;
+        }
+        respond(daemon::errorResponse(404, "not_found", "no zone that answers has such a worker"));
+    });
+}
+
+} // namespace yuccawheel::entry
--- /dev/null
+++ b/src/programs/yw_entry/operator_api.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "daemon/daemon.h"
+#include "http/server.h"
+#include "protocol/messages.h"
+#include "protocol/peer.h"
+#include "store/store_client.h"
+#include "token.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccawheel::entry
+{
+
+/// The operators' HTTP interface (docs/protocols.md): checks the token, and passes requests on to the store's leader
+/// or to the zones' schedulers.
+class OperatorApi
+{
+public:
+    /// Gives the entry's own view of upstreams, as JSON.
+    using UpstreamsJson = std::function<std::string()>;
+
+    OperatorApi(daemon::Context &context, store::StoreClient &store, UpstreamsJson upstreams);
+
+private:
+    /// Answers of several schedulers, collected before the operator is answered.
+    struct Gathering {
+        std::vector<std::string> answers;
+        std::vector<protocol::RequestError> errors;
+        std::size_t open = 0;
+        std::function<void(Gathering &)> done;
+    };
+
+    void handle(const http::Request &request, const http::Responder &respond);
+    void route(const http::Request &request, const http::Responder &respond);
+    void submit(const http::Request &request, const http::Responder &respond);
+    void cancel(const std::string &job, const http::Responder &respond);
+    void explain(const std::string &job, const http::Responder &respond);
+    void drain(const std::string &worker, bool drain, const http::Responder &respond);
+    void workers(const http::Responder &respond);
+    void askStore(protocol::QueryKind kind, std::string argument, const http::Responder &respond);
+    void resolveJob(const std::string &job, const http::Responder &respond, std::function<void(placement::JobId)> then);
+    void askSchedulers(const protocol::Query &query, std::function<void(Gathering &)> done);
+
+    daemon::Context &context_;
+    store::StoreClient &store_;
+    UpstreamsJson upstreams_;
+    OperatorToken token_;
+    std::vector<std::unique_ptr<protocol::Peer>> schedulers_;
+    std::optional<http::Server> server_;
+};
+
+} // namespace yuccawheel::entry
--- /dev/null
+++ b/src/protocol/routing_messages.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "protocol/codec.h"
+#include "protocol/frame.h"
+#include "routing/loan_book.h"
+#include "routing/types.h"
+
+#include <vector>
+
+// Messages between entries, around the types of the routing core.
+
+YW_MSGPACK_ENUM(yuccawheel::routing::UpstreamState, yuccawheel::routing::UpstreamState::Leaving)
+YW_MSGPACK_ENUM(yuccawheel::routing::ShareMessageKind, yuccawheel::routing::ShareMessageKind::Farewell)
+
+namespace msgpack
+{
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor
+    {
+    template <>
+    struct convert<std::chrono::nanoseconds> {
+        const msgpack::object &operator()(const msgpack::object &object, std::chrono::nanoseconds &value) const
+        {
+            value = std::chrono::nanoseconds(object.as<std::int64_t>());
+            return object;
+        }
+    };
+    template <>
+    struct pack<std::chrono::nanoseconds> {
+        template <typename Stream>
+        packer<Stream> &operator()(packer<Stream> &packer, const std::chrono::nanoseconds &value) const
+        {
+            return packer.pack(static_cast<std::int64_t>(value.count()));
+        }
+    };
+    } // namespace adaptor
+}
+} // namespace msgpack
+
+YW_MSGPACK_STRUCT(yuccawheel::routing::UpstreamAnnouncement,
+                  8,
+                  (put(value.executor),
+                   put(value.incarnation),
+                   put(value.address),
+                   put(value.slots),
+                   put(value.connections),
+                   put(value.services),
+                   put(value.state),
+                   put(value.running)),
+                  (take(value.executor),
+                   take(value.incarnation),
+                   take(value.address),
+                   take(value.slots),
+                   take(value.connections),
+                   take(value.services),
+                   take(value.state),
+                   take(value.running)))
+YW_MSGPACK_STRUCT(yuccawheel::routing::UpstreamUpdate,
+                  4,
+                  (put(value.announcement), put(value.zone), put(value.sequence), put(value.age)),
+                  (take(value.announcement), take(value.zone), take(value.sequence), take(value.age)))
+YW_MSGPACK_STRUCT(yuccawheel::routing::ShareMessage,
+                  10,
+                  (put(value.kind),
+                   put(value.to),
+                   put(value.from),
+                   put(value.executor),
+                   put(value.id),
+                   put(value.slots),
+                   put(value.term),
+                   put(value.incarnation),
+                   put(value.query),
+                   put(value.graceful)),
+                  (take(value.kind),
+                   take(value.to),
+                   take(value.from),
+                   take(value.executor),
+                   take(value.id),
+                   take(value.slots),
+                   take(value.term),
+                   take(value.incarnation),
+                   take(value.query),
+                   take(value.graceful)))
+
+namespace yuccawheel::protocol
+{
+
+/// What an entry learned of upstreams, for the other entries.
+struct UpstreamUpdates {
+    static constexpr MessageType Type = MessageType::UpstreamUpdates;
+    std::vector<routing::UpstreamUpdate> updates;
+
+    MSGPACK_DEFINE(updates)
+};
+
+/// What an entry has to settle with another about slots.
+struct ShareNotice {
+    static constexpr MessageType Type = MessageType::ShareMessage;
+    routing::ShareMessage message;
+
+    MSGPACK_DEFINE(message)
+};
+
+} // namespace yuccawheel::protocol
