--- a/src/programs/yw_entry/operator_api.cpp
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -271,7 +271,8 @@
     askSchedulers({QueryKind::Workers, {}}, [respond](const Gathering &gathering) {
         json workers = json::array();
         for (const std::string &answer : gathering.answers) {
-            for (json &worker : json::parse(answer).at("workers")) {
+            json part = json::parse(answer);
+            for (json &worker : part.at("workers")) {
                 workers.push_back(std::move(worker));
             }
         }
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -228,7 +228,7 @@
         hub_.acknowledge(mark.worker, mark.session, mark.sequence);
     }
     for (const std::string &worker : agreed.joined) {
-        hub_.admit(worker);
+        hub_.admit(worker, base::BootClock::now());
     }
     hub_.flush(base::BootClock::now());
 }
--- a/src/programs/yw_scheduler/worker_hub.cpp
+++ b/src/programs/yw_scheduler/worker_hub.cpp
@@ -201,11 +201,12 @@
     return info == nullptr ? std::chrono::milliseconds(UnknownDetachedFor) : info->detachedFor;
 }
 
-void WorkerHub::admit(const std::string &name)
+void WorkerHub::admit(const std::string &name, base::TimePoint now)
 {
     const auto found = byName_.find(name);
     if (found != byName_.end()) {
         workers_[found->second].onRoster = true;
+        answer(workers_[found->second], true, now);
     }
 }
 
--- a/src/programs/yw_scheduler/worker_hub.h
+++ b/src/programs/yw_scheduler/worker_hub.h
@@ -93,8 +93,8 @@
     }
 
     void poll(const std::string &name, const http::Request &request, http::Responder respond, base::TimePoint now);
-    /// A worker was put on the roster: work may be placed on it.
-    void admit(const std::string &name);
+    /// A worker was put on the roster: work may be placed on it once it has sent its full list.
+    void admit(const std::string &name, base::TimePoint now);
     /// Queues commands of the planner; those of an earlier session of the worker are dropped.
     void execute(const placement::StartTask &start, std::uint64_t session);
     void execute(const placement::StopTask &stop, std::uint64_t session);
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -214,7 +214,10 @@
         return process
 
     def start(self):
-        """Starts every daemon and waits until all are ready."""
+        """Forms the cluster, starts every daemon and waits until all are ready."""
+        first = next(vm for vm in self.vms if vm.has_store)
+        form = [BIN / "yw-store", "--settings", self.settings_file(first, "store"), "--form"]
+        subprocess.run(form, check=True, stdout=subprocess.DEVNULL)
         for vm in self.vms:
             if vm.has_store:
                 vm.store = self.daemon(vm, "store")
