Preemption, reservation and growth of tasks

A task near its reservation grows where there is room; otherwise a neighbour yields to a task that was given less than it declared, and one that outgrew its declaration is throttled, then checkpointed and started again larger.

--- /dev/null
+++ b/src/placement/growth_watch.cpp
@@ -0,0 +1,126 @@
+#include "placement/growth_watch.h"
+
+#include <algorithm>
+
+namespace yuccawheel::placement
+{
+
+namespace
+{
+
+// Parts of a reservation, in percent.
+constexpr std::int64_t GrowAt = 90;
+constexpr std::int64_t FullAt = 97;
+constexpr std::int64_t GrowTo = 130;
+
+bool reaches(std::int64_t used, std::int64_t reserved, std::int64_t percent)
+{
+    return reserved > 0 && used * 100 >= reserved * percent;
+}
+
+} // namespace
+
+void GrowthWatch::reported(LiveHandle live, const Resources &usage)
+{
+    const LiveTask &task = zone_.jobs.live(live);
+    if (task.job == NoHandle || task.stopping) {
+        return;
+    }
+    Resources wanted = task.reserved;
+    if (reaches(usage.memoryMib, task.reserved.memoryMib, GrowAt)) {
+        wanted.memoryMib = usage.memoryMib * GrowTo / 100;
+    }
+    if (reaches(usage.milliCpu, task.reserved.milliCpu, FullAt)) {
+        wanted.milliCpu = usage.milliCpu * GrowTo / 100;
+    }
+    if (wanted == task.reserved) {
+        return;
+    }
+    wanted = smaller(larger(SizeEstimator::roundUp(wanted), task.reserved), zone_.ledger.capacity(task.worker));
+    if (grow(live, wanted) || !reaches(usage.memoryMib, task.reserved.memoryMib, FullAt)) {
+        return;
+    }
+    if (task.reserved.memoryMib < zone_.jobs[task.job].spec.perTask.memoryMib) {
+        stopNeighbour(live, wanted);
+    } else {
+        restartLarger(live, wanted);
+    }
+}
+
+// A processor limit only slows a task, so memory grows alone where there is no room for both.
+bool GrowthWatch::grow(LiveHandle live, const Resources &wanted)
+{
+    LiveTask &task = zone_.jobs.live(live);
+    if (zone_.workers[task.worker].holder != NoHandle) {
+        return false;
+    }
+    const Resources free = zone_.ledger.free(task.worker) + task.reserved;
+    Resources amount = wanted;
+    if (!amount.fitsIn(free)) {
+        amount.milliCpu = std::min(amount.milliCpu, free.milliCpu);
+    }
+    if (!amount.fitsIn(free) || amount == task.reserved) {
+        return false;
+    }
+    zone_.resize(live, amount);
+    zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, amount});
+    return amount.memoryMib >= wanted.memoryMib;
+}
+
+void GrowthWatch::stopNeighbour(LiveHandle live, const Resources &wanted)
+{
+    const LiveTask &task = zone_.jobs.live(live);
+    const bool known =
+        std::any_of(waiting_.begin(), waiting_.end(), [&](const Waiting &entry) { return entry.task == task.task; });
+    if (known) {
+        return;
+    }
+    const Resources missing = larger(wanted - task.reserved - zone_.ledger.free(task.worker), {});
+    LiveHandle cheapest = NoHandle;
+    std::int64_t cost = 0;
+    for (const LiveHandle other : zone_.workers[task.worker].tasks) {
+        const auto lost = rooms_.costOf(other);
+        const LiveTask &neighbour = zone_.jobs.live(other);
+        const bool frees = missing.memoryMib <= neighbour.reserved.memoryMib;
+        if (other != live && lost && frees && (cheapest == NoHandle || *lost < cost)) {
+            cheapest = other;
+            cost = *lost;
+        }
+    }
+    if (cheapest == NoHandle) {
+        restartLarger(live, wanted);
+        return;
+    }
+    waiting_.push_back({task.worker, task.task, wanted});
+    zone_.requestStop(cheapest, StopReason::Overgrown, true);
+}
+
+void GrowthWatch::restartLarger(LiveHandle live, const Resources &wanted)
+{
+    LiveTask &task = zone_.jobs.live(live);
+    Job &job = zone_.jobs[task.job];
+    if (!task.throttled) {
+        task.throttled = true;
+        zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, task.reserved});
+        return;
+    }
+    const bool disrupts = job.spec.kind == JobKind::Service && job.disrupted() >= job.spec.maxDisruption;
+    if (!job.spec.repeatable || disrupts || !zone_.fitsAnyWorker(wanted) || wanted == task.reserved) {
+        return;
+    }
+    job.floor = larger(job.floor, wanted);
+    zone_.requestStop(live, StopReason::Overgrown, true);
+}
+
+void GrowthWatch::roomCameFree(WorkerId worker)
+{
+    std::erase_if(waiting_, [&](const Waiting &entry) {
+        const auto live = zone_.jobs.findLive(entry.task);
+        if (!live || zone_.jobs.live(*live).stopping || zone_.jobs.live(*live).worker != entry.worker) {
+            return true;
+        }
+        return entry.worker == worker && grow(*live, larger(entry.wanted, zone_.jobs.live(*live).reserved));
+    });
+}
+
+} // namespace yuccawheel::placement
--- a/src/placement/job.h
+++ b/src/placement/job.h
@@ -22,7 +22,7 @@
     std::uint32_t index = 0;
     std::uint32_t attempt = 0;
 
-    constexpr auto operator<=>(const TaskId &) const = default;
+    constexpr auto operator<=>(const TaskId &) const = default; // NOLINT(modernize-use-nullptr): false alarm
 };
 
 std::string toString(const TaskId &task);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -2,7 +2,9 @@
 
 #include "base/invariant.h"
 #include "placement/attempt_endings.h"
+#include "placement/growth_watch.h"
 #include "placement/placer.h"
+#include "placement/room_maker.h"
 #include "placement/zone_events.h"
 #include "placement/zone_state.h"
 
@@ -24,11 +26,17 @@
     void runTimers();
     void wakeWaiting();
     void placeAll();
+    void placeOnHeld(WorkerId worker);
+    void whenBlocked(JobHandle handle);
+    void makeRoomForUrgent();
     bool placeNext(JobHandle handle);
 
     ZoneState zone;
     AttemptEndings endings{zone};
-    WorkerEvents workerEvents{zone, endings};
+    RoomMaker rooms{zone};
+    ReservationKeeper reservations{zone};
+    GrowthWatch growth{zone, rooms};
+    WorkerEvents workerEvents{zone, endings, growth};
     JobEvents jobEvents{zone, endings};
     TaskPlacer tasks{zone};
     GangPlacer gangs{zone};
@@ -57,17 +65,23 @@
         return true;
     });
     workerEvents.moveDrained();
+    rooms.expireHolds();
+    reservations.review();
 }
 
+// Starting a job on cleared workers lets others go, which are looked at in turn.
 void Planner::Impl::wakeWaiting()
 {
-    for (const WorkerId worker : zone.dirty) {
+    while (!zone.dirty.empty()) {
+        const WorkerId worker = zone.dirty.back();
+        zone.dirty.pop_back();
         zone.workers[worker].dirty = false;
+        growth.roomCameFree(worker);
+        placeOnHeld(worker);
         if (zone.acceptsTasks(worker)) {
             zone.queue.wake(zone.ledger.free(worker));
         }
     }
-    zone.dirty.clear();
 }
 
 void Planner::Impl::placeAll()
@@ -80,15 +94,53 @@
             zone.queue.erase(*handle);
             zone.enqueue(*handle);
         } else if (!placeNext(*handle)) {
-            if (zone.checkNeverFits(*handle)) {
-                zone.queue.erase(*handle);
-            } else {
-                zone.queue.block(*handle);
-            }
+            whenBlocked(*handle);
         }
     }
 }
 
+// Room on a worker that was cleared for a job goes to that job, whatever stands before it in the queue.
+void Planner::Impl::placeOnHeld(WorkerId worker)
+{
+    const JobHandle holder = zone.workers[worker].holder;
+    if (holder == NoHandle) {
+        return;
+    }
+    while (zone.queue.contains(holder) && zone.jobs[holder].startable() > 0
+           && zone.jobs[holder].size.fitsIn(zone.ledger.free(worker)) && placeNext(holder)) {
+    }
+}
+
+void Planner::Impl::whenBlocked(JobHandle handle)
+{
+    if (zone.checkNeverFits(handle)) {
+        zone.queue.erase(handle);
+        zone.releaseHold(handle);
+        return;
+    }
+    zone.queue.block(handle);
+    if (zone.jobs[handle].spec.urgent) {
+        return;
+    }
+    if (rooms.mayPreempt(handle)) {
+        rooms.makeRoom(handle);
+    }
+    reservations.consider(handle);
+}
+
+// Urgent jobs of one size share a shape, of which only the first comes to the front.
+void Planner::Impl::makeRoomForUrgent()
+{
+    std::erase_if(zone.urgentJobs, [this](JobId id) {
+        const auto handle = zone.jobs.find(id);
+        if (!handle || !zone.queue.contains(*handle)) {
+            return true;
+        }
+        rooms.makeRoom(*handle);
+        return false;
+    });
+}
+
 bool Planner::Impl::placeNext(JobHandle handle)
 {
     const bool placed = zone.jobs[handle].spec.kind == JobKind::Gang ? gangs.place(handle) : tasks.place(handle);
@@ -127,6 +179,9 @@
     impl_->runTimers();
     impl_->wakeWaiting();
     impl_->placeAll();
+    impl_->wakeWaiting();
+    impl_->placeAll();
+    impl_->makeRoomForUrgent();
     std::move(impl_->zone.outbox.begin(), impl_->zone.outbox.end(), std::back_inserter(commands));
     impl_->zone.outbox.clear();
 }
--- a/src/placement/team_table.h
+++ b/src/placement/team_table.h
@@ -27,6 +27,11 @@
     }
     /// Says whether the team's use stays within its guaranteed share when `more` is added.
     bool withinQuota(TeamId team, const Resources &more = {}) const;
+    /// Says whether quotas are in force and this team has one.
+    bool hasQuota(TeamId team) const
+    {
+        return quotasSet_ && !teams_[team].guaranteed.isZero();
+    }
     /// Returns the queue band: 0 within the share, then higher by the doublings of what is borrowed, as a part of
     /// `total`.
     std::uint8_t band(TeamId team, const Resources &total) const;
--- a/src/placement/worker_events.cpp
+++ b/src/placement/worker_events.cpp
@@ -145,6 +145,7 @@
     LiveTask &task = zone_.jobs.live(*live);
     task.seenRunning = true;
     task.peak = larger(task.peak, report.usage);
+    growth_.reported(*live, report.usage);
 }
 
 std::optional<LiveHandle> WorkerEvents::findOn(WorkerId worker, const TaskId &task) const
--- a/src/placement/zone_events.h
+++ b/src/placement/zone_events.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placement/attempt_endings.h"
+#include "placement/growth_watch.h"
 #include "placement/zone_state.h"
 
 namespace yuccawheel::placement
@@ -10,7 +11,10 @@
 class WorkerEvents
 {
 public:
-    WorkerEvents(ZoneState &zone, AttemptEndings &endings) : zone_(zone), endings_(endings)
+    WorkerEvents(ZoneState &zone, AttemptEndings &endings, GrowthWatch &growth)
+        : zone_(zone)
+        , endings_(endings)
+        , growth_(growth)
     {
     }
 
@@ -34,6 +38,7 @@
 
     ZoneState &zone_;
     AttemptEndings &endings_;
+    GrowthWatch &growth_;
 };
 
 /// Takes the events about jobs, teams and recovery into the state of the zone.
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -293,6 +293,9 @@
     updateSize(handle);
     if (!checkNeverFits(handle)) {
         queue.push({handle, job.team, job.size, job.spec.kind == JobKind::Gang, job.rank});
+        if (job.spec.urgent) {
+            urgentJobs.push_back(job.spec.id);
+        }
     }
 }
 
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -100,6 +100,8 @@
     std::queue<JobId> endedOrder;
     std::vector<CapacityClass> capacityClasses;
     std::vector<JobId> neverFitJobs;
+    std::vector<JobId> holders; ///< Jobs for which workers are being cleared.
+    std::vector<JobId> urgentJobs; ///< Urgent jobs that came into the queue and may still wait in it.
     Reservation reservation;
     bool recoveryFinished = false;
     std::uint32_t nextSequence = 0; ///< Order of assignment, for jobs of equal rank.
--- a/tests/placement_state_test.cpp
+++ b/tests/placement_state_test.cpp
@@ -162,7 +162,7 @@
     spec.name = "job" + std::to_string(draw(4));
     spec.kind = static_cast<JobKind>(draw(3));
     spec.tasks = 1 + draw(spec.kind == JobKind::Batch ? 12 : 4);
-    spec.perTask = {500 * (1 + draw(17)), 256 * (1 + draw(40)), draw(5) == 0 ? draw(3) : 0};
+    spec.perTask = {500 * std::int64_t{1 + draw(17)}, 256 * std::int64_t{1 + draw(40)}, draw(5) == 0 ? draw(3) : 0};
     spec.declaredRunTime = std::chrono::seconds(1 + draw(100));
     spec.priority = static_cast<std::int32_t>(draw(5)) - 2;
     spec.urgent = draw(5) == 0;
@@ -397,7 +397,7 @@
         }
         break;
     case 10:
-        give(QuotasChanged{{{"team0", {16'000, 32'768, 0}}, {"team1", {draw(8) * 1'000, 16'384, 1}}}});
+        give(QuotasChanged{{{"team0", {16'000, 32'768, 0}}, {"team1", {draw(8) * std::int64_t{1000}, 16'384, 1}}}});
         break;
     case 11:
     case 12:
