--- /dev/null
+++ b/src/programs/yuccactl/commands.cpp
@@ -0,0 +1,146 @@
+#include "programs/yuccactl/commands.h"
+
+#include "programs/yuccactl/render.h"
+#include "settings/endpoint.h"
+
+#include <fmt/core.h>
+
+#include <chrono>
+
+namespace yuccawheel::programs::yuccactl
+{
+
+namespace
+{
+
+std::string jobPath(const Session &session, std::string_view action = "")
+{
+    return fmt::format("/v1/jobs/{}{}", escapePath(session.options().arguments.at(0)), action);
+}
+
+/// Prints a list as a table with fixed columns first to last.
+ExitCode
+printList(const Session &session, const std::string &target, const char *key, const std::vector<std::string> &columns)
+{
+    const auto answer = session.client().get(target);
+    if (!answer) {
+        return session.fail(answer.error());
+    }
+    const bool hasList = answer->is_object() && answer->contains(key) && answer->at(key).is_array();
+    session.print(*answer, hasList ? renderTable(answer->at(key), columns) : "");
+    return ExitCode::Ok;
+}
+
+ExitCode runGet(const Session &session)
+{
+    return session.finish(session.client().get(jobPath(session)));
+}
+
+ExitCode runExplain(const Session &session)
+{
+    return session.finish(session.client().get(jobPath(session, "/explain")));
+}
+
+ExitCode runCancel(const Session &session)
+{
+    return session.finish(session.client().post(jobPath(session, "/cancel"), {}, ""));
+}
+
+ExitCode runList(const Session &session)
+{
+    const std::string &state = session.options().state;
+    return printList(session,
+                     state.empty() ? "/v1/jobs" : "/v1/jobs?state=" + escapePath(state),
+                     "jobs",
+                     {"id", "name", "kind", "team", "state", "tasks", "running", "succeeded", "failed", "zones"});
+}
+
+ExitCode runWorkers(const Session &session)
+{
+    return printList(
+        session, "/v1/workers", "workers", {"name", "zone", "rack", "state", "capacity", "reserved", "tasks"});
+}
+
+ExitCode runUpstreams(const Session &session)
+{
+    return printList(
+        session, "/v1/upstreams", "upstreams", {"executor", "zone", "address", "state", "slots", "services"});
+}
+
+ExitCode changeWorker(const Session &session, std::string_view action)
+{
+    const std::string name = escapePath(session.options().arguments.at(0));
+    return session.finish(session.client().post(fmt::format("/v1/workers/{}/{}", name, action), {}, ""));
+}
+
+ExitCode runDrain(const Session &session)
+{
+    return changeWorker(session, "drain");
+}
+
+ExitCode runUndrain(const Session &session)
+{
+    return changeWorker(session, "undrain");
+}
+
+ExitCode runConfig(const Session &session)
+{
+    return session.finish(session.client().get("/v1/configuration"));
+}
+
+ExitCode runConfigStatus(const Session &session)
+{
+    return session.finish(session.client().get("/v1/configuration/status"));
+}
+
+ExitCode runStoreStatus(const Session &session)
+{
+    return session.finish(session.client().get("/v1/store"));
+}
+
+ExitCode runStoreReplace(const Session &session)
+{
+    const auto &arguments = session.options().arguments;
+    if (!settings::parseEndpoint(arguments.at(1))) {
+        return session.fail(ExitCode::Usage, "store replace: ADDRESS must be IP:PORT, found " + arguments.at(1));
+    }
+    const Json body{{"node", arguments.at(0)}, {"address", arguments.at(1)}};
+    return session.finish(session.client().post("/v1/store/replace", {}, body.dump()));
+}
+
+// The entry takes a point in time, so that its answer does not depend on when the request arrives.
+ExitCode runReport(const Session &session)
+{
+    using namespace std::chrono;
+    const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch());
+    const auto since = now - session.options().since;
+    return session.finish(session.client().get(fmt::format("/v1/report?since={}", since.count())));
+}
+
+} // namespace
+
+const std::vector<Command> &commands()
+{
+    static const std::vector<Command> table{
+        {"check", "FILE", "check a document without sending it", 1, false, runCheck},
+        {"describe", "settings|document", "print every setting, or every field of a document", 1, false, runDescribe},
+        {"submit", "FILE", "show what a document changes, and submit it; - reads standard input", 1, true, runSubmit},
+        {"list", "", "list jobs and services", 0, true, runList},
+        {"get", "JOB", "show one job, by id or name", 1, true, runGet},
+        {"explain", "JOB", "say why a job waits, or where it runs", 1, true, runExplain},
+        {"watch", "[JOB]", "follow a job until it ends, or the list of jobs", 0, true, runWatch, 1},
+        {"cancel", "JOB", "cancel a job", 1, true, runCancel},
+        {"workers", "", "list the workers", 0, true, runWorkers},
+        {"drain", "VM", "move work off a worker and place nothing new there", 1, true, runDrain},
+        {"undrain", "VM", "take a drain back", 1, true, runUndrain},
+        {"upstreams", "", "list the upstreams", 0, true, runUpstreams},
+        {"config", "", "show the teams and services in force", 0, true, runConfig},
+        {"config status", "", "show which version each daemon has", 0, true, runConfigStatus},
+        {"store status", "", "show the replicas of the agreed log", 0, true, runStoreStatus},
+        {"store replace", "NODE ADDRESS", "replace the replica of a lost disk", 2, true, runStoreReplace},
+        {"report", "", "show what failed, was retried and waits; --since says how far back", 0, true, runReport},
+    };
+    return table;
+}
+
+} // namespace yuccawheel::programs::yuccactl
--- /dev/null
+++ b/src/programs/yuccactl/difference.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "programs/yuccactl/entry_client.h"
+#include "settings/document.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace yuccawheel::programs::yuccactl
+{
+
+/// What one item of a document changes.
+struct Change {
+    enum class Kind : std::uint8_t { Added, Changed, Removed, Unchanged, Submitted };
+    Kind kind = Kind::Unchanged;
+    std::string item; ///< For example `service loan-checks`.
+    std::string before; ///< Canonical form in force, or empty.
+    std::string after;
+};
+
+/// Compares a document with the configuration in force.
+std::vector<Change> compare(const settings::Document &inForce, const settings::Document &wanted);
+
+std::string toString(Change::Kind kind);
+/// Returns the changes with `+` and `-` lines.
+std::string renderChanges(const std::vector<Change> &changes);
+Json toJson(const std::vector<Change> &changes);
+
+} // namespace yuccawheel::programs::yuccactl
--- /dev/null
+++ b/src/programs/yuccactl/document_file.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "programs/yuccactl/entry_client.h"
+#include "settings/document.h"
+
+#include <string>
+
+namespace yuccawheel::programs::yuccactl
+{
+
+/// A document as read from a file or standard input.
+struct DocumentFile {
+    std::string name; ///< `-` for standard input.
+    std::string text;
+    settings::Document document;
+};
+
+/// Reads and checks a document. The failure lists every problem.
+tl::expected<DocumentFile, Failure> readDocumentFile(const std::string &name);
+
+} // namespace yuccawheel::programs::yuccactl
--- /dev/null
+++ b/src/programs/yuccactl/entry_client.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "http/client.h"
+#include "programs/yuccactl/exit_code.h"
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccawheel::programs::yuccactl
+{
+
+using Json = nlohmann::ordered_json;
+
+/// Why a command did not succeed.
+struct Failure {
+    ExitCode code = ExitCode::Failed;
+    std::string message;
+    Json details; ///< The cluster's own answer, if there was one.
+};
+
+/// Talks to the operator address of whichever entry answers.
+class EntryClient
+{
+public:
+    EntryClient(std::vector<settings::Endpoint> entries, std::string token, std::chrono::milliseconds timeout);
+
+    tl::expected<Json, Failure> get(const std::string &target) const;
+    /// Sends an idempotent request. After a lost answer it goes on to the next entry.
+    tl::expected<Json, Failure>
+    post(const std::string &target, std::vector<http::Header> headers, const std::string &body) const;
+
+private:
+    tl::expected<Json, Failure> send(const http::ClientRequest &request) const;
+
+    std::vector<settings::Endpoint> entries_;
+    std::string token_;
+    std::chrono::milliseconds timeout_;
+};
+
+/// Escapes a name for the path of a request.
+std::string escapePath(std::string_view text);
+
+} // namespace yuccawheel::programs::yuccactl
--- /dev/null
+++ b/src/programs/yuccactl/session.cpp
@@ -0,0 +1,67 @@
+#include "programs/yuccactl/session.h"
+
+#include "programs/yuccactl/render.h"
+
+#include <fmt/core.h>
+
+#include <cstdio>
+#include <utility>
+
+namespace yuccawheel::programs::yuccactl
+{
+
+namespace
+{
+
+constexpr int JsonIndent = 2;
+
+std::string dump(const Json &json)
+{
+    return json.dump(JsonIndent, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+} // namespace
+
+Session::Session(Options options, EntryClient client) : options_(std::move(options)), client_(std::move(client))
+{
+}
+
+void Session::print(const Json &answer, const std::string &text) const
+{
+    const std::string output = options_.json ? dump(answer) : text.empty() ? render(answer) : text;
+    std::fwrite(output.data(), 1, output.size(), stdout);
+    std::fflush(stdout);
+}
+
+ExitCode Session::finish(const tl::expected<Json, Failure> &answer) const
+{
+    if (!answer) {
+        return fail(answer.error());
+    }
+    print(*answer);
+    return ExitCode::Ok;
+}
+
+ExitCode Session::fail(const Failure &failure) const
+{
+    if (options_.json) {
+        print({{"exit_code", static_cast<int>(failure.code)},
+               {"message", failure.message},
+               {"answer", failure.details.is_discarded() ? Json() : failure.details}});
+    } else {
+        fmt::print(stderr, "yuccactl: {}\n", failure.message);
+    }
+    return failure.code;
+}
+
+ExitCode Session::fail(ExitCode code, const std::string &message) const
+{
+    return fail(Failure{code, message, {}});
+}
+
+void printProgress(std::string_view text)
+{
+    fmt::print(stderr, "{}\n", text);
+}
+
+} // namespace yuccawheel::programs::yuccactl
