--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -44,6 +44,17 @@
     return std::any_of(shares.begin(), shares.end(), [zone](const Share &share) { return share.zone == zone; });
 }
 
+protocol::IndexSet JobRecord::indicesOf(std::string_view zone) const
+{
+    protocol::IndexSet indices;
+    for (const Share &share : shares) {
+        if (share.zone == zone) {
+            indices.insert(protocol::IndexRange{share.firstIndex, share.firstIndex + share.count});
+        }
+    }
+    return indices;
+}
+
 base::Verdict JobRecord::verdict() const
 {
     if (!succeeded.empty() || !failed.empty()) {
@@ -73,6 +84,13 @@
     return found == data_.owners.end() ? nullptr : &found->second;
 }
 
+const std::set<std::string> &ClusterState::workers(const std::string &zone) const
+{
+    static const std::set<std::string> None;
+    const auto found = data_.workers.find(zone);
+    return found == data_.workers.end() ? None : found->second;
+}
+
 const protocol::SubmitReply *ClusterState::findSubmission(const std::string &submission) const
 {
     const auto found = data_.submissions.find(submission);
@@ -173,6 +191,9 @@
     record.spec = spec;
     record.spec.id = data_.nextJob++;
     record.shares = shares;
+    for (Share &share : record.shares) {
+        share.assignedAt = data_.index;
+    }
     record.acceptedAt = at;
     const placement::JobId id = record.spec.id;
     data_.jobs.emplace(id, std::move(record));
@@ -218,30 +239,52 @@
 {
     const protocol::ZoneOwner *const current = owner(entry.candidate.zone);
     if ((current == nullptr ? 0 : current->epoch) != entry.replacedEpoch) {
-        return protocol::AcquireZoneReply{0};
+        return protocol::AcquireZoneReply{current == nullptr ? protocol::ZoneOwner{} : *current};
     }
     protocol::ZoneOwner next = entry.candidate;
     next.epoch = data_.index;
+    next.takeovers = current == nullptr ? 1 : current->takeovers + 1;
     data_.owners[next.zone] = next;
     change.ownerOf = next.zone;
-    return protocol::AcquireZoneReply{next.epoch};
+    return protocol::AcquireZoneReply{next};
 }
 
-ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange & /*change*/)
+// A zone's word counts only for the indices that are its own: a share that has moved is another zone's to report on.
+ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange &change)
 {
     const protocol::ZoneOwner *const current = owner(entry.zone);
     if (current == nullptr || current->epoch != entry.epoch) {
         return std::monostate{};
     }
-    for (const protocol::JobProgress &progress : entry.progress) {
+    for (protocol::JobProgress progress : entry.progress) {
         const auto found = data_.jobs.find(progress.job);
-        if (found != data_.jobs.end()) {
-            recordProgress(found->second, progress, entry.at);
+        if (found == data_.jobs.end()) {
+            continue;
+        }
+        const protocol::IndexSet own = found->second.indicesOf(entry.zone);
+        for (protocol::IndexSet *const set :
+             {&progress.started, &progress.succeeded, &progress.failed, &progress.notRun, &progress.mayHaveRun}) {
+            set->intersect(own);
         }
+        recordProgress(found->second, progress, entry.at);
     }
+    changeWorkers(entry, change);
     return std::monostate{};
 }
 
+void ClusterState::changeWorkers(const ProgressEntry &entry, StateChange &change)
+{
+    if (entry.joinedWorkers.empty() && entry.leftWorkers.empty()) {
+        return;
+    }
+    std::set<std::string> &workers = data_.workers[entry.zone];
+    workers.insert(entry.joinedWorkers.begin(), entry.joinedWorkers.end());
+    for (const std::string &worker : entry.leftWorkers) {
+        workers.erase(worker);
+    }
+    change.workersOf = entry.zone;
+}
+
 // The first certain word on a task stays; "may have run" gives way to a later certain one.
 void ClusterState::recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at)
 {
@@ -254,6 +297,7 @@
             record.mayHaveRun.erase(words);
         }
     };
+    record.started.insert(progress.started);
     addNew(record.succeeded, progress.succeeded);
     addNew(record.failed, progress.failed);
     addNew(record.notRun, progress.notRun);
@@ -278,7 +322,10 @@
         shares.erase(std::remove_if(
                          shares.begin(), shares.end(), [&move](const Share &share) { return share.zone == move.from; }),
                      shares.end());
-        shares.insert(shares.end(), move.to.begin(), move.to.end());
+        for (Share share : move.to) {
+            share.assignedAt = data_.index;
+            shares.push_back(std::move(share));
+        }
         change.assigned.push_back(move.job);
     }
     return std::monostate{};
