--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -1,6 +1,5 @@
 #include "settings/process_settings.h"
 
-#include "base/scope_guard.h"
 #include "settings/reader.h"
 #include "settings/setting_table.h"
 #include "settings/units.h"
@@ -14,6 +13,7 @@
 #include <set>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace yuccawheel::settings
 {
@@ -117,41 +117,59 @@
 namespace
 {
 
-// Binds as the daemons do; the socket is closed again at once.
-int bindError(const Endpoint &endpoint)
+/// A listening socket that is closed with its owner.
+class TrialListener
 {
-    sockaddr_in6 six{};
-    sockaddr_in four{};
-    six.sin6_family = AF_INET6;
-    six.sin6_port = htons(endpoint.port);
-    four.sin_family = AF_INET;
-    four.sin_port = htons(endpoint.port);
-    const bool isSix = endpoint.isIpv6();
-    inet_pton(isSix ? AF_INET6 : AF_INET,
-              endpoint.ip.c_str(),
-              isSix ? static_cast<void *>(&six.sin6_addr) : static_cast<void *>(&four.sin_addr));
-    const int descriptor = socket(isSix ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (descriptor < 0) {
-        return errno;
+public:
+    TrialListener() = default;
+    TrialListener(TrialListener &&other) noexcept : descriptor_(std::exchange(other.descriptor_, -1))
+    {
     }
-    const base::ScopeGuard closer([descriptor] { close(descriptor); });
-    const int on = 1;
-    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const auto *const address =
-        isSix ? reinterpret_cast<const sockaddr *>(&six) : reinterpret_cast<const sockaddr *>(&four);
-    if (bind(descriptor, address, isSix ? sizeof(six) : sizeof(four)) != 0 || listen(descriptor, 1) != 0) {
-        return errno;
+    TrialListener &operator=(TrialListener &&) = delete;
+    ~TrialListener()
+    {
+        if (descriptor_ >= 0) {
+            close(descriptor_);
+        }
     }
-    return 0;
-}
+
+    /// Binds as the daemons do. Returns 0 or an error number.
+    int open(const Endpoint &endpoint)
+    {
+        sockaddr_in6 six{};
+        sockaddr_in four{};
+        six.sin6_family = AF_INET6;
+        six.sin6_port = htons(endpoint.port);
+        inet_pton(AF_INET6, endpoint.ip.c_str(), &six.sin6_addr);
+        four.sin_family = AF_INET;
+        four.sin_port = htons(endpoint.port);
+        inet_pton(AF_INET, endpoint.ip.c_str(), &four.sin_addr);
+        return endpoint.isIpv6() ? listenOn(AF_INET6, reinterpret_cast<const sockaddr *>(&six), sizeof(six))
+                                 : listenOn(AF_INET, reinterpret_cast<const sockaddr *>(&four), sizeof(four));
+    }
+
+private:
+    int listenOn(int family, const sockaddr *address, socklen_t length)
+    {
+        const int on = 1;
+        descriptor_ = socket(family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const bool bound = descriptor_ >= 0 && setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0
+            && bind(descriptor_, address, length) == 0 && listen(descriptor_, 1) == 0;
+        return bound ? 0 : errno;
+    }
+
+    int descriptor_ = -1;
+};
 
 } // namespace
 
 Problems checkListeners(const ProcessSettings &settings)
 {
     Problems problems;
+    // All stay open until the end, so that two keys with one address are found too.
+    std::vector<TrialListener> open;
     const auto check = [&](const std::optional<Endpoint> &endpoint, std::string_view key) {
-        const int error = endpoint ? bindError(*endpoint) : 0;
+        const int error = endpoint ? open.emplace_back().open(*endpoint) : 0;
         if (error != 0) {
             problems.push_back(
                 problemAt(settings, key, fmt::format("an address of this VM that is free ({})", std::strerror(error))));
--- a/tests/settings_process_test.cpp
+++ b/tests/settings_process_test.cpp
@@ -1,3 +1,4 @@
+#include "base/scope_guard.h"
 #include "settings/process_settings.h"
 #include "settings/units.h"
 
@@ -7,6 +8,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace yuccawheel::settings;
 using namespace std::chrono_literals;
@@ -133,6 +137,30 @@
     EXPECT_EQ(problems.at(0).found, "192.0.2.1:80");
 }
 
+TEST_F(SettingsFile, oneAddressForTwoListenersIsReported)
+{
+    auto settings = load(with("inner: \"[::1]:0\"", "inner: 127.0.0.1:0"));
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(checkListeners(*settings).empty());
+    // A bound socket that does not listen keeps the port from others, yet lets the check bind it.
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    const int holder = socket(AF_INET, SOCK_STREAM, 0);
+    const yuccawheel::base::ScopeGuard closer([holder] { close(holder); });
+    const int on = 1;
+    setsockopt(holder, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    ASSERT_EQ(bind(holder, reinterpret_cast<sockaddr *>(&address), length), 0);
+    ASSERT_EQ(getsockname(holder, reinterpret_cast<sockaddr *>(&address), &length), 0);
+    settings->listen.caller = Endpoint{"127.0.0.1", ntohs(address.sin_port)};
+    EXPECT_TRUE(checkListeners(*settings).empty());
+    settings->listen.health = settings->listen.caller;
+    const auto problems = checkListeners(*settings);
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_EQ(problems.at(0).key, "listen.health");
+}
+
 RC_GTEST_PROP(Units, formattedAmountsAreParsedBack, ())
 {
     const auto amount = *rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 40);
