--- a/src/base/bounded_ring.h
+++ b/src/base/bounded_ring.h
@@ -34,6 +34,12 @@
         return true;
     }
 
+    /// Like `tryPush`, for an item that is tried again: it is moved from only if it was taken.
+    bool tryPushFrom(Item &item)
+    {
+        return tryPush(std::move(item));
+    }
+
     /// Takes the oldest item, or nothing if the ring is empty.
     std::optional<Item> tryPop()
     {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -179,6 +179,16 @@
     return {asio::ip::make_address(endpoint.ip), endpoint.port};
 }
 
+std::vector<asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
+{
+    std::vector<asio::ip::tcp::endpoint> addresses;
+    addresses.reserve(peers.size());
+    for (const settings::Peer &peer : peers) {
+        addresses.push_back(toAsio(peer.address));
+    }
+    return addresses;
+}
+
 std::optional<asio::ip::tcp::endpoint> parseAddress(std::string_view text)
 {
     const auto endpoint = settings::parseEndpoint(text);
--- a/src/programs/yw_entry/entry_service.cpp
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -14,15 +14,6 @@
 namespace
 {
 
-std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
-{
-    std::vector<boost::asio::ip::tcp::endpoint> addresses;
-    for (const settings::Peer &peer : peers) {
-        addresses.push_back(daemon::toAsio(peer.address));
-    }
-    return addresses;
-}
-
 http::ProxyOptions proxyOptions(const daemon::Context &context)
 {
     http::ProxyOptions options;
@@ -62,11 +53,14 @@
     : context_(context)
     , proxy_(proxyOptions(context), nullptr)
     , peers_(context, proxy_)
-    , store_(context.io, addressesOf(context.settings.stores), context.self, [](const protocol::StateUpdate &update) {
-        if (update.configurationChanged) {
-            base::logInfo("configuration_applied").with("version", update.configurationVersion);
-        }
-    })
+    , store_(context.io,
+             daemon::addressesOf(context.settings.stores),
+             context.self,
+             [](const protocol::StateUpdate &update) {
+                 if (update.configurationChanged) {
+                     base::logInfo("configuration_applied").with("version", update.configurationVersion);
+                 }
+             })
 {
     const auto port = proxy_.start();
     if (!port) {
--- a/src/programs/yw_scheduler/planner_thread.cpp
+++ b/src/programs/yw_scheduler/planner_thread.cpp
@@ -82,7 +82,7 @@
         const std::uint64_t session = sessionOf(command);
         output.steps.push_back({std::move(command), session});
     }
-    while (!stopping_ && !output_.tryPush(std::move(output))) {
+    while (!stopping_ && !output_.tryPushFrom(output)) {
         wake_();
         std::this_thread::sleep_for(FullRingWait);
     }
--- a/src/programs/yw_scheduler/planner_thread.h
+++ b/src/programs/yw_scheduler/planner_thread.h
@@ -57,6 +57,11 @@
     {
         return input_.tryPush(std::move(input));
     }
+    /// Like `tryPush`, for an input that is tried again: it is moved from only if it was taken.
+    bool tryPushFrom(PlannerInput &input)
+    {
+        return input_.tryPushFrom(input);
+    }
     std::optional<PlannerOutput> takeOutput()
     {
         return output_.tryPop();
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -19,15 +19,6 @@
 constexpr std::chrono::milliseconds ReleaseTimeout{1'000};
 constexpr std::size_t MaxWorkerName = 64;
 
-std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
-{
-    std::vector<boost::asio::ip::tcp::endpoint> addresses;
-    for (const settings::Peer &peer : peers) {
-        addresses.push_back(daemon::toAsio(peer.address));
-    }
-    return addresses;
-}
-
 bool isWorkerName(std::string_view name)
 {
     return !name.empty() && name.size() <= MaxWorkerName && std::all_of(name.begin(), name.end(), [](unsigned char c) {
@@ -58,7 +49,7 @@
     , alive_(std::make_shared<SchedulerService *>(this))
     , timer_(context.io)
     , store_(context.io,
-             addressesOf(context.settings.stores),
+             daemon::addressesOf(context.settings.stores),
              context.self,
              [this](const protocol::StateUpdate &update) { onUpdate(update); })
 {
@@ -268,7 +259,7 @@
 
 void SchedulerService::pushBacklog()
 {
-    while (!backlog_.empty() && planner_->tryPush(std::move(backlog_.front()))) {
+    while (!backlog_.empty() && planner_->tryPushFrom(backlog_.front())) {
         backlog_.pop_front();
     }
 }
--- a/src/programs/yw_store/store_thread.cpp
+++ b/src/programs/yw_store/store_thread.cpp
@@ -87,7 +87,7 @@
         }
         more = output->more;
         const bool empty = output->messages.empty() && output->frames.empty();
-        while (!empty && !stopping_ && !output_.tryPush(std::move(*output))) {
+        while (!empty && !stopping_ && !output_.tryPushFrom(*output)) {
             wake_();
             std::this_thread::sleep_for(FullRingWait);
         }
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -84,9 +84,9 @@
 
 const std::set<std::string> &ClusterState::workers(const std::string &zone) const
 {
-    static const std::set<std::string> None;
+    static const std::set<std::string> none;
     const auto found = data_.workers.find(zone);
-    return found == data_.workers.end() ? None : found->second;
+    return found == data_.workers.end() ? none : found->second;
 }
 
 const protocol::SubmitReply *ClusterState::findSubmission(const std::string &submission) const
