Replay of traces with stated outcomes; faults that they showed

yw-bench replay runs a trace on virtual time against a small stand-in for the platform and compares with the outcomes in the same file. Seen to fail first, and mended: - gang-among-small-jobs (518 s wait) and quota-given-back (340 s): claims that grow with waiting time were looked at only when room came free; all waiting jobs are now looked at again each second. - failing-worker (96 starts on the bad VM in 5 min): a job that has succeeded nowhere avoids the VMs it failed on for 30 s; one that failed on three VMs tries one task at a time. - urgent-preempts: late usage reports of ended attempts were answered with stops. - owner-change: tasks that use just what they declared were stopped as outgrown; TaskDone named a wrong attempt after adoption. - sizes-far-off: sizes were learned from too few usage reports; run times and sizes are now learned apart. - quota-given-back (one stop too many): a team at its limit in one resource counted as within its quota.

--- /dev/null
+++ b/bench/replay_platform.cpp
@@ -0,0 +1,605 @@
+#include "replay_platform.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+
+namespace yuccawheel::bench
+{
+
+using namespace placement;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr milliseconds MessageDelay = 5ms;
+constexpr milliseconds CheckpointTime = 800ms;
+constexpr milliseconds UsageInterval = 10s;
+constexpr milliseconds UsageLag = 10s;
+constexpr milliseconds FailAfter = 300ms;
+constexpr milliseconds TickInterval = 500ms;
+constexpr double OverLimitSpeed = 0.25; ///< Of a task that needs more memory than it may have.
+constexpr std::uint32_t AttemptsPerOwner = 1'000;
+
+class PlannerScheduler : public Scheduler
+{
+public:
+    explicit PlannerScheduler(Objective objective) : objective_(objective), planner_(PlannerOptions{objective, 1})
+    {
+    }
+    void handle(const Event &event, base::TimePoint now) override
+    {
+        planner_.handle(event, now);
+    }
+    void decide(base::TimePoint now, std::vector<Command> &commands) override
+    {
+        planner_.decide(now, commands);
+    }
+    std::unique_ptr<Scheduler> fresh() const override
+    {
+        return std::make_unique<PlannerScheduler>(objective_);
+    }
+
+private:
+    Objective objective_;
+    Planner planner_;
+};
+
+double hours(base::Duration duration)
+{
+    return std::chrono::duration<double, std::ratio<3600>>(duration).count();
+}
+
+// Returns the number of workers that an amount fills in its tightest resource.
+double workersFilled(const Resources &amount, const Resources &capacity)
+{
+    const auto part = [](std::int64_t used, std::int64_t has) {
+        return has > 0 ? static_cast<double>(used) / static_cast<double>(has) : 0.0;
+    };
+    return std::max({part(amount.milliCpu, capacity.milliCpu),
+                     part(amount.memoryMib, capacity.memoryMib),
+                     part(amount.accelerators, capacity.accelerators)});
+}
+
+} // namespace
+
+std::unique_ptr<Scheduler> makePlannerScheduler(Objective objective)
+{
+    return std::make_unique<PlannerScheduler>(objective);
+}
+
+Platform::Platform(const Trace &trace, std::unique_ptr<Scheduler> scheduler, PlatformOptions options)
+    : trace_(trace)
+    , options_(options)
+    , scheduler_(std::move(scheduler))
+{
+}
+
+const Outcomes &Platform::run()
+{
+    const base::TimePoint end = start_ + trace_.length;
+    auto action = trace_.actions.begin();
+    give(RecoveryFinished{});
+    push({}, TickInterval);
+    while (true) {
+        base::TimePoint next = steps_.top().at;
+        if (action != trace_.actions.end()) {
+            next = std::min<base::TimePoint>(next, start_ + action->first);
+        }
+        if (next > end) {
+            break;
+        }
+        account(next);
+        now_ = next;
+        while (action != trace_.actions.end() && start_ + action->first <= now_) {
+            act(action->second);
+            ++action;
+        }
+        while (steps_.top().at <= now_) {
+            const Step due = steps_.top();
+            steps_.pop();
+            step(due);
+        }
+        decide();
+    }
+    account(end);
+    return outcomes_;
+}
+
+void Platform::account(base::TimePoint until)
+{
+    const double span = hours(until - now_);
+    outcomes_.busyWorkerHours += span * busyWorkers_;
+    outcomes_.lowerBoundHours += span * workersFilled(used_, capacity_);
+    outcomes_.reservedBoundHours += span * workersFilled(reserved_, capacity_);
+}
+
+void Platform::push(Step step, milliseconds delay)
+{
+    step.at = now_ + delay;
+    step.sequence = ++sequence_;
+    steps_.push(std::move(step));
+}
+
+void Platform::give(const Event &event)
+{
+    const auto before = std::chrono::steady_clock::now();
+    scheduler_->handle(event, now_);
+    outcomes_.decisionSeconds += std::chrono::duration<double>(std::chrono::steady_clock::now() - before).count();
+}
+
+void Platform::act(const Action &action)
+{
+    std::visit([this](const auto &content) { act(content); }, action);
+}
+
+void Platform::act(const WorkersJoin &action)
+{
+    machines_.resize(std::max<std::size_t>(machines_.size(), action.first + action.count));
+    capacity_ = larger(capacity_, action.capacity);
+    for (WorkerId worker = action.first; worker < action.first + action.count; ++worker) {
+        Machine &machine = machines_[worker];
+        machine.origin = action;
+        join(worker);
+        if (!machine.joined) {
+            machine.joined = true;
+            Step usageStep;
+            usageStep.kind = Kind::Usage;
+            usageStep.worker = worker;
+            push(usageStep, UsageInterval + milliseconds(worker * 37 % 1'000));
+        }
+    }
+}
+
+void Platform::join(WorkerId worker)
+{
+    Machine &machine = machines_[worker];
+    ++machine.session;
+    machine.connected = true;
+    WorkerJoined event{worker,
+                       fmt::format("vm{}", worker),
+                       fmt::format("rack{}", worker / machine.origin.rackSize),
+                       machine.origin.capacity,
+                       {}};
+    for (const auto &[task, running] : machine.running) {
+        event.running.push_back({task, running.limit});
+    }
+    give(event);
+}
+
+void Platform::act(const JobArrives &action)
+{
+    Arrived &arrived = jobs_[action.spec.id];
+    arrived.job = action;
+    JobOutcome &outcome = outcomes_.jobs[action.spec.id];
+    outcome.spec = action.spec;
+    outcome.arrivedAt = now_;
+    assign(arrived, false, false);
+}
+
+void Platform::assign(const Arrived &arrived, bool recovered, bool startsRecorded)
+{
+    JobAssigned event;
+    event.spec = arrived.job.spec;
+    event.count = arrived.job.spec.tasks;
+    event.finished.assign(arrived.finals.begin(), arrived.finals.end());
+    event.recovered = recovered;
+    event.startsRecorded = startsRecorded;
+    if (startsRecorded) {
+        event.maybeStarted.assign(arrived.started.begin(), arrived.started.end());
+    }
+    event.firstAttempt = owner_ * AttemptsPerOwner;
+    give(event);
+    if (arrived.cancelled) {
+        give(JobCancelled{event.spec.id});
+    }
+}
+
+void Platform::act(const JobsCancelled &action)
+{
+    for (JobId job = action.first; job <= action.last; ++job) {
+        jobs_[job].cancelled = true;
+        give(JobCancelled{job});
+    }
+}
+
+void Platform::act(const WorkersFail &action)
+{
+    for (WorkerId worker = action.first; worker < action.first + action.count; ++worker) {
+        apply(worker, action.fault);
+    }
+}
+
+void Platform::apply(WorkerId worker, WorkerFault fault)
+{
+    Machine &machine = machines_[worker];
+    switch (fault) {
+    case WorkerFault::Silent:
+        machine.connected = false;
+        give(WorkerSilent{worker});
+        break;
+    case WorkerFault::Back:
+        machine.connected = true;
+        give(WorkerBack{worker});
+        break;
+    case WorkerFault::LeasesExpired: {
+        ++machine.session;
+        machine.connected = false;
+        while (!machine.running.empty()) {
+            endTask(worker, machine.running.begin()->first, TaskState::Stopped);
+        }
+        give(WorkerLeasesExpired{worker});
+        break;
+    }
+    case WorkerFault::Rejoin:
+        join(worker);
+        break;
+    case WorkerFault::Drain:
+    case WorkerFault::Undrain:
+        give(WorkerDrain{worker, fault == WorkerFault::Drain});
+        break;
+    case WorkerFault::FailsAll:
+    case WorkerFault::Healed:
+        machine.failsAll = fault == WorkerFault::FailsAll;
+        break;
+    }
+}
+
+void Platform::act(const QuotasSet &action)
+{
+    give(QuotasChanged{action.quotas});
+}
+
+void Platform::act(const OwnerChanges &action)
+{
+    scheduler_ = scheduler_->fresh();
+    ++owner_;
+    for (const auto &[id, arrived] : jobs_) {
+        if (!arrived.ended) {
+            assign(arrived, true, action.startsRecorded);
+        }
+    }
+    for (WorkerId worker = 0; worker < machines_.size(); ++worker) {
+        if (machines_[worker].joined && machines_[worker].connected) {
+            join(worker);
+        }
+    }
+    give(RecoveryFinished{});
+}
+
+void Platform::decide()
+{
+    std::vector<Command> commands;
+    const auto before = std::chrono::steady_clock::now();
+    scheduler_->decide(now_, commands);
+    outcomes_.decisionSeconds += std::chrono::duration<double>(std::chrono::steady_clock::now() - before).count();
+    outcomes_.commands += commands.size();
+    for (const Command &command : commands) {
+        if (options_.printCommands) {
+            print(command);
+        }
+        take(command);
+    }
+}
+
+void Platform::print(const Command &command) const
+{
+    const auto at = std::chrono::duration_cast<milliseconds>(now_ - start_).count();
+    if (const auto *start = std::get_if<StartTask>(&command)) {
+        fmt::print("{} start {} on {}: {} {} {}, waited {} ms\n",
+                   at,
+                   toString(start->task),
+                   start->worker,
+                   start->reserved.milliCpu,
+                   start->reserved.memoryMib,
+                   start->reserved.accelerators,
+                   start->waited.count());
+    } else if (const auto *stop = std::get_if<StopTask>(&command)) {
+        fmt::print("{} stop {} on {}: reason {}{}\n",
+                   at,
+                   toString(stop->task),
+                   stop->worker,
+                   static_cast<int>(stop->reason),
+                   stop->checkpointFirst ? ", checkpoint" : "");
+    } else if (const auto *throttle = std::get_if<ThrottleTask>(&command)) {
+        fmt::print("{} limit {} to {} {}\n",
+                   at,
+                   toString(throttle->task),
+                   throttle->limit.milliCpu,
+                   throttle->limit.memoryMib);
+    } else if (const auto *done = std::get_if<TaskDone>(&command)) {
+        fmt::print("{} done {}: {}{}\n",
+                   at,
+                   toString(done->task),
+                   base::toString(done->verdict),
+                   done->succeeded ? "" : ", not succeeded");
+    } else if (const auto *never = std::get_if<JobNeverFits>(&command)) {
+        fmt::print("{} job {} never fits: missing {} {} {}\n",
+                   at,
+                   never->job,
+                   never->missing.milliCpu,
+                   never->missing.memoryMib,
+                   never->missing.accelerators);
+    } else if (const auto *note = std::get_if<DecisionNote>(&command)) {
+        fmt::print("{} job {}: {}\n", at, note->job, note->text);
+    }
+}
+
+void Platform::take(const Command &command)
+{
+    const auto send = [&](WorkerId worker) {
+        Step message;
+        message.kind = Kind::Command;
+        message.worker = worker;
+        message.session = machines_[worker].session;
+        message.command = command;
+        push(std::move(message), MessageDelay);
+    };
+    if (const auto *start = std::get_if<StartTask>(&command)) {
+        takeStart(*start);
+        send(start->worker);
+    } else if (const auto *stop = std::get_if<StopTask>(&command)) {
+        const auto job = outcomes_.jobs.find(stop->task.job);
+        if (job != outcomes_.jobs.end()) {
+            ++job->second.stops;
+        }
+        send(stop->worker);
+    } else if (const auto *throttle = std::get_if<ThrottleTask>(&command)) {
+        send(throttle->worker);
+    } else if (const auto *done = std::get_if<TaskDone>(&command)) {
+        takeDone(*done);
+    } else if (const auto *notRun = std::get_if<TasksNotRun>(&command)) {
+        outcomes_.jobs[notRun->job].notRun += notRun->count;
+        for (std::uint32_t index = 0; index < notRun->count; ++index) {
+            jobs_[notRun->job].finals.insert(notRun->firstIndex + index);
+        }
+    } else if (const auto *never = std::get_if<JobNeverFits>(&command)) {
+        ++outcomes_.jobs[never->job].neverFits;
+    } else if (const auto *ended = std::get_if<JobShareDone>(&command)) {
+        jobs_[ended->job].ended = true;
+    }
+}
+
+void Platform::takeStart(const StartTask &start)
+{
+    JobOutcome &outcome = outcomes_.jobs[start.task.job];
+    outcome.startTimes.push_back(now_);
+    outcomes_.starts.push_back({now_, start.worker});
+    jobs_[start.task.job].started.insert(start.task.index);
+    if (++outcome.startsByIndex[start.task.index] == 1) {
+        outcome.waits.push_back(std::chrono::duration_cast<milliseconds>(now_ - outcome.arrivedAt));
+    }
+}
+
+void Platform::takeDone(const TaskDone &done)
+{
+    JobOutcome &outcome = outcomes_.jobs[done.task.job];
+    jobs_[done.task.job].finals.insert(done.task.index);
+    if (done.verdict == base::Verdict::NotRun) {
+        ++outcome.notRun;
+    } else if (done.verdict == base::Verdict::MayHaveRun) {
+        ++outcome.mayHaveRun;
+    } else if (done.succeeded) {
+        ++outcome.finished;
+        const auto deadline = outcome.spec.deadline;
+        outcome.lateTasks += deadline && now_ - outcome.arrivedAt > *deadline ? 1 : 0;
+    } else {
+        ++outcome.failed;
+    }
+}
+
+void Platform::step(const Step &due)
+{
+    switch (due.kind) {
+    case Kind::Tick:
+        push({}, TickInterval);
+        break;
+    case Kind::Usage:
+        reportUsage(due.worker);
+        push(due, UsageInterval);
+        break;
+    case Kind::Command:
+        if (due.session == machines_[due.worker].session) {
+            deliver(due.worker, due.command);
+        }
+        break;
+    case Kind::Report:
+        if (due.session == machines_[due.worker].session && machines_[due.worker].connected) {
+            give(WorkerReported{due.worker, due.reports});
+        }
+        break;
+    case Kind::TaskEnd:
+    case Kind::Checkpointed: {
+        const auto found = machines_[due.worker].running.find(due.task);
+        if (found == machines_[due.worker].running.end()) {
+            return;
+        }
+        if (due.kind == Kind::Checkpointed) {
+            advance(found->second);
+            jobs_[due.task.job].saved[due.task.index] = found->second.doneMs;
+            endTask(due.worker, due.task, TaskState::Checkpointed);
+        } else if (found->second.generation == due.generation) {
+            endTask(due.worker, due.task, found->second.fails ? TaskState::Failed : TaskState::Finished);
+        }
+        break;
+    }
+    }
+}
+
+void Platform::deliver(WorkerId worker, const Command &command)
+{
+    Machine &machine = machines_[worker];
+    if (!machine.connected) {
+        // The connection holds it back until the worker answers again.
+        Step message;
+        message.kind = Kind::Command;
+        message.worker = worker;
+        message.session = machine.session;
+        message.command = command;
+        push(std::move(message), 1s);
+    } else if (const auto *start = std::get_if<StartTask>(&command)) {
+        startTask(worker, *start);
+    } else if (const auto *stop = std::get_if<StopTask>(&command)) {
+        stopTask(worker, *stop);
+    } else if (const auto *throttle = std::get_if<ThrottleTask>(&command)) {
+        const auto found = machine.running.find(throttle->task);
+        if (found != machine.running.end()) {
+            advance(found->second);
+            addUse(found->second, -1);
+            found->second.limit = throttle->limit;
+            addUse(found->second, 1);
+            schedule(worker, found->second);
+        }
+    }
+}
+
+void Platform::startTask(WorkerId worker, const StartTask &start)
+{
+    Machine &machine = machines_[worker];
+    if (machine.ended.count(start.task) != 0) {
+        return;
+    }
+    Arrived &arrived = jobs_[start.task.job];
+    Running running;
+    running.task = start.task;
+    running.limit = start.reserved;
+    running.truth = arrived.job.truths[std::min<std::size_t>(start.task.index, arrived.job.truths.size() - 1)];
+    running.updatedAt = now_;
+    running.doneMs = start.resumeFromCheckpoint ? arrived.saved[start.task.index] : 0;
+    std::int32_t &failures = arrived.failures[start.task.index];
+    running.fails = machine.failsAll || running.truth.failures < 0 || failures < running.truth.failures;
+    failures += running.fails && !machine.failsAll ? 1 : 0;
+    busyWorkers_ += machine.running.empty() ? 1 : 0;
+    outcomes_.doubled += live_.insert({start.task.job, start.task.index}).second ? 0 : 1;
+    Running &entry = machine.running[start.task] = running;
+    addUse(entry, 1);
+    schedule(worker, entry);
+    Resources sum;
+    std::uint32_t onRack = 0;
+    for (const auto &[task, other] : machine.running) {
+        sum += other.limit;
+    }
+    outcomes_.overbooked += sum.fitsIn(machine.origin.capacity) ? 0 : 1;
+    for (WorkerId other = 0; other < machines_.size(); ++other) {
+        if (arrived.job.spec.kind == JobKind::Service
+            && other / machine.origin.rackSize == worker / machine.origin.rackSize) {
+            for (const auto &[task, content] : machines_[other].running) {
+                onRack += task.job == start.task.job ? 1 : 0;
+            }
+        }
+    }
+    JobOutcome &outcome = outcomes_.jobs[start.task.job];
+    outcome.mostOnOneRack = std::max(outcome.mostOnOneRack, onRack);
+    report(worker, start.task, TaskState::Running);
+}
+
+void Platform::stopTask(WorkerId worker, const StopTask &stop)
+{
+    Machine &machine = machines_[worker];
+    if (machine.running.count(stop.task) == 0) {
+        report(worker, stop.task, machine.ended.emplace(stop.task, TaskState::Unknown).first->second);
+    } else if (stop.checkpointFirst) {
+        Step done;
+        done.kind = Kind::Checkpointed;
+        done.worker = worker;
+        done.task = stop.task;
+        push(done, CheckpointTime);
+    } else {
+        endTask(worker, stop.task, TaskState::Stopped);
+    }
+}
+
+void Platform::endTask(WorkerId worker, const TaskId &task, TaskState state)
+{
+    Machine &machine = machines_[worker];
+    Running &running = machine.running.at(task);
+    if (state == TaskState::Stopped || state == TaskState::Failed) {
+        advance(running);
+        const double saved = jobs_[task.job].saved[task.index];
+        outcomes_.lostWorkHours += std::max(0.0, running.doneMs - saved) / 3.6e6;
+    }
+    addUse(running, -1);
+    const Resources sampled = running.sampled;
+    machine.running.erase(task);
+    live_.erase({task.job, task.index});
+    busyWorkers_ -= machine.running.empty() ? 1 : 0;
+    machine.ended[task] = state;
+    report(worker, task, state, sampled);
+}
+
+void Platform::report(WorkerId worker, const TaskId &task, TaskState state, const Resources &use)
+{
+    Step message;
+    message.kind = Kind::Report;
+    message.worker = worker;
+    message.session = machines_[worker].session;
+    message.reports = {{task, state, use}};
+    push(std::move(message), MessageDelay);
+}
+
+void Platform::reportUsage(WorkerId worker)
+{
+    Step message;
+    message.kind = Kind::Report;
+    message.worker = worker;
+    message.session = machines_[worker].session;
+    for (auto &[task, running] : machines_[worker].running) {
+        advance(running);
+        running.sampled = usage(running);
+        message.reports.push_back({task, TaskState::Running, running.sampled});
+    }
+    if (!message.reports.empty()) {
+        push(std::move(message), UsageLag);
+    }
+}
+
+double Platform::speed(const Running &running)
+{
+    double factor = 1;
+    if (running.truth.usage.milliCpu > running.limit.milliCpu && running.truth.usage.milliCpu > 0) {
+        factor = static_cast<double>(running.limit.milliCpu) / static_cast<double>(running.truth.usage.milliCpu);
+    }
+    return running.truth.usage.memoryMib > running.limit.memoryMib ? factor * OverLimitSpeed : factor;
+}
+
+// Memory grows to its peak over the first third of the run; processors are in use from the start.
+Resources Platform::usage(const Running &running)
+{
+    const double total = std::max(1.0, static_cast<double>(running.truth.runTime.count()));
+    const double part = std::min(1.0, 0.4 + (running.doneMs / total * 1.8));
+    Resources used = running.truth.usage;
+    used.memoryMib = static_cast<std::int64_t>(static_cast<double>(used.memoryMib) * part);
+    return smaller(used, running.limit);
+}
+
+void Platform::advance(Running &running) const
+{
+    running.doneMs += std::chrono::duration<double, std::milli>(now_ - running.updatedAt).count() * speed(running);
+    running.updatedAt = now_;
+}
+
+void Platform::addUse(const Running &running, int sign)
+{
+    used_ += smaller(running.truth.usage, running.limit) * sign;
+    reserved_ += running.limit * sign;
+}
+
+void Platform::schedule(WorkerId worker, Running &running)
+{
+    running.generation = ++generation_;
+    if (running.truth.runTime.count() == 0 && !running.fails) {
+        return;
+    }
+    const double left = running.fails
+        ? static_cast<double>(FailAfter.count())
+        : (static_cast<double>(running.truth.runTime.count()) - running.doneMs) / std::max(1e-3, speed(running));
+    Step end;
+    end.kind = Kind::TaskEnd;
+    end.worker = worker;
+    end.task = running.task;
+    end.generation = running.generation;
+    push(end, milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(left))));
+}
+
+} // namespace yuccawheel::bench
--- a/src/placement/attempt_endings.cpp
+++ b/src/placement/attempt_endings.cpp
@@ -14,7 +14,6 @@
 constexpr std::uint8_t MaxFailures = 5; ///< Of one task index of a batch job or of a gang.
 constexpr std::chrono::seconds FirstDelay{1};
 constexpr std::chrono::seconds LongestDelay{300};
-constexpr std::size_t ManyWorkers = 3; ///< A job that failed on so many workers and succeeded nowhere is at fault.
 
 // Spreads retries over a quarter of the delay, by a hash of the task so that each run decides alike.
 base::Duration delayAfter(std::uint32_t failures, std::uint64_t salt)
@@ -80,11 +79,17 @@
 {
     Job &job = zone_.jobs[task.job];
     ++job.successes;
+    job.failedOn.clear();
     zone_.workers[task.worker].health.succeeded();
     zone_.refresh(task.worker);
     if (!job.slots[slot].checkpointed && task.session == zone_.workers[task.worker].session) {
         const auto runTime = std::chrono::duration_cast<std::chrono::milliseconds>(zone_.now - task.startedAt);
-        zone_.estimator.learn(job.history, job.spec, task.peak, task.reserved, runTime);
+        zone_.estimator.learnRunTime(job.history, job.spec, runTime);
+    }
+    // Use is reported late, so the peak of a short task is not known.
+    constexpr int FewReports = 2;
+    if (task.usageReports >= FewReports) {
+        zone_.estimator.learnSize(job.history, job.spec, task.peak, task.reserved);
     }
     zone_.conclude(task.job, slot, base::Verdict::Ran, true);
     if (job.spec.kind == JobKind::Gang) {
@@ -124,10 +129,11 @@
         ++job.slots[slot].failures;
     }
     const bool known = std::find(job.failedOn.begin(), job.failedOn.end(), task.worker) != job.failedOn.end();
-    if (!known && job.failedOn.size() < ManyWorkers) {
+    job.lastFailureAt = zone_.now;
+    if (!known && !job.suspect() && job.successes == 0) {
         job.failedOn.push_back(task.worker);
     }
-    if (job.successes == 0 && job.failedOn.size() >= ManyWorkers) {
+    if (job.suspect()) {
         return;
     }
     if (worker.health.failed(task.job, job.successes > 0, zone_.now)) {
--- a/src/placement/fit_index.cpp
+++ b/src/placement/fit_index.cpp
@@ -104,7 +104,7 @@
     ++grid.size;
 }
 
-std::optional<WorkerId> FitIndex::find(const Resources &need, std::optional<WorkerId> avoid) const
+std::optional<WorkerId> FitIndex::find(const Resources &need, std::span<const WorkerId> avoid) const
 {
     const auto accelerators =
         static_cast<std::size_t>(std::clamp<std::int64_t>(need.accelerators, 0, AcceleratorLevels - 1));
@@ -123,7 +123,7 @@
 }
 
 std::optional<WorkerId>
-FitIndex::findInGrid(const Grid &grid, const Resources &need, std::optional<WorkerId> avoid) const
+FitIndex::findInGrid(const Grid &grid, const Resources &need, std::span<const WorkerId> avoid) const
 {
     const int lowestRow = level(need.milliCpu, largest_.milliCpu);
     const int lowestColumn = level(need.memoryMib, largest_.memoryMib);
@@ -154,7 +154,7 @@
                              int row,
                              std::uint64_t columns,
                              const Resources &need,
-                             std::optional<WorkerId> avoid,
+                             std::span<const WorkerId> avoid,
                              int &column) const
 {
     while (columns != 0) {
@@ -168,11 +168,12 @@
     return None;
 }
 
-WorkerId FitIndex::firstThatFits(std::uint32_t head, const Resources &need, std::optional<WorkerId> avoid) const
+WorkerId FitIndex::firstThatFits(std::uint32_t head, const Resources &need, std::span<const WorkerId> avoid) const
 {
     int walked = 0;
     for (std::uint32_t worker = head; worker != None && walked < MaxWalk; worker = entries_[worker].next, ++walked) {
-        if (worker != avoid && need.fitsIn(entries_[worker].free)) {
+        const bool wanted = std::find(avoid.begin(), avoid.end(), worker) == avoid.end();
+        if (wanted && need.fitsIn(entries_[worker].free)) {
             return worker;
         }
     }
--- a/src/placement/fit_index.h
+++ b/src/placement/fit_index.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace yuccawheel::placement
@@ -35,8 +36,8 @@
         return worker < entries_.size() && entries_[worker].grid != NoGrid;
     }
 
-    /// Finds a worker with room for `need`, other than `avoid`.
-    std::optional<WorkerId> find(const Resources &need, std::optional<WorkerId> avoid = std::nullopt) const;
+    /// Finds a worker with room for `need` that is not among `avoid`.
+    std::optional<WorkerId> find(const Resources &need, std::span<const WorkerId> avoid = {}) const;
 
 private:
     static constexpr int Levels = 64;
@@ -67,13 +68,13 @@
     static int level(std::int64_t amount, std::int64_t largest);
     void unlink(WorkerId worker);
     void link(WorkerId worker, std::uint8_t grid, std::uint8_t row, std::uint8_t column);
-    WorkerId firstThatFits(std::uint32_t head, const Resources &need, std::optional<WorkerId> avoid) const;
-    std::optional<WorkerId> findInGrid(const Grid &grid, const Resources &need, std::optional<WorkerId> avoid) const;
+    WorkerId firstThatFits(std::uint32_t head, const Resources &need, std::span<const WorkerId> avoid) const;
+    std::optional<WorkerId> findInGrid(const Grid &grid, const Resources &need, std::span<const WorkerId> avoid) const;
     WorkerId findInRow(const Grid &grid,
                        int row,
                        std::uint64_t columns,
                        const Resources &need,
-                       std::optional<WorkerId> avoid,
+                       std::span<const WorkerId> avoid,
                        int &column) const;
 
     Resources largest_{1, 1, 0};
--- a/src/placement/gang_placer.cpp
+++ b/src/placement/gang_placer.cpp
@@ -31,7 +31,7 @@
     for (WorkerId worker = 0; worker < zone_.workers.size(); ++worker) {
         const Worker &entry = zone_.workers[worker];
         const bool usable = zone_.open.contains(worker) || (entry.holder == handle && zone_.acceptsTasks(worker));
-        if (!usable) {
+        if (!usable || zone_.avoids(job, worker)) {
             continue;
         }
         std::int64_t tasks = job.size.timesIn(zone_.ledger.free(worker));
--- a/src/placement/growth_watch.cpp
+++ b/src/placement/growth_watch.cpp
@@ -9,9 +9,11 @@
 {
 
 // Parts of a reservation, in percent.
-constexpr std::int64_t GrowAt = 90;
-constexpr std::int64_t FullAt = 97;
-constexpr std::int64_t GrowTo = 130;
+constexpr std::int64_t GrowAt = 95;
+constexpr std::int64_t FullAt = 98;
+constexpr std::int64_t FirstGrowTo = 110; ///< Little, as a task may use just what it declared.
+constexpr std::int64_t GrowTo = 200;
+constexpr int OverdueFactor = 3; ///< A task at its limit that runs so much longer than expected lacks memory.
 
 bool reaches(std::int64_t used, std::int64_t reserved, std::int64_t percent)
 {
@@ -26,12 +28,15 @@
     if (task.job == NoHandle || task.stopping) {
         return;
     }
-    Resources wanted = task.reserved;
+    const Job &job = zone_.jobs[task.job];
+    const std::int64_t growTo = task.growths == 0 ? FirstGrowTo : GrowTo;
+    Resources wanted = larger(task.reserved, usage);
     if (reaches(usage.memoryMib, task.reserved.memoryMib, GrowAt)) {
-        wanted.memoryMib = usage.memoryMib * GrowTo / 100;
+        wanted.memoryMib = usage.memoryMib * growTo / 100;
     }
-    if (reaches(usage.milliCpu, task.reserved.milliCpu, FullAt)) {
-        wanted.milliCpu = usage.milliCpu * GrowTo / 100;
+    // A task that uses all its processors may just be able to use any number: it gets back what it declared, no more.
+    if (reaches(usage.milliCpu, task.reserved.milliCpu, FullAt) && task.reserved.milliCpu < job.spec.perTask.milliCpu) {
+        wanted.milliCpu = std::min(usage.milliCpu * GrowTo / 100, job.spec.perTask.milliCpu);
     }
     if (wanted == task.reserved) {
         return;
@@ -40,9 +45,11 @@
     if (grow(live, wanted) || !reaches(usage.memoryMib, task.reserved.memoryMib, FullAt)) {
         return;
     }
-    if (task.reserved.memoryMib < zone_.jobs[task.job].spec.perTask.memoryMib) {
+    const bool cutByUs = task.reserved.memoryMib < job.spec.perTask.memoryMib;
+    const bool overdue = job.runTime.count() > 0 && zone_.now - task.startedAt > job.runTime * OverdueFactor;
+    if (cutByUs) {
         stopNeighbour(live, wanted);
-    } else {
+    } else if (overdue || !usage.fitsIn(task.reserved)) {
         restartLarger(live, wanted);
     }
 }
@@ -63,6 +70,7 @@
         return false;
     }
     zone_.resize(live, amount);
+    task.growths = static_cast<std::uint8_t>(std::min(task.growths + 1, 100));
     zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, amount});
     return amount.memoryMib >= wanted.memoryMib;
 }
@@ -97,13 +105,9 @@
 
 void GrowthWatch::restartLarger(LiveHandle live, const Resources &wanted)
 {
-    LiveTask &task = zone_.jobs.live(live);
+    const LiveTask &task = zone_.jobs.live(live);
     Job &job = zone_.jobs[task.job];
-    if (!task.throttled) {
-        task.throttled = true;
-        zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, task.reserved});
-        return;
-    }
+    zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, task.reserved});
     const bool disrupts = job.spec.kind == JobKind::Service && job.disrupted() >= job.spec.maxDisruption;
     if (!job.spec.repeatable || disrupts || !zone_.fitsAnyWorker(wanted) || wanted == task.reserved) {
         return;
--- a/src/placement/job_table.h
+++ b/src/placement/job_table.h
@@ -28,6 +28,7 @@
 /// One task index of a job.
 struct TaskSlot {
     std::uint32_t nextAttempt = 0;
+    std::uint32_t lastAttempt = 0;
     LiveHandle live = NoHandle;
     WorkerId lastWorker = NoHandle;
     SlotState state = SlotState::Fresh;
@@ -57,6 +58,7 @@
     std::uint32_t successes = 0;
     std::uint32_t failures = 0;
     std::vector<WorkerId> failedOn; ///< Distinct workers, up to a few.
+    base::TimePoint lastFailureAt;
     TeamId team = 0;
     HistoryKey history = 0;
     std::uint32_t estimateVersion = 0;
@@ -74,6 +76,12 @@
     Resources missing; ///< Set while neverFits.
     Hold hold;
 
+    /// Says whether it has failed on so many workers, and succeeded on none, that it is itself at fault.
+    bool suspect() const
+    {
+        constexpr std::size_t ManyWorkers = 3;
+        return successes == 0 && failedOn.size() >= ManyWorkers;
+    }
     std::uint32_t startable() const
     {
         return freshCount + static_cast<std::uint32_t>(ready.size());
@@ -99,7 +107,8 @@
     bool seenRunning = false;
     bool stopping = false;
     bool checkpointing = false;
-    bool throttled = false;
+    std::uint8_t usageReports = 0;
+    std::uint8_t growths = 0; ///< Times its reservation grew.
     StopReason reason = StopReason::Cancelled;
 };
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -16,6 +16,13 @@
 namespace yuccawheel::placement
 {
 
+namespace
+{
+
+constexpr std::chrono::seconds WakeInterval{1};
+
+} // namespace
+
 class Planner::Impl
 {
 public:
@@ -32,6 +39,7 @@
     bool placeNext(JobHandle handle);
 
     ZoneState zone;
+    base::TimePoint nextWake; ///< When all waiting jobs are looked at again.
     AttemptEndings endings{zone};
     RoomMaker rooms{zone};
     ReservationKeeper reservations{zone};
@@ -67,6 +75,11 @@
     workerEvents.moveDrained();
     rooms.expireHolds();
     reservations.review();
+    // Some claims grow with the time that a job has waited.
+    if (zone.now >= nextWake) {
+        nextWake = zone.now + WakeInterval;
+        zone.queue.wakeAll();
+    }
 }
 
 // Starting a job on cleared workers lets others go, which are looked at in turn.
@@ -103,12 +116,19 @@
 void Planner::Impl::placeOnHeld(WorkerId worker)
 {
     const JobHandle holder = zone.workers[worker].holder;
-    if (holder == NoHandle) {
+    if (holder == NoHandle || holder == zone.reservation.job) {
         return;
     }
     while (zone.queue.contains(holder) && zone.jobs[holder].startable() > 0
            && zone.jobs[holder].size.fitsIn(zone.ledger.free(worker)) && placeNext(holder)) {
     }
+    const std::vector<LiveHandle> &held = zone.workers[worker].tasks;
+    const bool moreComes =
+        std::any_of(held.begin(), held.end(), [this](LiveHandle live) { return zone.jobs.live(live).stopping; });
+    const bool isGang = zone.jobs[holder].spec.kind == JobKind::Gang;
+    if (zone.workers[worker].holder == holder && !isGang && !moreComes) {
+        zone.releaseHeldWorker(worker);
+    }
 }
 
 void Planner::Impl::whenBlocked(JobHandle handle)
--- a/src/placement/reservation_keeper.cpp
+++ b/src/placement/reservation_keeper.cpp
@@ -17,9 +17,14 @@
 {
     const Job &job = zone_.jobs[handle];
     const bool waitedLong = zone_.now - job.assignedAt >= ReserveAfter;
-    if (zone_.reservation.job != NoHandle || !waitedLong || !job.hold.workers.empty()) {
+    const JobHandle current = zone_.reservation.job;
+    const bool taken = current != NoHandle && (current == handle || !zone_.precedes(handle, current));
+    if (taken || !waitedLong || !job.hold.workers.empty()) {
         return;
     }
+    if (current != NoHandle) {
+        zone_.releaseHold(current);
+    }
     std::vector<Opening> found = openings(handle);
     const std::size_t needed = job.spec.kind == JobKind::Gang ? job.startable() : 1;
     if (found.size() < needed) {
@@ -57,7 +62,7 @@
     for (WorkerId worker = 0; worker < zone_.workers.size(); ++worker) {
         const Worker &entry = zone_.workers[worker];
         const bool usable = zone_.acceptsTasks(worker) && entry.holder == NoHandle
-            && entry.health.state() == WorkerHealth::State::Healthy;
+            && entry.health.state() == WorkerHealth::State::Healthy && !zone_.avoids(zone_.jobs[handle], worker);
         if (usable) {
             openingsOn(worker, zone_.jobs[handle], found);
         }
--- a/src/placement/size_estimator.cpp
+++ b/src/placement/size_estimator.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <cctype>
 #include <cmath>
+#include <limits>
 #include <string_view>
 
 namespace yuccawheel::placement
@@ -12,7 +13,8 @@
 namespace
 {
 
-constexpr float SizeMargin = 1.15F; ///< Kept above the highest use seen.
+constexpr float CpuMargin = 1.05F; ///< Kept above the highest use seen.
+constexpr float MemoryMargin = 1.10F;
 constexpr float SaturatedGrowth = 1.5F; ///< Applied when a task used all that it was allowed.
 constexpr double SaturatedShare = 0.95;
 constexpr std::int64_t MinMilliCpu = 50;
@@ -74,37 +76,42 @@
             amount.accelerators};
 }
 
+float SizeEstimator::Ratios::highest() const
+{
+    return *std::max_element(ring.begin(), ring.begin() + std::min<std::size_t>(count, Samples));
+}
+
+float SizeEstimator::Ratios::median() const
+{
+    std::array<float, Samples> sorted = ring;
+    const auto size = static_cast<std::ptrdiff_t>(std::min<std::size_t>(count, Samples));
+    std::nth_element(sorted.begin(), sorted.begin() + (size / 2), sorted.begin() + size);
+    return sorted[static_cast<std::size_t>(size / 2)];
+}
+
 // Sizes take the highest of the last samples, because too little room stops a task; run times take the median.
 Estimate SizeEstimator::estimate(HistoryKey key, const JobSpec &spec) const
 {
+    Estimate result{spec.perTask, spec.declaredRunTime, false};
     const auto found = histories_.find(key);
-    if (found == histories_.end() || found->second.count < MinSamples) {
-        return {spec.perTask, spec.declaredRunTime, false};
+    if (found == histories_.end()) {
+        return result;
     }
     const History &history = found->second;
-    const std::size_t count = std::min<std::size_t>(history.count, Samples);
-    float milliCpu = 0;
-    float memoryMib = 0;
-    std::array<float, Samples> times{};
-    for (std::size_t index = 0; index < count; ++index) {
-        milliCpu = std::max(milliCpu, history.ring[index].milliCpu);
-        memoryMib = std::max(memoryMib, history.ring[index].memoryMib);
-        times[index] = history.ring[index].runTime;
+    if (history.runTime.enough()) {
+        const double runTime = static_cast<double>(spec.declaredRunTime.count()) * history.runTime.median();
+        result.runTime = std::chrono::milliseconds(std::llround(runTime));
+    }
+    if (history.milliCpu.enough()) {
+        result.learned = true;
+        result.size.milliCpu = scaled(spec.perTask.milliCpu, history.milliCpu.highest() * CpuMargin, MinMilliCpu);
+        result.size.memoryMib =
+            scaled(spec.perTask.memoryMib, history.memoryMib.highest() * MemoryMargin, MinMemoryMib);
     }
-    std::nth_element(times.begin(), times.begin() + (count / 2), times.begin() + count);
-    const double runTime = static_cast<double>(spec.declaredRunTime.count()) * times[count / 2];
-    return {{scaled(spec.perTask.milliCpu, milliCpu * SizeMargin, MinMilliCpu),
-             scaled(spec.perTask.memoryMib, memoryMib * SizeMargin, MinMemoryMib),
-             spec.perTask.accelerators},
-            std::chrono::milliseconds(std::llround(runTime)),
-            true};
+    return result;
 }
 
-void SizeEstimator::learn(HistoryKey key,
-                          const JobSpec &spec,
-                          const Resources &peak,
-                          const Resources &reserved,
-                          std::chrono::milliseconds runTime)
+SizeEstimator::History &SizeEstimator::historyOf(HistoryKey key)
 {
     const auto [found, isNew] = histories_.try_emplace(key);
     if (isNew) {
@@ -114,18 +121,31 @@
             order_.pop_front();
         }
     }
-    History &history = found->second;
-    Sample &sample = history.ring[history.count % Samples];
-    sample.milliCpu = ratio(peak.milliCpu, reserved.milliCpu, spec.perTask.milliCpu);
-    sample.memoryMib = ratio(peak.memoryMib, reserved.memoryMib, spec.perTask.memoryMib);
-    sample.runTime = ratio(runTime.count(), std::numeric_limits<std::int64_t>::max(), spec.declaredRunTime.count());
-    ++history.count;
+    return found->second;
+}
+
+void SizeEstimator::learnSize(HistoryKey key, const JobSpec &spec, const Resources &peak, const Resources &reserved)
+{
+    History &history = historyOf(key);
+    float milliCpu = ratio(peak.milliCpu, reserved.milliCpu, spec.perTask.milliCpu);
+    // A task that uses all its processors may be able to use any number, so it is given no more than it declared.
+    if (static_cast<double>(peak.milliCpu) >= SaturatedShare * static_cast<double>(reserved.milliCpu)) {
+        milliCpu = std::min(milliCpu, 1 / CpuMargin);
+    }
+    history.milliCpu.add(milliCpu);
+    history.memoryMib.add(ratio(peak.memoryMib, reserved.memoryMib, spec.perTask.memoryMib));
+}
+
+void SizeEstimator::learnRunTime(HistoryKey key, const JobSpec &spec, std::chrono::milliseconds runTime)
+{
+    const std::int64_t unlimited = std::numeric_limits<std::int64_t>::max();
+    historyOf(key).runTime.add(ratio(runTime.count(), unlimited, spec.declaredRunTime.count()));
 }
 
 std::uint32_t SizeEstimator::version(HistoryKey key) const
 {
     const auto found = histories_.find(key);
-    return found == histories_.end() ? 0 : found->second.count;
+    return found == histories_.end() ? 0 : found->second.milliCpu.count + found->second.runTime.count;
 }
 
 } // namespace yuccawheel::placement
--- a/src/placement/size_estimator.h
+++ b/src/placement/size_estimator.h
@@ -29,12 +29,9 @@
     static HistoryKey keyOf(const JobSpec &spec);
 
     Estimate estimate(HistoryKey key, const JobSpec &spec) const;
-    /// Takes the highest use and the run time of a task that succeeded under a limit of `reserved`.
-    void learn(HistoryKey key,
-               const JobSpec &spec,
-               const Resources &peak,
-               const Resources &reserved,
-               std::chrono::milliseconds runTime);
+    /// Takes the highest use of a task that succeeded under a limit of `reserved`.
+    void learnSize(HistoryKey key, const JobSpec &spec, const Resources &peak, const Resources &reserved);
+    void learnRunTime(HistoryKey key, const JobSpec &spec, std::chrono::milliseconds runTime);
     /// Counts the changes of a history's estimate.
     std::uint32_t version(HistoryKey key) const;
 
@@ -47,16 +44,29 @@
     static constexpr std::size_t MaxHistories = 8192;
 
     /// Ratios of what was used to what was declared.
-    struct Sample {
-        float milliCpu = 1;
-        float memoryMib = 1;
-        float runTime = 1;
+    struct Ratios {
+        std::array<float, Samples> ring{};
+        std::uint32_t count = 0;
+
+        bool enough() const
+        {
+            return count >= MinSamples;
+        }
+        void add(float ratio)
+        {
+            ring[count++ % Samples] = ratio;
+        }
+        float highest() const;
+        float median() const;
     };
     struct History {
-        std::array<Sample, Samples> ring{};
-        std::uint32_t count = 0;
+        Ratios milliCpu;
+        Ratios memoryMib;
+        Ratios runTime;
     };
 
+    History &historyOf(HistoryKey key);
+
     std::unordered_map<HistoryKey, History> histories_;
     std::deque<HistoryKey> order_; ///< Oldest first, for eviction.
 };
--- a/src/placement/task_placer.cpp
+++ b/src/placement/task_placer.cpp
@@ -8,6 +8,10 @@
 
 bool TaskPlacer::place(JobHandle handle)
 {
+    // A job that seems to be at fault itself tries one task at a time.
+    if (zone_.jobs[handle].suspect() && zone_.jobs[handle].liveCount > 0) {
+        return false;
+    }
     const auto worker = findWorker(handle);
     if (!worker) {
         return false;
@@ -25,27 +29,22 @@
     if (job.spec.kind == JobKind::Service) {
         return findSpread(job);
     }
-    // A task that failed is tried on another worker, so that a bad worker and a bad task can be told apart.
-    std::optional<WorkerId> avoid;
-    if (!job.ready.empty() && job.slots[job.ready.back()].failures > 0) {
-        avoid = job.slots[job.ready.back()].lastWorker;
-    }
+    const std::span<const WorkerId> avoid = zone_.avoidedBy(job);
     if (const auto worker = zone_.open.find(job.size, avoid)) {
         return worker;
     }
-    const bool endsBefore = job.runTime.count() > 0 && zone_.now + job.runTime <= zone_.reservation.startAt;
-    if (zone_.reservation.job != NoHandle && endsBefore) {
-        if (const auto worker = zone_.held.find(job.size, avoid)) {
-            return worker;
-        }
+    if (zone_.reservation.job == NoHandle) {
+        return std::nullopt;
     }
-    return avoid ? zone_.open.find(job.size) : std::nullopt;
+    const bool endsBefore = job.runTime.count() > 0 && zone_.now + job.runTime <= zone_.reservation.startAt;
+    const bool mayUseHeld = endsBefore || zone_.precedes(handle, zone_.reservation.job);
+    return mayUseHeld ? zone_.held.find(job.size, avoid) : std::nullopt;
 }
 
 std::optional<WorkerId> TaskPlacer::findAmongHeld(const Job &job) const
 {
     for (const WorkerId worker : job.hold.workers) {
-        if (zone_.acceptsTasks(worker) && job.size.fitsIn(zone_.ledger.free(worker))) {
+        if (zone_.acceptsTasks(worker) && job.size.fitsIn(zone_.ledger.free(worker)) && !zone_.avoids(job, worker)) {
             return worker;
         }
     }
@@ -68,7 +67,7 @@
     std::optional<WorkerId> best;
     Score bestScore;
     for (WorkerId worker = 0; worker < zone_.workers.size(); ++worker) {
-        if (!zone_.open.contains(worker) || !job.size.fitsIn(zone_.ledger.free(worker))) {
+        if (zone_.avoids(job, worker) || !zone_.open.contains(worker) || !job.size.fitsIn(zone_.ledger.free(worker))) {
             continue;
         }
         const Worker &entry = zone_.workers[worker];
--- a/src/placement/team_table.cpp
+++ b/src/placement/team_table.cpp
@@ -47,7 +47,11 @@
 std::uint8_t TeamTable::band(TeamId team, const Resources &total) const
 {
     const Team &entry = teams_[team];
-    if (!quotasSet_ || (entry.used.fitsIn(entry.guaranteed) && entry.used != entry.guaranteed)) {
+    // With nothing left of one resource, the next task would be borrowed.
+    const bool hasLeft = entry.used.milliCpu < entry.guaranteed.milliCpu
+        && entry.used.memoryMib < entry.guaranteed.memoryMib
+        && entry.used.accelerators <= entry.guaranteed.accelerators;
+    if (!quotasSet_ || hasLeft) {
         return 0;
     }
     const std::int64_t share =
--- a/src/placement/worker_events.cpp
+++ b/src/placement/worker_events.cpp
@@ -133,18 +133,21 @@
 {
     const auto live = findOn(worker, report.task);
     if (!live) {
-        if (report.state == TaskState::Running) {
+        // A late report of an attempt that has ended; what a worker really holds is told when it joins.
+        const bool late = zone_.jobs.find(report.task.job) || zone_.endedJobs.count(report.task.job) != 0;
+        if (report.state == TaskState::Running && !late) {
             zone_.outbox.emplace_back(StopTask{worker, report.task, StopReason::NotOurs, false});
         }
         return;
     }
+    LiveTask &task = zone_.jobs.live(*live);
+    task.peak = larger(task.peak, report.usage);
+    task.usageReports = static_cast<std::uint8_t>(std::min(task.usageReports + (report.usage.isZero() ? 0 : 1), 100));
     if (report.state != TaskState::Running) {
         endings_.ended(*live, report.state);
         return;
     }
-    LiveTask &task = zone_.jobs.live(*live);
     task.seenRunning = true;
-    task.peak = larger(task.peak, report.usage);
     growth_.reported(*live, report.usage);
 }
 
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -83,6 +83,23 @@
     }
 }
 
+void ZoneState::releaseHeldWorker(WorkerId worker)
+{
+    std::erase(jobs[workers[worker].holder].hold.workers, worker);
+    workers[worker].holder = NoHandle;
+    refresh(worker);
+    markDirty(worker);
+}
+
+bool ZoneState::precedes(JobHandle left, JobHandle right) const
+{
+    const auto key = [this](JobHandle handle) {
+        const Job &job = jobs[handle];
+        return std::tuple(job.rank.ordinary, teams.band(job.team, ledger.totalCapacity()), job.rank);
+    };
+    return key(left) < key(right);
+}
+
 void ZoneState::setCapacity(WorkerId worker, const Resources &capacity)
 {
     const auto count = [this](const Resources &amount, int change) {
@@ -128,6 +145,21 @@
     });
 }
 
+// A job that has only failed so far is tried on other workers, so that a bad worker and a bad job can be told apart and
+// a worker that fails at once doesn't draw in all its tasks. With no other worker for a while, it may go back.
+std::span<const WorkerId> ZoneState::avoidedBy(const Job &job) const
+{
+    constexpr std::chrono::seconds AvoidFor{30};
+    const bool fresh = now - job.lastFailureAt < AvoidFor;
+    return fresh ? std::span<const WorkerId>(job.failedOn) : std::span<const WorkerId>();
+}
+
+bool ZoneState::avoids(const Job &job, WorkerId worker) const
+{
+    const std::span<const WorkerId> avoided = avoidedBy(job);
+    return std::find(avoided.begin(), avoided.end(), worker) != avoided.end();
+}
+
 LiveHandle ZoneState::start(JobHandle handle, std::uint32_t slotNumber, WorkerId worker)
 {
     Job &job = jobs[handle];
@@ -148,7 +180,7 @@
     workers[worker].tasks.push_back(live);
     slot.started = true;
     slot.lastWorker = worker;
-    ++slot.nextAttempt;
+    slot.lastAttempt = slot.nextAttempt++;
     refresh(worker);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - slot.waitingSince);
     outbox.emplace_back(StartTask{worker, task.task, task.reserved, waited, slot.checkpointed});
@@ -176,6 +208,7 @@
         slot.started = true;
         slot.ran = true;
         slot.lastWorker = worker;
+        slot.lastAttempt = id.attempt;
         slot.nextAttempt = std::max(slot.nextAttempt, id.attempt + 1);
         reserve(jobs[handle].team, worker, task.reserved);
     } else {
@@ -356,10 +389,8 @@
     YW_INVARIANT(slot.state != SlotState::Done, "a task index gets one final word");
     slot.state = SlotState::Done;
     ++job.doneCount;
-    outbox.emplace_back(
-        TaskDone{{job.spec.id, job.firstIndex + slotNumber, slot.nextAttempt - (slot.nextAttempt > 0 ? 1 : 0)},
-                 verdict,
-                 succeeded});
+    const TaskId task{job.spec.id, job.firstIndex + slotNumber, slot.lastAttempt};
+    outbox.emplace_back(TaskDone{task, verdict, succeeded});
 }
 
 void ZoneState::finishIfDone(JobHandle handle)
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -11,6 +11,7 @@
 #include "placement/worker_health.h"
 
 #include <queue>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -114,10 +115,17 @@
     void markDirty(WorkerId worker);
     void hold(JobHandle job, WorkerId worker);
     void releaseHold(JobHandle job);
+    void releaseHeldWorker(WorkerId worker);
+    /// Says whether a job goes before another one in the queue.
+    bool precedes(JobHandle left, JobHandle right) const;
     /// Sets what a worker holds and looks again at the jobs that never fit.
     void setCapacity(WorkerId worker, const Resources &capacity);
     bool fitsAnyWorker(const Resources &amount) const;
 
+    /// Returns the workers on which a job should not be tried again for now.
+    std::span<const WorkerId> avoidedBy(const Job &job) const;
+    bool avoids(const Job &job, WorkerId worker) const;
+
     // Attempts.
     LiveHandle start(JobHandle job, std::uint32_t slot, WorkerId worker);
     /// Takes over an attempt that a worker holds. The reservation is cut to what is free there.
