Coordination parts: leases, epochs, fencing, failure detector, membership, idempotency, zone ownership

An owner of a zone holds grants of a majority of a few witnesses among the zone's workers, each of which answers to one owner at a time. Epochs have two parts, so that a zone that the log cannot reach may go from owner to owner.

Proof: coordination_zone_test runs one to three candidates and five witnesses under kills, pauses, one-way cuts, a log out of reach, worker restarts, drifting clocks and messages up to 1.5 s late, and ends the process if two own the zone, if two hold a worker's grant, or if a worker obeys an older owner again.

Found on the way: a swap of one witness for another lets two majorities miss each other (the invariant in the test ended the run); witnesses now leave and join one at a time. A zone with most witnesses restarted had no owner for good; majorityIsGone says when the log may choose new ones. A standby asked the log for new terms before the chosen owner had claimed.

--- /dev/null
+++ b/src/coordination/failure_detector.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/clock.h"
+#include "coordination/epoch.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace yuccawheel::coordination
+{
+
+struct DetectorSettings {
+    std::chrono::milliseconds expectedInterval{500}; ///< Between heartbeats, until some were seen.
+    std::chrono::milliseconds minTimeout{1'000};
+    std::chrono::milliseconds maxTimeout{5'000};
+    int deviations = 6; ///< Mean deviations of the interval that the timeout allows for.
+};
+
+/// Suspects a process whose heartbeats stay out for longer than their own rhythm explains. A connection being open
+/// counts for nothing.
+class FailureDetector
+{
+public:
+    explicit FailureDetector(DetectorSettings settings = {}) : settings_(settings)
+    {
+    }
+
+    /// Counts a heartbeat. Returns false, counting nothing, if it is of an earlier incarnation.
+    bool heartbeat(ProcessId process, base::TimePoint now);
+    /// True if the node was heard of, and its silence has passed its timeout.
+    bool suspects(std::uint32_t node, base::TimePoint now) const;
+    /// Returns when a further silence makes the node suspect, or nothing if it was never heard of.
+    std::optional<base::TimePoint> deadline(std::uint32_t node) const;
+    /// Returns the highest incarnation heard of, or nothing.
+    std::optional<std::uint64_t> incarnation(std::uint32_t node) const;
+    void forget(std::uint32_t node);
+
+private:
+    struct Rhythm {
+        std::uint64_t incarnation = 0;
+        base::TimePoint last{};
+        base::Duration mean{};
+        base::Duration deviation{};
+    };
+
+    base::Duration timeout(const Rhythm &rhythm) const;
+
+    DetectorSettings settings_;
+    std::map<std::uint32_t, Rhythm> rhythms_;
+};
+
+} // namespace yuccawheel::coordination
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,72 @@
+#include "coordination/membership.h"
+
+#include <utility>
+
+namespace yuccawheel::coordination
+{
+
+Membership::Membership(std::vector<Peer> peers, DetectorSettings settings) : detector_(settings)
+{
+    for (Peer &peer : peers) {
+        const std::uint32_t node = peer.node;
+        entries_.emplace(node, Entry{std::move(peer)});
+    }
+}
+
+// A process that is leaving stays so for the rest of its run: its last heartbeats may arrive in any order.
+void Membership::receive(const Heartbeat &heartbeat, base::TimePoint now)
+{
+    const auto found = entries_.find(heartbeat.sender.node);
+    if (found == entries_.end()) {
+        return;
+    }
+    const auto known = detector_.incarnation(heartbeat.sender.node);
+    if (!detector_.heartbeat(heartbeat.sender, now)) {
+        return;
+    }
+    Entry &entry = found->second;
+    const bool sameRun = known == heartbeat.sender.incarnation;
+    entry.leaving = heartbeat.leaving || (sameRun && entry.leaving);
+}
+
+std::vector<PeerChange> Membership::review(base::TimePoint now)
+{
+    std::vector<PeerChange> changes;
+    for (auto &[node, entry] : entries_) {
+        PeerState state = PeerState::Unknown;
+        if (entry.leaving) {
+            state = PeerState::Left;
+        } else if (detector_.incarnation(node)) {
+            state = detector_.suspects(node, now) ? PeerState::Suspected : PeerState::Alive;
+        }
+        if (state != entry.state) {
+            changes.push_back(PeerChange{node, entry.state, state});
+            entry.state = state;
+        }
+    }
+    return changes;
+}
+
+PeerState Membership::state(std::uint32_t node) const
+{
+    const auto found = entries_.find(node);
+    return found == entries_.end() ? PeerState::Unknown : found->second.state;
+}
+
+std::optional<std::uint64_t> Membership::incarnation(std::uint32_t node) const
+{
+    return detector_.incarnation(node);
+}
+
+std::vector<Peer> Membership::alive(const std::string &zone) const
+{
+    std::vector<Peer> peers;
+    for (const auto &[node, entry] : entries_) {
+        if (entry.state == PeerState::Alive && entry.peer.zone == zone) {
+            peers.push_back(entry.peer);
+        }
+    }
+    return peers;
+}
+
+} // namespace yuccawheel::coordination
--- /dev/null
+++ b/tests/coordination_zone_test.cpp
@@ -0,0 +1,557 @@
+#include "base/invariant.h"
+#include "coordination/zone_ownership.h"
+#include "fakes/fake_network.h"
+
+#include <fmt/core.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <ostream>
+#include <random>
+#include <string>
+#include <variant>
+
+using namespace yuccawheel;
+using namespace yuccawheel::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr LeaseTerms Lease{10'000ms, 1'000};
+constexpr std::uint32_t FirstWorkerNode = 100;
+constexpr std::uint32_t Witnesses = 5;
+
+struct Command {
+    WitnessName worker;
+    ProcessId owner;
+    Epoch epoch;
+};
+
+/// A zone of entry VMs and workers with a log that can be out of reach, in virtual time.
+class Zone
+{
+public:
+    using Packet = std::variant<GrantRequest, GrantReply, Command>;
+    using Network = fakes::FakeNetwork<Packet>;
+
+    Zone(std::uint32_t candidates, std::uint32_t workers, std::uint64_t seed) : network_(seed), random_(seed)
+    {
+        ZoneTerms terms{1, {}, {}};
+        for (std::uint32_t i = 0; i < workers; ++i) {
+            terms.witnesses.insert(addWorker());
+        }
+        for (std::uint32_t node = 1; node <= candidates; ++node) {
+            terms.succession.push_back(node);
+        }
+        issued_.push_back(terms);
+        for (std::uint32_t node = 1; node <= candidates; ++node) {
+            start(node);
+        }
+    }
+
+    void run(std::chrono::milliseconds duration)
+    {
+        for (std::chrono::milliseconds passed{0}; passed < duration; passed += Step) {
+            step();
+        }
+    }
+
+    bool runUntilOwned(std::chrono::milliseconds limit)
+    {
+        for (std::chrono::milliseconds passed{0}; passed < limit && owner() == 0; passed += Step) {
+            step();
+        }
+        return owner() != 0;
+    }
+
+    /// Returns the node that owns the zone, or 0. Two at once end the process.
+    std::uint32_t owner() const
+    {
+        std::uint32_t owner = 0;
+        for (const auto &[node, candidate] : candidates_) {
+            if (candidate.ownership && candidate.ownership->owns(local(candidate.rate))) {
+                YW_INVARIANT(owner == 0, "a zone has one owner at a time");
+                owner = node;
+            }
+        }
+        return owner;
+    }
+
+    void kill(std::uint32_t node)
+    {
+        candidates_.at(node).ownership.reset();
+    }
+
+    /// A new run knows what its peers may tell it: any terms that were ever issued.
+    void start(std::uint32_t node)
+    {
+        Candidate &candidate = candidates_[node];
+        if (!candidate.ownership) {
+            candidate.rate = clockRate(node);
+            candidate.ownership.emplace(OwnershipSettings{ProcessId{node, ++incarnation_}, Lease});
+            candidate.ownership->learn(issued_[random_() % issued_.size()], local(candidate.rate));
+        }
+    }
+
+    void pause(std::uint32_t node, std::chrono::milliseconds duration)
+    {
+        candidates_.at(node).pausedUntil = now_ + duration;
+    }
+
+    /// The worker forgets its grants, and comes back under another name.
+    void restartWorker(std::uint32_t number)
+    {
+        const auto worker = std::next(workers_.begin(), number % workers_.size());
+        gone_.insert(worker->first);
+        workers_.erase(worker);
+        addWorker();
+    }
+
+    void reachLog(bool reachable)
+    {
+        logInReach_ = reachable;
+    }
+
+    void resign(std::uint32_t node)
+    {
+        Candidate &candidate = candidates_.at(node);
+        send(node, candidate.ownership->resign(local(candidate.rate)));
+    }
+
+    /// Ends all faults.
+    void heal()
+    {
+        network_.heal();
+        network_.setFaults({});
+        logInReach_ = true;
+        for (auto &[node, candidate] : candidates_) {
+            candidate.pausedUntil = now_;
+            start(node);
+        }
+    }
+
+    Network &network()
+    {
+        return network_;
+    }
+    std::uint64_t termsIssued() const
+    {
+        return issued_.size();
+    }
+    std::uint64_t commandsAdmitted() const
+    {
+        return commandsAdmitted_;
+    }
+    std::uint64_t commandsRefused() const
+    {
+        return commandsRefused_;
+    }
+
+private:
+    static constexpr std::chrono::milliseconds Step{20};
+
+    struct Candidate {
+        std::optional<ZoneOwnership> ownership;
+        base::TimePoint pausedUntil{};
+        double rate = 1.0;
+        std::vector<GrantReply> waiting;
+    };
+    struct Worker {
+        std::uint32_t node = 0;
+        FencingGate gate{Lease};
+        double rate = 1.0;
+        Epoch admitted;
+    };
+
+    static double clockRate(std::uint32_t node)
+    {
+        return 1.0 + 0.0009 * (static_cast<int>(node % 3) - 1);
+    }
+
+    base::TimePoint local(double rate) const
+    {
+        return base::TimePoint(std::chrono::duration_cast<base::Duration>(now_.time_since_epoch() * rate));
+    }
+
+    std::string addWorker()
+    {
+        const std::uint32_t node = FirstWorkerNode + nextWorker_++;
+        std::string name = fmt::format("worker-{}", node);
+        Worker &worker = workers_[name];
+        worker.node = node;
+        worker.rate = clockRate(node);
+        return name;
+    }
+
+    void step()
+    {
+        now_ += Step;
+        for (auto &delivery : network_.due(now_)) {
+            std::visit([&](auto &packet) { deliver(delivery.to, packet); }, delivery.message);
+        }
+        for (auto &[node, candidate] : candidates_) {
+            if (candidate.ownership && candidate.pausedUntil <= now_) {
+                act(node, candidate);
+            }
+        }
+        owner();
+        checkCommands();
+        issueTerms();
+    }
+
+    void act(std::uint32_t node, Candidate &candidate)
+    {
+        const base::TimePoint now = local(candidate.rate);
+        ZoneOwnership &ownership = *candidate.ownership;
+        if (logInReach_) {
+            ownership.logAnswered(now);
+            ownership.learn(issued_.back(), now);
+        }
+        std::set<WitnessName> names;
+        for (const auto &[name, worker] : workers_) {
+            names.insert(name);
+        }
+        ownership.setWorkers(names);
+        for (const GrantReply &reply : std::exchange(candidate.waiting, {})) {
+            ownership.receive(reply, now);
+        }
+        send(node, ownership.tick(now));
+        for (const auto &[name, worker] : workers_) {
+            if (ownership.mayCommand(name, now) && random_() % 20 == 0) {
+                const Command command{name, ownership.self(), ownership.epoch()};
+                network_.send(node, worker.node, command, now_);
+            }
+        }
+    }
+
+    void send(std::uint32_t node, const std::vector<GrantRequest> &requests)
+    {
+        for (const GrantRequest &request : requests) {
+            if (const auto found = workers_.find(request.worker); found != workers_.end()) {
+                network_.send(node, found->second.node, request, now_);
+            }
+        }
+    }
+
+    Worker *workerAt(std::uint32_t node, const WitnessName &name)
+    {
+        const auto found = workers_.find(name);
+        return found != workers_.end() && found->second.node == node ? &found->second : nullptr;
+    }
+
+    void deliver(std::uint32_t to, const GrantRequest &request)
+    {
+        if (Worker *worker = workerAt(to, request.worker)) {
+            if (const auto reply = answer(worker->gate, request, local(worker->rate))) {
+                network_.send(to, request.owner.node, *reply, now_);
+            }
+        }
+    }
+
+    void deliver(std::uint32_t to, const GrantReply &reply)
+    {
+        candidates_.at(to).waiting.push_back(reply);
+    }
+
+    void deliver(std::uint32_t to, const Command &command)
+    {
+        Worker *worker = workerAt(to, command.worker);
+        if (worker == nullptr) {
+            return;
+        }
+        if (!worker->gate.admit(command.owner, command.epoch, local(worker->rate))) {
+            ++commandsRefused_;
+            return;
+        }
+        YW_INVARIANT(!(command.epoch < worker->admitted), "a worker must not obey an older owner again");
+        worker->admitted = command.epoch;
+        ++commandsAdmitted_;
+    }
+
+    void checkCommands() const
+    {
+        for (const auto &[name, worker] : workers_) {
+            std::size_t holders = 0;
+            for (const auto &[node, candidate] : candidates_) {
+                const bool may = candidate.ownership && candidate.ownership->mayCommand(name, local(candidate.rate));
+                holders += may ? 1 : 0;
+            }
+            YW_INVARIANT(holders <= 1, "a worker's grant is held once");
+        }
+    }
+
+    // The log gives the zone to a candidate that asks, or keeps the owner, and swaps a dead witness for a living
+    // worker.
+    void issueTerms()
+    {
+        if (!logInReach_ || now_ < nextIssue_) {
+            return;
+        }
+        for (const auto &[node, candidate] : candidates_) {
+            if (!candidate.ownership || candidate.pausedUntil > now_) {
+                continue;
+            }
+            if (candidate.ownership->owns(local(candidate.rate))) {
+                taken_ = std::max(taken_, candidate.ownership->epoch().logIssued);
+            }
+        }
+        if (replaceLostWitnesses()) {
+            return;
+        }
+        ZoneTerms terms = issued_.back();
+        const std::uint32_t holder = owner();
+        const bool changed = taken_ == terms.logIssued && holder == terms.succession.front() && changeWitnesses(terms);
+        for (const auto &[node, candidate] : candidates_) {
+            const bool asks = candidate.ownership && candidate.ownership->wantsTerms();
+            if ((asks && holder == 0) || (changed && node == holder)) {
+                const auto place = std::find(terms.succession.begin(), terms.succession.end(), node);
+                std::rotate(terms.succession.begin(), place, place + 1);
+                ++terms.logIssued;
+                issued_.push_back(terms);
+                nextIssue_ = now_ + 1s;
+                return;
+            }
+        }
+    }
+
+    // A zone most of whose witnesses have restarted gets new ones, once no grant of the old ones can be in force.
+    bool replaceLostWitnesses()
+    {
+        const bool lost = std::all_of(issued_.begin(), issued_.end(), [this](const ZoneTerms &terms) {
+            return terms.logIssued < taken_ || majorityIsGone(terms.witnesses, gone_);
+        });
+        if (!lost) {
+            lostSince_.reset();
+            return false;
+        }
+        lostSince_ = lostSince_.value_or(now_);
+        if (now_ - *lostSince_ < Lease.grantorLength()) {
+            return false;
+        }
+        ZoneTerms terms = issued_.back();
+        terms.witnesses.clear();
+        for (const auto &[name, worker] : workers_) {
+            terms.witnesses.insert(name);
+        }
+        ++terms.logIssued;
+        issued_.push_back(terms);
+        return true;
+    }
+
+    // One worker leaves the witnesses or joins them at a time; a swap would let two majorities pass each other.
+    bool changeWitnesses(ZoneTerms &terms)
+    {
+        std::set<WitnessName> changed = terms.witnesses;
+        const auto dead =
+            std::find_if(changed.begin(), changed.end(), [this](const auto &name) { return !workers_.contains(name); });
+        if (dead != changed.end()) {
+            changed.erase(dead);
+        } else if (changed.size() < Witnesses) {
+            const auto fresh = std::find_if(workers_.begin(), workers_.end(), [&changed](const auto &item) {
+                return !changed.contains(item.first);
+            });
+            changed.insert(fresh->first);
+        }
+        YW_INVARIANT(majoritiesMeet(terms.witnesses, changed), "one change keeps the majorities meeting");
+        return std::exchange(terms.witnesses, changed) != changed;
+    }
+
+    Network network_;
+    std::mt19937_64 random_;
+    std::map<std::uint32_t, Candidate> candidates_;
+    std::map<WitnessName, Worker> workers_;
+    std::set<WitnessName> gone_;
+    std::optional<base::TimePoint> lostSince_;
+    std::vector<ZoneTerms> issued_;
+    std::uint64_t taken_ = 0; ///< Newest terms whose owner has taken the zone.
+    bool logInReach_ = true;
+    base::TimePoint now_{std::chrono::hours(1)};
+    base::TimePoint nextIssue_{};
+    std::uint64_t incarnation_ = 0;
+    std::uint32_t nextWorker_ = 0;
+    std::uint64_t commandsAdmitted_ = 0;
+    std::uint64_t commandsRefused_ = 0;
+};
+
+enum class Fault : std::uint8_t {
+    None,
+    Kill,
+    Start,
+    Pause,
+    CutWorker,
+    Heal,
+    LogAway,
+    LogBack,
+    RestartWorker,
+};
+
+struct Action {
+    Fault fault = Fault::None;
+    std::uint32_t node = 0;
+    std::uint32_t worker = 0;
+    std::uint32_t amount = 0;
+};
+
+std::ostream &operator<<(std::ostream &out, const Action &action)
+{
+    return out << '{' << static_cast<int>(action.fault) << ' ' << action.node << ' ' << action.worker << ' '
+               << action.amount << '}';
+}
+
+void apply(Zone &zone, const Action &action, std::uint32_t candidates)
+{
+    const std::uint32_t node = 1 + action.node % candidates;
+    switch (action.fault) {
+    case Fault::None:
+        break;
+    case Fault::Kill:
+        zone.kill(node);
+        break;
+    case Fault::Start:
+        zone.start(node);
+        break;
+    case Fault::Pause:
+        zone.pause(node, std::chrono::milliseconds(action.amount * 5));
+        break;
+    case Fault::CutWorker:
+        zone.network().cut(node, FirstWorkerNode + action.worker);
+        zone.network().cut(FirstWorkerNode + (action.worker + 1) % 7, node);
+        break;
+    case Fault::Heal:
+        zone.network().heal();
+        break;
+    case Fault::LogAway:
+        zone.reachLog(false);
+        break;
+    case Fault::LogBack:
+        zone.reachLog(true);
+        break;
+    case Fault::RestartWorker:
+        zone.restartWorker(action.worker);
+        break;
+    }
+    zone.run(std::chrono::milliseconds(action.amount * 4));
+}
+
+} // namespace
+
+namespace rc
+{
+
+template <>
+struct Arbitrary<Action> {
+    static Gen<Action> arbitrary()
+    {
+        const auto evenly = [](std::uint32_t bound) {
+            return gen::resize(kNominalSize, gen::inRange<std::uint32_t>(0, bound));
+        };
+        return gen::build<Action>(gen::set(&Action::fault,
+                                           gen::weightedElement<Fault>({{2, Fault::None},
+                                                                        {2, Fault::Kill},
+                                                                        {4, Fault::Start},
+                                                                        {3, Fault::Pause},
+                                                                        {3, Fault::CutWorker},
+                                                                        {2, Fault::Heal},
+                                                                        {2, Fault::LogAway},
+                                                                        {2, Fault::LogBack},
+                                                                        {1, Fault::RestartWorker}})),
+                                  gen::set(&Action::node, evenly(3)),
+                                  gen::set(&Action::worker, evenly(7)),
+                                  gen::set(&Action::amount, evenly(5000)));
+    }
+};
+
+} // namespace rc
+
+RC_GTEST_PROP(ZoneOwnership, aZoneHasOneOwnerUnderFaults, (const std::vector<Action> &actions, std::uint64_t seed))
+{
+    const std::uint32_t candidates = 1 + seed % 3;
+    Zone zone(candidates, Witnesses, seed);
+    zone.network().setFaults({10, 10, 1ms, 1500ms});
+    for (const Action &action : actions) {
+        apply(zone, action, candidates);
+    }
+    zone.heal();
+    zone.run(40s);
+    const std::uint64_t before = zone.commandsAdmitted();
+    zone.run(20s);
+    RC_ASSERT(zone.owner() != 0U);
+    RC_ASSERT(zone.commandsAdmitted() > before);
+}
+
+TEST(ZoneOwnership, aCutOffZoneOutlivesAllOwnersButTheLast)
+{
+    for (std::uint32_t candidates = 1; candidates <= 3; ++candidates) {
+        Zone zone(candidates, Witnesses, 3);
+        ASSERT_TRUE(zone.runUntilOwned(10s));
+        zone.reachLog(false);
+        zone.run(30s);
+        for (std::uint32_t alive = candidates; alive > 1; --alive) {
+            const std::uint32_t owner = zone.owner();
+            ASSERT_NE(owner, 0U) << candidates << " candidates, " << alive << " alive";
+            zone.kill(owner);
+            zone.run(30s);
+        }
+        zone.kill(zone.owner());
+        zone.run(60s);
+        EXPECT_EQ(zone.owner(), 0U);
+        EXPECT_EQ(zone.termsIssued(), 1U);
+    }
+}
+
+TEST(ZoneOwnership, aLeavingOwnerIsSucceededWithoutWaitingForItsLeases)
+{
+    Zone zone(2, Witnesses, 3);
+    ASSERT_TRUE(zone.runUntilOwned(10s));
+    zone.run(5s);
+    const std::uint32_t owner = zone.owner();
+    zone.resign(owner);
+    zone.kill(owner);
+    zone.run(6s);
+    EXPECT_EQ(zone.owner(), 3 - owner);
+}
+
+TEST(ZoneOwnership, lateCommandsOfAPausedOwnerAreRefused)
+{
+    Zone zone(2, Witnesses, 3);
+    ASSERT_TRUE(zone.runUntilOwned(10s));
+    const std::uint32_t paused = zone.owner();
+    zone.network().setFaults({0, 0, 25s, 25s});
+    zone.run(1s);
+    zone.pause(paused, 60s);
+    zone.network().setFaults({0, 0, 1ms, 1ms});
+    zone.run(60s);
+    EXPECT_EQ(zone.owner(), 3 - paused);
+    EXPECT_GT(zone.commandsRefused(), 0U);
+}
+
+TEST(FencingGate, aReleaseOvertakenByANewRequestChangesNothing)
+{
+    FencingGate gate(Lease);
+    const ProcessId owner{1, 1};
+    const base::TimePoint now{1h};
+    ASSERT_TRUE(gate.request(owner, Epoch{1, 0}, now, now));
+    ASSERT_TRUE(gate.request(owner, Epoch{1, 0}, now + 2s, now + 2s));
+    gate.release(owner, Epoch{1, 0}, now + 1s);
+    EXPECT_FALSE(gate.check(ProcessId{2, 1}, Epoch{1, 1}, now + 3s));
+    gate.release(owner, Epoch{1, 0}, now + 3s);
+    EXPECT_TRUE(gate.request(ProcessId{2, 1}, Epoch{1, 1}, now + 3s, now + 3s));
+    EXPECT_FALSE(gate.admit(owner, Epoch{1, 0}, now + 3s));
+    EXPECT_TRUE(gate.admit(ProcessId{2, 1}, Epoch{1, 1}, now + 3s));
+}
+
+TEST(Epoch, candidatesNeverShareAnEpoch)
+{
+    Epoch epoch{4, 0};
+    for (std::uint32_t i = 0; i < 30; ++i) {
+        const std::uint32_t position = (i * 7) % 3;
+        const Epoch next = nextSuccession(epoch, position, 3);
+        EXPECT_LT(epoch, next);
+        EXPECT_EQ(next.successionRank % 3, position);
+        EXPECT_LE(next.successionRank, epoch.successionRank + 3);
+        epoch = next;
+    }
+}
