Keys issued by the zone: at most once without agreement

The process that issued a key decides on it from memory, since every reservation passes through it; a second entry of the zone keeps the ends of attempts for resends after the issuer is lost. Anything else is unprovable and dispatches nothing.

--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -81,7 +81,7 @@
     WorkerHub hub_;
     ProgressLog progress_;
     std::unique_ptr<PlannerThread> planner_; ///< There while this process owns the zone.
-    std::deque<PlannerInput> backlog_;       ///< State from the log that found the planner's ring full.
+    std::deque<PlannerInput> backlog_; ///< State from the log that found the planner's ring full.
     std::unordered_map<placement::JobId, Share> shares_;
     std::vector<placement::TeamQuota> quotas_;
     std::vector<std::string> roster_;
--- /dev/null
+++ b/src/routing/zone_key_store.cpp
@@ -0,0 +1,103 @@
+#include "routing/zone_key_store.h"
+
+#include "base/clock.h"
+
+#include <utility>
+
+namespace yuccawheel::routing
+{
+
+namespace
+{
+/// Numbers of one process start above those of its predecessors.
+constexpr unsigned IncarnationShift = 24;
+} // namespace
+
+ZoneKeyStore::ZoneKeyStore(ZoneKeysOptions options, std::shared_ptr<KeyStore> callerKeys, Sink sink)
+    : keys_(options, base::BootClock::now())
+    , callerKeys_(std::move(callerKeys))
+    , sink_(std::move(sink))
+    , nextNumber_(options.incarnation << IncarnationShift)
+{
+}
+
+std::string ZoneKeyStore::issue()
+{
+    const std::lock_guard lock(mutex_);
+    return keys_.issue(base::BootClock::now());
+}
+
+void ZoneKeyStore::reserve(const KeyReservation &reservation, Reply reply)
+{
+    std::unique_lock lock(mutex_);
+    if (!keys_.parse(reservation.key)) {
+        lock.unlock();
+        if (callerKeys_ == nullptr) {
+            reply(KeyReply{});
+        } else {
+            callerKeys_->reserve(reservation, std::move(reply));
+        }
+        return;
+    }
+    const std::uint64_t number = ++nextNumber_;
+    waiting_.emplace(number, Waiting{reservation.key, std::move(reply)});
+    keys_.reserve(number, reservation, base::BootClock::now());
+    deliver(std::move(lock));
+}
+
+void ZoneKeyStore::finish(const KeyOutcome &outcome)
+{
+    std::unique_lock lock(mutex_);
+    const auto granted = granted_.find(outcome.key);
+    if (granted != granted_.end()) {
+        keys_.finish(granted->second, outcome, base::BootClock::now());
+        granted_.erase(granted);
+        deliver(std::move(lock));
+        return;
+    }
+    lock.unlock();
+    if (callerKeys_ != nullptr) {
+        callerKeys_->finish(outcome);
+    }
+}
+
+void ZoneKeyStore::receive(const KeyMessage &message)
+{
+    std::unique_lock lock(mutex_);
+    keys_.handle(message, base::BootClock::now());
+    deliver(std::move(lock));
+}
+
+void ZoneKeyStore::tick()
+{
+    std::unique_lock lock(mutex_);
+    keys_.tick(base::BootClock::now());
+    deliver(std::move(lock));
+}
+
+// Replies and messages leave without the lock, since their takers may call back.
+void ZoneKeyStore::deliver(std::unique_lock<std::mutex> lock)
+{
+    std::vector<std::pair<Reply, KeyReply>> replies;
+    for (KeyDecision &decision : keys_.takeDecisions()) {
+        const auto waiting = waiting_.find(decision.number);
+        if (waiting == waiting_.end()) {
+            continue;
+        }
+        if (decision.reply.status == KeyStatus::Fresh) {
+            granted_[waiting->second.key] = decision.number;
+        }
+        replies.emplace_back(std::move(waiting->second.reply), std::move(decision.reply));
+        waiting_.erase(waiting);
+    }
+    auto messages = keys_.takeMessages();
+    lock.unlock();
+    if (sink_ && !messages.empty()) {
+        sink_(std::move(messages));
+    }
+    for (auto &[reply, result] : replies) {
+        reply(std::move(result));
+    }
+}
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/src/routing/zone_keys.cpp
@@ -0,0 +1,299 @@
+#include "routing/zone_keys.h"
+
+#include "base/invariant.h"
+#include "routing/rendezvous.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace yuccawheel::routing
+{
+
+namespace
+{
+
+constexpr int Hexadecimal = 16;
+
+// Reads a hexadecimal number up to a colon or the end, and removes both from the text.
+std::optional<std::uint64_t> takeNumber(std::string_view &text)
+{
+    const auto colon = std::min(text.find(':'), text.size());
+    std::uint64_t value = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + colon, value, Hexadecimal);
+    if (status != std::errc() || end != text.data() + colon || fmt::format("{:x}", value) != text.substr(0, colon)) {
+        return std::nullopt;
+    }
+    text.remove_prefix(std::min(colon + 1, text.size()));
+    return value;
+}
+
+} // namespace
+
+ZoneKeys::ZoneKeys(ZoneKeysOptions options, base::TimePoint now)
+    : options_(std::move(options))
+    , startedAt_(now)
+    , decided_(options_.table)
+    , copies_(options_.table)
+{
+    YW_INVARIANT(options_.table.keep >= options_.firstUse, "a key's record outlives the time of its first use");
+}
+
+std::string ZoneKeys::issue(base::TimePoint now)
+{
+    const auto issued = static_cast<std::uint64_t>((now - startedAt_) / std::chrono::milliseconds(1));
+    return fmt::format(
+        "{}-{}:{:x}:{:x}:{:x}", options_.zone, options_.entry, options_.incarnation, issued, ++lastIssued_);
+}
+
+std::optional<IssuedKey> ZoneKeys::parse(std::string_view key) const
+{
+    for (const EntryInfo &entry : options_.entries) {
+        const std::string prefix = fmt::format("{}-{}:", entry.zone, entry.entry);
+        if (!key.starts_with(prefix)) {
+            continue;
+        }
+        std::string_view rest = key.substr(prefix.size());
+        const auto incarnation = takeNumber(rest);
+        const auto issued = incarnation ? takeNumber(rest) : std::nullopt;
+        const auto number = issued ? takeNumber(rest) : std::nullopt;
+        const bool whole = number && rest.empty() && !key.ends_with(':') && *issued < (std::uint64_t{1} << 40U);
+        if (whole) {
+            return IssuedKey{entry.entry, *incarnation, std::chrono::milliseconds(*issued), *number};
+        }
+    }
+    return std::nullopt;
+}
+
+void ZoneKeys::reserve(std::uint64_t number, const KeyReservation &reservation, base::TimePoint now)
+{
+    const auto issued = parse(reservation.key);
+    if (!issued) {
+        settle(number, {});
+        return;
+    }
+    if (decidesHere(*issued)) {
+        settle(number, decide(*issued, reservation, KeyHolder{options_.entry, number}, now));
+        return;
+    }
+    Pending &pending = pending_[number];
+    pending.reservation = reservation;
+    if (issued->entry == options_.entry) {
+        askReplica(number, pending, *issued, now);
+        return;
+    }
+    pending.askedEntry = issued->entry;
+    pending.giveUpAt = now + options_.askTimeout;
+    KeyMessage &message = send(KeyMessageKind::Reserve, issued->entry, number, reservation.key);
+    message.digest = reservation.digest;
+    message.timeout = reservation.timeout;
+}
+
+// Without a record there was no attempt, unless the key is so old that its record may have been dropped.
+KeyReply ZoneKeys::decide(const IssuedKey &issued,
+                          const KeyReservation &reservation,
+                          const KeyHolder &holder,
+                          base::TimePoint now)
+{
+    if (issued.number == 0 || issued.number > lastIssued_ || startedAt_ + issued.issuedAt > now) {
+        return {KeyStatus::Conflict, base::Verdict::NotRun, std::nullopt};
+    }
+    const KeyReply known = decided_.find(reservation.key, reservation.digest);
+    if (known.status == KeyStatus::Unreachable && now >= startedAt_ + issued.issuedAt + options_.firstUse) {
+        return known;
+    }
+    return decided_.reserve(reservation.key, reservation.digest, holder, now + reservation.timeout, now);
+}
+
+// The replica only knows ends of attempts. That it has no record proves nothing.
+void ZoneKeys::askReplica(std::uint64_t number, Pending &pending, const IssuedKey &issued, base::TimePoint now)
+{
+    if (!pending.askedEntry.empty()) {
+        abandoned_[number] = now + options_.table.keep;
+    }
+    const std::string replica = replicaOf(pending.reservation.key, issued.entry);
+    if (replica.empty() || replica == options_.entry) {
+        const KeyReply reply = copies_.find(pending.reservation.key, pending.reservation.digest);
+        pending_.erase(number);
+        settle(number, reply);
+        return;
+    }
+    pending.askedIssuer = false;
+    pending.askedEntry = replica;
+    pending.giveUpAt = now + options_.askTimeout;
+    send(KeyMessageKind::Lookup, replica, number, pending.reservation.key).digest = pending.reservation.digest;
+}
+
+void ZoneKeys::settle(std::uint64_t number, KeyReply reply)
+{
+    decisions_.push_back(KeyDecision{number, std::move(reply)});
+}
+
+void ZoneKeys::finish(std::uint64_t number, const KeyOutcome &outcome, base::TimePoint now)
+{
+    const auto issued = parse(outcome.key);
+    if (!issued) {
+        return;
+    }
+    if (decidesHere(*issued)) {
+        record(outcome, KeyHolder{options_.entry, number}, now);
+        return;
+    }
+    KeyMessage &message = send(KeyMessageKind::Finish, issued->entry, number, outcome.key);
+    message.verdict = outcome.verdict;
+    message.answer = outcome.answer;
+    unacknowledged_[number] = Unacknowledged{message, now + options_.finishInterval, options_.finishAttempts};
+}
+
+void ZoneKeys::record(const KeyOutcome &outcome, const KeyHolder &holder, base::TimePoint now)
+{
+    const std::uint64_t digest = decided_.digestOf(outcome.key);
+    const std::string replica = replicaOf(outcome.key, options_.entry);
+    if (!decided_.finish(outcome, holder, now) || replica.empty() || outcome.verdict == base::Verdict::NotRun) {
+        return;
+    }
+    KeyMessage &message = send(KeyMessageKind::Copy, replica, 0, outcome.key);
+    message.digest = digest;
+    message.verdict = outcome.verdict;
+    message.answer = outcome.answer;
+}
+
+void ZoneKeys::handle(const KeyMessage &message, base::TimePoint now)
+{
+    switch (message.kind) {
+    case KeyMessageKind::Reserve:
+        handleReserve(message, now);
+        break;
+    case KeyMessageKind::Lookup: {
+        const KeyReply reply = copies_.find(message.key, message.digest);
+        KeyMessage &answer = send(KeyMessageKind::Reply, message.from, message.number, message.key);
+        answer.status = reply.status;
+        answer.verdict = reply.verdict;
+        answer.answer = reply.answer;
+        break;
+    }
+    case KeyMessageKind::Reply:
+        handleReply(message, now);
+        break;
+    case KeyMessageKind::Finish:
+        record(KeyOutcome{message.key, message.verdict, message.answer}, {message.from, message.number}, now);
+        send(KeyMessageKind::FinishAck, message.from, message.number, message.key);
+        break;
+    case KeyMessageKind::FinishAck:
+        unacknowledged_.erase(message.number);
+        break;
+    case KeyMessageKind::Copy:
+        copies_.copy(KeyOutcome{message.key, message.verdict, message.answer}, message.digest, now);
+        break;
+    }
+}
+
+// A key of a former process of this entry can't be decided on here any more.
+void ZoneKeys::handleReserve(const KeyMessage &message, base::TimePoint now)
+{
+    const auto issued = parse(message.key);
+    KeyReply reply;
+    if (issued && decidesHere(*issued)) {
+        const KeyReservation reservation{message.key, message.digest, message.timeout};
+        reply = decide(*issued, reservation, KeyHolder{message.from, message.number}, now);
+    }
+    KeyMessage &answer = send(KeyMessageKind::Reply, message.from, message.number, message.key);
+    answer.status = reply.status;
+    answer.verdict = reply.verdict;
+    answer.answer = std::move(reply.answer);
+}
+
+// A grant that comes after this entry gave up is given back: nothing was dispatched on it. A second copy of a grant
+// that was used is not, since giving it back would free the key while its attempt runs.
+void ZoneKeys::handleReply(const KeyMessage &message, base::TimePoint now)
+{
+    const auto found = pending_.find(message.number);
+    const bool expected = found != pending_.end() && found->second.askedEntry == message.from;
+    if (!expected) {
+        if (message.status == KeyStatus::Fresh && abandoned_.contains(message.number)) {
+            finish(message.number, KeyOutcome{message.key, base::Verdict::NotRun, std::nullopt}, now);
+        }
+        return;
+    }
+    if (message.status == KeyStatus::Unreachable && found->second.askedIssuer) {
+        askReplica(message.number, found->second, *parse(message.key), now);
+        return;
+    }
+    pending_.erase(found);
+    settle(message.number, KeyReply{message.status, message.verdict, message.answer});
+}
+
+void ZoneKeys::tick(base::TimePoint now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[number, pending] : pending_) {
+        if (pending.giveUpAt <= now) {
+            late.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : late) {
+        Pending &pending = pending_.at(number);
+        if (pending.askedIssuer) {
+            askReplica(number, pending, *parse(pending.reservation.key), now);
+        } else {
+            pending_.erase(number);
+            settle(number, {});
+        }
+    }
+    for (auto entry = unacknowledged_.begin(); entry != unacknowledged_.end();) {
+        Unacknowledged &waiting = entry->second;
+        if (waiting.nextAt <= now) {
+            messages_.push_back(waiting.message);
+            waiting.nextAt = now + options_.finishInterval;
+            --waiting.attemptsLeft;
+        }
+        entry = waiting.attemptsLeft == 0 ? unacknowledged_.erase(entry) : std::next(entry);
+    }
+    std::erase_if(abandoned_, [now](const auto &entry) { return entry.second <= now; });
+    decided_.expire(now);
+    copies_.expire(now);
+}
+
+std::vector<KeyMessage> ZoneKeys::takeMessages()
+{
+    return std::exchange(messages_, {});
+}
+
+std::vector<KeyDecision> ZoneKeys::takeDecisions()
+{
+    return std::exchange(decisions_, {});
+}
+
+std::string ZoneKeys::replicaOf(std::string_view key, const std::string &issuer) const
+{
+    const auto home = std::find_if(options_.entries.begin(), options_.entries.end(), [&](const EntryInfo &entry) {
+        return entry.entry == issuer;
+    });
+    std::vector<std::string> others;
+    for (const EntryInfo &entry : options_.entries) {
+        if (home != options_.entries.end() && entry.zone == home->zone && entry.entry != issuer) {
+            others.push_back(entry.entry);
+        }
+    }
+    return others.empty() ? std::string() : rendezvousOrder(key, std::move(others)).front();
+}
+
+bool ZoneKeys::decidesHere(const IssuedKey &issued) const
+{
+    return issued.entry == options_.entry && issued.incarnation == options_.incarnation;
+}
+
+KeyMessage &ZoneKeys::send(KeyMessageKind kind, const std::string &to, std::uint64_t number, std::string_view key)
+{
+    KeyMessage &message = messages_.emplace_back();
+    message.kind = kind;
+    message.to = to;
+    message.from = options_.entry;
+    message.number = number;
+    message.key = key;
+    return message;
+}
+
+} // namespace yuccawheel::routing
--- /dev/null
+++ b/src/routing/zone_keys.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "routing/key_table.h"
+#include "routing/types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace yuccawheel::routing
+{
+
+enum class KeyMessageKind : std::uint8_t {
+    Reserve, ///< To the key's issuer: may I run this request?
+    Lookup, ///< To the key's replica: do you know the end of its attempt?
+    Reply, ///< Answer to Reserve and Lookup.
+    Finish, ///< To the issuer: how the attempt ended.
+    FinishAck,
+    Copy, ///< Issuer to replica: how the attempt ended.
+};
+
+/// A message between two entries about one key.
+struct KeyMessage {
+    KeyMessageKind kind = KeyMessageKind::Reserve;
+    std::string to;
+    std::string from;
+    std::uint64_t number = 0; ///< The asker's number for the request; answers repeat it.
+    std::string key;
+    std::uint64_t digest = 0; ///< Reserve, Lookup, Copy.
+    base::Duration timeout{0}; ///< Reserve: the attempt ends so soon.
+    KeyStatus status = KeyStatus::Unreachable; ///< Reply.
+    base::Verdict verdict = base::Verdict::MayHaveRun; ///< Reply, Finish, Copy.
+    std::optional<StoredAnswer> answer; ///< Reply, Finish, Copy.
+};
+
+/// The parts of a key that an entry issued. Text form: `ZONE-ENTRY:INCARNATION:ISSUED:NUMBER`, numbers in hexadecimal.
+struct IssuedKey {
+    std::string entry;
+    std::uint64_t incarnation = 0;
+    base::Duration issuedAt{0}; ///< Since the issuer's process started.
+    std::uint64_t number = 0;
+};
+
+struct ZoneKeysOptions {
+    std::string entry; ///< Name of this entry.
+    std::string zone; ///< Its availability zone.
+    std::uint64_t incarnation = 1; ///< Grows each time the entry starts.
+    std::vector<EntryInfo> entries; ///< All entries of the cell.
+    KeyTableOptions table;
+    base::Duration firstUse = std::chrono::hours(1); ///< A key is refused that is first used later than this.
+    base::Duration askTimeout = std::chrono::milliseconds(300); ///< For an answer of another entry.
+    base::Duration finishInterval = std::chrono::milliseconds(300); ///< Between repeats of an unacknowledged Finish.
+    std::uint32_t finishAttempts = 10;
+};
+
+/// A decision on a reservation.
+struct KeyDecision {
+    std::uint64_t number = 0;
+    KeyReply reply;
+};
+
+/// Issues keys and decides who may run the request that carries one. The process that issued a key decides on it from
+/// memory: every reservation of the key passes through it, so it alone knows that there was none. Pure.
+class ZoneKeys
+{
+public:
+    ZoneKeys(ZoneKeysOptions options, base::TimePoint now);
+
+    /// Returns a new key.
+    std::string issue(base::TimePoint now);
+    /// Parses a key that an entry of the cell issued; nothing for any other key.
+    std::optional<IssuedKey> parse(std::string_view key) const;
+
+    /// Asks for the right to run a request with an issued key. The decision comes out of `takeDecisions`.
+    /// `number` must not be used twice.
+    void reserve(std::uint64_t number, const KeyReservation &reservation, base::TimePoint now);
+    /// Tells how the attempt of a granted reservation ended.
+    void finish(std::uint64_t number, const KeyOutcome &outcome, base::TimePoint now);
+    void handle(const KeyMessage &message, base::TimePoint now);
+    /// Gives up on late answers and repeats what was not acknowledged.
+    void tick(base::TimePoint now);
+
+    std::vector<KeyMessage> takeMessages();
+    std::vector<KeyDecision> takeDecisions();
+
+private:
+    struct Pending {
+        KeyReservation reservation;
+        std::string askedEntry;
+        bool askedIssuer = true;
+        base::TimePoint giveUpAt;
+    };
+    struct Unacknowledged {
+        KeyMessage message;
+        base::TimePoint nextAt;
+        std::uint32_t attemptsLeft = 0;
+    };
+
+    KeyReply
+    decide(const IssuedKey &issued, const KeyReservation &reservation, const KeyHolder &holder, base::TimePoint now);
+    void askReplica(std::uint64_t number, Pending &pending, const IssuedKey &issued, base::TimePoint now);
+    void settle(std::uint64_t number, KeyReply reply);
+    void record(const KeyOutcome &outcome, const KeyHolder &holder, base::TimePoint now);
+    void handleReserve(const KeyMessage &message, base::TimePoint now);
+    void handleReply(const KeyMessage &message, base::TimePoint now);
+    std::string replicaOf(std::string_view key, const std::string &issuer) const;
+    bool decidesHere(const IssuedKey &issued) const;
+    KeyMessage &send(KeyMessageKind kind, const std::string &to, std::uint64_t number, std::string_view key);
+
+    const ZoneKeysOptions options_;
+    const base::TimePoint startedAt_;
+    std::uint64_t lastIssued_ = 0;
+    KeyTable decided_;
+    KeyTable copies_;
+    std::unordered_map<std::uint64_t, Pending> pending_;
+    std::unordered_map<std::uint64_t, Unacknowledged> unacknowledged_;
+    std::unordered_map<std::uint64_t, base::TimePoint> abandoned_; ///< Requests given up before their issuer answered.
+    std::vector<KeyMessage> messages_;
+    std::vector<KeyDecision> decisions_;
+};
+
+} // namespace yuccawheel::routing
