--- a/src/http/proxy_core.cpp
+++ b/src/http/proxy_core.cpp
@@ -187,7 +187,7 @@
 void ProxyCore::sayFarewell()
 {
     if (lingering_.empty() && requests_.empty()) {
-        router.drained();
+        router.drained(base::BootClock::now());
     }
     deliver();
 }
--- a/src/routing/executor_share.cpp
+++ b/src/routing/executor_share.cpp
@@ -197,6 +197,11 @@
     });
 }
 
+bool ExecutorShare::hasTaken(LoanId id) const
+{
+    return std::any_of(taken_.begin(), taken_.end(), [id](const Loan &loan) { return loan.id == id; });
+}
+
 const std::vector<Loan> &ExecutorShare::loansTaken() const
 {
     return taken_;
--- a/src/routing/executor_share.h
+++ b/src/routing/executor_share.h
@@ -74,6 +74,7 @@
     /// Drops every unused loan taken and appends it.
     void returnUnused(std::vector<Loan> &toReturn);
 
+    bool hasTaken(LoanId id) const;
     const std::vector<Loan> &loansTaken() const;
 
 private:
--- a/src/routing/loan_book.cpp
+++ b/src/routing/loan_book.cpp
@@ -101,6 +101,8 @@
 }
 
 // The term counts from the sending of the request, which is before the lender's count began.
+// A grant that comes too late is given back, but never a second copy of one in use, nor one that a former process of
+// this entry may have used: the lender waits for those to expire.
 void LoanBook::handleGrant(const ShareMessage &message, base::TimePoint now)
 {
     const Upstream *known = table_.find(message.executor);
@@ -108,7 +110,9 @@
         return candidate.id == message.id && message.id != 0;
     });
     if (known == nullptr || ask == asks_.end() || ask->lender != message.from) {
-        if (message.slots > 0) {
+        const bool ours = message.id >> IncarnationShift == (options_.incarnation & UINT32_MAX);
+        const bool taken = known != nullptr && known->share.hasTaken(message.id);
+        if (message.slots > 0 && ours && !taken) {
             send(ShareMessageKind::LoanReturn, message.from, message.executor, message.id);
         }
         return;
@@ -234,7 +238,8 @@
     }
 }
 
-void LoanBook::sayFarewell()
+// Before the recovery has ended, requests of an earlier process may still run, so no farewell is true yet.
+void LoanBook::sayFarewell(base::TimePoint now)
 {
     std::vector<Loan> toReturn;
     for (UpstreamIndex index = 0; index < table_.size(); ++index) {
@@ -246,7 +251,7 @@
         }
     }
     for (const EntryInfo &entry : options_.entries) {
-        if (entry.entry != options_.entry) {
+        if (entry.entry != options_.entry && recovered(now)) {
             send(ShareMessageKind::Farewell, entry.entry, "", 0).incarnation = options_.incarnation;
         }
     }
--- a/src/routing/loan_book.h
+++ b/src/routing/loan_book.h
@@ -65,7 +65,7 @@
     /// Returns idle and ending loans, gives up late requests, goes on with the recovery.
     void tick(base::TimePoint now);
     /// Returns every loan and tells the other entries that nothing is in progress here.
-    void sayFarewell();
+    void sayFarewell(base::TimePoint now);
 
     /// Whether the restart is over: every share of this entry is usable.
     bool recovered(base::TimePoint now) const;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -215,10 +215,10 @@
     dispatchAllWaiting(now);
 }
 
-void Router::drained()
+void Router::drained(base::TimePoint now)
 {
     YW_INVARIANT(freeRequests_.size() == requests_.size(), "a drained entry has no request");
-    loans_.sayFarewell();
+    loans_.sayFarewell(now);
 }
 
 void Router::takeDecisions(std::vector<Decision> &decisions)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -123,7 +123,7 @@
     /// Does what time makes due. To be called every few milliseconds.
     void tick(base::TimePoint now);
     /// Returns loans and says farewell. To be called when no request is left and none will come.
-    void drained();
+    void drained(base::TimePoint now);
 
     /// Decisions on requests that were queued or retried; appends them and empties the list.
     void takeDecisions(std::vector<Decision> &decisions);
@@ -193,6 +193,7 @@
     void evict(RequestId id);
     void enqueue(Request &request, bool front, base::TimePoint now);
     void dispatchWaiting(ServiceIndex service, base::TimePoint now);
+    bool dispatchNext(ServiceIndex service, base::TimePoint now);
     void dispatchAllWaiting(base::TimePoint now);
     void dispatchFreed(UpstreamIndex upstream, base::TimePoint now);
     void askForSlots(ServiceIndex service, base::TimePoint now);
--- a/src/routing/router_dispatch.cpp
+++ b/src/routing/router_dispatch.cpp
@@ -183,40 +183,45 @@
 }
 
 void Router::dispatchWaiting(ServiceIndex service, base::TimePoint now)
+{
+    while (dispatchNext(service, now)) {
+    }
+}
+
+// If the request whose turn it is is a bulk one that must wait, the first of the other classes has its turn.
+bool Router::dispatchNext(ServiceIndex service, base::TimePoint now)
 {
     WaitQueue &queue = serviceAt(service).queue;
-    while (!queue.empty()) {
-        const auto any = queue.front(true);
-        Request *request = findRequest(*any);
+    for (const bool allowBulk : {true, false}) {
+        const auto id = queue.front(allowBulk);
+        if (!id) {
+            return false;
+        }
+        Request *request = findRequest(*id);
         YW_INVARIANT(request != nullptr && request->state == RequestState::Waiting, "only waiting requests are queued");
         if (request->deadline <= now) {
-            queue.popFront(true);
+            queue.popFront(allowBulk);
             --waiting_;
             decisions_.push_back(reject(Rejection::DeadlinePassed, request, &serviceAt(service)));
-            continue;
-        }
-        Capacity capacity = gather(request, service, request->deadline + options_.loans.abandonGrace, now);
-        bool allowBulk = true;
-        if (request->urgency == Urgency::Bulk && !bulkAllowed(capacity)) {
-            allowBulk = false;
-            const auto other = queue.front(false);
-            if (!other) {
-                return;
-            }
-            request = findRequest(*other);
-            capacity = gather(request, service, request->deadline + options_.loans.abandonGrace, now);
+            return true;
         }
+        const base::TimePoint end = request->deadline + options_.loans.abandonGrace;
+        Capacity capacity = gather(request, service, end, now);
         if (capacity.free == 0 && request->excludedCount > 0) {
             request->excludedCount = 0;
-            capacity = gather(request, service, request->deadline + options_.loans.abandonGrace, now);
+            capacity = gather(request, service, end, now);
         }
         if (capacity.free == 0) {
-            return;
+            return false;
+        }
+        if (request->urgency != Urgency::Bulk || bulkAllowed(capacity)) {
+            queue.popFront(allowBulk);
+            --waiting_;
+            decisions_.push_back(dispatch(*request, now));
+            return true;
         }
-        queue.popFront(allowBulk);
-        --waiting_;
-        decisions_.push_back(dispatch(*request, now));
     }
+    return false;
 }
 
 void Router::dispatchAllWaiting(base::TimePoint now)
--- a/tests/routing_keys_test.cpp
+++ b/tests/routing_keys_test.cpp
@@ -173,7 +173,7 @@
 {
     constexpr int Steps = 1500;
     KeyCluster cluster;
-    std::mt19937 random(*rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>()));
+    std::mt19937 random(*rc::gen::noShrink(rc::gen::inRange<std::uint32_t>(0, UINT32_MAX)));
     for (int step = 0; step < Steps; ++step) {
         const auto value = static_cast<std::uint32_t>(random());
         const std::uint32_t low = (value >> 4U) & 0xfffU;
