yuccactl against real daemons; the configuration in force is answered in the documents' own form

`submit` compares a document with the configuration in force, so the store's answer has to hold every field with the document's keys; before, replicas, max_disruption, detached_for and payload were missing and the comparison failed.

--- a/src/programs/yuccactl/session.cpp
+++ b/src/programs/yuccactl/session.cpp
@@ -15,9 +15,15 @@
 
 constexpr int JsonIndent = 2;
 
-std::string dump(const Json &json)
+std::string dump(const Json &json, int indent = JsonIndent)
 {
-    return json.dump(JsonIndent, ' ', false, Json::error_handler_t::replace) + "\n";
+    return json.dump(indent, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+void write(const std::string &output)
+{
+    std::fwrite(output.data(), 1, output.size(), stdout);
+    std::fflush(stdout);
 }
 
 } // namespace
@@ -28,9 +34,13 @@
 
 void Session::print(const Json &answer, const std::string &text) const
 {
-    const std::string output = options_.json ? dump(answer) : text.empty() ? render(answer) : text;
-    std::fwrite(output.data(), 1, output.size(), stdout);
-    std::fflush(stdout);
+    write(options_.json ? dump(answer) : text.empty() ? render(answer) : text);
+}
+
+void Session::printStep(const Json &answer) const
+{
+    constexpr int OneLine = -1;
+    write(options_.json ? dump(answer, OneLine) : render(answer) + "\n");
 }
 
 ExitCode Session::finish(const tl::expected<Json, Failure> &answer) const
--- a/src/programs/yuccactl/session.h
+++ b/src/programs/yuccactl/session.h
@@ -26,6 +26,8 @@
 
     /// Prints an answer as text or JSON. Without a text the answer is rendered as it is.
     void print(const Json &answer, const std::string &text = "") const;
+    /// Prints one of several answers: with JSON, one a line.
+    void printStep(const Json &answer) const;
     /// Prints an answer, or the failure.
     ExitCode finish(const tl::expected<Json, Failure> &answer) const;
     /// Prints a failure and returns its exit code.
--- a/src/programs/yuccactl/submit.cpp
+++ b/src/programs/yuccactl/submit.cpp
@@ -155,7 +155,6 @@
             break;
         case ExitCode::Usage:
             removeRecord(path_);
-            failure.message += problemLines(failure.details);
             break;
         default:
             failure.message +=
@@ -175,17 +174,6 @@
                            record.expectedVersion.value_or(0));
     }
 
-    static std::string problemLines(const Json &details)
-    {
-        std::string lines;
-        if (details.is_object() && details.contains("problems")) {
-            for (const Json &problem : details["problems"]) {
-                lines += "\n  " + (problem.is_string() ? problem.get<std::string>() : problem.dump());
-            }
-        }
-        return lines;
-    }
-
     const Session &session_;
     DocumentFile file_;
     std::string hash_;
--- a/src/programs/yuccactl/watch.cpp
+++ b/src/programs/yuccactl/watch.cpp
@@ -39,7 +39,7 @@
         if (answer) {
             if (*answer != last) {
                 last = *answer;
-                session.print(last);
+                session.printStep(last);
             }
             if (const auto code = ended(last)) {
                 return *code;
--- a/src/store/store_queries.cpp
+++ b/src/store/store_queries.cpp
@@ -1,5 +1,6 @@
 // Answers to operators' questions, as JSON.
 
+#include "settings/document_json.h"
 #include "store/store_core.h"
 
 #include <nlohmann/json.hpp>
@@ -104,15 +105,16 @@
     return {{"jobs", std::move(jobs)}};
 }
 
+// Teams and services stand as in the operators' documents, so that a document can be compared with them.
 json configurationJson(const ClusterState &state)
 {
     json teams = json::array();
     for (const auto &[name, quota] : state.teams()) {
-        teams.push_back({{"name", name}, {"guaranteed", toJson(quota.guaranteed)}});
+        teams.emplace_back(settings::toJson(quota));
     }
     json services = json::array();
     for (const auto &[name, job] : state.services()) {
-        services.push_back(toJson(*state.findJob(job)));
+        services.emplace_back(settings::toJson(state.findJob(job)->spec));
     }
     return {{"version", state.configurationVersion()}, {"teams", std::move(teams)}, {"services", std::move(services)}};
 }
--- /dev/null
+++ b/tests/yuccactl_cluster_test.py
@@ -0,0 +1,110 @@
+"""yuccactl against real daemons: submit, race, resend, look at everything, and go on when an entry dies."""
+
+import json
+import subprocess
+import sys
+import unittest
+
+from cluster import BIN, ROOT, Cluster, text
+
+SERVICE = """services:
+  - name: preview
+    team: studio
+    replicas: {replicas}
+    resources: {{cpu: 0.5, memory: 256MiB}}
+    payload: "sleep: 'long' # é"
+teams:
+  - {{name: studio, guaranteed: {{cpu: 1.5, memory: 1GiB}}}}
+"""
+JOB = """batch:
+  - {name: suite, team: studio, tasks: 3, run_time: 100ms, resources: {cpu: 1, memory: 256MiB}}
+"""
+NEVER = """batch:
+  - {name: huge, team: studio, tasks: 1, run_time: 1s, resources: {cpu: 1000, memory: 1TiB}}
+"""
+
+
+class Operator:
+    """Runs yuccactl against both entries of a cluster."""
+
+    def __init__(self, cluster):
+        self.folder = cluster.folder
+        self.options = ["--token-file", str(cluster.folder / "token"), "--format", "json", "--interval", "100ms"]
+        for vm in cluster.vms:
+            self.options += ["--entry", text(vm.address["operator"])]
+
+    def run(self, *arguments):
+        done = subprocess.run(
+            [BIN / "yuccactl", *arguments, *self.options], capture_output=True, check=False, text=True, timeout=120
+        )
+        lines = done.stdout.splitlines()[-1:] if arguments[0] == "watch" else [done.stdout]
+        return done.returncode, json.loads(lines[0] if done.stdout else "null")
+
+    def document(self, name, content):
+        path = self.folder / name
+        path.write_text(content)
+        return str(path)
+
+    def submit(self, name, content, *arguments):
+        return self.run("submit", self.document(name, content), *arguments)
+
+
+class YuccactlAgainstDaemons(unittest.TestCase):
+    def test_an_operators_day(self):
+        with Cluster({"a": 1, "b": 1}, stores=["a"]) as cluster:
+            cluster.start()
+            for zone in cluster.zones:
+                cluster.workers(zone, 2)
+            operator = Operator(cluster)
+            self.configure(operator)
+            self.run_jobs(operator)
+            self.look(operator)
+            # The first entry dies; the second one serves the same commands.
+            cluster.vms[0].entry.kill()
+            self.assertEqual(operator.run("config")[1]["version"], 3)
+            self.assertEqual(operator.submit("job.yaml", JOB)[0], 0)
+
+    def configure(self, operator):
+        example = subprocess.run(
+            [sys.executable, ROOT / "examples/bibliobus.py"], capture_output=True, check=True, text=True
+        ).stdout
+        code, answer = operator.submit("bibliobus.yaml", example, "--wait", "60s")
+        self.assertEqual((code, answer["version"], len(answer["jobs"]), answer["resent"]), (0, 1, 3, False))
+        self.assertEqual(operator.submit("preview.yaml", SERVICE.format(replicas=1))[0], 0)
+        code, plan = operator.submit("preview.yaml", SERVICE.format(replicas=2), "--dry-run")
+        self.assertEqual(code, 0)
+        self.assertEqual({change["item"]: change["change"] for change in plan["changes"]},
+                         {"service preview": "changed", "team studio": "unchanged"})
+        # An operator whose picture is old loses against the one who was faster.
+        code, answer = operator.submit("late.yaml", SERVICE.format(replicas=5), "--expected-version", "1")
+        self.assertEqual((code, answer["answer"]["winner"]["version"]), (3, 2))
+        self.assertEqual(operator.submit("preview.yaml", SERVICE.format(replicas=2))[1]["version"], 3)
+        services = {service["name"]: service for service in operator.run("config")[1]["services"]}
+        self.assertEqual(services["preview"]["replicas"], 2)
+
+    def run_jobs(self, operator):
+        code, answer = operator.submit("job.yaml", JOB)
+        self.assertEqual(code, 0)
+        code, _ = operator.run("watch", str(answer["jobs"][0]["id"]), "--wait", "100s")
+        self.assertEqual(code, 0)
+        self.assertEqual(operator.run("get", "suite")[1]["succeeded"], 3)
+        self.assertEqual(operator.submit("never.yaml", NEVER)[0], 0)
+        self.assertIn("zones", operator.run("explain", "huge")[1])
+        self.assertEqual(operator.run("cancel", "huge")[0], 0)
+        self.assertEqual(operator.run("cancel", "huge")[0], 0)
+        self.assertEqual(operator.run("get", "nothing-of-the-kind")[0], 1)
+
+    def look(self, operator):
+        self.assertEqual(len(operator.run("workers")[1]["workers"]), 4)
+        worker = operator.run("workers")[1]["workers"][0]["name"]
+        self.assertEqual(operator.run("drain", worker)[0], 0)
+        self.assertEqual(operator.run("undrain", worker)[0], 0)
+        self.assertEqual(operator.run("drain", "no-such-vm")[0], 1)
+        names = {job["name"] for job in operator.run("list")[1]["jobs"]}
+        self.assertTrue({"suite", "preview", "route-plan"} <= names, names)
+        for command in (["upstreams"], ["config", "status"], ["store", "status"], ["report", "--since", "1h"]):
+            self.assertEqual(operator.run(*command)[0], 0, command)
+
+
+if __name__ == "__main__":
+    unittest.main()
