--- a/tests/docs_pages_test.py
+++ b/tests/docs_pages_test.py
@@ -110,7 +110,9 @@
             sources = [path for path in (ROOT / f"tests/{file}.cpp", ROOT / f"tests/{file}.py") if path.exists()]
             self.assertTrue(sources, file)
             if suite:
-                self.assertRegex(sources[0].read_text(encoding="utf-8"), rf"\({suite},\s*{case}\b", f"{file}.{suite}")
+                pattern = rf"\({suite},\s*{case}\b|class {suite}\(.*def {case}\("
+                found = re.search(pattern, sources[0].read_text(encoding="utf-8"), flags=re.DOTALL)
+                self.assertTrue(found, f"{file}.{suite}.{case}")
 
 
 class Examples(unittest.TestCase):
