Fake worker: service tasks run an upstream that announces itself

A service task serves its own name through an in-process fake upstream; when it ends, the upstream announces that it leaves and goes on for the 4 s in which entries may still send. A loss of power ends it at once. Payloads that are no mapping run for the worker's default time, so the examples' opaque payloads can be used.

--- a/fakes/fake_worker.cpp
+++ b/fakes/fake_worker.cpp
@@ -2,12 +2,14 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fakes/fake_upstream.h"
 #include "http/client.h"
 
 #include <fmt/core.h>
 
 #include <condition_variable>
 #include <fcntl.h>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <unistd.h>
@@ -25,6 +27,7 @@
 
 constexpr milliseconds PollGrace{2000}; ///< Added to a poll's own wait before it counts as lost.
 constexpr milliseconds RetryDelay{100};
+constexpr std::chrono::seconds LeavingTime{4}; ///< Entries stop sending within 3 s.
 constexpr int HttpOk = 200;
 constexpr int HttpBadRequest = 400;
 constexpr int HttpConflict = 409;
@@ -77,6 +80,12 @@
     }
 }
 
+/// The upstream of a service task that has ended: it refuses nothing until the entries have surely seen it leave.
+struct LeavingUpstream {
+    std::unique_ptr<FakeUpstream> upstream;
+    TimePoint until;
+};
+
 struct FakeWorker::Impl {
     Impl(Options givenOptions, Journal &givenJournal)
         : options(std::move(givenOptions))
@@ -103,6 +112,8 @@
     void tryNextScheduler();
     /// Writes what happened to the journal before anybody else can hear of it.
     void publishRecords();
+    void followUpstream(const WorkerRecord &record);
+    void removeLeftUpstreams(TimePoint now);
 
     const Options options;
     Journal &journal;
@@ -113,6 +124,8 @@
     bool stopping = false;
     std::size_t nextScheduler = 0;
     settings::Endpoint scheduler;
+    std::map<std::string, std::unique_ptr<FakeUpstream>> upstreams; ///< By task.
+    std::vector<LeavingUpstream> leaving;
     std::thread thread;
 };
 
@@ -200,7 +213,36 @@
 {
     for (const WorkerRecord &record : state.takeRecords()) {
         journal.append(options.worker.name, record);
+        followUpstream(record);
+    }
+}
+
+/// A loss of power ends an upstream at once; otherwise it announces that it leaves and finishes what it has.
+void FakeWorker::Impl::followUpstream(const WorkerRecord &record)
+{
+    if (record.kind == WorkerRecord::Kind::Start && !record.serve.empty() && !options.entries.empty()) {
+        FakeUpstreamOptions upstream;
+        upstream.executor = options.worker.name + "-" + record.task;
+        upstream.incarnation = record.incarnation;
+        upstream.address = options.ip;
+        upstream.services = {record.serve};
+        upstream.entries = options.entries;
+        upstreams.emplace(record.task, std::make_unique<FakeUpstream>(std::move(upstream)));
+        return;
+    }
+    auto ended = upstreams.extract(record.task);
+    if (record.kind != WorkerRecord::Kind::End || ended.empty() || record.detail == "lost") {
+        return;
     }
+    ended.mapped()->leave();
+    leaving.push_back({std::move(ended.mapped()), record.at + LeavingTime});
+}
+
+void FakeWorker::Impl::removeLeftUpstreams(TimePoint now)
+{
+    std::erase_if(leaving, [now](const LeavingUpstream &left) {
+        return left.until <= now && left.upstream->counts().running == 0;
+    });
 }
 
 FakeWorker::FakeWorker(Options options, Journal &journal) : impl_(std::make_unique<Impl>(std::move(options), journal))
@@ -212,8 +254,10 @@
 void FakeWorker::tick()
 {
     const std::lock_guard lock(impl_->mutex);
-    impl_->state.advance(BootClock::now());
+    const TimePoint now = BootClock::now();
+    impl_->state.advance(now);
     impl_->publishRecords();
+    impl_->removeLeftUpstreams(now);
 }
 
 void FakeWorker::setFaults(const WorkerFaults &faults)
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -35,7 +35,8 @@
         WorkerOptions worker;
         std::string zone;
         std::vector<settings::Endpoint> schedulers; ///< Worker addresses of the zone's schedulers.
-        std::vector<settings::Endpoint> entries; ///< Upstream addresses of the zone's entries.
+        std::vector<std::string> entries; ///< `IP:PORT` of the upstream addresses of the zone's entries.
+        std::string ip = "127.0.0.1"; ///< Where its upstreams listen.
     };
 
     FakeWorker(Options options, Journal &journal);
--- a/fakes/programs/fake_worker.cpp
+++ b/fakes/programs/fake_worker.cpp
@@ -60,9 +60,11 @@
             .count());
     options.worker.wait = std::chrono::milliseconds(arguments["wait-ms"].as<int>());
     options.worker.usageLag = std::chrono::milliseconds(arguments["usage-lag-ms"].as<int>());
+    options.worker.runTime = std::chrono::milliseconds(arguments["run-ms"].as<int>());
+    options.ip = arguments["ip"].as<std::string>();
     options.zone = arguments["zone"].as<std::string>();
     options.schedulers = endpoints(arguments["scheduler"].as<std::vector<std::string>>());
-    options.entries = endpoints(arguments["entry"].as<std::vector<std::string>>());
+    options.entries = arguments["entry"].as<std::vector<std::string>>();
     return options;
 }
 
@@ -134,12 +136,15 @@
     options.add_options()("rack", "prefix of rack names", cxxopts::value<std::string>()->default_value("r"));
     options.add_options()("rack-size", "workers a rack", cxxopts::value<int>()->default_value("8"));
     options.add_options()("scheduler", "worker addresses", cxxopts::value<std::vector<std::string>>());
-    options.add_options()("entry", "upstream addresses", cxxopts::value<std::vector<std::string>>()->default_value(""));
+    options.add_options()("entry", "upstream addresses", cxxopts::value<std::vector<std::string>>());
     options.add_options()("milli-cpu", "processors", cxxopts::value<std::int64_t>()->default_value("64000"));
     options.add_options()("memory-mib", "memory", cxxopts::value<std::int64_t>()->default_value("262144"));
     options.add_options()("accelerators", "accelerators", cxxopts::value<std::int64_t>()->default_value("0"));
     options.add_options()("wait-ms", "longest poll", cxxopts::value<int>()->default_value("1000"));
     options.add_options()("usage-lag-ms", "age of reported usage", cxxopts::value<int>()->default_value("500"));
+    options.add_options()("run-ms", "run time if a payload has none", cxxopts::value<int>()->default_value("200"));
+    options.add_options()(
+        "ip", "where its upstreams listen", cxxopts::value<std::string>()->default_value("127.0.0.1"));
     options.add_options()("journal", "file for starts and ends", cxxopts::value<std::string>()->default_value(""));
     return options;
 }
--- a/fakes/worker_state.cpp
+++ b/fakes/worker_state.cpp
@@ -41,25 +41,29 @@
     std::string serve;
 };
 
-/// A payload that is no mapping belongs to a job whose content the fake doesn't care about; it ends at once.
-Payload parsePayload(const std::string &text)
+/// Reads `{run_ms: 200, result: ok|fail, usage: FACTOR, serve: NAME}`. Each key may be left out, and a payload that is
+/// no mapping says nothing. Services run until they are stopped and serve their own name.
+Payload readPayload(const json &command, milliseconds defaultRunTime)
 {
+    const bool isService = command.value("kind", "batch") == "service";
     Payload payload;
+    if (isService) {
+        payload.serve = command.value("name", "");
+    } else {
+        payload.runTime = defaultRunTime;
+    }
     try {
-        const YAML::Node node = YAML::Load(text);
-        if (!node.IsMap()) {
-            payload.runTime = milliseconds(0);
-            return payload;
-        }
-        payload.serve = node["serve"].as<std::string>("");
-        payload.succeeds = node["result"].as<std::string>("ok") == "ok";
-        payload.usage = node["usage"].as<double>(1);
-        if (payload.serve.empty() || node["run_ms"]) {
-            payload.runTime = milliseconds(node["run_ms"].as<std::int64_t>(0));
+        const YAML::Node node = YAML::Load(command.value("payload", ""));
+        if (node.IsMap()) {
+            payload.serve = node["serve"].as<std::string>(payload.serve);
+            payload.succeeds = node["result"].as<std::string>("ok") == "ok";
+            payload.usage = node["usage"].as<double>(1);
+            if (node["run_ms"]) {
+                payload.runTime = milliseconds(node["run_ms"].as<std::int64_t>(0));
+            }
         }
     } catch (const YAML::Exception &) {
-        payload.runTime = milliseconds(0);
-        payload.succeeds = false;
+        return payload;
     }
     return payload;
 }
@@ -214,7 +218,7 @@
     if (startRefused(id, index, reserved, now)) {
         return;
     }
-    const Payload payload = parsePayload(command.value("payload", std::string()));
+    const Payload payload = readPayload(command, options_.runTime);
     task.usage = scaled(reserved, payload.usage * faults.usageFactor);
     task.succeeds = payload.succeeds && !faults.failEverything;
     if (faults.failEverything) {
--- a/fakes/worker_state.h
+++ b/fakes/worker_state.h
@@ -23,6 +23,7 @@
     std::uint64_t incarnation = 1;
     std::chrono::milliseconds wait{1000}; ///< Longest wait of one poll.
     std::chrono::milliseconds usageLag{500}; ///< Age of the usage that a poll reports.
+    std::chrono::milliseconds runTime{200}; ///< Of a task whose payload doesn't say.
 };
 
 /// How a worker misbehaves; changed while it runs.
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -59,6 +59,7 @@
         self.start()
 
     def start(self):
+        self._log_start = self.log.stat().st_size if self.log.exists() else 0
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen(self.arguments, stdin=self._stdin, stdout=log, stderr=log)
         self.pid = self.child.pid
@@ -93,7 +94,8 @@
         self.child.stdin.flush()
 
     def log_text(self):
-        return self.log.read_text(errors="replace")
+        """Returns what the process has logged since its last start."""
+        return self.log.read_bytes()[self._log_start:].decode(errors="replace")
 
 
 class Vm:
@@ -245,6 +247,13 @@
 
         wait_until(ready, f"{process.name} is ready")
 
+    def owns(self, vm):
+        """Says whether a VM's scheduler owns its zone, as far as it has heard."""
+        if vm.scheduler.child.poll() is not None:
+            return False
+        log = vm.scheduler.log_text()
+        return log.rfind("event=zone_acquired") > log.rfind("event=zone_given_up")
+
     def workers(self, zone, count, **options):
         """Starts one process with `count` fake workers of a zone."""
         vms = [vm for vm in self.vms if vm.zone == zone]
@@ -296,6 +305,46 @@
             headers["Yw-Expected-Version"] = str(expected_version)
         return self.operator("POST", "/v1/submissions", str(document), headers, vm, timeout)
 
+    def accept(self, document, submission, expected_version=None, vm=None):
+        """Submits until an answer comes, as `yuccactl` does, and returns the job ids by name."""
+        def answered():
+            try:
+                status, answer = self.submit(document, submission, expected_version, vm)
+            except (OSError, http.client.HTTPException):
+                return None
+            if status in (503, 504):
+                return None
+            if status != 200:
+                raise AssertionError(f"submission {submission}: {status} {answer}")
+            return {job["name"]: job["id"] for job in answer["jobs"]}
+
+        return wait_until(answered, f"submission {submission} is accepted")
+
+    def job(self, job, vm=None):
+        status, answer = self.operator("GET", f"/v1/jobs/{job}", vm=vm)
+        return answer if status == 200 else None
+
+    def wait_succeeded(self, job, vm=None):
+        """Waits until every task of a job has succeeded."""
+        def succeeded():
+            try:
+                found = self.job(job, vm)
+            except (OSError, http.client.HTTPException):
+                return False
+            return found is not None and found["succeeded"] == found["tasks"]
+
+        wait_until(succeeded, f"job {job} succeeds")
+
+    def running(self):
+        """Returns the last start of each task index that has not ended, by the journal."""
+        running = {}
+        for record in self.records():
+            if record.kind == "start":
+                running[record.index] = record
+            elif record.kind == "end" and running.get(record.index) and running[record.index].task == record.task:
+                del running[record.index]
+        return running
+
     def call(self, service, rest="", method="GET", body=None, headers=None, vm=None, timeout=30):
         """Sends a caller's request and returns (status, headers, body)."""
         address = (vm or self.vms[0]).address["caller"]
@@ -339,3 +388,9 @@
             if current and (current.task, current.worker) == (record.task, record.worker):
                 del running[record.index]
     return faults
+
+
+def check_journal(records):
+    faults = journal_faults(records)
+    if faults:
+        raise AssertionError("\n".join(faults))
