An owner gives up shares when the log has been out of reach for detached_for

Cause: the leader moves shares of a silent zone after twice detached_for, but an owner inside a cut-off zone went on renewing their leases, so a task could have run in two zones. The owner now stops those tasks itself, counted on the boot clock from the sending of its last answered renewal, and takes the zone anew when it is back in touch. Services stay. Not proved by a test yet.

--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -112,6 +112,7 @@
 {
     const base::TimePoint now = base::BootClock::now();
     if (hub_.owning()) {
+        giveUpDetachedShares(now);
         pushBacklog();
         hub_.tick(now);
         checkRecovery();
@@ -137,6 +138,7 @@
         return;
     }
     acquiring_ = true;
+    acquireSentAt_ = base::BootClock::now();
     store_.request(protocol::AcquireZone{self_}, AcquireTimeout, [this, alive = alive_](auto answer) {
         if (*alive == nullptr) {
             return;
@@ -155,8 +157,10 @@
 {
     self_ = owner;
     ownerSince_ = base::BootClock::now();
+    contactAt_ = acquireSentAt_;
     progress_ = {};
     recovering_ = true;
+    gaveUpShares_ = false;
     hub_.startOwning(owner.epoch, owner.node, roster_, ownerSince_);
     planner_ = std::make_unique<PlannerThread>(placement::PlannerOptions{context_.settings.objective, owner.epoch},
                                                [this, alive = alive_] {
@@ -167,9 +171,11 @@
                                                    });
                                                });
     pushToPlanner(placement::QuotasChanged{quotas_});
-    for (const auto &[job, share] : shares_) {
+    for (auto &[job, share] : shares_) {
+        share.detached = false;
         assignToPlanner(share);
     }
+    updateDetachDeadline();
     base::logInfo("zone_acquired")
         .with("zone", owner.zone)
         .with("epoch", owner.epoch)
@@ -188,7 +194,8 @@
 
 void SchedulerService::renew()
 {
-    nextRenewal_ = base::BootClock::now() + context_.settings.heartbeat;
+    renewalSentAt_ = base::BootClock::now();
+    nextRenewal_ = renewalSentAt_ + context_.settings.heartbeat;
     protocol::RenewZone request;
     request.zone = self_.zone;
     request.epoch = self_.epoch;
@@ -212,6 +219,14 @@
         return;
     }
     const ProgressLog::Agreed agreed = progress_.committed();
+    contactAt_ = renewalSentAt_;
+    updateDetachDeadline();
+    if (gaveUpShares_) {
+        // A new epoch and the workers' own lists tell what became of the shares in the meantime.
+        stepDown("back in touch with the log after shares were given up");
+        nextRenewal_ = base::BootClock::now();
+        return;
+    }
     for (const ProgressLog::HeldStart &held : agreed.starts) {
         hub_.execute(held.start, held.session);
     }
@@ -257,6 +272,39 @@
     }
 }
 
+// The log's leader moves a share to another zone once its tasks have surely stopped here. So this owner stops them
+// itself when it has not heard from the log for the share's `detachedFor`, whatever its workers say. Services stay:
+// they are never moved, and a cut-off zone goes on with them.
+void SchedulerService::giveUpDetachedShares(base::TimePoint now)
+{
+    if (now < detachDeadline_) {
+        return;
+    }
+    for (auto &[job, share] : shares_) {
+        const placement::JobSpec &spec = share.assignment.spec;
+        if (share.detached || spec.kind == placement::JobKind::Service || now - contactAt_ < spec.detachedFor) {
+            continue;
+        }
+        share.detached = true;
+        gaveUpShares_ = true;
+        hub_.stopTasksOf(job);
+        pushToPlanner(placement::JobCancelled{job});
+        base::logWarning("share_detached").with("job", job).with("name", spec.name);
+    }
+    updateDetachDeadline();
+}
+
+void SchedulerService::updateDetachDeadline()
+{
+    detachDeadline_ = base::TimePoint::max();
+    for (const auto &[job, share] : shares_) {
+        const placement::JobSpec &spec = share.assignment.spec;
+        if (!share.detached && spec.kind != placement::JobKind::Service) {
+            detachDeadline_ = std::min(detachDeadline_, contactAt_ + spec.detachedFor);
+        }
+    }
+}
+
 void SchedulerService::pushBacklog()
 {
     while (!backlog_.empty() && planner_->tryPushFrom(backlog_.front())) {
@@ -282,7 +330,7 @@
 const JobInfo *SchedulerService::jobInfo(placement::JobId job) const
 {
     const auto found = shares_.find(job);
-    return found == shares_.end() ? nullptr : &found->second.info;
+    return found == shares_.end() || found->second.detached ? nullptr : &found->second.info;
 }
 
 void SchedulerService::takePlannerOutput()
@@ -318,13 +366,18 @@
     } else if (const auto *throttle = std::get_if<placement::ThrottleTask>(&step.command)) {
         hub_.execute(*throttle, step.session);
     } else if (const auto *done = std::get_if<placement::TaskDone>(&step.command)) {
-        progress_.add(*done);
+        // Of a share that was given up or has moved, only a success is certain.
+        if (jobInfo(done->task.job) != nullptr || done->succeeded) {
+            progress_.add(*done);
+        }
         base::logInfo("task_done")
             .with("task", placement::toString(done->task))
             .with("verdict", base::toString(done->verdict))
             .with("succeeded", done->succeeded);
     } else if (const auto *notRun = std::get_if<placement::TasksNotRun>(&step.command)) {
-        progress_.add(*notRun);
+        if (jobInfo(notRun->job) != nullptr) {
+            progress_.add(*notRun);
+        }
         base::logInfo("tasks_not_run")
             .with("job", notRun->job)
             .with("first", notRun->firstIndex)
@@ -362,7 +415,10 @@
             daemon::errorResponse(400, "bad_request", "a worker's name has 1 to 64 letters, digits, '-', '_', '.'"));
         return;
     }
-    hub_.poll(name, request, std::move(respond), base::BootClock::now());
+    // After a pause of this process the poll may come before the next tick.
+    const base::TimePoint now = base::BootClock::now();
+    giveUpDetachedShares(now);
+    hub_.poll(name, request, std::move(respond), now);
 }
 
 } // namespace yuccawheel::scheduler
--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -39,6 +39,7 @@
         protocol::ShareAssignment assignment;
         JobInfo info;
         bool cancelled = false;
+        bool detached = false; ///< Given up here: the log has been out of reach for its `detachedFor`.
     };
 
     // HubListener.
@@ -53,6 +54,8 @@
     void renew();
     void onRenewed(tl::expected<protocol::RenewZoneReply, protocol::RequestError> answer);
     void checkRecovery();
+    void giveUpDetachedShares(base::TimePoint now);
+    void updateDetachDeadline();
 
     // State from the log.
     void onUpdate(const protocol::StateUpdate &update);
@@ -92,6 +95,11 @@
     bool draining_ = false;
     base::TimePoint ownerSince_{};
     base::TimePoint nextRenewal_{};
+    base::TimePoint acquireSentAt_{};
+    base::TimePoint renewalSentAt_{};
+    base::TimePoint contactAt_{}; ///< When the last renewal that the log answered was sent.
+    base::TimePoint detachDeadline_{}; ///< When the first share must be given up without a further answer.
+    bool gaveUpShares_ = false;
     std::shared_ptr<SchedulerService *> alive_;
     boost::asio::steady_timer timer_;
     store::StoreClient store_;
--- a/src/programs/yw_scheduler/state_from_log.cpp
+++ b/src/programs/yw_scheduler/state_from_log.cpp
@@ -92,6 +92,7 @@
     const Share &held = shares_[spec.id] = std::move(share);
     if (hub_.owning()) {
         assignToPlanner(held);
+        updateDetachDeadline();
     }
 }
 
--- a/src/programs/yw_scheduler/worker_hub.cpp
+++ b/src/programs/yw_scheduler/worker_hub.cpp
@@ -252,6 +252,17 @@
     }
 }
 
+void WorkerHub::stopTasksOf(placement::JobId job)
+{
+    for (Worker &worker : workers_) {
+        for (const auto &[task, outstanding] : worker.tasks) {
+            if (task.job == job) {
+                worker.commands.push_back(formatStop({worker.id, task, placement::StopReason::NotOurs, false}));
+            }
+        }
+    }
+}
+
 void WorkerHub::acknowledge(placement::WorkerId id, std::uint64_t session, std::uint64_t sequence)
 {
     if (Worker *const worker = find(id, session)) {
--- a/src/programs/yw_scheduler/worker_hub.h
+++ b/src/programs/yw_scheduler/worker_hub.h
@@ -99,6 +99,8 @@
     void execute(const placement::StartTask &start, std::uint64_t session);
     void execute(const placement::StopTask &stop, std::uint64_t session);
     void execute(const placement::ThrottleTask &throttle, std::uint64_t session);
+    /// Queues stops for every task of a job, without asking the planner.
+    void stopTasksOf(placement::JobId job);
     /// End states that the worker sent up to a sequence number are safe.
     void acknowledge(placement::WorkerId worker, std::uint64_t session, std::uint64_t sequence);
     bool drain(const std::string &name, bool drain);
