--- a/bench/replay_platform.cpp
+++ b/bench/replay_platform.cpp
@@ -109,7 +109,8 @@
 
 void Platform::account(base::TimePoint until)
 {
-    const double span = hours(until - now_);
+    const base::TimePoint from = std::max<base::TimePoint>(now_, start_ + options_.measureFrom);
+    const double span = std::max(0.0, hours(until - from));
     outcomes_.busyWorkerHours += span * busyWorkers_;
     outcomes_.lowerBoundHours += span * workersFilled(used_, capacity_);
     outcomes_.reservedBoundHours += span * workersFilled(reserved_, capacity_);
--- a/bench/replay_platform.h
+++ b/bench/replay_platform.h
@@ -63,6 +63,7 @@
 
 struct PlatformOptions {
     bool printCommands = false;
+    milliseconds measureFrom{0}; ///< Sums over time begin here.
 };
 
 /// Runs the tasks that a scheduler starts, on virtual time: commands take a while, use grows up to its peak and is
--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -1,5 +1,6 @@
 #include "command.h"
 #include "place.h"
+#include "policy.h"
 #include "replay.h"
 
 #include <fmt/core.h>
@@ -25,6 +26,7 @@
     Command{"version", "print the version", printVersion},
     Command{"bench", "print the signature of the decisions over a fixed mix", yuccawheel::bench::runSignature},
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
+    Command{"policy", "measure waiting time and packing beside baselines", yuccawheel::bench::runPolicy},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
 };
 
--- a/src/placement/growth_watch.cpp
+++ b/src/placement/growth_watch.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t FullAt = 98;
 constexpr std::int64_t FirstGrowTo = 110; ///< Little, as a task may use just what it declared.
 constexpr std::int64_t GrowTo = 200;
+constexpr std::int64_t LargestFactor = 10; ///< Of what was declared, for processors.
 constexpr int OverdueFactor = 3; ///< A task at its limit that runs so much longer than expected lacks memory.
 
 bool reaches(std::int64_t used, std::int64_t reserved, std::int64_t percent)
@@ -34,9 +35,10 @@
     if (reaches(usage.memoryMib, task.reserved.memoryMib, GrowAt)) {
         wanted.memoryMib = usage.memoryMib * growTo / 100;
     }
-    // A task that uses all its processors may just be able to use any number: it gets back what it declared, no more.
-    if (reaches(usage.milliCpu, task.reserved.milliCpu, FullAt) && task.reserved.milliCpu < job.spec.perTask.milliCpu) {
-        wanted.milliCpu = std::min(usage.milliCpu * GrowTo / 100, job.spec.perTask.milliCpu);
+    // With all its processors in use a task may need more; it takes only what is free, and nobody is stopped for it.
+    if (reaches(usage.milliCpu, task.reserved.milliCpu, FullAt)) {
+        wanted.milliCpu = std::max(wanted.milliCpu,
+                                   std::min(usage.milliCpu * growTo / 100, job.spec.perTask.milliCpu * LargestFactor));
     }
     if (wanted == task.reserved) {
         return;
--- a/src/placement/size_estimator.cpp
+++ b/src/placement/size_estimator.cpp
@@ -16,6 +16,7 @@
 constexpr float CpuMargin = 1.05F; ///< Kept above the highest use seen.
 constexpr float MemoryMargin = 1.10F;
 constexpr float SaturatedGrowth = 1.5F; ///< Applied when a task used all that it was allowed.
+constexpr float LargestFactor = 10; ///< Of what was declared, for processors.
 constexpr double SaturatedShare = 0.95;
 constexpr std::int64_t MinMilliCpu = 50;
 constexpr std::int64_t MinMemoryMib = 64;
@@ -127,12 +128,8 @@
 void SizeEstimator::learnSize(HistoryKey key, const JobSpec &spec, const Resources &peak, const Resources &reserved)
 {
     History &history = historyOf(key);
-    float milliCpu = ratio(peak.milliCpu, reserved.milliCpu, spec.perTask.milliCpu);
-    // A task that uses all its processors may be able to use any number, so it is given no more than it declared.
-    if (static_cast<double>(peak.milliCpu) >= SaturatedShare * static_cast<double>(reserved.milliCpu)) {
-        milliCpu = std::min(milliCpu, 1 / CpuMargin);
-    }
-    history.milliCpu.add(milliCpu);
+    const float milliCpu = ratio(peak.milliCpu, reserved.milliCpu, spec.perTask.milliCpu);
+    history.milliCpu.add(std::min(milliCpu, LargestFactor));
     history.memoryMib.add(ratio(peak.memoryMib, reserved.memoryMib, spec.perTask.memoryMib));
 }
 
