Learn sizes more tightly: small margins, smaller steps of growth, no ratchet

A peak within the margin of its reservation counted as a task that lacked room, so each round of learning raised the size by half.

--- a/bench/policy_baselines.cpp
+++ b/bench/policy_baselines.cpp
@@ -41,6 +41,7 @@
     std::vector<Resources> free_;
     std::list<Waiting> queue_;
     std::map<TaskId, Live> live_;
+    std::vector<Command> done_;
     bool changed_ = false;
 };
 
@@ -61,6 +62,7 @@
             if (report.state != TaskState::Running && found != live_.end()) {
                 free_[found->second.worker] += found->second.reserved;
                 live_.erase(found);
+                done_.emplace_back(TaskDone{report.task, base::Verdict::Ran, report.state == TaskState::Finished});
             }
         }
     }
@@ -118,6 +120,8 @@
         return;
     }
     changed_ = false;
+    commands.insert(commands.end(), done_.begin(), done_.end());
+    done_.clear();
     for (auto job = queue_.begin(); job != queue_.end();) {
         if (place(*job, commands)) {
             job = queue_.erase(job);
--- a/src/placement/growth_watch.cpp
+++ b/src/placement/growth_watch.cpp
@@ -1,6 +1,7 @@
 #include "placement/growth_watch.h"
 
 #include <algorithm>
+#include <array>
 
 namespace yuccawheel::placement
 {
@@ -9,10 +10,10 @@
 {
 
 // Parts of a reservation, in percent.
-constexpr std::int64_t GrowAt = 95;
-constexpr std::int64_t FullAt = 98;
-constexpr std::int64_t FirstGrowTo = 110; ///< Little, as a task may use just what it declared.
-constexpr std::int64_t GrowTo = 200;
+constexpr std::int64_t GrowAt = 98;
+constexpr std::int64_t FullAt = 99;
+// Little at first, as a task may use just what it declared.
+constexpr std::array<std::int64_t, 4> GrowTo{110, 125, 150, 200};
 constexpr std::int64_t LargestFactor = 10; ///< Of what was declared, for processors.
 constexpr int OverdueFactor = 3; ///< A task at its limit that runs so much longer than expected lacks memory.
 
@@ -30,7 +31,7 @@
         return;
     }
     const Job &job = zone_.jobs[task.job];
-    const std::int64_t growTo = task.growths == 0 ? FirstGrowTo : GrowTo;
+    const std::int64_t growTo = GrowTo[std::min<std::size_t>(task.growths, GrowTo.size() - 1)];
     Resources wanted = larger(task.reserved, usage);
     if (reaches(usage.memoryMib, task.reserved.memoryMib, GrowAt)) {
         wanted.memoryMib = usage.memoryMib * growTo / 100;
--- a/src/placement/size_estimator.cpp
+++ b/src/placement/size_estimator.cpp
@@ -13,11 +13,11 @@
 namespace
 {
 
-constexpr float CpuMargin = 1.05F; ///< Kept above the highest use seen.
-constexpr float MemoryMargin = 1.10F;
-constexpr float SaturatedGrowth = 1.5F; ///< Applied when a task used all that it was allowed.
+constexpr float CpuMargin = 1.03F; ///< Kept above the highest use seen.
+constexpr float MemoryMargin = 1.05F;
+constexpr float SaturatedGrowth = 1.25F; ///< Applied when a task used all that it was allowed.
 constexpr float LargestFactor = 10; ///< Of what was declared, for processors.
-constexpr double SaturatedShare = 0.95;
+constexpr double SaturatedShare = 0.99;
 constexpr std::int64_t MinMilliCpu = 50;
 constexpr std::int64_t MinMemoryMib = 64;
 
@@ -39,13 +39,13 @@
     return saturated ? value * SaturatedGrowth : value;
 }
 
-// Keeps the three highest bits, so that the result is at most an eighth above the amount.
+// Keeps the highest bits, so that the result is at most a thirty-second part above the amount.
 std::int64_t roundUpAmount(std::int64_t amount, std::int64_t least)
 {
     if (amount <= least) {
         return least;
     }
-    const int shift = std::max(0, static_cast<int>(std::bit_width(static_cast<std::uint64_t>(amount))) - 4);
+    const int shift = std::max(0, static_cast<int>(std::bit_width(static_cast<std::uint64_t>(amount))) - 6);
     const std::int64_t step = std::int64_t{1} << shift;
     return (amount + step - 1) / step * step;
 }
