Coordination: tests of the disk at every write boundary, leases and claims

coordination_disk_test kills a random history at each of its operations, with and without loss of power and again during the recovery, flips a bit of each byte of the files in turn, removes each file, and fills the disk.

--- a/fakes/fake_disk.cpp
+++ b/fakes/fake_disk.cpp
@@ -205,6 +205,16 @@
     }
 }
 
+FakeDisk FakeDisk::clone() const
+{
+    FakeDisk copy(1);
+    for (const auto &[name, inode] : names_) {
+        copy.names_.emplace(name, std::make_shared<Inode>(*inode));
+    }
+    copy.durableNames_ = copy.names_;
+    return copy;
+}
+
 void FakeDisk::damage(const std::string &name, std::uint64_t offset)
 {
     names_.at(name)->content.at(offset) ^= 0x10;
--- a/fakes/fake_disk.h
+++ b/fakes/fake_disk.h
@@ -61,6 +61,8 @@
     {
         capacity_ = bytes;
     }
+    /// Returns a copy with the same files.
+    FakeDisk clone() const;
     /// Flips a bit of a file's synced content.
     void damage(const std::string &name, std::uint64_t offset);
     std::uint64_t operations() const
--- /dev/null
+++ b/tests/coordination_disk_test.cpp
@@ -0,0 +1,299 @@
+#include "coordination/file_log_storage.h"
+#include "fakes/fake_cluster.h"
+#include "fakes/fake_disk.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <random>
+#include <unistd.h>
+
+using namespace yuccawheel;
+using namespace yuccawheel::coordination;
+using namespace std::chrono_literals;
+using fakes::FakeCluster;
+using fakes::FakeDisk;
+
+namespace
+{
+
+constexpr FileLogSettings SmallSegments{400, 2};
+
+/// What a storage has been told to keep. `promised` was synced; `pending` was under way when the process died.
+struct Expected {
+    HardState hardState;
+    Index snapshot = 0;
+    std::vector<Entry> entries; ///< From index 1 on.
+    Index replacedFrom = 0; ///< Last index before those that the last save wrote.
+};
+
+/// Writes a random history through one storage, until done or killed.
+class Writer
+{
+public:
+    Writer(FakeDisk &disk, std::uint64_t seed) : storage_(disk, SmallSegments), random_(seed)
+    {
+        EXPECT_TRUE(storage_.recover().has_value());
+    }
+
+    /// Returns what must be on disk; `pending` is what may be there instead.
+    Expected run(int steps, Expected &pending)
+    {
+        Expected promised;
+        try {
+            for (int i = 0; i < steps; ++i) {
+                pending = promised;
+                step(pending);
+                promised = pending;
+            }
+        } catch (const fakes::ProcessKilled &) {
+        }
+        return promised;
+    }
+
+private:
+    void step(Expected &next)
+    {
+        const std::uint64_t choice = random_() % 10;
+        const Index last = next.entries.size();
+        if (choice == 0 && last > next.snapshot) {
+            next.snapshot += 1 + random_() % (last - next.snapshot);
+            SnapshotMeta meta{next.snapshot, next.entries[next.snapshot - 1].term, {}, 0, 0};
+            EXPECT_TRUE(storage_.saveSnapshot(meta, bytesOf(next.snapshot)).has_value());
+            return;
+        }
+        if (choice == 1) {
+            install(next);
+            return;
+        }
+        const Index from = last - (random_() % 4 == 0 ? random_() % (last - next.snapshot + 1) : 0);
+        next.hardState = HardState{7, ReplicaId{1, 2}, next.hardState.term + 1, ReplicaId{}};
+        std::vector<Entry> entries;
+        for (Index index = from + 1; index <= from + 1 + random_() % 3; ++index) {
+            const std::string data(random_() % 60, static_cast<char>('a' + random_() % 26));
+            entries.push_back(Entry{index, next.hardState.term, EntryKind::Application, data});
+        }
+        next.entries.resize(from);
+        next.replacedFrom = from;
+        next.entries.insert(next.entries.end(), entries.begin(), entries.end());
+        EXPECT_TRUE(storage_.save(next.hardState, entries).has_value());
+    }
+
+    // A leader's snapshot replaces the log; of its entries only the last one's index and term matter.
+    void install(Expected &next)
+    {
+        next.snapshot = next.entries.size() + 1 + random_() % 3;
+        const Entry end{next.snapshot, next.hardState.term + 1, EntryKind::Application, {}};
+        next.entries.assign(next.snapshot, end);
+        const std::string bytes = bytesOf(next.snapshot);
+        SnapshotMeta meta{next.snapshot, end.term, {}, bytes.size(), 0};
+        meta.checksum = 0;
+        EXPECT_TRUE(storage_.installSnapshot(Snapshot{meta, bytes}).has_value());
+    }
+
+    static std::string bytesOf(Index index)
+    {
+        return std::string(index % 50, 's');
+    }
+
+    FileLogStorage storage_;
+    std::mt19937_64 random_;
+};
+
+bool matches(const RecoveredState &state, const Expected &expected)
+{
+    const std::vector<Entry> after(expected.entries.begin() + static_cast<std::ptrdiff_t>(expected.snapshot),
+                                   expected.entries.end());
+    return state.hardState == expected.hardState && state.snapshot.index == expected.snapshot && state.entries == after;
+}
+
+// Of a save under way, the hard state and the first of its entries may be there already, each of them whole.
+bool matchesPartly(const RecoveredState &state, const Expected &promised, const Expected &pending)
+{
+    if (promised.snapshot != pending.snapshot) {
+        return false;
+    }
+    Expected partly = promised;
+    partly.hardState = pending.hardState;
+    bool found = matches(state, partly);
+    for (Index last = pending.replacedFrom + 1; last <= pending.entries.size() && !found; ++last) {
+        partly.entries.assign(pending.entries.begin(), pending.entries.begin() + static_cast<std::ptrdiff_t>(last));
+        found = matches(state, partly);
+    }
+    return found;
+}
+
+std::vector<std::string> namesOn(const FakeDisk &disk)
+{
+    return disk.list().value();
+}
+
+std::string newestSegment(const FakeDisk &disk)
+{
+    std::string newest;
+    for (const std::string &name : namesOn(disk)) {
+        if (name.starts_with("segment-")) {
+            newest = std::max(newest, name);
+        }
+    }
+    return newest;
+}
+
+} // namespace
+
+// Kills the process at each operation of a history in turn, with and without loss of power, and a second time during
+// the recovery. What was promised is there, whole; what was under way is there whole or not at all.
+RC_GTEST_PROP(FileLogStorage, aKillAtAnyWriteLosesNothingPromised, (std::uint64_t seed))
+{
+    constexpr int Steps = 12;
+    std::uint64_t operations = 1;
+    for (std::uint64_t kill = 0; kill <= operations; ++kill) {
+        FakeDisk disk(seed + kill);
+        Expected pending;
+        Expected promised;
+        {
+            Writer writer(disk, seed);
+            disk.killAfter(kill);
+            promised = writer.run(Steps, pending);
+        }
+        operations = std::max(operations, kill < disk.operations() ? disk.operations() : 0);
+        for (std::uint64_t again = 0; again < 3; ++again) {
+            if ((seed + kill) % 2 == 0) {
+                disk.losePower();
+            }
+            disk.killAfter((seed >> again) % 6);
+            try {
+                FileLogStorage(disk, SmallSegments).recover();
+            } catch (const fakes::ProcessKilled &) {
+            }
+        }
+        disk.clearFaults();
+        FileLogStorage storage(disk, SmallSegments);
+        const auto state = storage.recover();
+        if (!state) {
+            RC_FAIL(state.error().detail);
+        }
+        RC_ASSERT(matches(*state, promised) || matches(*state, pending) || matchesPartly(*state, promised, pending));
+        RC_ASSERT(storage.save(std::nullopt, {}).has_value());
+    }
+}
+
+TEST(FileLogStorage, damageInTheMiddleIsAnErrorAndATornTailIsNot)
+{
+    FakeDisk disk(1);
+    {
+        FileLogStorage storage(disk, SmallSegments);
+        ASSERT_TRUE(storage.recover());
+        for (Index index = 1; index <= 20; ++index) {
+            const Entry entry{index, 1, EntryKind::Application, std::string(40, 'x')};
+            ASSERT_TRUE(storage.save(HardState{7, {1, 2}, 1, {}}, {entry}));
+        }
+    }
+    std::size_t errors = 0;
+    std::size_t bytes = 0;
+    for (const std::string &name : namesOn(disk)) {
+        const bool newest = name == newestSegment(disk);
+        const std::uint64_t size = disk.size(name).value();
+        for (std::uint64_t offset = 0; offset < size; ++offset, ++bytes) {
+            FakeDisk copy = disk.clone();
+            copy.damage(name, offset);
+            FileLogStorage storage(copy, SmallSegments);
+            const auto state = storage.recover();
+            if (!state) {
+                EXPECT_EQ(state.error().failure, StorageFailure::Damaged);
+                EXPECT_NE(state.error().detail.find(name), std::string::npos) << state.error().detail;
+                ++errors;
+                continue;
+            }
+            EXPECT_TRUE(newest) << "damage of a closed segment went unnoticed at " << offset;
+            EXPECT_GE(state->entries.size(), 19U) << "only the last write can pass for a torn one";
+        }
+    }
+    EXPECT_GT(errors, bytes / 2);
+}
+
+TEST(FileLogStorage, missingFilesAndFullDisksAreErrors)
+{
+    FakeDisk disk(1);
+    FileLogStorage storage(disk, SmallSegments);
+    ASSERT_TRUE(storage.recover());
+    for (Index index = 1; index <= 30; ++index) {
+        const Entry entry{index, 1, EntryKind::Application, std::string(40, 'x')};
+        ASSERT_TRUE(storage.save(HardState{7, {1, 2}, 1, {}}, {entry}));
+    }
+    SnapshotMeta meta{15, 1, {}, 0, 0};
+    ASSERT_TRUE(storage.saveSnapshot(meta, "state at fifteen"));
+    for (const std::string &name : namesOn(disk)) {
+        FakeDisk copy = disk.clone();
+        ASSERT_TRUE(copy.remove(name));
+        FileLogStorage damaged(copy, SmallSegments);
+        EXPECT_EQ(damaged.recover().has_value(), name == newestSegment(disk)) << name;
+    }
+    disk.setCapacity(disk.usedBytes() + 20);
+    SnapshotMeta later{20, 1, {}, 0, 0};
+    EXPECT_EQ(storage.saveSnapshot(later, std::string(500, 's')).error().failure, StorageFailure::NoSpace);
+    EXPECT_EQ(storage.save(HardState{7, {1, 2}, 2, {}}, {}).error().failure, StorageFailure::NoSpace);
+    disk.clearFaults();
+    FileLogStorage restarted(disk, SmallSegments);
+    EXPECT_EQ(restarted.recover().value().snapshot.index, 15U);
+    EXPECT_EQ(restarted.loadSnapshot().value(), "state at fifteen");
+}
+
+TEST(Replica, aFailedSyncOrFullDiskEndsItAndAClusterGoesOn)
+{
+    for (const bool full : {false, true}) {
+        FakeCluster cluster({3, 5});
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+        const std::uint32_t victim = cluster.leader();
+        cluster.run(100ms);
+        if (full) {
+            cluster.disk(victim).setCapacity(cluster.disk(victim).usedBytes());
+        } else {
+            cluster.disk(victim).failSyncAfter(0);
+        }
+        ASSERT_TRUE(cluster.propose(victim));
+        cluster.run(5s);
+        EXPECT_FALSE(cluster.running(victim));
+        ASSERT_FALSE(cluster.storageErrors().empty());
+        EXPECT_EQ(cluster.storageErrors()[0].failure, full ? StorageFailure::NoSpace : StorageFailure::SyncFailed);
+        ASSERT_NE(cluster.leader(), 0U);
+        EXPECT_TRUE(cluster.propose(cluster.leader()));
+        cluster.run(100ms);
+        EXPECT_GE(cluster.acknowledged().size(), 1U);
+        cluster.start(victim);
+        EXPECT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 10s));
+        cluster.checkAcknowledged();
+    }
+}
+
+TEST(PosixFileSystem, aRealFolderKeepsTheLogAndTurnsASecondProcessAway)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("yw-disk-test-" + std::to_string(::getpid()));
+    {
+        const auto files = openFolder(folder.string());
+        ASSERT_TRUE(files);
+        EXPECT_EQ(openFolder(folder.string()).error().failure, StorageFailure::InUse);
+        FileLogStorage storage(**files, SmallSegments);
+        ASSERT_TRUE(storage.recover());
+        for (Index index = 1; index <= 30; ++index) {
+            ASSERT_TRUE(storage.save(HardState{7, {1, 2}, index, {}},
+                                     {Entry{index, index, EntryKind::Application, std::string(40, 'x')}}));
+        }
+        SnapshotMeta meta{20, 20, {}, 0, 0};
+        ASSERT_TRUE(storage.saveSnapshot(meta, "state"));
+    }
+    {
+        const auto files = openFolder(folder.string());
+        ASSERT_TRUE(files);
+        FileLogStorage storage(**files, SmallSegments);
+        const auto state = storage.recover();
+        ASSERT_TRUE(state);
+        EXPECT_EQ(state->hardState.term, 30U);
+        EXPECT_EQ(state->entries.size(), 10U);
+        EXPECT_EQ(storage.loadSnapshot().value(), "state");
+        EXPECT_GT(storage.freeBytes().value(), 0U);
+    }
+    std::filesystem::remove_all(folder);
+}
--- a/tests/coordination_zone_test.cpp
+++ b/tests/coordination_zone_test.cpp
@@ -555,3 +555,48 @@
         epoch = next;
     }
 }
+
+TEST(ZoneOwnership, anAnswerToAnEarlierClaimDoesNotCount)
+{
+    ZoneOwnership ownership(OwnershipSettings{ProcessId{1, 1}, Lease});
+    base::TimePoint now{1h};
+    ownership.learn(ZoneTerms{1, {1, 2}, {"worker"}}, now);
+    const auto claim = [&] {
+        for (int i = 0; i < 1000; ++i, now += 20ms) {
+            for (const GrantRequest &request : ownership.tick(now)) {
+                if (request.kind == GrantKind::Request) {
+                    return request;
+                }
+                if (request.kind == GrantKind::Check) {
+                    ownership.receive({request.kind, "worker", request.owner, request.epoch, now, true, {}}, now);
+                }
+            }
+        }
+        return GrantRequest{};
+    };
+    const GrantRequest first = claim();
+    now += 3s;
+    EXPECT_EQ(ownership.tick(now).front().kind, GrantKind::Release);
+    const GrantRequest second = claim();
+    ASSERT_EQ(first.epoch, second.epoch);
+    ownership.receive({first.kind, "worker", first.owner, first.epoch, first.sentAt, true, first.epoch}, now);
+    EXPECT_FALSE(ownership.owns(now)) << "the worker has been released since, and may have another owner";
+    ownership.receive({second.kind, "worker", second.owner, second.epoch, second.sentAt, true, second.epoch}, now);
+    EXPECT_TRUE(ownership.owns(now));
+}
+
+TEST(Lease, runsOutForTheHolderFirstAtTheLargestDrift)
+{
+    HeldLease held(Lease);
+    GrantedLease granted(Lease);
+    const base::TimePoint start{1h};
+    held.granted(start);
+    granted.grant(start);
+    for (std::chrono::milliseconds passed{0}; passed < 11s; ++passed) {
+        const base::Duration drift = base::Duration(passed) * Lease.maxDriftPpm / PartsPerMillion / 2;
+        const bool gone = granted.expiredAt(start + passed + drift);
+        EXPECT_FALSE(gone && held.validAt(start + passed - drift)) << passed.count();
+    }
+    EXPECT_FALSE(held.validAt(start + 10s));
+    EXPECT_TRUE(granted.expiredAt(start + 10'010ms));
+}
