--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -2,7 +2,9 @@
 
 #include "base/invariant.h"
 #include "placement/attempt_endings.h"
+#include "placement/growth_watch.h"
 #include "placement/placer.h"
+#include "placement/room_maker.h"
 #include "placement/zone_events.h"
 #include "placement/zone_state.h"
 
@@ -14,6 +16,13 @@
 namespace yuccawheel::placement
 {
 
+namespace
+{
+
+constexpr std::chrono::seconds WakeInterval{1};
+
+} // namespace
+
 class Planner::Impl
 {
 public:
@@ -24,11 +33,18 @@
     void runTimers();
     void wakeWaiting();
     void placeAll();
+    void placeOnHeld(WorkerId worker);
+    void whenBlocked(JobHandle handle);
+    void makeRoomForUrgent();
     bool placeNext(JobHandle handle);
 
     ZoneState zone;
+    base::TimePoint nextWake; ///< When all waiting jobs are looked at again.
     AttemptEndings endings{zone};
-    WorkerEvents workerEvents{zone, endings};
+    RoomMaker rooms{zone};
+    ReservationKeeper reservations{zone};
+    GrowthWatch growth{zone, rooms};
+    WorkerEvents workerEvents{zone, endings, growth};
     JobEvents jobEvents{zone, endings};
     TaskPlacer tasks{zone};
     GangPlacer gangs{zone};
@@ -57,17 +73,28 @@
         return true;
     });
     workerEvents.moveDrained();
+    rooms.expireHolds();
+    reservations.review();
+    // Some claims grow with the time that a job has waited.
+    if (zone.now >= nextWake) {
+        nextWake = zone.now + WakeInterval;
+        zone.queue.wakeAll();
+    }
 }
 
+// Starting a job on cleared workers lets others go, which are looked at in turn.
 void Planner::Impl::wakeWaiting()
 {
-    for (const WorkerId worker : zone.dirty) {
+    while (!zone.dirty.empty()) {
+        const WorkerId worker = zone.dirty.back();
+        zone.dirty.pop_back();
         zone.workers[worker].dirty = false;
+        growth.roomCameFree(worker);
+        placeOnHeld(worker);
         if (zone.acceptsTasks(worker)) {
             zone.queue.wake(zone.ledger.free(worker));
         }
     }
-    zone.dirty.clear();
 }
 
 void Planner::Impl::placeAll()
@@ -80,15 +107,60 @@
             zone.queue.erase(*handle);
             zone.enqueue(*handle);
         } else if (!placeNext(*handle)) {
-            if (zone.checkNeverFits(*handle)) {
-                zone.queue.erase(*handle);
-            } else {
-                zone.queue.block(*handle);
-            }
+            whenBlocked(*handle);
         }
     }
 }
 
+// Room on a worker that was cleared for a job goes to that job, whatever stands before it in the queue.
+void Planner::Impl::placeOnHeld(WorkerId worker)
+{
+    const JobHandle holder = zone.workers[worker].holder;
+    if (holder == NoHandle || holder == zone.reservation.job) {
+        return;
+    }
+    while (zone.queue.contains(holder) && zone.jobs[holder].startable() > 0
+           && zone.jobs[holder].size.fitsIn(zone.ledger.free(worker)) && placeNext(holder)) {
+    }
+    const std::vector<LiveHandle> &held = zone.workers[worker].tasks;
+    const bool moreComes =
+        std::any_of(held.begin(), held.end(), [this](LiveHandle live) { return zone.jobs.live(live).stopping; });
+    const bool isGang = zone.jobs[holder].spec.kind == JobKind::Gang;
+    if (zone.workers[worker].holder == holder && !isGang && !moreComes) {
+        zone.releaseHeldWorker(worker);
+    }
+}
+
+void Planner::Impl::whenBlocked(JobHandle handle)
+{
+    if (zone.checkNeverFits(handle)) {
+        zone.queue.erase(handle);
+        zone.releaseHold(handle);
+        return;
+    }
+    zone.queue.block(handle);
+    if (zone.jobs[handle].spec.urgent) {
+        return;
+    }
+    if (rooms.mayPreempt(handle)) {
+        rooms.makeRoom(handle);
+    }
+    reservations.consider(handle);
+}
+
+// Urgent jobs of one size share a shape, of which only the first comes to the front.
+void Planner::Impl::makeRoomForUrgent()
+{
+    std::erase_if(zone.urgentJobs, [this](JobId id) {
+        const auto handle = zone.jobs.find(id);
+        if (!handle || !zone.queue.contains(*handle)) {
+            return true;
+        }
+        rooms.makeRoom(*handle);
+        return false;
+    });
+}
+
 bool Planner::Impl::placeNext(JobHandle handle)
 {
     const bool placed = zone.jobs[handle].spec.kind == JobKind::Gang ? gangs.place(handle) : tasks.place(handle);
@@ -127,6 +199,9 @@
     impl_->runTimers();
     impl_->wakeWaiting();
     impl_->placeAll();
+    impl_->wakeWaiting();
+    impl_->placeAll();
+    impl_->makeRoomForUrgent();
     std::move(impl_->zone.outbox.begin(), impl_->zone.outbox.end(), std::back_inserter(commands));
     impl_->zone.outbox.clear();
 }
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -16,17 +16,9 @@
 constexpr std::chrono::milliseconds TickInterval{20};
 constexpr std::chrono::milliseconds AcquireTimeout{3'000};
 constexpr std::chrono::milliseconds RenewTimeout{3'000};
+constexpr std::chrono::milliseconds ReleaseTimeout{1'000};
 constexpr std::size_t MaxWorkerName = 64;
 
-std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers)
-{
-    std::vector<boost::asio::ip::tcp::endpoint> addresses;
-    for (const settings::Peer &peer : peers) {
-        addresses.push_back(daemon::toAsio(peer.address));
-    }
-    return addresses;
-}
-
 bool isWorkerName(std::string_view name)
 {
     return !name.empty() && name.size() <= MaxWorkerName && std::all_of(name.begin(), name.end(), [](unsigned char c) {
@@ -57,7 +49,7 @@
     , alive_(std::make_shared<SchedulerService *>(this))
     , timer_(context.io)
     , store_(context.io,
-             addressesOf(context.settings.stores),
+             daemon::addressesOf(context.settings.stores),
              context.self,
              [this](const protocol::StateUpdate &update) { onUpdate(update); })
 {
@@ -99,10 +91,16 @@
 void SchedulerService::drain(std::function<void()> done)
 {
     draining_ = true;
-    if (hub_.owning()) {
-        stepDown("draining");
+    if (!hub_.owning()) {
+        done();
+        return;
     }
-    done();
+    stepDown("draining");
+    protocol::RenewZone release;
+    release.zone = self_.zone;
+    release.epoch = self_.epoch;
+    release.release = true;
+    store_.request(release, ReleaseTimeout, [done = std::move(done)](const auto &) { done(); });
 }
 
 std::size_t SchedulerService::inProgress() const
@@ -221,7 +219,7 @@
         hub_.acknowledge(mark.worker, mark.session, mark.sequence);
     }
     for (const std::string &worker : agreed.joined) {
-        hub_.admit(worker);
+        hub_.admit(worker, base::BootClock::now());
     }
     hub_.flush(base::BootClock::now());
 }
@@ -261,7 +259,7 @@
 
 void SchedulerService::pushBacklog()
 {
-    while (!backlog_.empty() && planner_->tryPush(std::move(backlog_.front()))) {
+    while (!backlog_.empty() && planner_->tryPushFrom(backlog_.front())) {
         backlog_.pop_front();
     }
 }
