--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -204,7 +204,7 @@
     if (arguments.action != nullptr) {
         return arguments.action->run(*settings);
     }
-    const settings::Problems unusable = settings::checkListeners(*settings);
+    const settings::Problems unusable = settings::checkOnThisVm(*settings);
     if (!unusable.empty()) {
         fmt::print(stderr, "{}", settings::toString(unusable));
         return static_cast<int>(ExitCode::BadSettings);
--- a/src/programs/yw_entry/operator_api.cpp
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds StoreTimeout{8'000};
 constexpr std::chrono::milliseconds SchedulerTimeout{2'000};
+constexpr std::string_view BearerScheme = "Bearer ";
 constexpr std::size_t LongestSubmissionId = 128;
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
@@ -104,9 +105,15 @@
     base::logInfo("listening").with("on", "operator").with("port", server_->address().port());
 }
 
+bool OperatorApi::isAuthorized(std::string_view authorization)
+{
+    return authorization.substr(0, BearerScheme.size()) == BearerScheme
+        && token_.matches(authorization.substr(BearerScheme.size()));
+}
+
 void OperatorApi::handle(const http::Request &request, const http::Responder &respond)
 {
-    if (!token_.matches(request.header("authorization"))) {
+    if (!isAuthorized(request.header("authorization"))) {
         base::logWarning("operator_refused").with("peer", request.peer).with("path", request.path);
         context_.metrics.counter("yw_operator_refused_total").add();
         respond(daemon::errorResponse(401, "unauthorized", "the operators' token is needed"));
--- a/src/programs/yw_entry/operator_api.h
+++ b/src/programs/yw_entry/operator_api.h
@@ -4,8 +4,8 @@
 #include "http/server.h"
 #include "protocol/messages.h"
 #include "protocol/peer.h"
+#include "settings/token_file.h"
 #include "store/store_client.h"
-#include "token.h"
 
 #include <functional>
 #include <map>
@@ -36,6 +36,7 @@
         std::function<void(Gathering &)> done;
     };
 
+    bool isAuthorized(std::string_view authorization);
     void handle(const http::Request &request, const http::Responder &respond);
     void route(const http::Request &request, const http::Responder &respond);
     void submit(const http::Request &request, const http::Responder &respond);
@@ -50,7 +51,7 @@
     daemon::Context &context_;
     store::StoreClient &store_;
     UpstreamsJson upstreams_;
-    OperatorToken token_;
+    settings::TokenFile token_;
     std::vector<std::unique_ptr<protocol::Peer>> schedulers_;
     std::optional<http::Server> server_;
 };
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -6,14 +6,8 @@
 
 #include <fmt/core.h>
 
-#include <arpa/inet.h>
-#include <cerrno>
-#include <cstring>
 #include <filesystem>
 #include <set>
-#include <sys/socket.h>
-#include <unistd.h>
-#include <utility>
 
 namespace yuccawheel::settings
 {
@@ -114,74 +108,4 @@
     return {"", 0, std::string(key), "nothing", std::move(allowed)};
 }
 
-namespace
-{
-
-/// A listening socket that is closed with its owner.
-class TrialListener
-{
-public:
-    TrialListener() = default;
-    TrialListener(TrialListener &&other) noexcept : descriptor_(std::exchange(other.descriptor_, -1))
-    {
-    }
-    TrialListener &operator=(TrialListener &&) = delete;
-    ~TrialListener()
-    {
-        if (descriptor_ >= 0) {
-            close(descriptor_);
-        }
-    }
-
-    /// Binds as the daemons do. Returns 0 or an error number.
-    int open(const Endpoint &endpoint)
-    {
-        sockaddr_in6 six{};
-        sockaddr_in four{};
-        six.sin6_family = AF_INET6;
-        six.sin6_port = htons(endpoint.port);
-        inet_pton(AF_INET6, endpoint.ip.c_str(), &six.sin6_addr);
-        four.sin_family = AF_INET;
-        four.sin_port = htons(endpoint.port);
-        inet_pton(AF_INET, endpoint.ip.c_str(), &four.sin_addr);
-        return endpoint.isIpv6() ? listenOn(AF_INET6, reinterpret_cast<const sockaddr *>(&six), sizeof(six))
-                                 : listenOn(AF_INET, reinterpret_cast<const sockaddr *>(&four), sizeof(four));
-    }
-
-private:
-    int listenOn(int family, const sockaddr *address, socklen_t length)
-    {
-        const int on = 1;
-        descriptor_ = socket(family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const bool bound = descriptor_ >= 0 && setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0
-            && bind(descriptor_, address, length) == 0 && listen(descriptor_, 1) == 0;
-        return bound ? 0 : errno;
-    }
-
-    int descriptor_ = -1;
-};
-
-} // namespace
-
-Problems checkListeners(const ProcessSettings &settings)
-{
-    Problems problems;
-    // All stay open until the end, so that two keys with one address are found too.
-    std::vector<TrialListener> open;
-    const auto check = [&](const std::optional<Endpoint> &endpoint, std::string_view key) {
-        const int error = endpoint ? open.emplace_back().open(*endpoint) : 0;
-        if (error != 0) {
-            problems.push_back(
-                problemAt(settings, key, fmt::format("an address of this VM that is free ({})", std::strerror(error))));
-        }
-    };
-    check(settings.listen.caller, "listen.caller");
-    check(settings.listen.operators, "listen.operator");
-    check(settings.listen.upstream, "listen.upstream");
-    check(settings.listen.worker, "listen.worker");
-    check(settings.listen.inner, "listen.inner");
-    check(settings.listen.health, "listen.health");
-    return problems;
-}
-
 } // namespace yuccawheel::settings
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -80,8 +80,9 @@
 /// Returns a problem at the place of a key, for faults that show only when the value is used.
 Problem problemAt(const ProcessSettings &settings, std::string_view key, std::string allowed);
 
-/// Tries to bind each listener of the settings once and reports those that can't be bound.
-Problems checkListeners(const ProcessSettings &settings);
+/// Checks what depends on this VM: each listener can be bound, the token file is the owner's alone, and the data folder
+/// can be written to.
+Problems checkOnThisVm(const ProcessSettings &settings);
 
 /// Returns a row for each key, in the order of the settings page.
 std::vector<SettingInfo> settingInfos();
--- a/tests/docs_pages_test.py
+++ b/tests/docs_pages_test.py
@@ -136,10 +136,15 @@
             self.assertEqual(done.returncode, 0, done.stderr)
 
     def copy_for_this_machine(self, source, target):
-        """Copies settings with listeners that any machine can bind; nothing else is changed."""
+        """Copies settings with listeners, a token and a folder that any machine has; nothing else is changed."""
+        token = target / "token"
+        token.write_text("0123456789abcdef\n")
+        token.chmod(0o600)
         for file in source.glob("*.yaml"):
-            text = file.read_text(encoding="utf-8")
-            (target / file.name).write_text(re.sub(r"(?m)^(  \w+: )10\.[\d.]+:\d+$", r"\g<1>127.0.0.1:0", text))
+            text = re.sub(r"(?m)^(  \w+: )10\.[\d.]+:\d+$", r"\g<1>127.0.0.1:0", file.read_text(encoding="utf-8"))
+            text = re.sub(r"(?m)^token_file: /etc/yuccawheel/token$", f"token_file: {token}", text)
+            text = re.sub(r"(?m)^data_dir: /var/lib/yuccawheel/store$", f"data_dir: {target}/data", text)
+            (target / file.name).write_text(text)
 
     def test_units_start_the_programs_and_wait_for_their_drain(self):
         for program in PROGRAMS:
--- a/tests/settings_process_test.cpp
+++ b/tests/settings_process_test.cpp
@@ -74,6 +74,19 @@
         return text.replace(text.find(line), line.size(), replacement);
     }
 
+    /// Returns settings whose addresses, token file and data folder are usable here.
+    std::string onThisVm(std::string text) const
+    {
+        const auto replace = [&text](const std::string &part, const std::string &replacement) {
+            text.replace(text.find(part), part.size(), replacement);
+        };
+        replace("[::1]", "127.0.0.1");
+        replace("token_file: token", "token_file: " + write("token", "0123456789abcdef\n"));
+        std::filesystem::permissions(folder_ / "token", std::filesystem::perms::owner_read);
+        replace("data_dir: data", "data_dir: " + (folder_ / "data").string());
+        return text;
+    }
+
     std::filesystem::path folder_;
 };
 
@@ -87,7 +100,6 @@
         EXPECT_EQ(settings->heartbeat, 500ms);
         EXPECT_EQ(settings->listen.inner, (Endpoint{"::1", 0}));
         EXPECT_EQ(toString(*settings->schedulers.at(0).workerAddress), "127.0.0.1:7403");
-        EXPECT_TRUE(checkListeners(*settings).empty() || settings->listen.inner->isIpv6());
     }
 }
 
@@ -128,20 +140,32 @@
 
 TEST_F(SettingsFile, addressThatCannotBeBoundIsReportedAtItsKey)
 {
-    const auto settings = load(with("caller: 127.0.0.1:0", "caller: 192.0.2.1:80"));
+    const auto settings = load(onThisVm(with("caller: 127.0.0.1:0", "caller: 192.0.2.1:80")));
     ASSERT_TRUE(settings);
-    const auto problems = checkListeners(*settings);
+    const auto problems = checkOnThisVm(*settings);
     ASSERT_FALSE(problems.empty());
     EXPECT_EQ(problems.at(0).key, "listen.caller");
     EXPECT_EQ(problems.at(0).line, 5);
     EXPECT_EQ(problems.at(0).found, "192.0.2.1:80");
 }
 
+TEST_F(SettingsFile, tokenFileAndDataFolderAreCheckedAtTheirKeys)
+{
+    auto settings = load(onThisVm(Valid));
+    ASSERT_TRUE(settings);
+    std::filesystem::permissions(settings->tokenFile, std::filesystem::perms::all);
+    settings->dataDir = (folder_ / "none" / "data").string();
+    const auto problems = checkOnThisVm(*settings);
+    ASSERT_EQ(problems.size(), 2U);
+    EXPECT_EQ(std::to_string(problems[0].line) + problems[0].key, "14token_file");
+    EXPECT_EQ(std::to_string(problems[1].line) + problems[1].key, "15data_dir");
+}
+
 TEST_F(SettingsFile, oneAddressForTwoListenersIsReported)
 {
-    auto settings = load(with("inner: \"[::1]:0\"", "inner: 127.0.0.1:0"));
+    auto settings = load(onThisVm(Valid));
     ASSERT_TRUE(settings);
-    EXPECT_TRUE(checkListeners(*settings).empty());
+    EXPECT_TRUE(checkOnThisVm(*settings).empty());
     // A bound socket that does not listen keeps the port from others, yet lets the check bind it.
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -154,9 +178,9 @@
     ASSERT_EQ(bind(holder, reinterpret_cast<sockaddr *>(&address), length), 0);
     ASSERT_EQ(getsockname(holder, reinterpret_cast<sockaddr *>(&address), &length), 0);
     settings->listen.caller = Endpoint{"127.0.0.1", ntohs(address.sin_port)};
-    EXPECT_TRUE(checkListeners(*settings).empty());
+    EXPECT_TRUE(checkOnThisVm(*settings).empty());
     settings->listen.health = settings->listen.caller;
-    const auto problems = checkListeners(*settings);
+    const auto problems = checkOnThisVm(*settings);
     ASSERT_EQ(problems.size(), 1U);
     EXPECT_EQ(problems.at(0).key, "listen.health");
 }
