At most once: keys issued by the zone and keys kept in the agreed log

A request that is not repeatable is dispatched only after its key was recorded: by the entry that issued it, or, for a key that the caller chose, in the log. Caller's keys begin with a time, so that a key that was forgotten is never taken for a new one.

--- a/src/coordination/idempotency_table.cpp
+++ b/src/coordination/idempotency_table.cpp
@@ -27,17 +27,21 @@
 
 // The age is judged before the table is full or not: an old key is Expired in either case, as it may have been here. A
 // key within the retention that is not here was never recorded, so refusing it is "not run".
-KeyStatus IdempotencyTable::begin(const IdempotencyKey &key, WallTime now)
+KeyStatus IdempotencyTable::begin(const IdempotencyKey &key, WallTime now, std::uint64_t digest)
 {
     expire(now);
     if (const auto found = records_.find(key); found != records_.end()) {
         const Record &record = found->second;
+        if (record.digest != digest) {
+            return KeyStatus{KeyState::Conflict, base::Verdict::NotRun, {}};
+        }
         return KeyStatus{record.finished ? KeyState::Finished : KeyState::Running, record.verdict, record.answer};
     }
     if (key.issued + settings_.retention <= now_) {
         return KeyStatus{KeyState::Expired, base::Verdict::MayHaveRun, {}};
     }
     Record record;
+    record.digest = digest;
     const std::size_t bytes = bytesOf(key, record);
     if (!acceptable(key) || records_.size() >= settings_.maxKeys || bytes_ + bytes > settings_.maxTotalBytes) {
         return KeyStatus{KeyState::Refused, base::Verdict::NotRun, {}};
@@ -86,7 +90,7 @@
     ByteWriter writer(data);
     writer.number(now_.time_since_epoch().count()).number(static_cast<std::uint64_t>(records_.size()));
     for (const auto &[key, record] : records_) {
-        writer.number(key.issued.time_since_epoch().count()).text(key.unique);
+        writer.number(key.issued.time_since_epoch().count()).text(key.unique).number(record.digest);
         writer.number(static_cast<std::uint8_t>(record.finished)).number(static_cast<std::uint8_t>(record.verdict));
         writer.text(record.answer);
     }
@@ -106,6 +110,7 @@
         key.issued = WallTime(std::chrono::milliseconds(reader.number<Rep>()));
         key.unique = reader.text();
         Record record;
+        record.digest = reader.number<std::uint64_t>();
         record.finished = reader.number<std::uint8_t>() != 0;
         record.verdict = static_cast<base::Verdict>(reader.number<std::uint8_t>());
         record.answer = reader.text();
--- a/src/coordination/idempotency_table.h
+++ b/src/coordination/idempotency_table.h
@@ -45,6 +45,7 @@
     Finished, ///< An earlier attempt ended; its verdict and answer are kept.
     Expired, ///< The key is too old to be known: an earlier attempt may have run.
     Refused, ///< The table is full, or the key malformed or from the future; no attempt of it was ever recorded.
+    Conflict, ///< The key belongs to a request with other content.
 };
 
 struct KeyStatus {
@@ -62,9 +63,9 @@
     {
     }
 
-    /// Looks the key up, and records it if it is new. `now` may repeat but never go back; an earlier one counts as the
-    /// latest seen.
-    KeyStatus begin(const IdempotencyKey &key, WallTime now);
+    /// Looks the key up, and records it if it is new. `digest` stands for the request's content. `now` may repeat but
+    /// never go back; an earlier one counts as the latest seen.
+    KeyStatus begin(const IdempotencyKey &key, WallTime now, std::uint64_t digest = 0);
     /// Records how an attempt ended. NotRun removes the key, so that a resend may run; after Ran nothing changes.
     /// An answer too large to keep is dropped; its verdict stays.
     void finish(const IdempotencyKey &key, base::Verdict verdict, std::string answer);
@@ -86,6 +87,7 @@
 
 private:
     struct Record {
+        std::uint64_t digest = 0;
         bool finished = false;
         base::Verdict verdict = base::Verdict::MayHaveRun;
         std::string answer;
--- a/src/http/proxy_session.cpp
+++ b/src/http/proxy_session.cpp
@@ -21,6 +21,7 @@
 namespace
 {
 
+constexpr unsigned Ok = 200;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned KeyConflict = 409;
 constexpr unsigned AnswerGone = 410;
@@ -30,6 +31,8 @@
 constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
+/// Where callers get keys for requests that must not run twice.
+constexpr std::string_view IssueKeyPath = "/v1/keys";
 constexpr unsigned VersionNotSupported = 505;
 constexpr unsigned Http11 = 11;
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -170,6 +173,10 @@
     }
     const auto method = parser_->get().method();
     const bool safe = method == beast::http::verb::get || method == beast::http::verb::head;
+    if (method == beast::http::verb::post && view(parser_->get().target()) == IssueKeyPath) {
+        issueKey();
+        return;
+    }
     const CallerHeaders headers{
         field("Yw-Repeatable"), field("Yw-Key"), field("Yw-Urgency"), field("Yw-Timeout-Ms"), field("Yw-Caller")};
     const auto parsed = parseCallerRequest(view(parser_->get().target()), safe, headers, core_.options.timeouts);
@@ -183,6 +190,17 @@
     continueBody();
 }
 
+void ProxySession::issueKey()
+{
+    const std::string key = core_.keys == nullptr ? std::string() : core_.keys->issue();
+    if (key.empty()) {
+        answerError(Unavailable, "this entry issues no keys", base::Verdict::NotRun);
+        return;
+    }
+    bodyComplete_ = parser_->is_done();
+    answerStored({Ok, "application/json", R"({"key":")" + key + "\"}\n"}, base::Verdict::Ran);
+}
+
 // Where the head is broken, nothing after it on the connection can be trusted to be a request.
 void ProxySession::headFailed(const boost::system::error_code &error)
 {
@@ -348,6 +366,11 @@
         answerError(
             GatewayTimeout, "the key cannot be looked up; nothing was dispatched now", base::Verdict::MayHaveRun);
         break;
+    case routing::KeyStatus::Refused:
+        answerError(BadRequest,
+                    "Yw-Key: take a key from POST /v1/keys, or begin it with the time in seconds, as 1796362497-NAME",
+                    base::Verdict::NotRun);
+        break;
     }
 }
 
--- a/src/http/proxy_session.h
+++ b/src/http/proxy_session.h
@@ -82,6 +82,7 @@
     void readBody();
     void bodyRead(const boost::system::error_code &error);
     void bodyReady();
+    void issueKey();
     void reserveKey();
     void keyReplied(const routing::KeyReply &reply);
     void route();
--- a/src/programs/yw_entry/entry_peers.cpp
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -8,10 +8,28 @@
 namespace yuccawheel::entry
 {
 
+namespace
+{
+
+// Hands a message on, or ends a connection that sends what can't be read.
+template <typename Message, typename Taker>
+void take(const protocol::ChannelPtr &channel, const protocol::Frame &frame, Taker taker)
+{
+    auto message = protocol::decode<Message>(frame.payload);
+    if (message) {
+        taker(*message);
+    } else {
+        channel->close("malformed message");
+    }
+}
+
+} // namespace
+
 // The proxy calls back on its own thread; the connections belong to the network thread.
-EntryPeers::EntryPeers(daemon::Context &context, http::ProxyServer &proxy)
+EntryPeers::EntryPeers(daemon::Context &context, http::ProxyServer &proxy, routing::ZoneKeyStore &keys)
     : context_(context)
     , proxy_(proxy)
+    , keys_(keys)
     , alive_(std::make_shared<EntryPeers *>(this))
 {
     protocol::Listener::Callbacks callbacks;
@@ -59,28 +77,39 @@
     }
 }
 
+void EntryPeers::send(const std::vector<routing::KeyMessage> &messages)
+{
+    for (const routing::KeyMessage &message : messages) {
+        if (const auto peer = peers_.find(message.to); peer != peers_.end()) {
+            peer->second->notify(protocol::KeyNotice{message});
+        }
+    }
+}
+
 void EntryPeers::onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
 {
     if (channel->peer().role != protocol::Role::Entry) {
         channel->close("not an entry");
         return;
     }
-    if (frame.type == protocol::MessageType::UpstreamUpdates) {
-        auto updates = protocol::decode<protocol::UpstreamUpdates>(frame.payload);
-        if (!updates) {
-            channel->close("malformed updates");
-            return;
-        }
-        for (routing::UpstreamUpdate &update : updates->updates) {
-            proxy_.receive(std::move(update));
-        }
-    } else if (frame.type == protocol::MessageType::ShareMessage) {
-        auto notice = protocol::decode<protocol::ShareNotice>(frame.payload);
-        if (!notice) {
-            channel->close("malformed share message");
-            return;
-        }
-        proxy_.receive(std::move(notice->message));
+    switch (frame.type) {
+    case protocol::MessageType::UpstreamUpdates:
+        take<protocol::UpstreamUpdates>(channel, frame, [this](protocol::UpstreamUpdates &message) {
+            for (routing::UpstreamUpdate &update : message.updates) {
+                proxy_.receive(std::move(update));
+            }
+        });
+        break;
+    case protocol::MessageType::ShareMessage:
+        take<protocol::ShareNotice>(
+            channel, frame, [this](protocol::ShareNotice &notice) { proxy_.receive(std::move(notice.message)); });
+        break;
+    case protocol::MessageType::KeyNotice:
+        take<protocol::KeyNotice>(
+            channel, frame, [this](const protocol::KeyNotice &notice) { keys_.receive(notice.message); });
+        break;
+    default:
+        break;
     }
 }
 
--- a/src/programs/yw_entry/entry_peers.h
+++ b/src/programs/yw_entry/entry_peers.h
@@ -4,6 +4,7 @@
 #include "http/proxy_server.h"
 #include "protocol/listener.h"
 #include "protocol/peer.h"
+#include "routing/zone_key_store.h"
 
 #include <map>
 #include <memory>
@@ -18,17 +19,21 @@
 class EntryPeers
 {
 public:
-    EntryPeers(daemon::Context &context, http::ProxyServer &proxy);
+    EntryPeers(daemon::Context &context, http::ProxyServer &proxy, routing::ZoneKeyStore &keys);
     ~EntryPeers();
     EntryPeers(const EntryPeers &) = delete;
     EntryPeers &operator=(const EntryPeers &) = delete;
 
+    /// Sends what the key store has to tell; on the network thread.
+    void send(const std::vector<routing::KeyMessage> &messages);
+
 private:
     void send(const std::vector<routing::UpstreamUpdate> &updates, const std::vector<routing::ShareMessage> &messages);
     void onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
 
     daemon::Context &context_;
     http::ProxyServer &proxy_;
+    routing::ZoneKeyStore &keys_;
     std::map<std::string, std::unique_ptr<protocol::Peer>> peers_; ///< By node.
     std::optional<protocol::Listener> listener_;
     std::shared_ptr<EntryPeers *> alive_;
--- a/src/programs/yw_entry/entry_service.cpp
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds KeyTickInterval{100};
+
 http::ProxyOptions proxyOptions(const daemon::Context &context)
 {
     http::ProxyOptions options;
@@ -30,6 +32,18 @@
     return options;
 }
 
+routing::ZoneKeysOptions keyOptions(const daemon::Context &context)
+{
+    routing::ZoneKeysOptions options;
+    options.entry = context.self.node;
+    options.zone = context.self.zone;
+    options.incarnation = context.self.incarnation;
+    for (const settings::Peer &peer : context.settings.entries) {
+        options.entries.push_back({peer.node, peer.zone});
+    }
+    return options;
+}
+
 http::Response announceResponse(const tl::expected<void, routing::AnnounceError> &result,
                                 std::chrono::milliseconds heartbeat)
 {
@@ -51,8 +65,7 @@
 
 EntryService::EntryService(daemon::Context &context)
     : context_(context)
-    , proxy_(proxyOptions(context), nullptr)
-    , peers_(context, proxy_)
+    , alive_(std::make_shared<EntryService *>(this))
     , store_(context.io,
              daemon::addressesOf(context.settings.stores),
              context.self,
@@ -61,6 +74,13 @@
                      base::logInfo("configuration_applied").with("version", update.configurationVersion);
                  }
              })
+    , keys_(std::make_shared<routing::ZoneKeyStore>(
+          keyOptions(context),
+          std::make_shared<LogKeyStore>(context.io, store_),
+          [this](std::vector<routing::KeyMessage> messages) { sendKeyMessages(std::move(messages)); }))
+    , proxy_(proxyOptions(context), keys_)
+    , peers_(context, proxy_, *keys_)
+    , timer_(context.io)
 {
     const auto port = proxy_.start();
     if (!port) {
@@ -76,9 +96,33 @@
         http::ServerOptions{},
         [this](const http::Request &request, const http::Responder &respond) { handleUpstream(request, respond); });
     base::logInfo("listening").with("on", "upstream").with("port", upstreamServer_->address().port());
+    onTick();
 }
 
-EntryService::~EntryService() = default;
+EntryService::~EntryService()
+{
+    *alive_ = nullptr;
+}
+
+void EntryService::sendKeyMessages(std::vector<routing::KeyMessage> messages)
+{
+    boost::asio::post(context_.io, [this, alive = alive_, messages = std::move(messages)] {
+        if (*alive != nullptr) {
+            peers_.send(messages);
+        }
+    });
+}
+
+void EntryService::onTick()
+{
+    keys_->tick();
+    timer_.expires_after(KeyTickInterval);
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            onTick();
+        }
+    });
+}
 
 std::optional<std::string> EntryService::notReadyReason() const
 {
--- a/src/programs/yw_entry/entry_service.h
+++ b/src/programs/yw_entry/entry_service.h
@@ -4,12 +4,17 @@
 #include "entry_peers.h"
 #include "http/proxy_server.h"
 #include "http/server.h"
+#include "log_key_store.h"
 #include "operator_api.h"
+#include "routing/zone_key_store.h"
 #include "store/store_client.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace yuccawheel::entry
 {
@@ -30,10 +35,16 @@
     void handleUpstream(const http::Request &request, const http::Responder &respond);
     std::string upstreamsJson() const;
 
+    void sendKeyMessages(std::vector<routing::KeyMessage> messages);
+    void onTick();
+
     daemon::Context &context_;
+    std::shared_ptr<EntryService *> alive_;
+    store::StoreClient store_;
+    std::shared_ptr<routing::ZoneKeyStore> keys_;
     http::ProxyServer proxy_;
     EntryPeers peers_;
-    store::StoreClient store_;
+    boost::asio::steady_timer timer_;
     std::optional<OperatorApi> operators_;
     std::optional<http::Server> upstreamServer_;
 };
--- /dev/null
+++ b/src/programs/yw_entry/log_key_store.cpp
@@ -0,0 +1,94 @@
+#include "log_key_store.h"
+
+#include "protocol/messages.h"
+#include "protocol/routing_messages.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace yuccawheel::entry
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds LongestReservation{5'000};
+constexpr std::chrono::milliseconds FinishTimeout{10'000};
+
+routing::KeyReply toReply(const protocol::ReserveKeyReply &reserved)
+{
+    routing::KeyReply reply;
+    reply.verdict = reserved.verdict;
+    switch (reserved.outcome) {
+    case protocol::KeyOutcome::Fresh:
+        reply.status = routing::KeyStatus::Fresh;
+        break;
+    case protocol::KeyOutcome::Known:
+        reply.status = routing::KeyStatus::Known;
+        break;
+    case protocol::KeyOutcome::Conflict:
+        reply.status = routing::KeyStatus::Conflict;
+        break;
+    case protocol::KeyOutcome::Refused:
+        reply.status = routing::KeyStatus::Refused;
+        break;
+    }
+    if (!reserved.answer.empty()) {
+        if (auto answer = protocol::decode<routing::StoredAnswer>(reserved.answer)) {
+            reply.answer = std::move(*answer);
+        }
+    }
+    return reply;
+}
+
+} // namespace
+
+std::optional<CallerKey> parseCallerKey(std::string_view key)
+{
+    std::int64_t seconds = 0;
+    const char *const end = key.data() + key.size();
+    const auto [next, error] = std::from_chars(key.data(), end, seconds);
+    constexpr std::int64_t LatestSeconds = 1LL << 40U;
+    if (error != std::errc() || next == end || *next != '-' || next + 1 == end || seconds < 0
+        || seconds > LatestSeconds) {
+        return std::nullopt;
+    }
+    return CallerKey{std::chrono::seconds(seconds), std::string(next + 1, end)};
+}
+
+LogKeyStore::LogKeyStore(boost::asio::io_context &io, store::StoreClient &store) : io_(io), store_(store)
+{
+}
+
+// A reservation without an answer may stand in the log: then nothing is dispatched, now or by a resend.
+void LogKeyStore::reserve(const routing::KeyReservation &reservation, Reply reply)
+{
+    const auto key = parseCallerKey(reservation.key);
+    if (!key) {
+        reply({routing::KeyStatus::Refused, base::Verdict::NotRun, std::nullopt});
+        return;
+    }
+    const auto timeout =
+        std::min(LongestReservation, std::chrono::duration_cast<std::chrono::milliseconds>(reservation.timeout));
+    const protocol::ReserveKey request{key->issued, key->unique, reservation.digest};
+    boost::asio::post(io_, [this, request, timeout, reply = std::move(reply)] {
+        store_.request(
+            request, timeout, [reply](const auto &answer) { reply(answer ? toReply(*answer) : routing::KeyReply{}); });
+    });
+}
+
+void LogKeyStore::finish(const routing::KeyOutcome &outcome)
+{
+    const auto key = parseCallerKey(outcome.key);
+    if (!key) {
+        return;
+    }
+    const std::string answer = outcome.answer ? protocol::encode(*outcome.answer) : std::string();
+    const protocol::FinishKey request{key->issued, key->unique, outcome.verdict, answer};
+    // A lost outcome leaves the key at "may have run", which is never wrong.
+    boost::asio::post(io_, [this, request] { store_.request(request, FinishTimeout, [](const auto &) {}); });
+}
+
+} // namespace yuccawheel::entry
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -43,8 +43,11 @@
 
     UpstreamUpdates = 70,
     ShareMessage = 71,
-    KeyRequest = 72,
-    KeyReply = 73,
+    KeyNotice = 72,
+    ReserveKey = 73,
+    ReserveKeyReply = 74,
+    FinishKey = 75,
+    FinishKeyReply = 76,
 };
 
 enum class FrameKind : std::uint8_t { Request = 0, Response = 1, Notice = 2 };
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -6,6 +6,7 @@
 #include "protocol/identity.h"
 #include "protocol/index_set.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -151,6 +152,52 @@
     MSGPACK_DEFINE(zone, epoch, summary, progress, joinedWorkers, leftWorkers, release)
 };
 
+enum class KeyOutcome : std::uint8_t {
+    Fresh, ///< The attempt may run; no other will be allowed.
+    Known, ///< An earlier attempt was recorded; `verdict` says what is known of it.
+    Conflict, ///< The key belongs to a request with other content.
+    Refused, ///< Nothing was recorded and nothing ever was: malformed, from the future, or the table is full.
+};
+
+struct ReserveKeyReply {
+    static constexpr MessageType Type = MessageType::ReserveKeyReply;
+    KeyOutcome outcome = KeyOutcome::Known;
+    base::Verdict verdict = base::Verdict::MayHaveRun;
+    std::string answer; ///< As it was given to FinishKey; empty if it is not kept.
+
+    MSGPACK_DEFINE(outcome, verdict, answer)
+};
+
+/// Asks for the right to run a request that must not run twice.
+struct ReserveKey {
+    static constexpr MessageType Type = MessageType::ReserveKey;
+    using Reply = ReserveKeyReply;
+    std::chrono::milliseconds issued{0}; ///< Since the Unix epoch.
+    std::string unique;
+    std::uint64_t digest = 0; ///< Of the request's content.
+
+    MSGPACK_DEFINE(issued, unique, digest)
+};
+
+struct FinishKeyReply {
+    static constexpr MessageType Type = MessageType::FinishKeyReply;
+    bool recorded = true;
+
+    MSGPACK_DEFINE(recorded)
+};
+
+/// Tells what became of the attempt that a reservation allowed.
+struct FinishKey {
+    static constexpr MessageType Type = MessageType::FinishKey;
+    using Reply = FinishKeyReply;
+    std::chrono::milliseconds issued{0};
+    std::string unique;
+    base::Verdict verdict = base::Verdict::MayHaveRun;
+    std::string answer;
+
+    MSGPACK_DEFINE(issued, unique, verdict, answer)
+};
+
 struct WatchReply {
     static constexpr MessageType Type = MessageType::WatchReply;
     std::uint64_t index = 0;
@@ -254,4 +301,5 @@
 } // namespace yuccawheel::protocol
 
 YW_MSGPACK_ENUM(yuccawheel::protocol::SubmitOutcome, yuccawheel::protocol::SubmitOutcome::Rejected)
+YW_MSGPACK_ENUM(yuccawheel::protocol::KeyOutcome, yuccawheel::protocol::KeyOutcome::Refused)
 YW_MSGPACK_ENUM(yuccawheel::protocol::QueryKind, yuccawheel::protocol::QueryKind::Report)
--- a/src/protocol/routing_messages.h
+++ b/src/protocol/routing_messages.h
@@ -4,6 +4,7 @@
 #include "protocol/frame.h"
 #include "routing/loan_book.h"
 #include "routing/types.h"
+#include "routing/zone_keys.h"
 
 #include <vector>
 
@@ -38,6 +39,35 @@
 }
 } // namespace msgpack
 
+YW_MSGPACK_ENUM(yuccawheel::routing::KeyMessageKind, yuccawheel::routing::KeyMessageKind::Copy)
+YW_MSGPACK_ENUM(yuccawheel::routing::KeyStatus, yuccawheel::routing::KeyStatus::Refused)
+
+YW_MSGPACK_STRUCT(yuccawheel::routing::StoredAnswer,
+                  3,
+                  (put(value.status), put(value.contentType), put(value.body)),
+                  (take(value.status), take(value.contentType), take(value.body)))
+YW_MSGPACK_STRUCT(yuccawheel::routing::KeyMessage,
+                  10,
+                  (put(value.kind),
+                   put(value.to),
+                   put(value.from),
+                   put(value.number),
+                   put(value.key),
+                   put(value.digest),
+                   put(value.timeout),
+                   put(value.status),
+                   put(value.verdict),
+                   put(value.answer)),
+                  (take(value.kind),
+                   take(value.to),
+                   take(value.from),
+                   take(value.number),
+                   take(value.key),
+                   take(value.digest),
+                   take(value.timeout),
+                   take(value.status),
+                   take(value.verdict),
+                   take(value.answer)))
 YW_MSGPACK_STRUCT(yuccawheel::routing::UpstreamAnnouncement,
                   8,
                   (put(value.executor),
@@ -102,4 +132,12 @@
     MSGPACK_DEFINE(message)
 };
 
+/// What entries tell each other about keys that one of them issued.
+struct KeyNotice {
+    static constexpr MessageType Type = MessageType::KeyNotice;
+    routing::KeyMessage message;
+
+    MSGPACK_DEFINE(message)
+};
+
 } // namespace yuccawheel::protocol
--- a/src/routing/key_store.h
+++ b/src/routing/key_store.h
@@ -32,6 +32,7 @@
     Known, ///< An attempt was made, or is in progress.
     Conflict, ///< The key belongs to a request with other content.
     Unreachable, ///< Nobody who could tell answers. An attempt may have been made.
+    Refused, ///< No attempt was made and none is allowed: the key is malformed, or there is no room for it.
 };
 
 struct KeyReply {
@@ -58,6 +59,11 @@
     /// Calls `reply` once, on any thread, now or later.
     virtual void reserve(const KeyReservation &reservation, Reply reply) = 0;
     virtual void finish(const KeyOutcome &outcome) = 0;
+    /// Returns a new key, or an empty text if this store issues none.
+    virtual std::string issue()
+    {
+        return {};
+    }
 };
 
 } // namespace yuccawheel::routing
--- a/src/routing/zone_key_store.h
+++ b/src/routing/zone_key_store.h
@@ -24,7 +24,7 @@
     ZoneKeyStore(ZoneKeysOptions options, std::shared_ptr<KeyStore> callerKeys, Sink sink);
 
     /// Returns a new key for a caller (`POST /v1/keys`).
-    std::string issue();
+    std::string issue() override;
     void reserve(const KeyReservation &reservation, Reply reply) override;
     void finish(const KeyOutcome &outcome) override;
     /// Takes a message of another entry.
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -360,18 +360,53 @@
     return std::monostate{};
 }
 
+ApplyReply ClusterState::applyEntry(const ReserveKeyEntry &entry, StateChange & /*change*/)
+{
+    const coordination::IdempotencyKey key{coordination::WallTime(entry.reserve.issued), entry.reserve.unique};
+    const auto status = keys_.begin(key, coordination::WallTime(entry.at), entry.reserve.digest);
+    protocol::ReserveKeyReply reply{protocol::KeyOutcome::Known, status.verdict, status.answer};
+    switch (status.state) {
+    case coordination::KeyState::Started:
+        reply.outcome = protocol::KeyOutcome::Fresh;
+        break;
+    case coordination::KeyState::Conflict:
+        reply.outcome = protocol::KeyOutcome::Conflict;
+        break;
+    case coordination::KeyState::Refused:
+        reply.outcome = protocol::KeyOutcome::Refused;
+        break;
+    case coordination::KeyState::Running:
+    case coordination::KeyState::Finished:
+    case coordination::KeyState::Expired:
+        break;
+    }
+    return reply;
+}
+
+ApplyReply ClusterState::applyEntry(const FinishKeyEntry &entry, StateChange & /*change*/)
+{
+    const coordination::IdempotencyKey key{coordination::WallTime(entry.finish.issued), entry.finish.unique};
+    keys_.finish(key, entry.finish.verdict, entry.finish.answer);
+    return std::monostate{};
+}
+
 std::string ClusterState::snapshot() const
 {
-    return protocol::encode(data_);
+    return protocol::encode(std::pair(data_, keys_.encode()));
 }
 
 tl::expected<ClusterState, protocol::DecodeError> ClusterState::restore(std::string_view bytes)
 {
-    return protocol::decode<Data>(bytes, protocol::Origin::OwnDisk).map([](Data data) {
-        ClusterState state;
-        state.data_ = std::move(data);
-        return state;
-    });
+    auto parts = protocol::decode<std::pair<Data, std::string>>(bytes, protocol::Origin::OwnDisk);
+    if (!parts) {
+        return tl::make_unexpected(parts.error());
+    }
+    ClusterState state;
+    state.data_ = std::move(parts->first);
+    if (!state.keys_.decode(parts->second)) {
+        return tl::make_unexpected(protocol::DecodeError{"malformed table of keys"});
+    }
+    return state;
 }
 
 } // namespace yuccawheel::store
--- a/src/store/cluster_state.h
+++ b/src/store/cluster_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/idempotency_table.h"
 #include "protocol/messages.h"
 #include "store/log_entry.h"
 
@@ -57,8 +58,11 @@
 };
 
 /// Answer to whoever proposed the entry. Progress, moves and removals have none.
-using ApplyReply =
-    std::variant<std::monostate, protocol::SubmitReply, protocol::CancelJobReply, protocol::AcquireZoneReply>;
+using ApplyReply = std::variant<std::monostate,
+                                protocol::SubmitReply,
+                                protocol::CancelJobReply,
+                                protocol::AcquireZoneReply,
+                                protocol::ReserveKeyReply>;
 
 struct ApplyResult {
     ApplyReply reply;
@@ -137,6 +141,8 @@
     ApplyReply applyEntry(const ProgressEntry &entry, StateChange &change);
     ApplyReply applyEntry(const MoveEntry &entry, StateChange &change);
     ApplyReply applyEntry(const ForgetEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const ReserveKeyEntry &entry, StateChange &change);
+    ApplyReply applyEntry(const FinishKeyEntry &entry, StateChange &change);
 
     protocol::SubmitReply accept(const SubmissionEntry &entry, StateChange &change);
     protocol::SubmitReply versionConflict(std::uint64_t expected) const;
@@ -149,6 +155,7 @@
     static void recordProgress(JobRecord &record, const protocol::JobProgress &progress, WallTime at);
 
     Data data_;
+    coordination::IdempotencyTable keys_;
 };
 
 } // namespace yuccawheel::store
--- a/src/store/log_entry.h
+++ b/src/store/log_entry.h
@@ -90,7 +90,29 @@
     MSGPACK_DEFINE(jobs)
 };
 
-using LogEntry = std::variant<SubmissionEntry, CancelEntry, ZoneEntry, ProgressEntry, MoveEntry, ForgetEntry>;
+/// Records a key before the request that carries it is dispatched.
+struct ReserveKeyEntry {
+    protocol::ReserveKey reserve;
+    WallTime at{0};
+
+    MSGPACK_DEFINE(reserve, at)
+};
+
+/// Records what became of a key's attempt.
+struct FinishKeyEntry {
+    protocol::FinishKey finish;
+
+    MSGPACK_DEFINE(finish)
+};
+
+using LogEntry = std::variant<SubmissionEntry,
+                              CancelEntry,
+                              ZoneEntry,
+                              ProgressEntry,
+                              MoveEntry,
+                              ForgetEntry,
+                              ReserveKeyEntry,
+                              FinishKeyEntry>;
 
 std::string encodeEntry(const LogEntry &entry);
 tl::expected<LogEntry, protocol::DecodeError> decodeEntry(std::string_view bytes);
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -58,6 +58,12 @@
     case MessageType::RenewZone:
         onRenew(request, now, wall);
         break;
+    case MessageType::ReserveKey:
+        onReserveKey(request, wall);
+        break;
+    case MessageType::FinishKey:
+        onFinishKey(request);
+        break;
     case MessageType::Watch:
         onWatch(request);
         break;
@@ -201,6 +207,33 @@
             answer);
 }
 
+void StoreCore::onReserveKey(const ClientRequest &request, WallTime wall)
+{
+    const auto reserve = read<protocol::ReserveKey>(request);
+    if (!reserve) {
+        return;
+    }
+    const ClientId client = request.client;
+    const std::uint64_t correlation = request.frame.correlation;
+    propose(
+        ReserveKeyEntry{*reserve, wall}, client, correlation, [this, client, correlation](const ApplyReply &applied) {
+            reply(client, correlation, std::get<protocol::ReserveKeyReply>(applied));
+        });
+}
+
+void StoreCore::onFinishKey(const ClientRequest &request)
+{
+    const auto finish = read<protocol::FinishKey>(request);
+    if (!finish) {
+        return;
+    }
+    const ClientId client = request.client;
+    const std::uint64_t correlation = request.frame.correlation;
+    propose(FinishKeyEntry{*finish}, client, correlation, [this, client, correlation](const ApplyReply &) {
+        reply(client, correlation, protocol::FinishKeyReply{});
+    });
+}
+
 // A leader that was cut off and doesn't know it yet fails the barrier, so nobody starts to watch an old state.
 void StoreCore::onWatch(const ClientRequest &request)
 {
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -102,6 +102,8 @@
     void onSubmit(const ClientRequest &request, WallTime wall);
     void onCancel(const ClientRequest &request, WallTime wall);
     void onAcquire(const ClientRequest &request, base::TimePoint now);
+    void onReserveKey(const ClientRequest &request, WallTime wall);
+    void onFinishKey(const ClientRequest &request);
     void onRenew(const ClientRequest &request, base::TimePoint now, WallTime wall);
     void onWatch(const ClientRequest &request);
     void onWatchAck(const ClientRequest &request);
--- a/tests/coordination_parts_test.cpp
+++ b/tests/coordination_parts_test.cpp
@@ -76,6 +76,7 @@
     const IdempotencyKey key{now, "reserve"};
     EXPECT_EQ(table.begin(key, now).state, KeyState::Started);
     EXPECT_EQ(table.begin(key, now).state, KeyState::Running);
+    EXPECT_EQ(table.begin(key, now, 7).state, KeyState::Conflict) << "other content under the same key";
     table.finish(key, base::Verdict::Ran, "done");
     table.finish(key, base::Verdict::NotRun, "");
     const KeyStatus again = table.begin(key, now + 900ms);
