Empty VMs of little use onto other busy ones (objective packing)

A VM under half use for 60 s whose tasks all fit on other busy VMs is emptied by checkpoint, one VM at a time and only while no job waits; service replicas move within their bounded disruption. The objective waiting decides as before.

--- a/src/placement/events.h
+++ b/src/placement/events.h
@@ -118,6 +118,7 @@
     Overgrown, ///< It, or a neighbour with the better claim, outgrew its reservation.
     NotOurs, ///< No share here has this attempt; its end needs no report to anybody else.
     GangRollback,
+    Consolidated, ///< Moves to another VM, so that this one can stay quiet.
     Missing, ///< A worker that joined again does not list it; its answer to this command tells what became of it.
 };
 struct StopTask {
--- a/src/placement/fit_index.h
+++ b/src/placement/fit_index.h
@@ -17,6 +17,7 @@
     Busy, ///< Runs tasks.
     IdleInBusyRack,
     IdleRack, ///< No worker of its rack runs anything.
+    Resting, ///< It is being emptied.
 };
 
 /// Finds the worker on which an amount fits with the least left over, without looking at each worker.
@@ -42,7 +43,7 @@
 private:
     static constexpr int Levels = 64;
     static constexpr int AcceleratorLevels = 9;
-    static constexpr int Occupancies = 3;
+    static constexpr int Occupancies = 4;
     static constexpr std::uint32_t None = 0xffffffff;
     static constexpr std::uint8_t NoGrid = 0xff;
     static constexpr int MaxWalk = 128; ///< Workers looked at in one cell.
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -2,6 +2,7 @@
 
 #include "base/invariant.h"
 #include "placement/attempt_endings.h"
+#include "placement/consolidator.h"
 #include "placement/growth_watch.h"
 #include "placement/placer.h"
 #include "placement/room_maker.h"
@@ -44,6 +45,7 @@
     RoomMaker rooms{zone};
     ReservationKeeper reservations{zone};
     GrowthWatch growth{zone, rooms};
+    Consolidator consolidator{zone};
     WorkerEvents workerEvents{zone, endings, growth};
     JobEvents jobEvents{zone, endings};
     TaskPlacer tasks{zone};
@@ -75,6 +77,7 @@
     workerEvents.moveDrained();
     rooms.expireHolds();
     reservations.review();
+    consolidator.run();
     // Some claims grow with the time that a job has waited.
     if (zone.now >= nextWake) {
         nextWake = zone.now + WakeInterval;
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -24,9 +24,10 @@
         return;
     }
     const bool idleRack = racks[entry.rack].busyWorkers == 0;
-    const Occupancy occupancy = entry.busy ? Occupancy::Busy
-        : idleRack                         ? Occupancy::IdleRack
-                                           : Occupancy::IdleInBusyRack;
+    const Occupancy occupancy = entry.resting ? Occupancy::Resting
+        : entry.busy                          ? Occupancy::Busy
+        : idleRack                            ? Occupancy::IdleRack
+                                              : Occupancy::IdleInBusyRack;
     FitIndex &home = forReservation ? held : open;
     (forReservation ? open : held).remove(worker);
     home.update(worker, ledger.free(worker), occupancy);
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -34,6 +34,8 @@
     Liveness liveness = Liveness::Gone;
     bool draining = false;
     bool dirty = false; ///< Stands in ZoneState::dirty.
+    bool resting = false; ///< It is being emptied; the last to be chosen.
+    std::optional<base::TimePoint> littleSince; ///< Since when it has been of little use.
     bool busy = false; ///< Counts in its rack's busy workers.
     std::uint32_t session = 0; ///< Counts its joins.
     std::vector<LiveHandle> tasks;
