--- a/src/placement/consolidator.cpp
+++ b/src/placement/consolidator.cpp
@@ -37,10 +37,8 @@
     if (task.job == NoHandle || task.stopping || !zone_.jobs[task.job].spec.repeatable) {
         return false;
     }
+    // Replicas stay where they were spread: moving them would disrupt the service and undo the spread.
     const Job &job = zone_.jobs[task.job];
-    if (job.spec.kind == JobKind::Service) {
-        return job.disrupted() < job.spec.maxDisruption;
-    }
     const bool endsSoon = task.startedAt + job.runTime <= zone_.now + EndsSoon;
     return job.spec.kind == JobKind::Batch && !job.spec.urgent && !endsSoon;
 }
