--- a/src/placement/events.h
+++ b/src/placement/events.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -121,6 +122,8 @@
     Consolidated, ///< Moves to another VM, so that this one can stay quiet.
     Missing, ///< A worker that joined again does not list it; its answer to this command tells what became of it.
 };
+std::string_view toString(StopReason reason);
+
 struct StopTask {
     WorkerId worker = 0;
     TaskId task;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -146,8 +146,9 @@
     std::vector<JobProgress> progress;
     std::vector<std::string> joinedWorkers; ///< Work is placed on a worker only after this was agreed on.
     std::vector<std::string> leftWorkers; ///< Their leases have run out.
+    bool release = false; ///< The owner gives the zone up.
 
-    MSGPACK_DEFINE(zone, epoch, summary, progress, joinedWorkers, leftWorkers)
+    MSGPACK_DEFINE(zone, epoch, summary, progress, joinedWorkers, leftWorkers, release)
 };
 
 struct WatchReply {
@@ -166,7 +167,8 @@
     MSGPACK_DEFINE(zone)
 };
 
-/// A share of a job or service that was given to a zone.
+/// A share of a job or service that was given to a zone: a range of task indices. Indices of the range that are
+/// another zone's stand in `finished`.
 struct ShareAssignment {
     placement::JobSpec spec;
     std::uint32_t firstIndex = 0;
@@ -192,7 +194,8 @@
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> dropped;
     std::optional<ZoneOwner> owner;
-    std::vector<std::string> workers; ///< In a full update: the zone's workers that may hold tasks.
+    bool workersChanged = false;
+    std::vector<std::string> workers; ///< If changed, or in a full update: the zone's workers that may hold tasks.
 
     MSGPACK_DEFINE(index,
                    full,
@@ -205,6 +208,7 @@
                    cancelled,
                    dropped,
                    owner,
+                   workersChanged,
                    workers)
 };
 
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -1,10 +1,9 @@
 #include "store/cluster_state.h"
 
 #include "base/invariant.h"
+#include "coordination/checksum.h"
 
 #include <algorithm>
-#include <xxhash.h>
-
 namespace yuccawheel::store
 {
 
@@ -17,8 +16,7 @@
 // The expected version is part of the content: the same document sent for another version is another submission.
 std::uint64_t contentHash(const protocol::Submit &submit)
 {
-    const std::string bytes = protocol::encode(submit);
-    return XXH3_64bits(bytes.data(), bytes.size());
+    return coordination::checksum(protocol::encode(submit));
 }
 
 // Two specs are the same service if they differ in the id only.
@@ -44,6 +42,17 @@
     return std::any_of(shares.begin(), shares.end(), [zone](const Share &share) { return share.zone == zone; });
 }
 
+protocol::IndexSet JobRecord::indicesOf(std::string_view zone) const
+{
+    protocol::IndexSet indices;
+    for (const Share &share : shares) {
+        if (share.zone == zone) {
+            indices.insert(protocol::IndexRange{share.firstIndex, share.firstIndex + share.count});
+        }
+    }
+    return indices;
+}
+
 base::Verdict JobRecord::verdict() const
 {
     if (!succeeded.empty() || !failed.empty()) {
@@ -75,9 +84,9 @@
 
 const std::set<std::string> &ClusterState::workers(const std::string &zone) const
 {
-    static const std::set<std::string> None;
+    static const std::set<std::string> none;
     const auto found = data_.workers.find(zone);
-    return found == data_.workers.end() ? None : found->second;
+    return found == data_.workers.end() ? none : found->second;
 }
 
 const protocol::SubmitReply *ClusterState::findSubmission(const std::string &submission) const
@@ -238,24 +247,40 @@
     return protocol::AcquireZoneReply{next};
 }
 
-ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange & /*change*/)
+// A zone's word counts only for the indices that are its own: a share that has moved is another zone's to report on.
+ApplyReply ClusterState::applyEntry(const ProgressEntry &entry, StateChange &change)
 {
     const protocol::ZoneOwner *const current = owner(entry.zone);
     if (current == nullptr || current->epoch != entry.epoch) {
         return std::monostate{};
     }
-    for (const protocol::JobProgress &progress : entry.progress) {
+    for (protocol::JobProgress progress : entry.progress) {
         const auto found = data_.jobs.find(progress.job);
-        if (found != data_.jobs.end()) {
-            recordProgress(found->second, progress, entry.at);
+        if (found == data_.jobs.end()) {
+            continue;
         }
+        const protocol::IndexSet own = found->second.indicesOf(entry.zone);
+        for (protocol::IndexSet *const set :
+             {&progress.started, &progress.succeeded, &progress.failed, &progress.notRun, &progress.mayHaveRun}) {
+            set->intersect(own);
+        }
+        recordProgress(found->second, progress, entry.at);
+    }
+    changeWorkers(entry, change);
+    return std::monostate{};
+}
+
+void ClusterState::changeWorkers(const ProgressEntry &entry, StateChange &change)
+{
+    if (entry.joinedWorkers.empty() && entry.leftWorkers.empty()) {
+        return;
     }
     std::set<std::string> &workers = data_.workers[entry.zone];
     workers.insert(entry.joinedWorkers.begin(), entry.joinedWorkers.end());
     for (const std::string &worker : entry.leftWorkers) {
         workers.erase(worker);
     }
-    return std::monostate{};
+    change.workersOf = entry.zone;
 }
 
 // The first certain word on a task stays; "may have run" gives way to a later certain one.
@@ -280,30 +305,49 @@
     }
 }
 
+// The lost zone gets a new epoch with the move, so that its former owner can report nothing on what it has lost.
 ApplyReply ClusterState::applyEntry(const MoveEntry &entry, StateChange &change)
 {
-    const protocol::ZoneOwner *const current = owner(entry.lostZone);
-    if ((current == nullptr ? 0 : current->epoch) != entry.lostEpoch) {
+    const auto lost = data_.owners.find(entry.lostZone);
+    if ((lost == data_.owners.end() ? 0 : lost->second.epoch) != entry.lostEpoch) {
         return std::monostate{};
     }
+    if (lost != data_.owners.end()) {
+        lost->second.epoch = data_.index;
+        change.ownerOf = entry.lostZone;
+    }
     for (const MoveEntry::Move &move : entry.moves) {
         const auto found = data_.jobs.find(move.job);
-        if (found == data_.jobs.end() || found->second.done()) {
-            continue;
-        }
-        Shares &shares = found->second.shares;
-        shares.erase(std::remove_if(
-                         shares.begin(), shares.end(), [&move](const Share &share) { return share.zone == move.from; }),
-                     shares.end());
-        for (Share share : move.to) {
-            share.assignedAt = data_.index;
-            shares.push_back(std::move(share));
+        if (found != data_.jobs.end() && !found->second.done()) {
+            moveShares(found->second, move, entry.at);
+            change.assigned.push_back(move.job);
         }
-        change.assigned.push_back(move.job);
     }
     return std::monostate{};
 }
 
+// A task that is not repeatable and may have been started is not moved: nobody can tell any more whether it ran.
+void ClusterState::moveShares(JobRecord &record, const MoveEntry::Move &move, WallTime at)
+{
+    if (move.from.empty() != record.shares.empty()) {
+        return;
+    }
+    if (!record.spec.repeatable) {
+        protocol::IndexSet unprovable = record.indicesOf(move.from);
+        unprovable.intersect(record.started);
+        unprovable.erase(record.finished());
+        record.mayHaveRun.insert(unprovable);
+    }
+    std::erase_if(record.shares, [&move](const Share &share) { return share.zone == move.from; });
+    for (Share share : move.to) {
+        share.assignedAt = data_.index;
+        record.shares.push_back(std::move(share));
+    }
+    if (record.finished().size() >= record.spec.tasks) {
+        record.doneAt = at;
+    }
+}
+
 ApplyReply ClusterState::applyEntry(const ForgetEntry &entry, StateChange &change)
 {
     for (const placement::JobId job : entry.jobs) {
