--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -1,6 +1,7 @@
 #include "command.h"
 #include "place.h"
 #include "replay.h"
+#include "state.h"
 
 #include <fmt/core.h>
 
@@ -26,6 +27,7 @@
     Command{"bench", "print the signature of the decisions over a fixed mix", yuccawheel::bench::runSignature},
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
+    Command{"state", "measure the replicated log: appends, elections, recovery", yuccawheel::bench::runState},
 };
 
 void printUsage(std::FILE *file)
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -195,7 +195,8 @@
                  1s,
                  10min,
                  &ProcessSettings::lease,
-                 "How long ownership of a zone, and each worker's grant to the owner, lasts after its renewal. At least four heartbeats."),
+                 "How long ownership of a zone, and each worker's grant to the owner, lasts after its renewal. At "
+                 "least four heartbeats."),
         duration("drain_delay",
                  "5s",
                  0s,
