--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -2,6 +2,7 @@
 #include "place.h"
 #include "policy.h"
 #include "replay.h"
+#include "state.h"
 
 #include <fmt/core.h>
 
@@ -28,6 +29,7 @@
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
     Command{"policy", "measure waiting time and packing beside baselines", yuccawheel::bench::runPolicy},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
+    Command{"state", "measure the replicated log: appends, elections, recovery", yuccawheel::bench::runState},
 };
 
 void printUsage(std::FILE *file)
