yw-bench route, readiness after a restart, drain and key tests

A share that had been released was withheld again when an upstream reported work, so a borrowed slot had no connection (the process ended on its invariant); a share is now never withheld twice, and the router's own invariant sees it in the cluster test.

--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -1,5 +1,6 @@
 #include "command.h"
 #include "place.h"
+#include "route.h"
 
 #include <fmt/core.h>
 
@@ -23,6 +24,7 @@
 constexpr std::array Commands{
     Command{"version", "print the version", printVersion},
     Command{"bench", "print the signature of the decisions over a fixed mix", yuccawheel::bench::runSignature},
+    Command{"route", "measure the request path on loopback", yuccawheel::bench::runRoute},
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
 };
 
--- a/src/http/proxy_core.cpp
+++ b/src/http/proxy_core.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <ctime>
 #include <utility>
 
 namespace yuccawheel::http
@@ -180,6 +181,9 @@
     result.active = activeSessions();
     result.waiting = router.waiting();
     result.router = router.counters();
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    result.processorTime = std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
     return result;
 }
 
--- a/src/http/proxy_server.cpp
+++ b/src/http/proxy_server.cpp
@@ -51,7 +51,7 @@
     asio::steady_timer acceptTimer;
     asio::steady_timer timer;
     ProxyCore core;
-    std::atomic<bool> ready{true};
+    std::atomic<bool> ready{false};
     bool draining = false;
     base::TimePoint stopAcceptingAt;
     base::TimePoint hardLimitAt;
@@ -123,6 +123,7 @@
         if (draining) {
             continueDrain(now);
         }
+        ready = !core.closing && core.router.ready(now);
         tick();
     });
 }
@@ -234,10 +235,10 @@
 // Answers ask callers to close their connections during the delay, so that few are idle when it ends.
 void ProxyServer::drain(base::Duration delay, base::Duration hardLimit, Drained done)
 {
-    impl_->ready = false;
     asio::post(impl_->context, [this, delay, hardLimit, done = std::move(done)]() mutable {
         const base::TimePoint now = base::BootClock::now();
         impl_->core.closing = true;
+        impl_->ready = false;
         impl_->draining = true;
         impl_->stopAcceptingAt = now + delay;
         impl_->hardLimitAt = now + hardLimit;
--- a/src/http/proxy_server.h
+++ b/src/http/proxy_server.h
@@ -51,6 +51,7 @@
     std::size_t connections = 0; ///< Open now, from callers.
     std::size_t active = 0; ///< Requests in progress now.
     std::size_t waiting = 0; ///< Of these, waiting for a slot.
+    std::chrono::nanoseconds processorTime{0}; ///< Of the proxy's thread, since it started.
     routing::RouterCounters router;
 };
 
@@ -80,7 +81,7 @@
     void receive(routing::UpstreamUpdate update);
     void receive(routing::ShareMessage message);
 
-    /// Whether the balancer should send callers here.
+    /// Whether the balancer should send callers here: most slots are usable and no drain has begun.
     bool ready() const;
     /// Shuts down gracefully: unready at once, serving as before for `delay`, then no new connections; calls `done`
     /// on the proxy's thread once all requests have ended, at the latest `hardLimit` from now.
--- a/src/routing/executor_share.cpp
+++ b/src/routing/executor_share.cpp
@@ -14,9 +14,9 @@
     connections_ = connections;
 }
 
-void ExecutorShare::withholdUntil(base::TimePoint until)
+void ExecutorShare::withholdAtMost(base::TimePoint until)
 {
-    withheldUntil_ = until;
+    withheldUntil_ = std::min(withheldUntil_, until);
 }
 
 // Own slots first: a borrowed slot goes back sooner if it stays unused.
--- a/src/routing/executor_share.h
+++ b/src/routing/executor_share.h
@@ -32,8 +32,9 @@
 public:
     /// Sets the fixed share. A smaller share takes effect as slots in use and loans end.
     void setBase(std::uint32_t slots, std::uint32_t connections);
-    /// Withholds the share until `until`, because a former process of this entry may still hold it.
-    void withholdUntil(base::TimePoint until);
+    /// Withholds the share until `until` at the latest, because a former process of this entry may still hold it.
+    /// A share is withheld from the start, and never again once it was usable.
+    void withholdAtMost(base::TimePoint until);
 
     /// Takes one slot for an attempt that surely ends before `end`. Returns the loan used, or OwnShare.
     /// The caller must have seen `available(end, now)` above zero.
@@ -85,7 +86,7 @@
     std::uint32_t connections_ = 0;
     std::uint32_t ownInUse_ = 0;
     std::uint32_t lent_ = 0;
-    base::TimePoint withheldUntil_{};
+    base::TimePoint withheldUntil_ = base::TimePoint::max();
     std::vector<Loan> given_;
     std::vector<Loan> taken_;
 };
--- a/src/routing/loan_book.cpp
+++ b/src/routing/loan_book.cpp
@@ -34,7 +34,7 @@
 }
 
 // An upstream that reports no request in progress proves that none of a former process of this entry is left.
-void LoanBook::assignShare(UpstreamIndex index, bool heardDirectly, base::TimePoint now)
+void LoanBook::assignShare(UpstreamIndex index, bool heardDirectly)
 {
     Upstream &upstream = table_.at(index);
     const auto owners = entriesOf(upstream.zone, upstream.info.executor);
@@ -43,11 +43,10 @@
     const std::uint32_t slots = std::min(upstream.info.slots, upstream.info.connections);
     upstream.share.setBase(fixedShare(slots, rank, owners.size()),
                            fixedShare(upstream.info.connections, rank, owners.size()));
-    if (now >= withheldUntil()) {
-        return;
+    if (heardDirectly && upstream.info.running == std::uint32_t{0}) {
+        idleSinceStart_.insert(index);
     }
-    const bool idle = heardDirectly && upstream.info.running == std::uint32_t{0};
-    upstream.share.withholdUntil(idle && unanswered_.empty() ? now : withheldUntil());
+    liftWithholding(index);
 }
 
 void LoanBook::handle(const ShareMessage &message, bool needed, base::TimePoint now)
@@ -187,7 +186,9 @@
     graceful_ = graceful_ && message.graceful;
     unanswered_.erase(message.from);
     held_.erase(message.from);
-    withholdShares();
+    for (UpstreamIndex index = 0; index < table_.size(); ++index) {
+        liftWithholding(index);
+    }
 }
 
 std::uint32_t LoanBook::ask(UpstreamIndex index, std::uint32_t slots, base::TimePoint now)
@@ -278,11 +279,10 @@
     }
 }
 
-void LoanBook::withholdShares()
+void LoanBook::liftWithholding(UpstreamIndex index)
 {
-    for (UpstreamIndex index = 0; index < table_.size(); ++index) {
-        table_.at(index).share.withholdUntil(withheldUntil());
-    }
+    const bool idle = unanswered_.empty() && idleSinceStart_.contains(index);
+    table_.at(index).share.withholdAtMost(idle ? startedAt_ : withheldUntil());
 }
 
 // While an entry may still hold a loan of the former process, all shares wait for the longest term;
--- a/src/routing/loan_book.h
+++ b/src/routing/loan_book.h
@@ -57,7 +57,7 @@
 
     /// Sets the fixed share of an upstream after it announced itself. `heardDirectly` says that this entry heard it
     /// now.
-    void assignShare(UpstreamIndex index, bool heardDirectly, base::TimePoint now);
+    void assignShare(UpstreamIndex index, bool heardDirectly);
     /// Takes a message. `needed` says that this entry has requests waiting for the executor itself.
     void handle(const ShareMessage &message, bool needed, base::TimePoint now);
     /// Asks another entry for slots of an executor, unless a request is under way. Returns the slots asked for.
@@ -95,7 +95,7 @@
     void handleHeld(const ShareMessage &message, base::TimePoint now);
     void handleHeldEnd(const ShareMessage &message);
     void sendQueries(base::TimePoint now);
-    void withholdShares();
+    void liftWithholding(UpstreamIndex index);
     base::TimePoint withheldUntil() const;
     base::Duration lenderTerm(base::Duration term) const;
     ShareMessage &send(ShareMessageKind kind, const std::string &to, std::string_view executor, LoanId id);
@@ -108,6 +108,7 @@
     std::vector<Ask> asks_;
     std::set<std::string> unanswered_;
     bool graceful_ = false;
+    std::set<UpstreamIndex> idleSinceStart_; ///< Upstreams that reported no request since this entry started.
     base::TimePoint lastQuery_;
     std::uint32_t query_ = 0;
     TextMap<HeldAnswer> held_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -73,6 +73,7 @@
     , choice_(makeUpstreamChoice(options_.choice, options_.seed))
     , retryBudget_(options_.retriesPerRequest)
     , lastForget_(now)
+    , startedAt_(now)
 {
 }
 
@@ -171,7 +172,7 @@
     if (!index) {
         return tl::unexpected(index.error());
     }
-    loans_.assignShare(*index, true, now);
+    loans_.assignShare(*index, true);
     dispatchFreed(*index, now);
     return {};
 }
@@ -179,7 +180,7 @@
 void Router::receive(const UpstreamUpdate &update, base::TimePoint now)
 {
     if (const auto index = table_.receive(update, now)) {
-        loans_.assignShare(*index, false, now);
+        loans_.assignShare(*index, false);
         dispatchFreed(*index, now);
     }
 }
@@ -252,6 +253,24 @@
     return loans_.recovered(now);
 }
 
+// Without any upstream the entry still has to answer callers, once it has waited long enough to hear of one.
+bool Router::ready(base::TimePoint now) const
+{
+    std::uint64_t usable = 0;
+    std::uint64_t total = 0;
+    for (UpstreamIndex index = 0; index < table_.size(); ++index) {
+        const Upstream &upstream = table_.at(index);
+        if (table_.serving(upstream, now)) {
+            usable += upstream.share.usable(now);
+            total += upstream.share.base();
+        }
+    }
+    if (total == 0) {
+        return recovered(now) && now >= startedAt_ + options_.loans.abandonGrace;
+    }
+    return usable * 2 >= total;
+}
+
 std::size_t Router::waiting() const
 {
     return waiting_;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -134,6 +134,8 @@
     const UpstreamTable &table() const;
     /// Whether the entry may use all of its shares after a restart.
     bool recovered(base::TimePoint now) const;
+    /// Whether callers should be sent here: most slots of the entry's shares are usable.
+    bool ready(base::TimePoint now) const;
     std::size_t waiting() const;
     const RouterCounters &counters() const;
 
@@ -223,6 +225,7 @@
     std::vector<Candidate> remote_;
     std::vector<Decision> decisions_;
     RouterCounters counters_;
+    const base::TimePoint startedAt_;
 };
 
 } // namespace yuccawheel::routing
--- a/src/routing/router_dispatch.cpp
+++ b/src/routing/router_dispatch.cpp
@@ -157,6 +157,7 @@
     YW_INVARIANT(table_.serving(upstream, now), "a leaving or silent upstream gets no request");
     const LoanId loan = upstream.share.acquire(request.deadline + options_.loans.abandonGrace, now);
     YW_INVARIANT(upstream.share.inUse() <= upstream.share.usable(now), "slots in use stay within the entry's share");
+    YW_INVARIANT(upstream.share.inUse() <= upstream.share.connectionLimit(now), "a slot brings a connection with it");
     request.attempt = newAttempt(request, index, loan);
     request.state = RequestState::Running;
     ++request.attempts;
--- a/tests/routing_proxy_test.cpp
+++ b/tests/routing_proxy_test.cpp
@@ -1,8 +1,10 @@
 #include "fakes/fake_upstream.h"
 #include "fakes/http_client.h"
 #include "http/proxy_server.h"
+#include "routing/zone_key_store.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <future>
 #include <thread>
@@ -165,3 +167,88 @@
     EXPECT_EQ(upstreams_[0]->counts().requests, 0);
     EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/x").status, 200);
 }
+
+TEST_F(ProxyTest, aKeyRunsOnceAndAResendGetsItsAnswer)
+{
+    routing::ZoneKeysOptions options;
+    options.entry = "a";
+    options.zone = "z1";
+    options.entries = {{"a", "z1"}};
+    const auto store = std::make_shared<routing::ZoneKeyStore>(options, nullptr, nullptr);
+    keys_ = store;
+    startProxy();
+    addUpstream();
+    const auto post = [&](const std::string &path, const std::string &key, const std::string &body) {
+        return sendRequest(port_, "POST", "/serve/loan-check" + path, {{"Yw-Key", key}}, body);
+    };
+    const std::string key = store->issue();
+    EXPECT_EQ(post("/echo", key, "one").body, "one");
+    const ClientAnswer again = post("/echo", key, "one");
+    EXPECT_EQ(again.status, 200);
+    EXPECT_EQ(again.verdict, "ran");
+    EXPECT_EQ(again.body, "one");
+    EXPECT_EQ(post("/echo", key, "two").status, 409);
+    const std::string lost = store->issue();
+    EXPECT_EQ(post("/close", lost, "x").verdict, "may-have-run");
+    EXPECT_EQ(post("/close", lost, "x").verdict, "may-have-run");
+    const std::string refused = store->issue();
+    EXPECT_EQ(post("/refuse", refused, "x").verdict, "not-run");
+    EXPECT_EQ(post("/refuse", refused, "x").verdict, "not-run") << "a key that did not run is free again";
+    const ClientAnswer own = post("/echo", "chosen-by-the-caller", "x");
+    EXPECT_EQ(own.status, 504);
+    EXPECT_EQ(own.verdict, "may-have-run") << "nobody can prove that it did not run";
+    const auto counts = upstreams_[0]->counts();
+    EXPECT_LE(counts.requests, 2 + 2 * 3) << "refused attempts may be repeated";
+}
+
+TEST_F(ProxyTest, aDrainFinishesRequestsAndSaysWhatItCuts)
+{
+    for (const bool stalls : {false, true}) {
+        upstreams_.clear();
+        startProxy();
+        addUpstream();
+        EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/x").status, 200);
+        ClientAnswer answer;
+        std::thread caller([&] {
+            answer = sendRequest(port_, "GET", stalls ? "/serve/loan-check/stall" : "/serve/loan-check/delay/1500");
+        });
+        while (proxy_->statistics().active == 0) {
+            std::this_thread::yield();
+        }
+        std::promise<std::size_t> cut;
+        proxy_->drain(1s, stalls ? 1500ms : 10s, [&](http::DrainReport report) { cut.set_value(report.cutRequests); });
+        while (proxy_->ready()) {
+            std::this_thread::yield();
+        }
+        EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/x").status, 200) << "still serving for the delay";
+        EXPECT_EQ(cut.get_future().get(), stalls ? 1 : 0);
+        caller.join();
+        EXPECT_EQ(answer.status, stalls ? 0 : 200);
+        EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/x").status, 0) << "no new connections";
+    }
+}
+
+RC_GTEST_PROP(CallerRequest, anyTextIsParsedSafely, ())
+{
+    const auto text = [] {
+        return *rc::gen::oneOf(rc::gen::arbitrary<std::string>(),
+                               rc::gen::element<std::string>("", "yes", "no", "urgent", "bulk", "10", "-1", "a b"));
+    };
+    const std::string target = *rc::gen::element<std::string>("/serve/", "/serve/s", "/serve/s/", "") + text();
+    const std::string repeatable = text();
+    const std::string key = text();
+    const std::string urgency = text();
+    const std::string timeout = text();
+    const std::string caller = text();
+    const auto request =
+        http::parseCallerRequest(target, *rc::gen::arbitrary<bool>(), {repeatable, key, urgency, timeout, caller}, {});
+    if (request) {
+        RC_ASSERT(request->rest.starts_with('/'));
+        RC_ASSERT(!request->service.empty() && request->service.find('/') == std::string_view::npos);
+        RC_ASSERT(request->repeatable || !request->key.empty());
+        RC_ASSERT(request->timeout > 0ms && request->timeout <= 60s);
+        RC_ASSERT((target + key + caller).find_first_of("\r\n") == std::string::npos);
+    } else {
+        RC_ASSERT(request.error().status == 400 || request.error().status == 404);
+    }
+}
--- a/tests/routing_router_test.cpp
+++ b/tests/routing_router_test.cpp
@@ -58,7 +58,7 @@
         } else if (kind < 97) {
             pass(std::chrono::milliseconds(1 + pick(pick(10) == 0 ? 400 : 20)));
         } else if (kind == 97) {
-            cut_ = pick(4) == 0;
+            cut_ = pick(2) == 0 ? pick(16) : 0;
             busyEntry_ = pick(Entries.size());
         } else if (kind == 98 && pick(16) == 0) {
             restart(pick(Entries.size()), pick(2) == 0);
@@ -153,7 +153,7 @@
         info.service = "s";
         info.caller = pick(2) == 0 ? "x" : "y";
         info.urgency = static_cast<Urgency>(pick(3));
-        info.deadline = now_ + std::chrono::milliseconds(50 + pick(5000));
+        info.deadline = now_ + std::chrono::milliseconds(50 + pick(pick(4) == 0 ? 15'000 : 2000));
         info.repeatable = pick(2) == 0;
         info.replayable = pick(2) == 0;
         const Decision decision = routers_[entry]->route(info, now_);
@@ -288,7 +288,7 @@
             if (fate != 0) {
                 network_.erase(place);
             }
-            const bool crossesCut = cut_ && (envelope.from == "d") != (Entries[envelope.to].entry == "d");
+            const bool crossesCut = ((cut_ >> entryIndex(envelope.from)) & 1U) != ((cut_ >> envelope.to) & 1U);
             if (fate == 1 || crossesCut) {
                 continue;
             }
@@ -305,7 +305,7 @@
 
     std::mt19937 random_;
     base::TimePoint now_{1h};
-    bool cut_ = false;
+    std::uint32_t cut_ = 0; ///< One bit an entry; messages between entries with different bits are lost.
     std::size_t busyEntry_ = 0;
     std::vector<Upstream> upstreams_;
     std::array<std::unique_ptr<Router>, 4> routers_;
@@ -385,6 +385,18 @@
     EXPECT_EQ(route("x").rejection, Rejection::NoUpstream);
 }
 
+TEST_F(RouterTest, newsFromOtherEntriesCountsFromWhenItWasHeard)
+{
+    start();
+    router_->receive(UpstreamUpdate{announcement("e0", 2), "z1", 4, 2s}, now_);
+    now_ += 3100ms;
+    router_->receive(UpstreamUpdate{announcement("e0", 2), "z1", 5, 2s}, now_);
+    EXPECT_EQ(route("x").kind, DecisionKind::Dispatch);
+    router_->receive(UpstreamUpdate{announcement("e0", 2), "z1", 5, 0s}, now_);
+    now_ += 600ms;
+    EXPECT_EQ(route("x").rejection, Rejection::NoUpstream) << "2.6 s after it was heard, whatever came twice";
+}
+
 TEST_F(RouterTest, urgentRequestsPassBulkOnes)
 {
     start();
@@ -479,6 +491,11 @@
     const FinishResult second = router_->finished(decisions_[0].attempt, {AttemptOutcome::NotSent, 1ms, false}, now_);
     EXPECT_TRUE(second.retrying);
     EXPECT_EQ(second.verdict, base::Verdict::MayHaveRun) << "the first attempt may have run";
+    decisions_.clear();
+    router_->takeDecisions(decisions_);
+    ASSERT_EQ(decisions_.size(), 1);
+    EXPECT_FALSE(router_->finished(decisions_[0].attempt, {AttemptOutcome::Cut, 1ms, false}, now_).retrying)
+        << "three attempts are enough";
 }
 
 TEST_F(RouterTest, onlyProvablyUnrunOrRepeatableRequestsAreRetried)
@@ -489,7 +506,13 @@
         const Decision decision = router_->route({"s", "x", Urgency::Normal, now_ + 5s, false, true}, now_);
         EXPECT_FALSE(router_->finished(decision.attempt, {outcome, 1ms, false}, now_).retrying);
     }
-    const Decision decision = router_->route({"s", "x", Urgency::Normal, now_ + 5s, false, true}, now_);
+    Decision decision = router_->route({"s", "x", Urgency::Normal, now_ + 5s, true, true}, now_);
+    EXPECT_FALSE(router_->finished(decision.attempt, {AttemptOutcome::Cut, 1ms, true}, now_).retrying)
+        << "part of the answer has left";
+    decision = router_->route({"s", "x", Urgency::Normal, now_ + 5s, true, false}, now_);
+    EXPECT_FALSE(router_->finished(decision.attempt, {AttemptOutcome::Cut, 1ms, false}, now_).retrying)
+        << "the body is gone";
+    decision = router_->route({"s", "x", Urgency::Normal, now_ + 5s, false, true}, now_);
     EXPECT_TRUE(router_->finished(decision.attempt, {AttemptOutcome::Refused, 1ms, false}, now_).retrying);
 }
 
