yuccactl report names what needs a person; amounts, shares and times are printed for people

The report was the store's list of jobs alone. It now joins workers, daemons and zones, says for each item what to do next, and for each unfinished job why it waits. No functional change to decisions.

--- a/src/programs/yuccactl/commands.cpp
+++ b/src/programs/yuccactl/commands.cpp
@@ -5,8 +5,6 @@
 
 #include <fmt/core.h>
 
-#include <chrono>
-
 namespace yuccawheel::programs::yuccactl
 {
 
@@ -108,15 +106,6 @@
     return session.finish(session.client().post("/v1/store/replace", {}, body.dump()));
 }
 
-// The entry takes a point in time, so that its answer does not depend on when the request arrives.
-ExitCode runReport(const Session &session)
-{
-    using namespace std::chrono;
-    const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch());
-    const auto since = now - session.options().since;
-    return session.finish(session.client().get(fmt::format("/v1/report?since={}", since.count())));
-}
-
 } // namespace
 
 const std::vector<Command> &commands()
@@ -138,7 +127,12 @@
         {"config status", "", "show which version each daemon has", 0, true, runConfigStatus},
         {"store status", "", "show the replicas of the agreed log", 0, true, runStoreStatus},
         {"store replace", "NODE ADDRESS", "replace the replica of a lost disk", 2, true, runStoreReplace},
-        {"report", "", "show what failed, was retried and waits; --since says how far back", 0, true, runReport},
+        {"report",
+         "",
+         "show in one place what failed, waits or needs a person; --since says how far back",
+         0,
+         true,
+         runReport},
     };
     return table;
 }
--- a/src/programs/yuccactl/commands.h
+++ b/src/programs/yuccactl/commands.h
@@ -25,6 +25,7 @@
 ExitCode runCheck(const Session &session);
 ExitCode runDescribe(const Session &session);
 ExitCode runSubmit(const Session &session);
+ExitCode runReport(const Session &session);
 ExitCode runWatch(const Session &session);
 /// Waits until every daemon has a version of the configuration.
 ExitCode waitInForce(const Session &session, std::uint64_t version);
--- a/src/programs/yuccactl/render.cpp
+++ b/src/programs/yuccactl/render.cpp
@@ -1,8 +1,11 @@
 #include "programs/yuccactl/render.h"
 
+#include "programs/yuccactl/cell.h"
+
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <array>
 
 namespace yuccawheel::programs::yuccactl
 {
@@ -12,42 +15,6 @@
 
 constexpr std::size_t ColumnGap = 2;
 
-// Answers hold names that other programs chose; control characters must not reach the terminal.
-std::string clean(std::string text)
-{
-    for (char &c : text) {
-        if (static_cast<unsigned char>(c) < ' ' || c == 0x7f) {
-            c = ' ';
-        }
-    }
-    return text;
-}
-
-std::string cell(const Json &value)
-{
-    if (value.is_string()) {
-        return clean(value.get<std::string>());
-    }
-    if (value.is_null()) {
-        return "-";
-    }
-    if (value.is_array()) {
-        std::string text;
-        for (const Json &element : value) {
-            text += (text.empty() ? "" : ",") + cell(element);
-        }
-        return text.empty() ? "-" : text;
-    }
-    if (value.is_object()) {
-        std::string text;
-        for (const auto &[key, element] : value.items()) {
-            text += (text.empty() ? "" : " ") + clean(key) + "=" + cell(element);
-        }
-        return text.empty() ? "-" : text;
-    }
-    return value.dump();
-}
-
 // Counts characters, not the bytes of their UTF-8 form.
 std::size_t width(const std::string &text)
 {
@@ -55,6 +22,14 @@
         text.begin(), text.end(), [](char c) { return (static_cast<unsigned char>(c) & 0xc0U) != 0x80; }));
 }
 
+// What names a thing goes first; the other columns keep the order of the answer.
+std::size_t rankOf(const std::string &column)
+{
+    constexpr std::array<std::string_view, 12> First{
+        "item", "id", "name", "executor", "node", "role", "rack", "zone", "kind", "team", "state", "version"};
+    return static_cast<std::size_t>(std::find(First.begin(), First.end(), column) - First.begin());
+}
+
 std::vector<std::string> columnsOf(const Json &rows)
 {
     std::vector<std::string> columns;
@@ -65,6 +40,9 @@
             }
         }
     }
+    std::stable_sort(columns.begin(), columns.end(), [](const std::string &left, const std::string &right) {
+        return rankOf(left) < rankOf(right);
+    });
     return columns;
 }
 
@@ -96,7 +74,7 @@
     Cells heading;
     std::vector<std::size_t> widths;
     for (const std::string &column : columns) {
-        std::string title = clean(column);
+        std::string title = cleanText(column);
         std::transform(title.begin(), title.end(), title.begin(), [](unsigned char c) { return std::toupper(c); });
         widths.push_back(width(title));
         heading.push_back(std::move(title));
@@ -105,7 +83,7 @@
     for (const Json &row : rows) {
         Cells cells;
         for (const std::string &column : columns) {
-            cells.push_back(row.contains(column) ? cell(row[column]) : "-");
+            cells.push_back(row.contains(column) ? formatCell(column, row[column]) : "-");
             widths[cells.size() - 1] = std::max(widths[cells.size() - 1], width(cells.back()));
         }
         lines.push_back(std::move(cells));
@@ -123,7 +101,7 @@
         return renderTable(value);
     }
     if (!value.is_object()) {
-        return cell(value) + '\n';
+        return formatCell("", value) + '\n';
     }
     std::size_t widest = 0;
     for (const auto &[key, element] : value.items()) {
@@ -133,9 +111,10 @@
     std::string tables;
     for (const auto &[key, element] : value.items()) {
         if (isTable(element)) {
-            tables += fmt::format("\n{}:\n{}", clean(key), renderTable(element));
+            tables += fmt::format("\n{}:\n{}", cleanText(key), renderTable(element));
         } else {
-            scalars += clean(key) + std::string(widest - width(key) + ColumnGap, ' ') + cell(element) + '\n';
+            scalars +=
+                cleanText(key) + std::string(widest - width(key) + ColumnGap, ' ') + formatCell(key, element) + '\n';
         }
     }
     return scalars + tables;
--- a/tests/yuccactl_test.py
+++ b/tests/yuccactl_test.py
@@ -242,6 +242,30 @@
         states = [json.loads(line)["state"] for line in done.stdout.splitlines()]
         self.assertEqual(states, ["running", "failed"])
 
+    def test_report_names_what_needs_a_person(self):
+        job = {"id": 4, "name": "suite", "tasks": 3, "failed": 2, "may_have_run": 1}
+        amount = {"milli_cpu": 4000, "memory_mib": 1024}
+        entry = self.entry(
+            GET___v1__report=[(200, {"succeeded": 7, "failed": [job], "may_have_run": [job], "unfinished": [job]})],
+            GET___v1__jobs__4__explain=[(200, {"zones": [{"zone": "a", "text": "quota"}]})],
+            GET___v1__workers=[(200, {"workers": [
+                {"name": "w1", "state": "quarantined", "tasks": ["1.0.0"], "reserved": amount,
+                 "capacity": {"milli_cpu": 16000}},
+                {"name": "w2", "state": "active", "tasks": [], "reserved": amount, "capacity": amount},
+            ]})],
+            GET___v1__configuration__status=[(200, {"daemons": [{"node": "b1", "behind": 2}, {"node": "a1"}]})],
+            GET___v1__store=[(503, {"verdict": "not-run"})],
+        )
+        code, report = self.run_command([entry], "report", "--since", "8h")
+        self.assertEqual(code, 0)
+        self.assertEqual([item["item"] for item in report["attention"]],
+                         ["job 4 suite", "job 4 suite", "worker w1", "daemon b1", "/v1/store"])
+        self.assertEqual((report["busy_workers"], report["cpu_reserved_on_busy_percent"]), (1, 25))
+        self.assertEqual(report["waiting"][0]["why"], "a: quota")
+        text = subprocess.run(self.command([entry], "report")[:-2], capture_output=True, check=True, text=True).stdout
+        self.assertIn("worker w1", text)
+        self.assertRegex(text, "since_at_ms +20")
+
     def test_token_that_others_may_read_is_not_used(self):
         entry = self.entry(GET___v1__jobs=[(200, {"jobs": []})])
         self.token_file.chmod(0o640)
