Replicated log: reads no longer keep a learner from becoming a voter

With an operator's query each 50 ms the review never ran. Ruled out: the learner was behind (its log was complete), and lost messages (loopback, all connected).

Before: with a query of /v1/store each 50 ms, the third replica was no voter after 120 s. After: within 0.5 s. The whole-process tests now wait at their start for every replica to vote, which failed before this change.

--- a/src/coordination/replicated_log.cpp
+++ b/src/coordination/replicated_log.cpp
@@ -70,8 +70,12 @@
 {
     if (state_ == State::Leader) {
         checkQuorum(now);
-        if (state_ == State::Leader && now >= nextHeartbeat_) {
+        // Reads send heartbeats of their own, so the review keeps a time apart from theirs.
+        if (state_ == State::Leader && now >= nextReview_) {
+            nextReview_ = now + settings_.heartbeatInterval;
             reviewReplicas(now);
+        }
+        if (state_ == State::Leader && now >= nextHeartbeat_) {
             heartbeat(now);
         }
         return;
--- a/src/coordination/replicated_log.h
+++ b/src/coordination/replicated_log.h
@@ -263,6 +263,7 @@
     base::TimePoint lastLeaderContact_{};
     base::TimePoint electionDeadline_{};
     base::TimePoint nextHeartbeat_{};
+    base::TimePoint nextReview_{};
     base::TimePoint nextQuorumCheck_{};
     std::set<ReplicaId> votes_;
     std::uint64_t random_ = 0;
