--- a/src/placement/events.cpp
+++ b/src/placement/events.cpp
@@ -18,6 +18,8 @@
         return "not_ours";
     case StopReason::GangRollback:
         return "gang_rollback";
+    case StopReason::Consolidated:
+        return "consolidated";
     case StopReason::Missing:
         return "missing";
     }
