Fix a use after free in the state test and in the replay's platform

Ending a task took its key by reference from the entry that it erases. No functional change to the planner.

--- a/bench/replay_platform.cpp
+++ b/bench/replay_platform.cpp
@@ -511,7 +511,7 @@
     }
 }
 
-void Platform::endTask(WorkerId worker, const TaskId &task, TaskState state)
+void Platform::endTask(WorkerId worker, TaskId task, TaskState state)
 {
     Machine &machine = machines_[worker];
     Running &running = machine.running.at(task);
--- a/bench/replay_platform.h
+++ b/bench/replay_platform.h
@@ -146,7 +146,7 @@
     void deliver(placement::WorkerId worker, const placement::Command &command);
     void startTask(placement::WorkerId worker, const placement::StartTask &start);
     void stopTask(placement::WorkerId worker, const placement::StopTask &stop);
-    void endTask(placement::WorkerId worker, const placement::TaskId &task, placement::TaskState state);
+    void endTask(placement::WorkerId worker, placement::TaskId task, placement::TaskState state);
     void advance(Running &running) const;
     static double speed(const Running &running);
     static placement::Resources usage(const Running &running);
--- a/tests/placement_state_test.cpp
+++ b/tests/placement_state_test.cpp
@@ -77,7 +77,7 @@
     void deliverCommand(WorkerId id);
     void run(FakeWorker &worker, const StartTask &start);
     void stop(FakeWorker &worker, const StopTask &stop);
-    void end(FakeWorker &worker, const TaskId &task, TaskState state);
+    void end(FakeWorker &worker, TaskId task, TaskState state);
     void deliverReport(WorkerId id);
     void taskEnds(WorkerId id);
     void reportUsage(WorkerId id);
@@ -289,7 +289,7 @@
     }
 }
 
-void World::end(FakeWorker &worker, const TaskId &task, TaskState state)
+void World::end(FakeWorker &worker, TaskId task, TaskState state)
 {
     worker.running.erase(task);
     worker.ended[task] = state;
