--- a/bench/state_replicas.cpp
+++ b/bench/state_replicas.cpp
@@ -146,6 +146,7 @@
     }
     std::atomic<bool> stop{false};
     std::vector<std::thread> threads;
+    threads.reserve(Replicas);
     for (const auto &runner : runners) {
         threads.emplace_back([&runner, &stop] { runner->run(stop); });
     }
--- a/fakes/fake_cluster.cpp
+++ b/fakes/fake_cluster.cpp
@@ -274,6 +274,12 @@
     return true;
 }
 
+bool FakeCluster::remove(std::uint32_t number)
+{
+    Node &leading = nodes_.at(leader());
+    return leading.replica->removeReplica(log(number).self(), localTime(leading)).has_value();
+}
+
 std::uint32_t FakeCluster::leader() const
 {
     std::uint32_t leader = 0;
--- a/fakes/fake_cluster.h
+++ b/fakes/fake_cluster.h
@@ -53,6 +53,9 @@
     /// Asks for a read; its answer is checked against all that was acknowledged by now.
     bool read(std::uint32_t node);
 
+    /// Has the leader remove a node's replica from the set. Returns whether it took the request.
+    bool remove(std::uint32_t node);
+
     void kill(std::uint32_t node);
     void losePower(std::uint32_t node);
     /// Ends the process and empties the disk.
--- a/tests/coordination_disk_test.cpp
+++ b/tests/coordination_disk_test.cpp
@@ -176,7 +176,13 @@
             RC_FAIL(state.error().detail);
         }
         RC_ASSERT(matches(*state, promised) || matches(*state, pending) || matchesPartly(*state, promised, pending));
-        RC_ASSERT(storage.save(std::nullopt, {}).has_value());
+        // What a replica was told at its start it may act upon, so no loss of power may take it back.
+        disk.losePower();
+        FileLogStorage after(disk, SmallSegments);
+        const auto again = after.recover();
+        RC_ASSERT(again.has_value());
+        RC_ASSERT(again->hardState == state->hardState && again->entries == state->entries);
+        RC_ASSERT(after.save(std::nullopt, {}).has_value());
     }
 }
 
--- a/tests/coordination_log_test.cpp
+++ b/tests/coordination_log_test.cpp
@@ -262,3 +262,179 @@
     EXPECT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 5s));
     cluster.checkAcknowledged();
 }
+
+// The cut is silent and lasts for hundreds of changes and several compactions, so the replica returns by a snapshot.
+TEST(ReplicatedLog, aReplicaThatReturnsNeitherDisturbsTheLeaderNorServesOldState)
+{
+    for (const bool paused : {false, true}) {
+        FakeCluster cluster({3, 9});
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+        const std::uint32_t leader = cluster.leader();
+        const std::uint32_t late = leader % 3 + 1;
+        const coordination::Term term = cluster.log(leader).term();
+        if (paused) {
+            cluster.pause(late, 180s);
+        } else {
+            cluster.network().cut(leader, late);
+            cluster.network().cut(late % 3 + 1, late);
+        }
+        for (int i = 0; i < 600; ++i) {
+            ASSERT_TRUE(cluster.propose(leader));
+            cluster.run(300ms);
+        }
+        EXPECT_GT(cluster.log(leader).snapshotIndex(), 300U);
+        EXPECT_FALSE(cluster.read(late));
+        cluster.network().heal();
+        EXPECT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 5s));
+        EXPECT_EQ(cluster.leader(), leader);
+        EXPECT_EQ(cluster.log(leader).term(), term);
+        cluster.checkAcknowledged();
+    }
+}
+
+TEST(ReplicatedLog, aLeaderCutOffStepsDownAndServesNoReads)
+{
+    FakeCluster cluster({3, 9});
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+    const std::uint32_t old = cluster.leader();
+    cluster.run(100ms);
+    for (std::uint32_t node = 1; node <= 3; ++node) {
+        cluster.network().cut(node, old);
+    }
+    ASSERT_TRUE(cluster.read(old)) << "it cannot know yet";
+    cluster.propose(old);
+    cluster.run(3s);
+    EXPECT_NE(cluster.log(old).role(), coordination::Role::Leader);
+    EXPECT_EQ(cluster.readsServed(), 0U);
+    EXPECT_TRUE(cluster.acknowledged().empty());
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0 && cluster.leader() != old; }, 5s));
+}
+
+TEST(ReplicatedLog, anEmptyDiskDoesNotVoteUntilItCaughtUpAndThenASecondLossLosesNothing)
+{
+    FakeCluster cluster({3, 9});
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+    const std::uint32_t leader = cluster.leader();
+    const std::uint32_t lost = leader % 3 + 1;
+    const std::uint32_t other = lost % 3 + 1;
+    for (int i = 0; i < 200; ++i) {
+        ASSERT_TRUE(cluster.propose(leader));
+        cluster.run(5ms);
+    }
+    // Only the leader and the replica about to be lost hold the last entries.
+    cluster.kill(other);
+    ASSERT_TRUE(cluster.propose(leader));
+    cluster.run(50ms);
+    cluster.loseDisk(lost);
+    cluster.kill(leader);
+    cluster.start(lost);
+    cluster.start(other);
+    cluster.run(20s);
+    EXPECT_EQ(cluster.leader(), 0U) << "with the vote of the empty disk, the last entry would be lost";
+    EXPECT_EQ(cluster.log(lost).role(), coordination::Role::Joining);
+    cluster.start(leader);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 20s));
+    cluster.checkAcknowledged();
+    cluster.loseDisk(cluster.leader());
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 10s));
+    cluster.checkAcknowledged();
+    EXPECT_EQ(cluster.acknowledged().size(), 201U);
+}
+
+TEST(ReplicatedLog, aRemovedReplicaStaysOut)
+{
+    FakeCluster cluster({3, 9});
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+    cluster.run(1s);
+    const std::uint32_t leader = cluster.leader();
+    const std::uint32_t removed = leader % 3 + 1;
+    const coordination::Term term = cluster.log(leader).term();
+    ASSERT_TRUE(cluster.remove(removed));
+    cluster.run(30s);
+    EXPECT_EQ(cluster.leader(), leader);
+    EXPECT_EQ(cluster.log(leader).term(), term);
+    EXPECT_EQ(coordination::voterCount(cluster.log(leader).replicaSet()), 2U);
+    EXPECT_TRUE(cluster.propose(leader));
+    cluster.run(50ms);
+    EXPECT_EQ(cluster.acknowledged().size(), 1U);
+}
+
+// Section 5.4.2 and figure 8 of the paper: an entry of an earlier term on a majority may still be overwritten.
+TEST(ReplicatedLog, entriesOfEarlierTermsDoNotCommitByCountingCopies)
+{
+    struct NoSnapshots : coordination::SnapshotSource {
+        std::optional<std::string> readSnapshot(coordination::Index, std::uint64_t, std::size_t) const override
+        {
+            return std::nullopt;
+        }
+    } source;
+    using namespace coordination;
+    const ReplicaSet set{{{{1, 1}, true}, {{2, 1}, true}, {{3, 1}, true}}};
+    RecoveredState state = ReplicatedLog::bootstrap(7, {1, 1}, set);
+    state.hardState.term = 2;
+    state.entries.push_back(Entry{2, 2, EntryKind::Application, "of term 2"});
+    LogSettings settings;
+    settings.self = {1, 1};
+    base::TimePoint now{1h};
+    ReplicatedLog log(settings, state, source, now);
+    const auto settle = [&] {
+        static_cast<void>(log.takeReady(now));
+        log.persisted(now);
+    };
+    log.tick(now += 3s);
+    log.receive(Message{7, {2, 1}, {1, 1}, 3, VoteResponse{true, true}}, now);
+    log.receive(Message{7, {2, 1}, {1, 1}, 3, VoteResponse{false, true}}, now);
+    ASSERT_EQ(log.role(), Role::Leader);
+    settle();
+    log.receive(Message{7, {2, 1}, {1, 1}, 3, AppendResponse{true, 2, 2, 1}}, now);
+    settle();
+    EXPECT_EQ(log.committed(), 0U) << "a majority holds entry 2, but nothing of term 3";
+    log.receive(Message{7, {2, 1}, {1, 1}, 3, AppendResponse{true, 3, 2, 1}}, now);
+    EXPECT_EQ(log.committed(), 3U);
+}
+
+// Pre-vote hides most mistakes of the vote itself, so the vote is asked for directly.
+TEST(ReplicatedLog, aVoteNeedsAWholeLogAndIsSavedAndGivenOnce)
+{
+    using namespace coordination;
+    struct NoSnapshots : SnapshotSource {
+        std::optional<std::string> readSnapshot(Index, std::uint64_t, std::size_t) const override
+        {
+            return std::nullopt;
+        }
+    } source;
+    const ReplicaSet set{{{{1, 1}, true}, {{2, 1}, true}, {{3, 1}, true}}};
+    RecoveredState state = ReplicatedLog::bootstrap(7, {1, 1}, set);
+    state.hardState.term = 4;
+    state.entries.push_back(Entry{2, 4, EntryKind::Application, "x"});
+    LogSettings settings;
+    settings.self = {1, 1};
+    const base::TimePoint now{1h};
+    const auto ask = [&](ReplicatedLog &log, std::uint32_t node, VoteRequest request) {
+        log.receive(Message{7, {node, 1}, {1, 1}, 5, request}, now);
+        Ready ready = log.takeReady(now);
+        log.persisted(now);
+        const bool granted = std::get<VoteResponse>(ready.messages.back().body).granted;
+        if (granted && !request.preVote) {
+            EXPECT_EQ(ready.hardState.value().votedFor.node, node) << "the vote leaves only with its own record";
+        }
+        state.hardState = ready.hardState.value_or(state.hardState);
+        return granted;
+    };
+    for (const bool preVote : {true, false}) {
+        ReplicatedLog log(settings, state, source, now);
+        EXPECT_FALSE(ask(log, 2, {preVote, 1, 4})) << "a shorter log";
+        EXPECT_FALSE(ask(log, 2, {preVote, 9, 3})) << "a longer log of an earlier term";
+        EXPECT_TRUE(ask(log, 2, {preVote, 2, 4}));
+    }
+    ReplicatedLog restarted(settings, state, source, now);
+    EXPECT_FALSE(ask(restarted, 3, {false, 9, 4})) << "the vote of this term is given";
+    EXPECT_TRUE(ask(restarted, 2, {false, 2, 4})) << "the same candidate may ask again";
+
+    RecoveredState empty;
+    LogSettings fresh = settings;
+    fresh.self = {1, 9};
+    ReplicatedLog joining(fresh, empty, source, now);
+    joining.receive(Message{7, {2, 1}, {1, 9}, 5, VoteRequest{false, 9, 4}}, now);
+    EXPECT_TRUE(joining.takeReady(now).messages.empty()) << "a replica without a cluster answers no candidate";
+}
--- a/tests/coordination_zone_test.cpp
+++ b/tests/coordination_zone_test.cpp
@@ -541,6 +541,9 @@
     EXPECT_TRUE(gate.request(ProcessId{2, 1}, Epoch{1, 1}, now + 3s, now + 3s));
     EXPECT_FALSE(gate.admit(owner, Epoch{1, 0}, now + 3s));
     EXPECT_TRUE(gate.admit(ProcessId{2, 1}, Epoch{1, 1}, now + 3s));
+    EXPECT_FALSE(gate.admit(ProcessId{2, 0}, Epoch{1, 1}, now + 3s)) << "an earlier run with the same epoch";
+    EXPECT_FALSE(gate.admit(ProcessId{2, 1}, Epoch{1, 2}, now + 3s)) << "an epoch that was never granted";
+    EXPECT_FALSE(gate.admit(ProcessId{2, 1}, Epoch{1, 1}, now + 14s)) << "the grant has run out";
 }
 
 TEST(Epoch, candidatesNeverShareAnEpoch)
