--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -2,6 +2,7 @@
 #include "place.h"
 #include "policy.h"
 #include "replay.h"
+#include "route.h"
 #include "state.h"
 
 #include <fmt/core.h>
@@ -26,6 +27,7 @@
 constexpr std::array Commands{
     Command{"version", "print the version", printVersion},
     Command{"bench", "print the signature of the decisions over a fixed mix", yuccawheel::bench::runSignature},
+    Command{"route", "measure the request path on loopback", yuccawheel::bench::runRoute},
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
     Command{"policy", "measure waiting time and packing beside baselines", yuccawheel::bench::runPolicy},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
