yw-bench scale and soak; daemons count their control traffic

scale fits a line to each cost over steps in workers, tasks, teams, zones and jobs (processor time by thread clock, heap by the allocator's count, bytes by encoding), and gives intercept, slope and residual. soak reads /proc and the health addresses of running daemons; for it, each daemon counts the bytes of its inner protocol and its control interfaces.

--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -2,6 +2,8 @@
 #include "place.h"
 #include "policy.h"
 #include "replay.h"
+#include "scale.h"
+#include "soak.h"
 
 #include <fmt/core.h>
 
@@ -28,6 +30,8 @@
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
     Command{"policy", "measure waiting time and packing beside baselines", yuccawheel::bench::runPolicy},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
+    Command{"scale", "measure how cost grows with the size of the cluster", yuccawheel::bench::runScale},
+    Command{"soak", "measure running daemons", yuccawheel::bench::runSoak},
 };
 
 void printUsage(std::FILE *file)
--- a/src/daemon/health_server.cpp
+++ b/src/daemon/health_server.cpp
@@ -1,6 +1,7 @@
 #include "daemon/health_server.h"
 
 #include "base/log.h"
+#include "base/traffic.h"
 #include "daemon/json_api.h"
 
 namespace yuccawheel::daemon
@@ -28,6 +29,9 @@
         respond({reason ? 503 : 200, reason.value_or("ready") + "\n", "text/plain", {}});
     } else if (request.path == "/metrics") {
         context_.metrics.gauge("yw_log_lines_dropped").set(static_cast<std::int64_t>(base::LogWriter::dropped()));
+        const base::ControlTraffic &traffic = base::controlTraffic();
+        context_.metrics.gauge("yw_control_sent_bytes").set(static_cast<std::int64_t>(traffic.sentBytes));
+        context_.metrics.gauge("yw_control_received_bytes").set(static_cast<std::int64_t>(traffic.receivedBytes));
         respond({200, context_.metrics.render(), "text/plain; version=0.0.4", {}});
     } else {
         respond(errorResponse(404, "not_found", "paths are /healthz, /readyz and /metrics"));
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "base/traffic.h"
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/core.h>
@@ -116,11 +118,13 @@
     void readRequest()
     {
         stream_.expires_after(server_->options.readTimeout);
-        bhttp::async_read(
-            stream_,
-            buffer_,
-            *parser_,
-            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onRead(error); });
+        bhttp::async_read(stream_,
+                          buffer_,
+                          *parser_,
+                          [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                              base::controlTraffic().receivedBytes += bytes;
+                              self->onRead(error);
+                          });
     }
 
     void onRead(const boost::system::error_code &error)
@@ -211,19 +215,21 @@
         response_->keep_alive(keepAlive_);
         response_->prepare_payload();
         stream_.expires_after(server_->options.idleTimeout);
-        bhttp::async_write(
-            stream_, *response_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                self->response_.reset();
-                if (error || self->server_->stopped) {
-                    return;
-                }
-                if (self->keepAlive_) {
-                    self->waitForRequest();
-                } else {
-                    boost::system::error_code ignored;
-                    self->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-                }
-            });
+        bhttp::async_write(stream_,
+                           *response_,
+                           [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                               base::controlTraffic().sentBytes += bytes;
+                               self->response_.reset();
+                               if (error || self->server_->stopped) {
+                                   return;
+                               }
+                               if (self->keepAlive_) {
+                                   self->waitForRequest();
+                               } else {
+                                   boost::system::error_code ignored;
+                                   self->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                               }
+                           });
     }
 
     beast::tcp_stream stream_;
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -1,5 +1,7 @@
 #include "protocol/channel.h"
 
+#include "base/traffic.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -40,6 +42,7 @@
     encoded.append(header.begin(), header.end());
     encoded.append(frame.payload);
     queuedBytes_ += bytes;
+    base::controlTraffic().sentBytes += bytes;
     queue_.push_back(std::move(encoded));
     if (!writing_) {
         writeNext();
@@ -94,6 +97,7 @@
                              return;
                          }
                          self->lastReceived_ = std::chrono::steady_clock::now();
+                         base::controlTraffic().receivedBytes += FrameHeaderBytes + pending->payload.size();
                          if (pending->type != MessageType::Heartbeat && self->callbacks_.frame) {
                              const auto handler = self->callbacks_.frame;
                              handler(self, std::move(*pending));
