--- a/tests/store_state_test.cpp
+++ b/tests/store_state_test.cpp
@@ -161,7 +161,12 @@
         given += record.indicesOf(zone).size();
         all.insert(record.indicesOf(zone));
     }
-    RC_ASSERT(given == all.size()); // No index is given to two zones.
+    std::uint32_t counted = 0;
+    for (const Share &share : record.shares) {
+        counted += share.count;
+    }
+    RC_ASSERT(given == all.size()); // No index is given to two zones,
+    RC_ASSERT(counted == all.size()); // and none twice to one.
     RC_ASSERT(record.finished().size()
               == record.succeeded.size() + record.failed.size() + record.notRun.size() + record.mayHaveRun.size());
     RC_ASSERT(!record.done() || record.finished().size() == record.spec.tasks);
