A move that was proposed twice gives no share twice

Cause: a move names the ranges that it gives away; applied after another move of the same share it added them again, so that a zone held an index twice. The epoch guard covers only zones that have an owner. A move now applies only if all its indices are still the losing zone's. Ruled out: the guard against a job that already has a zone; it was there.

--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -26,6 +26,17 @@
     return protocol::encode(left) == protocol::encode(right);
 }
 
+// Says whether all indices that a move gives away are still the losing zone's.
+bool holdsAll(const JobRecord &record, const MoveEntry::Move &move)
+{
+    protocol::IndexSet foreign;
+    for (const Share &share : move.to) {
+        foreign.insert(protocol::IndexRange{share.firstIndex, share.firstIndex + share.count});
+    }
+    foreign.erase(record.indicesOf(move.from));
+    return foreign.empty() && record.hasShareIn(move.from);
+}
+
 } // namespace
 
 protocol::IndexSet JobRecord::finished() const
@@ -329,8 +340,8 @@
 // A task that is not repeatable and may have been started is not moved: nobody can tell any more whether it ran.
 void ClusterState::moveShares(JobRecord &record, const MoveEntry::Move &move, WallTime at)
 {
-    if (move.from.empty() != record.shares.empty()) {
-        return;
+    if (move.from.empty() ? !record.shares.empty() : !holdsAll(record, move)) {
+        return; // Proposed twice, or overtaken by another move.
     }
     if (!record.spec.repeatable) {
         protocol::IndexSet unprovable = record.indicesOf(move.from);
