--- a/src/http/proxy_session.cpp
+++ b/src/http/proxy_session.cpp
@@ -1,6 +1,5 @@
 #include "http/proxy_session.h"
 
-#include "base/invariant.h"
 #include "base/log.h"
 #include "http/proxy_exchange.h"
 
@@ -396,7 +395,12 @@
         .with("waited_us", (now - startedAt_) / std::chrono::microseconds(1));
     phase_ = Phase::Exchanging;
     auto connection = core_.pool.take(upstream.info.address, upstream.share.connectionLimit(now));
-    YW_INVARIANT(connection != nullptr, "a slot brings a connection with it");
+    if (connection == nullptr) {
+        // Two executors announced the same address, and the other one has its connections.
+        base::logWarning("no_connection_left").with("address", upstream.info.address);
+        exchangeEnded(routing::AttemptResult{routing::AttemptOutcome::NotSent, {}, false}, false, false);
+        return;
+    }
     exchange_ = std::make_shared<Exchange>(core_, shared_from_this(), std::move(connection), decision);
     exchange_->start();
 }
--- a/src/routing/executor_share.cpp
+++ b/src/routing/executor_share.cpp
@@ -86,11 +86,12 @@
     return lent_;
 }
 
+// Slots of a loan that a pause of this process has let expire still count as long as they are in use.
 std::uint32_t ExecutorShare::borrowed(base::TimePoint now) const
 {
     std::uint32_t slots = 0;
     for (const Loan &loan : taken_) {
-        slots += loan.until > now ? loan.slots : 0;
+        slots += loan.until > now ? loan.slots : loan.inUse;
     }
     return slots;
 }
@@ -103,7 +104,7 @@
 std::uint32_t ExecutorShare::connectionLimit(base::TimePoint now) const
 {
     const std::uint32_t own = withheld(now) || connections_ < lent_ ? 0 : connections_ - lent_;
-    return own + borrowed(now);
+    return std::max(own, ownInUse_) + borrowed(now);
 }
 
 bool ExecutorShare::withheld(base::TimePoint now) const
--- a/tests/routing_router_test.cpp
+++ b/tests/routing_router_test.cpp
@@ -578,6 +578,142 @@
     EXPECT_EQ(route("x").kind, DecisionKind::Dispatch);
 }
 
+namespace
+{
+
+/// An entry with a peer that the test speaks for.
+class PeerTest : public testing::Test
+{
+protected:
+    void start(std::uint64_t incarnation)
+    {
+        RouterOptions options;
+        options.entry = "a";
+        options.zone = "z1";
+        options.entries = {{"a", "z1"}, {"b", "z1"}};
+        options.incarnation = incarnation;
+        router_ = std::make_unique<Router>(options, now_);
+        announce();
+    }
+    void announce()
+    {
+        ASSERT_TRUE(router_->announce(announcement("e0", 2), now_));
+    }
+    /// Lets time pass with heartbeats.
+    void pass(base::Duration time)
+    {
+        now_ += time;
+        announce();
+        router_->tick(now_);
+    }
+    Decision route()
+    {
+        return router_->route({"s", "x", Urgency::Urgent, now_ + 5s, true, true}, now_);
+    }
+    void tell(ShareMessageKind kind, LoanId id, std::uint32_t slots)
+    {
+        ShareMessage message;
+        message.kind = kind;
+        message.to = "a";
+        message.from = "b";
+        message.executor = "e0";
+        message.id = id;
+        message.slots = slots;
+        message.term = 20s;
+        message.incarnation = 9;
+        router_->receive(message, now_);
+    }
+    std::optional<ShareMessage> said(ShareMessageKind kind)
+    {
+        std::optional<ShareMessage> found;
+        for (ShareMessage &message : router_->takeShareMessages()) {
+            if (message.kind == kind) {
+                found = std::move(message);
+            }
+        }
+        return found;
+    }
+
+    base::TimePoint now_{1h};
+    std::unique_ptr<Router> router_;
+};
+
+} // namespace
+
+TEST_F(PeerTest, sharesWaitForLoansThatASilentPeerMayHold)
+{
+    start(1);
+    router_->drained(now_);
+    EXPECT_FALSE(said(ShareMessageKind::Farewell)) << "requests of an earlier process may still run";
+    pass(4s);
+    EXPECT_EQ(route().kind, DecisionKind::Queued);
+    EXPECT_FALSE(router_->ready(now_));
+    pass(17s);
+    EXPECT_TRUE(router_->ready(now_));
+    EXPECT_EQ(route().kind, DecisionKind::Dispatch);
+    start(2);
+    pass(21s);
+    router_->drained(now_);
+    EXPECT_TRUE(said(ShareMessageKind::Farewell));
+}
+
+TEST_F(PeerTest, aGrantIsUsedOnceAndOnlyByTheProcessThatAskedForIt)
+{
+    start(1);
+    pass(21s);
+    EXPECT_EQ(route().kind, DecisionKind::Dispatch);
+    EXPECT_EQ(route().kind, DecisionKind::Queued);
+    const auto asked = said(ShareMessageKind::LoanRequest);
+    ASSERT_TRUE(asked);
+    tell(ShareMessageKind::LoansQuery, 0, 0);
+    tell(ShareMessageKind::LoanGrant, asked->id, 1);
+    EXPECT_EQ(router_->waiting(), 1) << "the lender has forgotten the grant";
+    EXPECT_EQ(said(ShareMessageKind::LoanReturn)->id, asked->id);
+    pass(500ms);
+    const auto again = said(ShareMessageKind::LoanRequest);
+    ASSERT_TRUE(again);
+    tell(ShareMessageKind::LoanGrant, again->id, 1);
+    EXPECT_EQ(router_->waiting(), 0);
+    tell(ShareMessageKind::LoanGrant, again->id, 1);
+    tell(ShareMessageKind::LoanGrant, LoanId{7} << 32U, 1);
+    EXPECT_FALSE(said(ShareMessageKind::LoanReturn)) << "one is in use, the other may be by a former process";
+}
+
+TEST_F(PeerTest, aPauseBeyondALoansEndAndAShrunkUpstreamAreSurvived)
+{
+    start(1);
+    pass(21s);
+    const Decision own = route();
+    route();
+    const auto asked = said(ShareMessageKind::LoanRequest);
+    ASSERT_TRUE(asked);
+    tell(ShareMessageKind::LoanGrant, asked->id, 1);
+    now_ += 30s;
+    announce();
+    router_->finished(own.attempt, {AttemptOutcome::Answered, 1ms, true}, now_);
+    EXPECT_EQ(route().kind, DecisionKind::Dispatch);
+    ASSERT_TRUE(router_->announce(announcement("e0", 1), now_));
+    EXPECT_EQ(route().kind, DecisionKind::Queued);
+}
+
+TEST(WaitQueue, idlenessEarnsNoTurns)
+{
+    WaitQueue queue;
+    for (RequestId id = 1; id <= 200; ++id) {
+        queue.push(id, Urgency::Urgent, "x");
+        queue.popFront(true);
+    }
+    for (RequestId id = 201; id <= 220; ++id) {
+        queue.push(id, id <= 210 ? Urgency::Bulk : Urgency::Urgent, "x");
+    }
+    int urgent = 0;
+    for (int turn = 0; turn < 5; ++turn) {
+        urgent += *queue.front(true) > 210 ? 1 : 0;
+        queue.popFront(true);
+    }
+    EXPECT_GE(urgent, 4);
+}
+
 RC_GTEST_PROP(Announcement, anyBodyIsParsedSafelyAndGoodOnesRoundTrip, (const std::string &text, std::uint32_t cut))
 {
     UpstreamAnnouncement info = announcement("e-1", 8);
