--- a/src/http/proxy_session.cpp
+++ b/src/http/proxy_session.cpp
@@ -458,39 +458,6 @@
     }
 }
 
-void ProxySession::finishKey(base::Verdict verdict)
-{
-    if (!keyReserved_) {
-        return;
-    }
-    keyReserved_ = false;
-    routing::KeyOutcome outcome{std::string(request_.key), verdict, std::nullopt};
-    if (verdict == base::Verdict::Ran) {
-        outcome.answer = std::move(record_);
-    }
-    core_.keys->finish(outcome);
-}
-
-void ProxySession::recordAnswer(unsigned status, std::string_view contentType)
-{
-    if (record_) {
-        record_->status = status;
-        record_->contentType = contentType;
-    }
-}
-
-void ProxySession::recordAnswerBody(std::string_view body)
-{
-    if (!record_) {
-        return;
-    }
-    if (record_->body.size() + body.size() > core_.options.limits.storedAnswerBytes) {
-        record_.reset();
-    } else {
-        record_->body += body;
-    }
-}
-
 void ProxySession::bodyFailed(const boost::system::error_code &error)
 {
     if (isHttpError(error) && error != beast::http::error::partial_message) {
