--- a/src/http/proxy_session.cpp
+++ b/src/http/proxy_session.cpp
@@ -1,6 +1,5 @@
 #include "http/proxy_session.h"
 
-#include "base/invariant.h"
 #include "base/log.h"
 #include "http/proxy_exchange.h"
 
@@ -419,7 +418,12 @@
         .with("waited_us", (now - startedAt_) / std::chrono::microseconds(1));
     phase_ = Phase::Exchanging;
     auto connection = core_.pool.take(upstream.info.address, upstream.share.connectionLimit(now));
-    YW_INVARIANT(connection != nullptr, "a slot brings a connection with it");
+    if (connection == nullptr) {
+        // Two executors announced the same address, and the other one has its connections.
+        base::logWarning("no_connection_left").with("address", upstream.info.address);
+        exchangeEnded(routing::AttemptResult{routing::AttemptOutcome::NotSent, {}, false}, false, false);
+        return;
+    }
     exchange_ = std::make_shared<Exchange>(core_, shared_from_this(), std::move(connection), decision);
     exchange_->start();
 }
@@ -477,39 +481,6 @@
     }
 }
 
-void ProxySession::finishKey(base::Verdict verdict)
-{
-    if (!keyReserved_) {
-        return;
-    }
-    keyReserved_ = false;
-    routing::KeyOutcome outcome{std::string(request_.key), verdict, std::nullopt};
-    if (verdict == base::Verdict::Ran) {
-        outcome.answer = std::move(record_);
-    }
-    core_.keys->finish(outcome);
-}
-
-void ProxySession::recordAnswer(unsigned status, std::string_view contentType)
-{
-    if (record_) {
-        record_->status = status;
-        record_->contentType = contentType;
-    }
-}
-
-void ProxySession::recordAnswerBody(std::string_view body)
-{
-    if (!record_) {
-        return;
-    }
-    if (record_->body.size() + body.size() > core_.options.limits.storedAnswerBytes) {
-        record_.reset();
-    } else {
-        record_->body += body;
-    }
-}
-
 void ProxySession::bodyFailed(const boost::system::error_code &error)
 {
     if (isHttpError(error) && error != beast::http::error::partial_message) {
