--- a/tests/coordination_log_test.cpp
+++ b/tests/coordination_log_test.cpp
@@ -350,6 +350,7 @@
     const std::uint32_t removed = leader % 3 + 1;
     const coordination::Term term = cluster.log(leader).term();
     ASSERT_TRUE(cluster.remove(removed));
+    EXPECT_FALSE(cluster.remove(removed % 3 + 1)) << "one change of the set at a time";
     cluster.run(30s);
     EXPECT_EQ(cluster.leader(), leader);
     EXPECT_EQ(cluster.log(leader).term(), term);
@@ -438,3 +439,25 @@
     joining.receive(Message{7, {2, 1}, {1, 9}, 5, VoteRequest{false, 9, 4}}, now);
     EXPECT_TRUE(joining.takeReady(now).messages.empty()) << "a replica without a cluster answers no candidate";
 }
+
+TEST(ReplicatedLog, aLearnerBecomesAVoterUnderAStreamOfReadsAndProposals)
+{
+    FakeCluster cluster({3, 9});
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+    const std::uint32_t leader = cluster.leader();
+    const std::uint32_t lost = leader % 3 + 1;
+    cluster.loseDisk(lost);
+    cluster.network().cut(leader, lost);
+    cluster.start(lost);
+    cluster.run(5s);
+    EXPECT_EQ(coordination::voterCount(cluster.log(leader).replicaSet()), 3U) << "a learner that has nothing";
+    EXPECT_FALSE(coordination::isVoter(cluster.log(leader).replicaSet(), cluster.log(lost).self()));
+    cluster.network().heal();
+    for (int i = 0; i < 1000; ++i) {
+        cluster.read(leader);
+        cluster.propose(leader);
+        cluster.run(10ms);
+    }
+    EXPECT_TRUE(coordination::isVoter(cluster.log(leader).replicaSet(), cluster.log(lost).self()));
+    EXPECT_EQ(cluster.log(lost).role(), coordination::Role::Follower);
+}
