--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -3,6 +3,8 @@
 #include "policy.h"
 #include "replay.h"
 #include "route.h"
+#include "scale.h"
+#include "soak.h"
 #include "state.h"
 
 #include <fmt/core.h>
@@ -32,6 +34,8 @@
     Command{"policy", "measure waiting time and packing beside baselines", yuccawheel::bench::runPolicy},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
     Command{"state", "measure the replicated log: appends, elections, recovery", yuccawheel::bench::runState},
+    Command{"scale", "measure how cost grows with the size of the cluster", yuccawheel::bench::runScale},
+    Command{"soak", "measure running daemons", yuccawheel::bench::runSoak},
 };
 
 void printUsage(std::FILE *file)
