--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -2,6 +2,8 @@
 #include "place.h"
 #include "policy.h"
 #include "replay.h"
+#include "route.h"
+#include "state.h"
 #include "scale.h"
 #include "soak.h"
 
@@ -27,9 +29,11 @@
 constexpr std::array Commands{
     Command{"version", "print the version", printVersion},
     Command{"bench", "print the signature of the decisions over a fixed mix", yuccawheel::bench::runSignature},
+    Command{"route", "measure the request path on loopback", yuccawheel::bench::runRoute},
     Command{"place", "measure placements a second and the time of a decision", yuccawheel::bench::runPlace},
     Command{"policy", "measure waiting time and packing beside baselines", yuccawheel::bench::runPolicy},
     Command{"replay", "replay traces and compare with the outcomes that they state", yuccawheel::bench::runReplay},
+    Command{"state", "measure the replicated log: appends, elections, recovery", yuccawheel::bench::runState},
     Command{"scale", "measure how cost grows with the size of the cluster", yuccawheel::bench::runScale},
     Command{"soak", "measure running daemons", yuccawheel::bench::runSoak},
 };
