--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -156,10 +156,6 @@
 
     def __exit__(self, kind, value, traceback):
         self.stop()
-        if kind is None:
-            shutil.rmtree(self.folder)
-        else:
-            print(f"logs are kept in {self.folder}", file=sys.stderr)
 
     # Settings
 
@@ -230,6 +226,17 @@
             for role in ("store", "scheduler", "entry"):
                 if role != "store" or vm.has_store:
                     self.wait_ready(vm, role)
+        wait_until(self.all_vote, "every replica of the store votes")
+
+    def voters(self):
+        """Returns the generation of each replica of the store that counts in its majorities, by node."""
+        status, answer = self.operator("GET", "/v1/store")
+        replicas = answer["replicas"] if status == 200 else []
+        return {replica["node"]: replica["generation"] for replica in replicas if replica["voter"]}
+
+    def all_vote(self):
+        """Says whether every replica of the store has caught up and counts in its majorities."""
+        return len(self.voters()) == sum(vm.has_store for vm in self.vms)
 
     def daemon(self, vm, role):
         return self.spawn(f"{role}-{vm.name}", [BIN / f"yw-{role}", "--settings", self.settings_file(vm, role)])
@@ -260,16 +267,26 @@
     def workers(self, zone, count, **options):
         """Starts one process with `count` fake workers of a zone."""
         vms = [vm for vm in self.vms if vm.zone == zone]
-        arguments = [BIN / "fake-worker", "--name", f"w-{zone}", "--count", count, "--zone", zone]
+        arguments = [BIN / "fake-worker", "--count", count, "--zone", zone]
         arguments += ["--scheduler", ",".join(text(vm.address["worker"]) for vm in vms)]
         arguments += ["--entry", ",".join(text(vm.address["upstream"]) for vm in vms)]
         arguments += ["--journal", self.journal]
-        for key, value in options.items():
+        for key, value in ({"name": f"w-{zone}"} | options).items():
             arguments += [f"--{key.replace('_', '-')}", value]
         return self.spawn(f"workers-{zone}-{len(self.processes)}", arguments, subprocess.PIPE)
 
+    def kill_workers(self, process):
+        """Kills a process of fake workers and notes the end of its tasks, which it can't note any more itself."""
+        process.kill()
+        now = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        name = process.arguments[process.arguments.index("--name") + 1]
+        lost = [record for record in self.running().values() if record.worker.rsplit("-", 1)[0] == name]
+        with open(self.journal, "a", encoding="ascii") as journal:
+            for record in lost:
+                journal.write(f"{now} end {record.task} {record.worker} {record.incarnation} lost\n")
+
     def stop(self):
-        """Stops every process of this cluster, by pid."""
+        """Stops every process of this cluster, by pid, and removes its files unless YW_KEEP_LOGS is set."""
         for process in self.processes:
             process.resume()
             process.signal(signal.SIGTERM)
@@ -281,6 +298,8 @@
                 process.kill()
         for link in self._links.values():
             link.close()
+        if "YW_KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder)
 
     # Faults
 
@@ -319,9 +338,18 @@
                 return None
             if status != 200:
                 raise AssertionError(f"submission {submission}: {status} {answer}")
-            return {job["name"]: job["id"] for job in answer["jobs"]}
-
-        return wait_until(answered, f"submission {submission} is accepted")
+            return answer
+
+        jobs = wait_until(answered, f"submission {submission} is accepted")["jobs"]
+        ids = {job["name"]: job["id"] for job in jobs}
+        services = [line for line in document.splitlines() if line == "services:"]
+        return ids | (self._service_ids(vm) if services else {})
+
+    def _service_ids(self, vm):
+        status, answer = self.operator("GET", "/v1/jobs", vm=vm)
+        if status != 200:
+            raise AssertionError(f"jobs: {status} {answer}")
+        return {job["name"]: job["id"] for job in answer["jobs"] if job["kind"] == "service"}
 
     def job(self, job, vm=None):
         status, answer = self.operator("GET", f"/v1/jobs/{job}", vm=vm)
--- a/tools/run_demo.py
+++ b/tools/run_demo.py
@@ -21,7 +21,7 @@
 def main():
     with Cluster({"a": 1, "b": 1}) as cluster:
         cluster.start()
-        print(f"zones a and b are ready; logs: {cluster.folder}")
+        print(f"zones a and b are ready")
         for zone in cluster.zones:
             cluster.workers(zone, WORKERS_A_ZONE)
         wait_until(lambda: len(workers(cluster)) == 2 * WORKERS_A_ZONE, "every worker is known")
