--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -3,9 +3,9 @@
 #include "policy.h"
 #include "replay.h"
 #include "route.h"
-#include "state.h"
 #include "scale.h"
 #include "soak.h"
+#include "state.h"
 
 #include <fmt/core.h>
 
