--- /dev/null
+++ b/tests/process_partition_test.py
@@ -0,0 +1,89 @@
+"""A zone that is cut off silently: connections stay open and nothing arrives."""
+
+import http.client
+import unittest
+
+import jobs
+from cluster import Cluster, check_journal, wait_until
+from load import CountingUpstream, issue_key, send
+
+SERVICE = "loan-check"
+REPLICAS = 6
+TASKS = 120
+
+
+class PartitionTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = Cluster({"a": 1, "b": 1, "c": 2}, stores=["a", "b", "c"], relays=True)
+        self.addCleanup(self.cluster.stop)
+        self.cluster.start()
+        for zone in self.cluster.zones:
+            self.cluster.workers(zone, 3, milli_cpu=8000, memory_mib=32768, wait_ms=300)
+        self.upstream = CountingUpstream(self.cluster, "c", SERVICE)
+        self.addCleanup(self.upstream.close)
+        self.inside = [vm for vm in self.cluster.vms if vm.zone == "c"]
+        self.outside = [vm for vm in self.cluster.vms if vm.zone != "c"]
+        document = jobs.document(jobs.team(), jobs.service("desk", REPLICAS, detached_for="60s"),
+                                 jobs.batch("rebuild", TASKS, run_ms=500, detached_for="60s"))
+        self.ids = self.cluster.accept(document, "first", expected_version=0)
+        wait_until(lambda: len(self.cluster.records()) > TASKS // 4, "tasks run")
+        for vm in self.inside:
+            wait_until(lambda vm=vm: send(self.cluster, SERVICE, issue_key(vm), vm)[0] == 200, "zone c serves")
+
+    def owner_inside(self):
+        return next((vm for vm in self.inside if self.cluster.owns(vm)), None)
+
+    def outcome(self, number, vm):
+        try:
+            return self.cluster.submit(jobs.document(jobs.batch(f"cut-{number}", 1)), f"cut-{number}", vm=vm)
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def serve_inside(self):
+        for number in range(20):
+            vm = self.inside[number % len(self.inside)]
+            key = issue_key(vm)
+            self.assertEqual(send(self.cluster, SERVICE, key, vm), (200, "ran"), key)
+            self.assertEqual(self.upstream.runs[key], 1, key)
+
+    def check_joined(self, submitted):
+        """Both sides agree after the cut: nothing ran twice, nothing accepted is lost."""
+        self.cluster.wait_succeeded(self.ids["rebuild"])
+        for vm in self.cluster.vms:
+            wait_until(lambda vm=vm: all(self.cluster.job(job, vm) for job in submitted), f"{vm.name} knows every job")
+        check_journal(self.cluster.records())
+
+    def run_cut(self, direction):
+        self.cluster.cut("c", direction)
+        self.serve_inside()
+        refused = wait_until(lambda: self.outcome("inside", self.inside[0]), "the cut-off zone answers an operator")
+        self.assertIn(refused[0], (503, 504), refused)
+        self.assertEqual(refused[1]["verdict"], "not-run" if refused[0] == 503 else "may-have-run")
+        accepted = self.cluster.accept(jobs.document(jobs.batch("outside", 4)), "outside", vm=self.outside[0])
+        self.cluster.wait_succeeded(accepted["outside"], self.outside[0])
+        self.serve_inside()
+        self.cluster.cut("c", "none")
+        self.check_joined(accepted.values())
+        self.serve_inside()
+
+    def test_cut_in_both_directions(self):
+        self.run_cut("both")
+
+    def test_cut_of_what_the_zone_sends(self):
+        self.run_cut("out")
+
+    def test_cut_of_what_the_zone_hears(self):
+        self.run_cut("in")
+
+    def test_owner_dies_inside_the_cut_off_zone(self):
+        owner = wait_until(self.owner_inside, "zone c has an owner")
+        self.cluster.cut("c")
+        owner.scheduler.kill()
+        self.serve_inside()
+        owner.scheduler.start()
+        self.cluster.cut("c", "none")
+        self.check_joined([])
+
+
+if __name__ == "__main__":
+    unittest.main()
