Whole-process tests: an interrupted run stops its daemons too

Cause: unittest runs no cleanups on an interrupt and SIGTERM ended Python at once; daemons of three interrupted runs were still there and loaded the machine. The cluster now stops its processes at exit.

No functional change.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,5 +1,6 @@
 """Whole-process clusters on loopback for tests and the demo: settings, start, readiness, faults, stop by pid."""
 
+import atexit
 import http.client
 import itertools
 import json
@@ -147,6 +148,9 @@
             for index in range(1, count + 1):
                 has_store = zone in store_zones and index == 1
                 self.vms.append(Vm(f"{zone}{index}", zone, f"{self._net}.{next(numbers)}", has_store))
+        # Cleanups of unittest don't run on an interrupt.
+        atexit.register(self.stop)
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
         token = self.folder / "token"
         token.write_text(TOKEN + "\n")
         token.chmod(0o600)
@@ -299,7 +303,7 @@
         for link in self._links.values():
             link.close()
         if "YW_KEEP_LOGS" not in os.environ:
-            shutil.rmtree(self.folder)
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     # Faults
 
