--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -30,7 +30,7 @@
 
 const std::vector<Contender> &contenders()
 {
-    static const std::vector<Contender> All{
+    static const std::vector<Contender> all{
         {"waiting",
          [] {
              return makePlannerScheduler(Objective::Waiting);
@@ -48,7 +48,7 @@
              return makeBaseline(BaselineRule::WorstFit);
          }},
     };
-    return All;
+    return all;
 }
 
 struct PolicyFigures {
--- a/bench/policy_load.cpp
+++ b/bench/policy_load.cpp
@@ -183,9 +183,9 @@
 
 const std::vector<Deployment> &deployments()
 {
-    static const std::vector<Deployment> All{{"bibliobus", 50, 8, {64'000, 262'144, 0}},
+    static const std::vector<Deployment> all{{"bibliobus", 50, 8, {64'000, 262'144, 0}},
                                              {"caligrafia", 50, 6, {32'000, 131'072, 0}}};
-    return All;
+    return all;
 }
 
 Trace makeLoad(const LoadOptions &options)
--- a/src/routing/zone_key_store.cpp
+++ b/src/routing/zone_key_store.cpp
@@ -13,7 +13,7 @@
 constexpr unsigned IncarnationShift = 24;
 } // namespace
 
-ZoneKeyStore::ZoneKeyStore(ZoneKeysOptions options, std::shared_ptr<KeyStore> callerKeys, Sink sink)
+ZoneKeyStore::ZoneKeyStore(const ZoneKeysOptions &options, std::shared_ptr<KeyStore> callerKeys, Sink sink)
     : keys_(options, base::BootClock::now())
     , callerKeys_(std::move(callerKeys))
     , sink_(std::move(sink))
--- a/src/routing/zone_key_store.h
+++ b/src/routing/zone_key_store.h
@@ -21,7 +21,7 @@
     using Sink = std::function<void(std::vector<KeyMessage>)>;
 
     /// `callerKeys` may be null. `sink` sends messages to other entries; it may be empty.
-    ZoneKeyStore(ZoneKeysOptions options, std::shared_ptr<KeyStore> callerKeys, Sink sink);
+    ZoneKeyStore(const ZoneKeysOptions &options, std::shared_ptr<KeyStore> callerKeys, Sink sink);
 
     /// Returns a new key for a caller (`POST /v1/keys`).
     std::string issue() override;
--- a/src/routing/zone_keys.cpp
+++ b/src/routing/zone_keys.cpp
@@ -100,7 +100,7 @@
     if (issued.number == 0 || issued.number > lastIssued_ || startedAt_ + issued.issuedAt > now) {
         return {KeyStatus::Conflict, base::Verdict::NotRun, std::nullopt};
     }
-    const KeyReply known = decided_.find(reservation.key, reservation.digest);
+    KeyReply known = decided_.find(reservation.key, reservation.digest);
     if (known.status == KeyStatus::Unreachable && now >= startedAt_ + issued.issuedAt + options_.firstUse) {
         return known;
     }
--- a/tests/protocol_fuzz_test.cpp
+++ b/tests/protocol_fuzz_test.cpp
@@ -111,7 +111,9 @@
     EXPECT_FALSE(decode<RequestError>(encode(error)));
 }
 
-RC_GTEST_PROP(IndexSet, agreesWithASetOfNumbers, (std::vector<std::uint8_t> first, std::vector<std::uint8_t> second))
+RC_GTEST_PROP(IndexSet,
+              agreesWithASetOfNumbers,
+              (const std::vector<std::uint8_t> &first, const std::vector<std::uint8_t> &second))
 {
     IndexSet left;
     IndexSet right;
