--- a/src/http/proxy_server.cpp
+++ b/src/http/proxy_server.cpp
@@ -257,6 +257,12 @@
     });
 }
 
+void ProxyServer::listUpstreams(std::function<void(std::vector<routing::UpstreamUpdate>)> done)
+{
+    asio::post(impl_->context,
+               [this, done = std::move(done)] { done(impl_->core.router.table().list(base::BootClock::now())); });
+}
+
 ProxyStatistics ProxyServer::statistics() const
 {
     auto promise = std::make_shared<std::promise<ProxyStatistics>>();
--- a/src/http/proxy_server.h
+++ b/src/http/proxy_server.h
@@ -89,6 +89,9 @@
     /// Ends a drain in progress now, cutting off what is left.
     void cutOff();
 
+    /// Gives each upstream that this entry knows, with the age of what it knows; `done` is called on the proxy's
+    /// thread.
+    void listUpstreams(std::function<void(std::vector<routing::UpstreamUpdate>)> done);
     /// Waits for the proxy's thread and returns its present statistics.
     ProxyStatistics statistics() const;
 
--- a/src/programs/yw_entry/entry_service.cpp
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -44,6 +44,23 @@
     return options;
 }
 
+nlohmann::json describe(const routing::UpstreamUpdate &upstream)
+{
+    const routing::UpstreamAnnouncement &info = upstream.announcement;
+    const bool leaving = info.state == routing::UpstreamState::Leaving;
+    const bool silent = upstream.age > routing::UpstreamTableOptions().silence;
+    return {{"executor", info.executor},
+            {"zone", upstream.zone},
+            {"address", info.address},
+            {"state",
+             leaving      ? "leaving"
+                 : silent ? "silent"
+                          : "serving"},
+            {"slots", info.slots},
+            {"connections", info.connections},
+            {"services", info.services}};
+}
+
 http::Response announceResponse(const tl::expected<void, routing::AnnounceError> &result,
                                 std::chrono::milliseconds heartbeat)
 {
@@ -88,7 +105,7 @@
     }
     base::logInfo("listening").with("on", "caller").with("port", *port);
     if (context.settings.listen.operators) {
-        operators_.emplace(context, store_, [this] { return upstreamsJson(); });
+        operators_.emplace(context, store_, [this](const http::Responder &respond) { listUpstreams(respond); });
     }
     upstreamServer_.emplace(
         context.io,
@@ -169,9 +186,17 @@
                     });
 }
 
-std::string EntryService::upstreamsJson() const
+void EntryService::listUpstreams(const http::Responder &respond)
 {
-    return nlohmann::json{{"upstreams", nlohmann::json::array()}}.dump();
+    proxy_.listUpstreams([this, respond](const std::vector<routing::UpstreamUpdate> &upstreams) {
+        nlohmann::json list = nlohmann::json::array();
+        for (const routing::UpstreamUpdate &upstream : upstreams) {
+            list.push_back(describe(upstream));
+        }
+        boost::asio::post(context_.io, [respond, list = std::move(list)] {
+            respond(daemon::jsonResponse(200, {{"upstreams", list}}));
+        });
+    });
 }
 
 } // namespace yuccawheel::entry
--- a/src/programs/yw_entry/entry_service.h
+++ b/src/programs/yw_entry/entry_service.h
@@ -33,7 +33,7 @@
 
 private:
     void handleUpstream(const http::Request &request, const http::Responder &respond);
-    std::string upstreamsJson() const;
+    void listUpstreams(const http::Responder &respond);
 
     void sendKeyMessages(std::vector<routing::KeyMessage> messages);
     void onTick();
--- a/src/programs/yw_entry/operator_api.cpp
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -88,10 +88,10 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(daemon::Context &context, store::StoreClient &store, UpstreamsJson upstreams)
+OperatorApi::OperatorApi(daemon::Context &context, store::StoreClient &store, ListUpstreams listUpstreams)
     : context_(context)
     , store_(store)
-    , upstreams_(std::move(upstreams))
+    , listUpstreams_(std::move(listUpstreams))
     , token_(context.settings.tokenFile)
 {
     for (const settings::Peer &peer : context.settings.schedulers) {
@@ -150,7 +150,7 @@
     } else if (path == "/v1/workers" && get) {
         workers(respond);
     } else if (path == "/v1/upstreams" && get) {
-        respond({200, upstreams_(), "application/json", {}});
+        listUpstreams_(respond);
     } else if (const auto cancelled = under("/v1/jobs/", "/cancel"); cancelled && post) {
         cancel(*cancelled, respond);
     } else if (const auto explained = under("/v1/jobs/", "/explain"); explained && get) {
--- a/src/programs/yw_entry/operator_api.h
+++ b/src/programs/yw_entry/operator_api.h
@@ -22,10 +22,10 @@
 class OperatorApi
 {
 public:
-    /// Gives the entry's own view of upstreams, as JSON.
-    using UpstreamsJson = std::function<std::string()>;
+    /// Answers with the entry's own view of upstreams.
+    using ListUpstreams = std::function<void(const http::Responder &)>;
 
-    OperatorApi(daemon::Context &context, store::StoreClient &store, UpstreamsJson upstreams);
+    OperatorApi(daemon::Context &context, store::StoreClient &store, ListUpstreams listUpstreams);
 
 private:
     /// Answers of several schedulers, collected before the operator is answered.
@@ -50,7 +50,7 @@
 
     daemon::Context &context_;
     store::StoreClient &store_;
-    UpstreamsJson upstreams_;
+    ListUpstreams listUpstreams_;
     settings::TokenFile token_;
     std::vector<std::unique_ptr<protocol::Peer>> schedulers_;
     std::optional<http::Server> server_;
--- a/src/programs/yw_store/store_service.cpp
+++ b/src/programs/yw_store/store_service.cpp
@@ -117,7 +117,8 @@
 
 std::optional<std::string> StoreService::notReadyReason() const
 {
-    return thread_->status().ready ? std::nullopt : std::optional<std::string>("no leader is known");
+    return thread_->status().ready ? std::nullopt
+                                   : std::optional<std::string>("not a voter yet, or no leader is known");
 }
 
 void StoreService::drain(std::function<void()> done)
--- a/src/programs/yw_store/store_thread.cpp
+++ b/src/programs/yw_store/store_thread.cpp
@@ -96,7 +96,8 @@
         }
     }
     status_.leads = core_.leads();
-    status_.ready = core_.leads() || core_.log().leader().node != 0;
+    status_.ready = core_.log().leader().node != 0
+        && (core_.log().role() == coordination::Role::Leader || core_.log().role() == coordination::Role::Follower);
     status_.applied = core_.state().index();
     return true;
 }
--- a/src/programs/yw_store/store_thread.h
+++ b/src/programs/yw_store/store_thread.h
@@ -28,7 +28,7 @@
 
 /// Status for the health page, read by other threads.
 struct StoreStatus {
-    std::atomic<bool> ready{false}; ///< The replica leads, or hears a leader.
+    std::atomic<bool> ready{false}; ///< The replica is a voter, and leads or hears a leader.
     std::atomic<bool> leads{false};
     std::atomic<std::uint64_t> applied{0};
 };
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -191,4 +191,15 @@
     return byService_.size();
 }
 
+std::vector<UpstreamUpdate> UpstreamTable::list(base::TimePoint now) const
+{
+    std::vector<UpstreamUpdate> list;
+    for (const Upstream &upstream : upstreams_) {
+        if (upstream.known && upstream.info.incarnation != 0) {
+            list.push_back({upstream.info, upstream.zone, upstream.sequence, now - upstream.lastHeard});
+        }
+    }
+    return list;
+}
+
 } // namespace yuccawheel::routing
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -84,6 +84,8 @@
     /// Finds an executor, or keeps a place for one that has not announced itself yet.
     tl::expected<UpstreamIndex, AnnounceError> findOrReserve(std::string_view executor);
     std::size_t size() const;
+    /// Every upstream that announced itself, as it would be passed to another entry.
+    std::vector<UpstreamUpdate> list(base::TimePoint now) const;
     std::optional<ServiceIndex> findService(std::string_view service) const;
     /// Upstreams that offer a service, in table order.
     const std::vector<UpstreamIndex> &upstreamsOf(ServiceIndex service) const;
