--- a/src/coordination/idempotency_table.cpp
+++ b/src/coordination/idempotency_table.cpp
@@ -33,7 +33,7 @@
     if (const auto found = records_.find(key); found != records_.end()) {
         const Record &record = found->second;
         if (record.digest != digest) {
-            return KeyStatus{KeyState::Conflict, base::Verdict::NotRun, {}};
+            return KeyStatus{KeyState::Conflict, record.verdict, {}};
         }
         return KeyStatus{record.finished ? KeyState::Finished : KeyState::Running, record.verdict, record.answer};
     }
--- a/src/coordination/idempotency_table.h
+++ b/src/coordination/idempotency_table.h
@@ -45,7 +45,7 @@
     Finished, ///< An earlier attempt ended; its verdict and answer are kept.
     Expired, ///< The key is too old to be known: an earlier attempt may have run.
     Refused, ///< The table is full, or the key malformed or from the future; no attempt of it was ever recorded.
-    Conflict, ///< The key belongs to a request with other content.
+    Conflict, ///< The key belongs to a request with other content; the verdict is that request's.
 };
 
 struct KeyStatus {
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -155,7 +155,7 @@
 enum class KeyOutcome : std::uint8_t {
     Fresh, ///< The attempt may run; no other will be allowed.
     Known, ///< An earlier attempt was recorded; `verdict` says what is known of it.
-    Conflict, ///< The key belongs to a request with other content.
+    Conflict, ///< The key belongs to a request with other content; `verdict` is that request's.
     Refused, ///< Nothing was recorded and nothing ever was: malformed, from the future, or the table is full.
 };
 
