--- /dev/null
+++ b/src/placement/resources_json.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "placement/resources.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace yuccawheel::placement
+{
+
+/// Writes an amount as the outer protocols have it: `milli_cpu`, `memory_mib`, `accelerators`.
+void to_json(nlohmann::json &object, const Resources &amount);
+
+} // namespace yuccawheel::placement
--- /dev/null
+++ b/src/programs/yw_scheduler/planner_commands.cpp
@@ -0,0 +1,71 @@
+// What the scheduler does with each command of its planner.
+
+#include "base/log.h"
+#include "scheduler_service.h"
+
+namespace yuccawheel::scheduler
+{
+
+// A task that is not repeatable is started only once the log knows that it may have been.
+void SchedulerService::execute(const placement::StartTask &start, std::uint64_t session)
+{
+    const JobInfo *const job = jobInfo(start.task.job);
+    if (job != nullptr && !job->repeatable) {
+        progress_.addStart(start, session);
+    } else {
+        hub_.execute(start, session);
+    }
+    context_.metrics.histogram("yw_wait_seconds").record(start.waited);
+    context_.metrics.counter("yw_task_starts_total").add();
+}
+
+void SchedulerService::execute(const placement::StopTask &stop, std::uint64_t session)
+{
+    hub_.execute(stop, session);
+}
+
+void SchedulerService::execute(const placement::ThrottleTask &throttle, std::uint64_t session)
+{
+    hub_.execute(throttle, session);
+}
+
+// Of a share that was given up or has moved, only a success is certain.
+void SchedulerService::execute(const placement::TaskDone &done, std::uint64_t /*session*/)
+{
+    if (jobInfo(done.task.job) != nullptr || done.succeeded) {
+        progress_.add(done);
+    }
+    base::logInfo("task_done")
+        .with("task", placement::toString(done.task))
+        .with("verdict", base::toString(done.verdict))
+        .with("succeeded", done.succeeded);
+}
+
+void SchedulerService::execute(const placement::TasksNotRun &notRun, std::uint64_t /*session*/)
+{
+    if (jobInfo(notRun.job) != nullptr) {
+        progress_.add(notRun);
+    }
+    base::logInfo("tasks_not_run").with("job", notRun.job).with("first", notRun.firstIndex).with("count", notRun.count);
+}
+
+void SchedulerService::execute(const placement::JobNeverFits &never, std::uint64_t /*session*/)
+{
+    base::logWarning("job_never_fits")
+        .with("job", never.job)
+        .with("missing_milli_cpu", never.missing.milliCpu)
+        .with("missing_memory_mib", never.missing.memoryMib)
+        .with("missing_accelerators", never.missing.accelerators);
+}
+
+void SchedulerService::execute(const placement::JobShareDone &done, std::uint64_t /*session*/)
+{
+    base::logInfo("share_done").with("job", done.job);
+}
+
+void SchedulerService::execute(const placement::DecisionNote &note, std::uint64_t /*session*/)
+{
+    base::logInfo("decision").with("job", note.job).with("text", note.text);
+}
+
+} // namespace yuccawheel::scheduler
--- a/src/programs/yw_scheduler/queries.cpp
+++ b/src/programs/yw_scheduler/queries.cpp
@@ -1,5 +1,6 @@
 // Questions of operators that only the zone's scheduler can answer.
 
+#include "placement/resources_json.h"
 #include "scheduler_service.h"
 
 #include <boost/asio/post.hpp>
@@ -15,11 +16,6 @@
 
 using nlohmann::json;
 
-json toJson(const placement::Resources &amount)
-{
-    return {{"milli_cpu", amount.milliCpu}, {"memory_mib", amount.memoryMib}, {"accelerators", amount.accelerators}};
-}
-
 std::string_view stateName(const Worker &worker)
 {
     if (worker.draining) {
@@ -122,8 +118,8 @@
                            {"zone", context_.self.zone},
                            {"rack", worker.rack},
                            {"state", stateName(worker)},
-                           {"capacity", toJson(worker.capacity)},
-                           {"reserved", toJson(reserved)},
+                           {"capacity", worker.capacity},
+                           {"reserved", reserved},
                            {"tasks", std::move(tasks)}});
     }
     return json{{"workers", std::move(workers)}}.dump();
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -341,7 +341,7 @@
             break;
         }
         for (const PlannerOutput::Step &step : output->steps) {
-            execute(step);
+            std::visit([this, &step](const auto &command) { execute(command, step.session); }, step.command);
         }
         for (const PollMark &mark : output->marks) {
             progress_.addMark(mark);
@@ -350,51 +350,6 @@
     hub_.flush(base::BootClock::now());
 }
 
-void SchedulerService::execute(const PlannerOutput::Step &step)
-{
-    if (const auto *start = std::get_if<placement::StartTask>(&step.command)) {
-        const JobInfo *const job = jobInfo(start->task.job);
-        if (job != nullptr && !job->repeatable) {
-            progress_.addStart(*start, step.session);
-        } else {
-            hub_.execute(*start, step.session);
-        }
-        context_.metrics.histogram("yw_wait_seconds").record(start->waited);
-        context_.metrics.counter("yw_task_starts_total").add();
-    } else if (const auto *stop = std::get_if<placement::StopTask>(&step.command)) {
-        hub_.execute(*stop, step.session);
-    } else if (const auto *throttle = std::get_if<placement::ThrottleTask>(&step.command)) {
-        hub_.execute(*throttle, step.session);
-    } else if (const auto *done = std::get_if<placement::TaskDone>(&step.command)) {
-        // Of a share that was given up or has moved, only a success is certain.
-        if (jobInfo(done->task.job) != nullptr || done->succeeded) {
-            progress_.add(*done);
-        }
-        base::logInfo("task_done")
-            .with("task", placement::toString(done->task))
-            .with("verdict", base::toString(done->verdict))
-            .with("succeeded", done->succeeded);
-    } else if (const auto *notRun = std::get_if<placement::TasksNotRun>(&step.command)) {
-        if (jobInfo(notRun->job) != nullptr) {
-            progress_.add(*notRun);
-        }
-        base::logInfo("tasks_not_run")
-            .with("job", notRun->job)
-            .with("first", notRun->firstIndex)
-            .with("count", notRun->count);
-    } else if (const auto *never = std::get_if<placement::JobNeverFits>(&step.command)) {
-        base::logWarning("job_never_fits")
-            .with("job", never->job)
-            .with("missing_milli_cpu", never->missing.milliCpu)
-            .with("missing_memory_mib", never->missing.memoryMib)
-            .with("missing_accelerators", never->missing.accelerators);
-    } else if (const auto *shareDone = std::get_if<placement::JobShareDone>(&step.command)) {
-        base::logInfo("share_done").with("job", shareDone->job);
-    } else if (const auto *note = std::get_if<placement::DecisionNote>(&step.command)) {
-        base::logInfo("decision").with("job", note->job).with("text", note->text);
-    }
-}
-
 void SchedulerService::handleWorker(const http::Request &request, http::Responder respond)
 {
     constexpr std::string_view Prefix = "/v1/workers/";
--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -68,7 +68,14 @@
 
     // Decisions.
     void takePlannerOutput();
-    void execute(const PlannerOutput::Step &step);
+    void execute(const placement::StartTask &start, std::uint64_t session);
+    void execute(const placement::StopTask &stop, std::uint64_t session);
+    void execute(const placement::ThrottleTask &throttle, std::uint64_t session);
+    void execute(const placement::TaskDone &done, std::uint64_t session);
+    void execute(const placement::TasksNotRun &notRun, std::uint64_t session);
+    void execute(const placement::JobNeverFits &never, std::uint64_t session);
+    void execute(const placement::JobShareDone &done, std::uint64_t session);
+    void execute(const placement::DecisionNote &note, std::uint64_t session);
     void pushToPlanner(placement::Event event);
     void pushBacklog();
 
--- a/src/programs/yw_scheduler/worker_protocol.cpp
+++ b/src/programs/yw_scheduler/worker_protocol.cpp
@@ -1,5 +1,7 @@
 #include "worker_protocol.h"
 
+#include "placement/resources_json.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -58,11 +60,6 @@
     return {amount(object, "milli_cpu"), amount(object, "memory_mib"), amount(object, "accelerators")};
 }
 
-json formatResources(const placement::Resources &amount)
-{
-    return {{"milli_cpu", amount.milliCpu}, {"memory_mib", amount.memoryMib}, {"accelerators", amount.accelerators}};
-}
-
 placement::TaskState parseState(const std::string &name)
 {
     for (const auto &[text, state] : StateNames) {
@@ -119,7 +116,7 @@
 {
     return json{{"command", "start"},
                 {"task", placement::toString(start.task)},
-                {"reserved", formatResources(start.reserved)},
+                {"reserved", start.reserved},
                 {"payload", job.payload},
                 {"kind", kindName(job.kind)},
                 {"name", job.name},
@@ -136,9 +133,7 @@
 
 std::string formatThrottle(const placement::ThrottleTask &throttle)
 {
-    return json{{"command", "throttle"},
-                {"task", placement::toString(throttle.task)},
-                {"limit", formatResources(throttle.limit)}}
+    return json{{"command", "throttle"}, {"task", placement::toString(throttle.task)}, {"limit", throttle.limit}}
         .dump();
 }
 
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -99,20 +99,22 @@
 {
     namespace adaptor
     {
-    template <>
-    struct convert<std::chrono::milliseconds> {
-        const msgpack::object &operator()(const msgpack::object &object, std::chrono::milliseconds &value) const
+    /// A duration travels as the count of its own unit.
+    template <typename Rep, typename Period>
+    struct convert<std::chrono::duration<Rep, Period>> {
+        const msgpack::object &operator()(const msgpack::object &object,
+                                          std::chrono::duration<Rep, Period> &value) const
         {
-            value = std::chrono::milliseconds(object.as<std::int64_t>());
+            value = std::chrono::duration<Rep, Period>(object.as<Rep>());
             return object;
         }
     };
-    template <>
-    struct pack<std::chrono::milliseconds> {
+    template <typename Rep, typename Period>
+    struct pack<std::chrono::duration<Rep, Period>> {
         template <typename Stream>
-        packer<Stream> &operator()(packer<Stream> &packer, const std::chrono::milliseconds &value) const
+        packer<Stream> &operator()(packer<Stream> &packer, const std::chrono::duration<Rep, Period> &value) const
         {
-            return packer.pack(static_cast<std::int64_t>(value.count()));
+            return packer.pack(value.count());
         }
     };
     } // namespace adaptor
--- a/src/protocol/routing_messages.h
+++ b/src/protocol/routing_messages.h
@@ -13,32 +13,6 @@
 YW_MSGPACK_ENUM(yuccawheel::routing::UpstreamState, yuccawheel::routing::UpstreamState::Leaving)
 YW_MSGPACK_ENUM(yuccawheel::routing::ShareMessageKind, yuccawheel::routing::ShareMessageKind::Farewell)
 
-namespace msgpack
-{
-MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
-{
-    namespace adaptor
-    {
-    template <>
-    struct convert<std::chrono::nanoseconds> {
-        const msgpack::object &operator()(const msgpack::object &object, std::chrono::nanoseconds &value) const
-        {
-            value = std::chrono::nanoseconds(object.as<std::int64_t>());
-            return object;
-        }
-    };
-    template <>
-    struct pack<std::chrono::nanoseconds> {
-        template <typename Stream>
-        packer<Stream> &operator()(packer<Stream> &packer, const std::chrono::nanoseconds &value) const
-        {
-            return packer.pack(static_cast<std::int64_t>(value.count()));
-        }
-    };
-    } // namespace adaptor
-}
-} // namespace msgpack
-
 YW_MSGPACK_ENUM(yuccawheel::routing::KeyMessageKind, yuccawheel::routing::KeyMessageKind::Copy)
 YW_MSGPACK_ENUM(yuccawheel::routing::KeyStatus, yuccawheel::routing::KeyStatus::Refused)
 
--- a/src/store/store_queries.cpp
+++ b/src/store/store_queries.cpp
@@ -1,5 +1,6 @@
 // Answers to operators' questions, as JSON.
 
+#include "placement/resources_json.h"
 #include "settings/document_json.h"
 #include "store/store_core.h"
 
@@ -19,11 +20,6 @@
 
 constexpr std::size_t MaxJobsListed = 5'000;
 
-json toJson(const placement::Resources &amount)
-{
-    return {{"milli_cpu", amount.milliCpu}, {"memory_mib", amount.memoryMib}, {"accelerators", amount.accelerators}};
-}
-
 std::string_view kindName(placement::JobKind kind)
 {
     switch (kind) {
@@ -64,7 +60,7 @@
             {"state", stateName(record)},
             {"verdict", base::toString(record.verdict())},
             {"tasks", record.spec.tasks},
-            {"resources", toJson(record.spec.perTask)},
+            {"resources", record.spec.perTask},
             {"priority", record.spec.priority},
             {"urgent", record.spec.urgent},
             {"repeatable", record.spec.repeatable},
@@ -211,8 +207,8 @@
                          {"epoch", owner == nullptr ? 0 : owner->epoch},
                          {"silent_ms", silent.count()},
                          {"workers", status.summary.workers},
-                         {"capacity", toJson(status.summary.capacity)},
-                         {"reserved", toJson(status.summary.reserved)}});
+                         {"capacity", status.summary.capacity},
+                         {"reserved", status.summary.reserved}});
     }
     return json{{"leader", nodeName(replica_.log().self().node)},
                 {"term", replica_.log().term()},
