The counting stand-in sends its answer without waiting for an acknowledgement

Cause: a keyed request through an entry took 64 ms at an upstream that answers in 20 ms, and 8 callers reached 36 requests a second. Ruled out: the key's way through the log (repeatable requests took the same), the proxy's sockets (both sides have no delay set). The stand-in wrote head and body apart with Nagle's algorithm on: 40 ms of delayed acknowledgement. No functional change of the product.

--- a/tests/load.py
+++ b/tests/load.py
@@ -43,6 +43,7 @@
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
 
             def do_POST(self):
                 self.rfile.read(int(self.headers.get("Content-Length", 0)))
