A configuration change carries only what it touches

Cause: each change sent all teams and services to every daemon: 16 + 19.0 bytes a team, 14.8 KB at 780 teams, which broke the 7 KB/s of a store. Now the state machine names the changed objects and the update carries those: 35 bytes for one team at any number of teams (yw-bench scale).

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -224,13 +224,26 @@
     return cost;
 }
 
-/// Size of a configuration change as each watching daemon receives it.
+/// Size of a change of one team's quota, among `teams` in force, as each watching daemon receives it.
 double configurationUpdateBytes(const Size &size)
 {
-    protocol::StateUpdate update;
-    update.configurationChanged = true;
+    store::ClusterState state;
+    store::SubmissionEntry all;
+    all.submit.submission = "all";
+    all.submit.expectedVersion = 0;
     for (std::uint32_t team = 0; team < size.teams; ++team) {
-        update.teams.push_back({fmt::format("team-{:04}", team), {8'000, 32'768, 0}});
+        all.submit.teams.push_back({fmt::format("team-{:04}", team), {8'000, 32'768, 0}});
+    }
+    state.apply(1, store::LogEntry{all});
+    store::SubmissionEntry one = all;
+    one.submit.submission = "one";
+    one.submit.expectedVersion = 1;
+    one.submit.teams.resize(1);
+    const store::StateChange change = state.apply(2, store::LogEntry{one}).change;
+    protocol::StateUpdate update;
+    update.configurationChanged = change.configuration;
+    for (const std::string &team : change.teams) {
+        update.teams.push_back(state.teams().at(team));
     }
     return static_cast<double>(protocol::encode(update).size());
 }
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -170,7 +170,7 @@
                                                        }
                                                    });
                                                });
-    pushToPlanner(placement::QuotasChanged{quotas_});
+    pushToPlanner(quotas());
     for (auto &[job, share] : shares_) {
         share.detached = false;
         assignToPlanner(share);
--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,8 @@
 
     // State from the log.
     void onUpdate(const protocol::StateUpdate &update);
+    void applyQuotas(const protocol::StateUpdate &update);
+    placement::QuotasChanged quotas() const;
     void onOwner(const protocol::ZoneOwner &owner);
     void dropUnnamed(const protocol::StateUpdate &update);
     void assign(const protocol::ShareAssignment &assignment);
@@ -93,7 +96,7 @@
     std::unique_ptr<PlannerThread> planner_; ///< There while this process owns the zone.
     std::deque<PlannerInput> backlog_; ///< State from the log that found the planner's ring full.
     std::unordered_map<placement::JobId, Share> shares_;
-    std::vector<placement::TeamQuota> quotas_;
+    std::map<std::string, placement::TeamQuota> quotas_; ///< By team.
     std::vector<std::string> roster_;
     std::optional<protocol::ZoneOwner> knownOwner_;
     protocol::ZoneOwner self_;
--- a/src/programs/yw_scheduler/state_from_log.cpp
+++ b/src/programs/yw_scheduler/state_from_log.cpp
@@ -25,8 +25,7 @@
 void SchedulerService::onUpdate(const protocol::StateUpdate &update)
 {
     if (update.full || update.configurationChanged) {
-        quotas_ = update.teams;
-        pushToPlanner(placement::QuotasChanged{quotas_});
+        applyQuotas(update);
         base::logInfo("configuration_applied").with("version", update.configurationVersion);
     }
     if (update.full || update.workersChanged) {
@@ -49,6 +48,33 @@
     }
 }
 
+// A full state replaces the quotas; a change names the teams that it touches.
+void SchedulerService::applyQuotas(const protocol::StateUpdate &update)
+{
+    if (update.full) {
+        quotas_.clear();
+    }
+    for (const placement::TeamQuota &quota : update.teams) {
+        quotas_[quota.team] = quota;
+    }
+    for (const std::string &team : update.removedTeams) {
+        quotas_.erase(team);
+    }
+    if (update.full || !update.teams.empty() || !update.removedTeams.empty()) {
+        pushToPlanner(quotas());
+    }
+}
+
+placement::QuotasChanged SchedulerService::quotas() const
+{
+    placement::QuotasChanged changed;
+    changed.quotas.reserve(quotas_.size());
+    for (const auto &[team, quota] : quotas_) {
+        changed.quotas.push_back(quota);
+    }
+    return changed;
+}
+
 void SchedulerService::onOwner(const protocol::ZoneOwner &owner)
 {
     knownOwner_ = owner;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -235,8 +235,10 @@
     bool last = true; ///< False if further parts of the same full state follow.
     std::uint64_t configurationVersion = 0;
     bool configurationChanged = false;
-    std::vector<placement::TeamQuota> teams;
-    std::vector<NamedJob> services;
+    std::vector<placement::TeamQuota> teams; ///< Added or replaced; in a full update, all.
+    std::vector<std::string> removedTeams;
+    std::vector<NamedJob> services; ///< Added or replaced; in a full update, all.
+    std::vector<std::string> removedServices;
     std::vector<ShareAssignment> assigned;
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> dropped;
@@ -250,7 +252,9 @@
                    configurationVersion,
                    configurationChanged,
                    teams,
+                   removedTeams,
                    services,
+                   removedServices,
                    assigned,
                    cancelled,
                    dropped,
--- a/src/store/cluster_state.cpp
+++ b/src/store/cluster_state.cpp
@@ -168,15 +168,18 @@
     change.configuration = true;
     for (const std::string &team : entry.submit.removedTeams) {
         data_.teams.erase(team);
+        change.teams.push_back(team);
     }
     for (const placement::TeamQuota &team : entry.submit.teams) {
         data_.teams[team.team] = team;
+        change.teams.push_back(team.team);
     }
     for (const std::string &service : entry.submit.removedServices) {
         const auto found = data_.services.find(service);
         if (found != data_.services.end()) {
             cancelRecord(data_.jobs.at(found->second), entry.acceptedAt, change);
             data_.services.erase(found);
+            change.services.push_back(service);
         }
     }
     for (std::size_t i = 0; i < entry.submit.services.size(); ++i) {
@@ -189,6 +192,7 @@
             }
             cancelRecord(current, entry.acceptedAt, change);
         }
+        change.services.push_back(spec.name);
         data_.services[spec.name] = addJob(spec, entry.serviceShares.at(i), entry.acceptedAt, change);
     }
 }
--- a/src/store/cluster_state.h
+++ b/src/store/cluster_state.h
@@ -50,6 +50,8 @@
 /// What an applied entry changed, for those that watch.
 struct StateChange {
     bool configuration = false;
+    std::vector<std::string> teams; ///< Names added, replaced or removed.
+    std::vector<std::string> services; ///< Names added, replaced or removed.
     std::vector<placement::JobId> assigned; ///< New, or with changed shares.
     std::vector<placement::JobId> cancelled;
     std::vector<placement::JobId> forgotten;
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -128,6 +128,7 @@
     void sendFullState(ClientId client, const std::string &zone);
     static void addAssignment(const JobRecord &record, const std::string &zone, protocol::StateUpdate &update);
     void describeConfiguration(protocol::StateUpdate &update) const;
+    void describeChanges(const StateChange &change, protocol::StateUpdate &update) const;
     void load(const std::string &snapshot);
 
     // What the leader does by itself.
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -26,6 +26,28 @@
     }
 }
 
+// Only what changed: all teams with each change would be most of a daemon's messages at the size of the aim.
+void StoreCore::describeChanges(const StateChange &change, protocol::StateUpdate &update) const
+{
+    update.configurationChanged = true;
+    for (const std::string &name : change.teams) {
+        const auto team = state_.teams().find(name);
+        if (team == state_.teams().end()) {
+            update.removedTeams.push_back(name);
+        } else {
+            update.teams.push_back(team->second);
+        }
+    }
+    for (const std::string &name : change.services) {
+        const auto service = state_.services().find(name);
+        if (service == state_.services().end()) {
+            update.removedServices.push_back(name);
+        } else {
+            update.services.push_back({name, service->second});
+        }
+    }
+}
+
 // The zone's ranges are joined into one; what lies between them counts as finished there.
 void StoreCore::addAssignment(const JobRecord &record, const std::string &zone, protocol::StateUpdate &update)
 {
@@ -52,7 +74,7 @@
     update.index = state_.index();
     update.configurationVersion = state_.configurationVersion();
     if (change.configuration) {
-        describeConfiguration(update);
+        describeChanges(change, update);
     }
     for (const placement::JobId job : change.assigned) {
         const JobRecord *const record = state_.findJob(job);
