Progress that waits for the log stays bounded

Cause: while a zone is cut off, a worker that is not on the roster added its name with each poll, and each poll with reports added a mark; both lists grew for as long as the cut lasted. No functional change otherwise.

--- a/src/programs/yw_scheduler/progress_log.cpp
+++ b/src/programs/yw_scheduler/progress_log.cpp
@@ -2,23 +2,9 @@
 
 #include "base/invariant.h"
 
-#include <iterator>
-
 namespace yuccawheel::scheduler
 {
 
-namespace
-{
-
-template <typename Item>
-void appendAll(std::vector<Item> &target, std::vector<Item> &source)
-{
-    target.insert(target.end(), std::make_move_iterator(source.begin()), std::make_move_iterator(source.end()));
-    source.clear();
-}
-
-} // namespace
-
 protocol::JobProgress &ProgressLog::progressOf(placement::JobId job)
 {
     protocol::JobProgress &progress = collecting_.progress[job];
@@ -55,17 +41,17 @@
 
 void ProgressLog::addJoined(const std::string &worker)
 {
-    collecting_.joined.push_back(worker);
+    collecting_.joined.insert(worker);
 }
 
 void ProgressLog::addLeft(const std::string &worker)
 {
-    collecting_.left.push_back(worker);
+    collecting_.left.insert(worker);
 }
 
 void ProgressLog::addMark(const PollMark &mark)
 {
-    collecting_.marks.push_back(mark);
+    collecting_.marks[mark.worker] = mark;
 }
 
 void ProgressLog::fill(protocol::RenewZone &request)
@@ -81,16 +67,18 @@
         target.notRun.insert(progress.notRun);
         target.mayHaveRun.insert(progress.mayHaveRun);
     }
-    appendAll(sent_.joined, collecting_.joined);
-    appendAll(sent_.left, collecting_.left);
-    appendAll(sent_.starts, collecting_.starts);
-    appendAll(sent_.marks, collecting_.marks);
+    sent_.joined.merge(collecting_.joined);
+    sent_.left.merge(collecting_.left);
+    sent_.starts.insert(sent_.starts.end(), collecting_.starts.begin(), collecting_.starts.end());
+    for (const auto &[worker, mark] : collecting_.marks) {
+        sent_.marks[worker] = mark;
+    }
     collecting_ = {};
     for (const auto &[job, progress] : sent_.progress) {
         request.progress.push_back(progress);
     }
-    request.joinedWorkers = sent_.joined;
-    request.leftWorkers = sent_.left;
+    request.joinedWorkers.assign(sent_.joined.begin(), sent_.joined.end());
+    request.leftWorkers.assign(sent_.left.begin(), sent_.left.end());
 }
 
 ProgressLog::Agreed ProgressLog::committed()
--- a/src/programs/yw_scheduler/progress_log.h
+++ b/src/programs/yw_scheduler/progress_log.h
@@ -5,8 +5,8 @@
 #include "protocol/messages.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,8 +34,8 @@
     /// What may happen now that a batch was agreed on.
     struct Agreed {
         std::vector<HeldStart> starts;
-        std::vector<PollMark> marks;
-        std::vector<std::string> joined;
+        std::map<placement::WorkerId, PollMark> marks;
+        std::set<std::string> joined;
     };
 
     bool sending() const
@@ -56,10 +56,10 @@
 private:
     struct Batch {
         std::map<placement::JobId, protocol::JobProgress> progress;
-        std::vector<std::string> joined;
-        std::vector<std::string> left;
+        std::set<std::string> joined;
+        std::set<std::string> left;
         std::vector<HeldStart> starts;
-        std::vector<PollMark> marks;
+        std::map<placement::WorkerId, PollMark> marks; ///< The latest of each worker: it covers the earlier ones.
 
         bool empty() const
         {
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -230,7 +230,7 @@
     for (const ProgressLog::HeldStart &held : agreed.starts) {
         hub_.execute(held.start, held.session);
     }
-    for (const PollMark &mark : agreed.marks) {
+    for (const auto &[worker, mark] : agreed.marks) {
         hub_.acknowledge(mark.worker, mark.session, mark.sequence);
     }
     for (const std::string &worker : agreed.joined) {
