--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -189,12 +189,6 @@
     return addresses;
 }
 
-std::optional<asio::ip::tcp::endpoint> parseAddress(std::string_view text)
-{
-    const auto endpoint = settings::parseEndpoint(text);
-    return endpoint ? std::optional(toAsio(*endpoint)) : std::nullopt;
-}
-
 int run(int argc,
         char **argv,
         settings::Program program,
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -71,7 +71,5 @@
 boost::asio::ip::tcp::endpoint toAsio(const settings::Endpoint &endpoint);
 /// Addresses of the inner protocol of some peers.
 std::vector<boost::asio::ip::tcp::endpoint> addressesOf(const std::vector<settings::Peer> &peers);
-/// Parses an address that a process of the cluster sent; nothing if it is malformed.
-std::optional<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text);
 
 } // namespace yuccawheel::daemon
--- a/src/programs/yw_scheduler/state_from_log.cpp
+++ b/src/programs/yw_scheduler/state_from_log.cpp
@@ -15,11 +15,6 @@
 /// Attempt numbers of one owner; each owner of a zone has a block of its own.
 constexpr std::uint32_t AttemptsPerOwner = 1U << 16U;
 
-std::uint64_t shareKey(const protocol::ShareAssignment &assignment)
-{
-    return assignment.assignedAt;
-}
-
 } // namespace
 
 void SchedulerService::onUpdate(const protocol::StateUpdate &update)
@@ -107,7 +102,7 @@
 void SchedulerService::assign(const protocol::ShareAssignment &assignment)
 {
     const auto found = shares_.find(assignment.spec.id);
-    if (found != shares_.end() && shareKey(found->second.assignment) == shareKey(assignment)) {
+    if (found != shares_.end() && found->second.assignment.assignedAt == assignment.assignedAt) {
         found->second.assignment = assignment;
         return;
     }
