Relays of a test cluster take no port of its daemons

The ports of a VM's daemons are picked and released before these start. Relays are made while the settings are written and listened at a port of the system's choice on the same address, so that one of them could take a port that a daemon was to get. Ruled out: outgoing connections (their source is 127.0.0.1 even towards other addresses of loopback); another daemon of the same VM (all its ports are held at once while they are picked). Relays and stand-ins of upstreams listen on addresses of their own; a cluster holds a claim on its part of loopback, so that two that run at once can't draw the same one. No functional change.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,6 +1,7 @@
 """Whole-process clusters on loopback for tests and the demo: settings, start, readiness, faults, stop by pid."""
 
 import atexit
+import errno
 import http.client
 import itertools
 import json
@@ -24,6 +25,10 @@
 OVERALL_TIMEOUT_S = 120
 POLL_S = 0.05
 TOKEN = "loopback-token-for-tests"
+RELAY_HOST = 252  # Last byte of the address on which relays listen.
+FAKE_HOST = 253  # Last byte of the address on which stand-ins listen.
+CLAIM_HOST = 254  # Last byte of the address that marks a part of 127.0.0.0/8 as taken.
+CLAIM_PORT = 20000
 
 
 def wait_until(condition, what, timeout=OVERALL_TIMEOUT_S):
@@ -122,14 +127,27 @@
     return addresses
 
 
+def claim_network():
+    """Takes a random part of 127.0.0.0/8 that no other cluster has. Returns its first three bytes and the socket that
+    holds the claim until it is closed."""
+    while True:
+        network = f"127.{random.randrange(1, 255)}.{random.randrange(0, 255)}"
+        try:
+            return network, socket.create_server((f"{network}.{CLAIM_HOST}", CLAIM_PORT))
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+
+
 def text(address):
     return f"{address[0]}:{address[1]}"
 
 
 class Cluster:
     """Daemons of some zones. `zones` maps a zone to its number of VMs; the first VM of each zone in `stores` has a
-    disk. With `relays`, zones reach each other through relays that `cut` can silence. Every cluster takes a random
-    part of 127.0.0.0/8 for itself, so clusters don't meet."""
+    disk. With `relays`, zones reach each other through relays that `cut` can silence. Every cluster takes a
+    part of 127.0.0.0/8 for itself, so clusters don't meet. The ports of its daemons are picked before these start, so
+    whatever else listens at a port of the system's choice does so on an address of its own."""
 
     def __init__(self, zones=None, stores=None, relays=False, settings=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yuccawheel-"))
@@ -141,7 +159,8 @@
         self.journal = self.folder / "journal.txt"
         self._links = {}
         self._relays = relays
-        self._net = f"127.{random.randrange(1, 255)}.{random.randrange(0, 255)}"
+        self._net, self._claim = claim_network()
+        self.fake_ip = f"{self._net}.{FAKE_HOST}"
         numbers = itertools.count(1)
         store_zones = list(self.zones) if stores is None else stores
         for zone, count in self.zones.items():
@@ -169,7 +188,7 @@
             return text(vm.address[kind])
         key = (zone, vm.name, kind)
         if key not in self._links:
-            self._links[key] = Relay((vm.ip, 0), vm.address[kind])
+            self._links[key] = Relay((f"{self._net}.{RELAY_HOST}", 0), vm.address[kind])
         return text(self._links[key].address)
 
     def _peers(self, zone, role):
@@ -302,6 +321,7 @@
                 process.kill()
         for link in self._links.values():
             link.close()
+        self._claim.close()
         if "YW_KEEP_LOGS" not in os.environ:
             shutil.rmtree(self.folder, ignore_errors=True)
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -23,7 +23,7 @@
         self._entries = [vm.address["upstream"] for vm in cluster.vms if vm.zone == zone]
         self._lock = threading.Lock()
         self._stopped = threading.Event()
-        address = free_addresses(cluster.vms[0].ip, 1)[0]
+        address = free_addresses(cluster.fake_ip, 1)[0]
         self._announcement = {
             "executor": f"e-{zone}", "incarnation": 1, "address": text(address), "slots": 8, "connections": 64,
             "services": [service], "state": "serving",
