Documents are counted one by one, so that no text makes the parser run on

Cause: the fuzz target of operators' documents didn't end on ', x: }'. YAML::LoadAll finds one empty document after another in such a text without reading on; an entry that got it would have used all memory of its VM. Ruled out: aliases and depth (limited already), invalid bytes (the text is plain ASCII). After: at most two documents are looked for; the text is refused as more than one document. No functional change for any text that was accepted.

--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -3,11 +3,14 @@
 #include "base/scope_guard.h"
 
 #include <fmt/core.h>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/parser.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <sstream>
 
 namespace yuccawheel::settings
 {
@@ -51,22 +54,74 @@
     return "nothing";
 }
 
+/// Takes a document's events and keeps nothing of them.
+class NullHandler : public YAML::EventHandler
+{
+public:
+    void OnDocumentStart(const YAML::Mark & /*mark*/) override
+    {
+    }
+    void OnDocumentEnd() override
+    {
+    }
+    void OnNull(const YAML::Mark & /*mark*/, YAML::anchor_t /*anchor*/) override
+    {
+    }
+    void OnAlias(const YAML::Mark & /*mark*/, YAML::anchor_t /*anchor*/) override
+    {
+    }
+    void OnScalar(const YAML::Mark & /*mark*/,
+                  const std::string & /*tag*/,
+                  YAML::anchor_t /*anchor*/,
+                  const std::string & /*value*/) override
+    {
+    }
+    void OnSequenceStart(const YAML::Mark & /*mark*/,
+                         const std::string & /*tag*/,
+                         YAML::anchor_t /*anchor*/,
+                         YAML::EmitterStyle::value /*style*/) override
+    {
+    }
+    void OnSequenceEnd() override
+    {
+    }
+    void OnMapStart(const YAML::Mark & /*mark*/,
+                    const std::string & /*tag*/,
+                    YAML::anchor_t /*anchor*/,
+                    YAML::EmitterStyle::value /*style*/) override
+    {
+    }
+    void OnMapEnd() override
+    {
+    }
+};
+
+// YAML::LoadAll never returns from a text such as ", x: }": the parser finds one empty document after another without
+// reading on. So documents are counted one by one, and no further than matters.
+bool hasOneDocumentAtMost(const std::string &text)
+{
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    NullHandler handler;
+    return !parser.HandleNextDocument(handler) || !parser.HandleNextDocument(handler);
+}
+
 } // namespace
 
 tl::expected<YAML::Node, Problem> parseYaml(const std::string &text, const std::string &file)
 {
     try {
-        const std::vector<YAML::Node> documents = YAML::LoadAll(text);
-        if (documents.size() > 1) {
-            return tl::unexpected(Problem{file, 0, "", fmt::format("{} documents", documents.size()), "one document"});
+        if (!hasOneDocumentAtMost(text)) {
+            return tl::unexpected(Problem{file, 0, "", "more than one document", "one document"});
         }
-        if (documents.empty() || documents.front().IsNull()) {
+        const YAML::Node document = YAML::Load(text);
+        if (document.IsNull()) {
             return YAML::Node(YAML::NodeType::Map);
         }
-        if (!documents.front().IsMap()) {
-            return tl::unexpected(Problem{file, 1, "", describe(documents.front()), "a mapping"});
+        if (!document.IsMap()) {
+            return tl::unexpected(Problem{file, 1, "", describe(document), "a mapping"});
         }
-        return documents.front();
+        return document;
     } catch (const YAML::Exception &exception) {
         return tl::unexpected(Problem{file, lineNumber(exception.mark), "", exception.msg, "well-formed YAML"});
     } catch (const std::exception &exception) {
--- a/tests/settings_document_test.cpp
+++ b/tests/settings_document_test.cpp
@@ -118,6 +118,15 @@
     EXPECT_EQ(document->removedTeams, std::vector<std::string>{"gone"});
 }
 
+TEST(Document, textThatIsNotOneDocumentIsRefused)
+{
+    for (const char *text : {", x: }", "teams: []\n---\nteams: []\n"}) {
+        const auto document = parseDocument(text, "input");
+        ASSERT_FALSE(document) << text;
+        EXPECT_EQ(document.error().front().allowed, "one document") << text;
+    }
+}
+
 TEST(Document, allFaultsAreNamedAtOnce)
 {
     EXPECT_EQ(faults(with("tasks: 40", "tasks: 0") + "servces: []\n"), "14 batch[0].tasks; 28 ");
