Amounts and counters in a worker's poll must be whole numbers

Cause: the fuzz target of workers' polls, under the undefined-behaviour sanitizer: an amount of 1.05e29 was converted to an integer, which is undefined. A negative incarnation was taken for a huge one, after which no poll of that worker was new enough. Ruled out: announcements of upstreams (they ask for unsigned numbers already). No functional change for polls that follow docs/protocols.md.

--- a/src/programs/yw_scheduler/worker_protocol.cpp
+++ b/src/programs/yw_scheduler/worker_protocol.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <limits>
 
 namespace yuccawheel::scheduler
 {
@@ -17,7 +18,8 @@
 
 constexpr std::chrono::milliseconds MaxWait{10'000};
 constexpr std::size_t MaxRackName = 64;
-constexpr std::int64_t MaxAmount = std::int64_t{1} << 40U;
+constexpr std::uint64_t MaxAmount = std::uint64_t{1} << 40U;
+constexpr std::uint64_t MaxCounter = std::numeric_limits<std::uint64_t>::max();
 
 constexpr std::array<std::pair<std::string_view, placement::TaskState>, 6> StateNames{{
     {"running", placement::TaskState::Running},
@@ -46,13 +48,25 @@
     throw std::invalid_argument(message);
 }
 
-std::int64_t amount(const json &object, const char *key)
+/// Returns a value as JSON, for an error that quotes it.
+std::string text(const json &value)
 {
-    const auto value = object.value(key, std::int64_t{0});
-    if (value < 0 || value > MaxAmount) {
-        refuse(fmt::format("{}: found {}, allowed 0 to {}", key, value, MaxAmount));
+    return value.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+/// Reads a whole number of at most `most`. Other kinds of number are refused: their conversion may be undefined.
+std::uint64_t number(const json &value, const char *key, std::uint64_t most)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most) {
+        refuse(fmt::format("{}: found {}, allowed 0 to {}", key, text(value), most));
     }
-    return value;
+    return value.get<std::uint64_t>();
+}
+
+std::int64_t amount(const json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found == object.end() ? 0 : static_cast<std::int64_t>(number(*found, key, MaxAmount));
 }
 
 placement::Resources parseResources(const json &object)
@@ -91,15 +105,12 @@
     try {
         const json object = json::parse(body);
         Poll poll;
-        poll.incarnation = object.at("incarnation").get<std::uint64_t>();
-        poll.sequence = object.at("sequence").get<std::uint64_t>();
+        poll.incarnation = number(object.at("incarnation"), "incarnation", MaxCounter);
+        poll.sequence = number(object.at("sequence"), "sequence", MaxCounter);
         poll.rack = object.value("rack", std::string());
         poll.capacity = parseResources(object.at("capacity"));
         poll.full = object.value("full", false);
-        poll.wait = std::chrono::milliseconds(object.value("wait_ms", std::int64_t{0}));
-        if (poll.wait.count() < 0 || poll.wait > MaxWait) {
-            refuse(fmt::format("wait_ms: found {}, allowed 0 to {}", poll.wait.count(), MaxWait.count()));
-        }
+        poll.wait = std::chrono::milliseconds(number(object.value("wait_ms", json(0U)), "wait_ms", MaxWait.count()));
         if (poll.rack.size() > MaxRackName) {
             refuse(fmt::format("rack: allowed at most {} bytes", MaxRackName));
         }
