Counts in a message are bounded by its bytes before they are allocated for

Cause: the fuzz target of the log's state: 9 bytes that claim a map of 58 million pairs made the unpacker ask for 4 GB.

--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -6,6 +6,7 @@
 #include <msgpack.hpp>
 #include <tl/expected.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <string_view>
@@ -187,12 +188,19 @@
 template <typename Message>
 tl::expected<Message, DecodeError> decode(std::string_view bytes, Origin origin = Origin::Network)
 {
-    static const msgpack::unpack_limit network(1U << 16U, 1U << 12U, 1U << 23U, 1U << 23U, 1U << 12U, 32);
-    static const msgpack::unpack_limit ownDisk(1U << 26U, 1U << 26U, 1U << 28U, 1U << 28U, 1U << 12U, 32);
+    // An element takes a byte at least, so a count above that of the bytes is refused before it is allocated for.
+    const auto atMost = [&](std::size_t most) {
+        return std::min(most, bytes.size());
+    };
+    const std::size_t maxArray = atMost(origin == Origin::Network ? 1U << 16U : 1U << 26U);
+    const std::size_t maxMap = atMost(origin == Origin::Network ? 1U << 12U : 1U << 26U);
+    const std::size_t maxText = atMost(origin == Origin::Network ? 1U << 23U : 1U << 28U);
+    constexpr std::size_t MaxExtension = 1U << 12U;
+    constexpr std::size_t MaxDepth = 32;
+    const msgpack::unpack_limit limit(maxArray, maxMap, maxText, maxText, MaxExtension, MaxDepth);
     try {
         std::size_t offset = 0;
-        const auto handle = msgpack::unpack(
-            bytes.data(), bytes.size(), offset, nullptr, nullptr, origin == Origin::Network ? network : ownDisk);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size()) {
             return tl::make_unexpected(DecodeError{"bytes after the message"});
         }
