--- /dev/null
+++ b/fuzz/disk_log.cpp
@@ -0,0 +1,56 @@
+// A replica's folder after damage: the newest segment holds any bytes, with or without a sound beginning. The log is
+// recovered or the damage reported, and what was recovered once is recovered again.
+
+#include "coordination/file_log_storage.h"
+#include "coordination/log_record.h"
+#include "fakes/fake_disk.h"
+#include "fuzz/target.h"
+
+#include <string>
+#include <vector>
+
+using namespace yuccawheel;
+using namespace yuccawheel::coordination;
+
+namespace
+{
+
+/// Returns a disk with a small sound log, whose newest segment's name is put into `segment`.
+fakes::FakeDisk soundDisk(std::string &segment)
+{
+    fakes::FakeDisk disk(1);
+    FileLogStorage storage(disk);
+    fuzz::require(storage.recover().has_value());
+    fuzz::require(
+        storage.save(HardState{1, {1, 1}, 1, {1, 1}}, {Entry{1, 1, EntryKind::Application, "a"}}).has_value());
+    const std::vector<std::string> names = disk.list().value();
+    for (const std::string &name : names) {
+        segment = name > segment ? name : segment;
+    }
+    return disk;
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    if (size == 0) {
+        return 0;
+    }
+    std::string segment;
+    fakes::FakeDisk disk = soundDisk(segment);
+    const bool keepsBeginning = data[0] % 2 == 0;
+    auto file = keepsBeginning ? disk.openAppend(segment) : disk.create(segment);
+    fuzz::require(file.has_value() && (*file)->append(fuzz::view(data + 1, size - 1)).has_value());
+    fuzz::require((*file)->sync().has_value() && disk.syncFolder().has_value());
+
+    const auto first = FileLogStorage(disk).recover();
+    if (!first) {
+        fuzz::require(!first.error().detail.empty());
+        return 0;
+    }
+    const auto second = FileLogStorage(disk).recover();
+    fuzz::require(second.has_value() && second->entries == first->entries && second->hardState == first->hardState);
+    fuzz::require(!keepsBeginning || (!first->entries.empty() && first->entries.front().index == 1));
+    return 0;
+}
