Membership of the system's processes: adaptive silence, incarnations, leaving

Cause: a connection was given up after a fixed 3 s without a byte, whatever its rhythm; the detector and the membership of src/coordination were proved in tests and used nowhere. The incarnation in the handshake was not looked at, so a process that was replaced while paused could go on talking. The heartbeat setting had no effect on connections between processes.

A channel now learns the gaps between heartbeats (coordination::HeartbeatRhythm, taken out of FailureDetector) and closes after mean + 6 mean deviations, between the new settings peer_timeout_min (1.5 s) and peer_timeout_max (5 s). protocol::Members keeps a coordination::Membership of who has connected: earlier incarnations are closed and refused while the later one lives, and a process that stops says Leave after its drain. A process that was itself paused gives the others one heartbeat before it judges. Channel::isOpen had no caller and is gone.

Ruled out: an earlier incarnation refused for ever (a wall clock set back would lock a process out); the shortest gaps as samples (a burst would make the rhythm look fast).

--- a/src/coordination/failure_detector.h
+++ b/src/coordination/failure_detector.h
@@ -2,8 +2,8 @@
 
 #include "base/clock.h"
 #include "coordination/epoch.h"
+#include "coordination/heartbeat_rhythm.h"
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,13 +11,6 @@
 namespace yuccawheel::coordination
 {
 
-struct DetectorSettings {
-    std::chrono::milliseconds expectedInterval{500}; ///< Between heartbeats, until some were seen.
-    std::chrono::milliseconds minTimeout{1'000};
-    std::chrono::milliseconds maxTimeout{5'000};
-    int deviations = 6; ///< Mean deviations of the interval that the timeout allows for.
-};
-
 /// Suspects a process whose heartbeats stay out for longer than their own rhythm explains. A connection being open
 /// counts for nothing.
 class FailureDetector
@@ -38,17 +31,14 @@
     void forget(std::uint32_t node);
 
 private:
-    struct Rhythm {
+    struct Heard {
         std::uint64_t incarnation = 0;
         base::TimePoint last{};
-        base::Duration mean{};
-        base::Duration deviation{};
+        HeartbeatRhythm rhythm;
     };
 
-    base::Duration timeout(const Rhythm &rhythm) const;
-
     DetectorSettings settings_;
-    std::map<std::uint32_t, Rhythm> rhythms_;
+    std::map<std::uint32_t, Heard> heard_;
 };
 
 } // namespace yuccawheel::coordination
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -8,11 +8,17 @@
 Membership::Membership(std::vector<Peer> peers, DetectorSettings settings) : detector_(settings)
 {
     for (Peer &peer : peers) {
-        const std::uint32_t node = peer.node;
-        entries_.emplace(node, Entry{std::move(peer)});
+        add(std::move(peer));
     }
 }
 
+void Membership::add(Peer peer)
+{
+    const std::uint32_t node = peer.node;
+    detector_.forget(node);
+    entries_.insert_or_assign(node, Entry{std::move(peer)});
+}
+
 // A process that is leaving stays so for the rest of its run: its last heartbeats may arrive in any order.
 void Membership::receive(const Heartbeat &heartbeat, base::TimePoint now)
 {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -39,13 +39,16 @@
     PeerState after = PeerState::Unknown;
 };
 
-/// A process's view of the system's own processes. Who exists comes from the settings, who lives from heartbeats.
+/// A process's view of the system's own processes. Who exists comes from the settings or from who has connected, who
+/// lives from heartbeats.
 class Membership
 {
 public:
     Membership(std::vector<Peer> peers, DetectorSettings settings);
 
-    /// Takes a heartbeat. Those of nodes outside the settings and of earlier incarnations are ignored.
+    /// Adds a process that the settings do not name, or forgets what is known of one that they do.
+    void add(Peer peer);
+    /// Takes a heartbeat. Those of unknown nodes and of earlier incarnations are ignored.
     void receive(const Heartbeat &heartbeat, base::TimePoint now);
     /// Brings the states up to date, and returns what has changed since the last call.
     std::vector<PeerChange> review(base::TimePoint now);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -81,6 +81,15 @@
     return protocol::Role::Entry;
 }
 
+coordination::DetectorSettings detectorSettings(const settings::ProcessSettings &settings)
+{
+    coordination::DetectorSettings detector;
+    detector.expectedInterval = settings.heartbeat;
+    detector.minTimeout = settings.peerTimeoutMin;
+    detector.maxTimeout = settings.peerTimeoutMax;
+    return detector;
+}
+
 // Drains at the first signal; ends the process at the second one or at the hard limit.
 class Shutdown
 {
@@ -125,7 +134,7 @@
         });
         service_.drain([this] {
             base::logInfo("drain_finished");
-            context_.io.stop();
+            context_.members.leave([this] { context_.io.stop(); });
         });
     }
 
@@ -155,8 +164,9 @@
     const base::LogWriter log(settings.logLevel);
     base::MetricsRegistry metrics;
     asio::io_context io(1);
-    Context context{
-        io, settings, metrics, {settings.cluster, roleOf(program), settings.node, settings.zone, newIncarnation()}};
+    const protocol::Identity self{settings.cluster, roleOf(program), settings.node, settings.zone, newIncarnation()};
+    protocol::Members members(io, self, detectorSettings(settings));
+    Context context{io, settings, metrics, self, members};
     base::logInfo("started")
         .with("program", name)
         .with("version", YW_VERSION)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "protocol/identity.h"
+#include "protocol/members.h"
 #include "settings/process_settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -32,6 +33,7 @@
     const settings::ProcessSettings &settings;
     base::MetricsRegistry &metrics;
     protocol::Identity self;
+    protocol::Members &members;
 };
 
 /// The work of one program. All calls are on the network thread.
--- a/src/programs/yw_entry/entry_peers.cpp
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -36,11 +36,12 @@
     callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
         onFrame(channel, frame);
     };
-    listener_.emplace(context.io, daemon::toAsio(*context.settings.listen.inner), context.self, std::move(callbacks));
+    listener_.emplace(
+        context.io, daemon::toAsio(*context.settings.listen.inner), context.members, std::move(callbacks));
     for (const settings::Peer &peer : context.settings.entries) {
         if (peer.node != context.self.node) {
             peers_[peer.node] = std::make_unique<protocol::Peer>(
-                context.io, daemon::toAsio(peer.address), context.self, protocol::Peer::Callbacks{});
+                context.io, daemon::toAsio(peer.address), context.members, protocol::Peer::Callbacks{});
         }
     }
     proxy.setPeerSink([this, alive = alive_](std::vector<routing::UpstreamUpdate> updates,
--- a/src/programs/yw_entry/entry_service.cpp
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -85,7 +85,7 @@
     , alive_(std::make_shared<EntryService *>(this))
     , store_(context.io,
              daemon::addressesOf(context.settings.stores),
-             context.self,
+             context.members,
              [](const protocol::StateUpdate &update) {
                  if (update.configurationChanged) {
                      base::logInfo("configuration_applied").with("version", update.configurationVersion);
--- a/src/programs/yw_entry/operator_api.cpp
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -96,7 +96,7 @@
 {
     for (const settings::Peer &peer : context.settings.schedulers) {
         schedulers_.push_back(std::make_unique<protocol::Peer>(
-            context.io, daemon::toAsio(peer.address), context.self, protocol::Peer::Callbacks{}));
+            context.io, daemon::toAsio(peer.address), context.members, protocol::Peer::Callbacks{}));
     }
     server_.emplace(context.io,
                     daemon::toAsio(*context.settings.listen.operators),
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -50,7 +50,7 @@
     , timer_(context.io)
     , store_(context.io,
              daemon::addressesOf(context.settings.stores),
-             context.self,
+             context.members,
              [this](const protocol::StateUpdate &update) { onUpdate(update); })
 {
     const settings::Listeners &listen = context.settings.listen;
@@ -59,7 +59,7 @@
         callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
             handleInner(channel, frame);
         };
-        inner_.emplace(context.io, daemon::toAsio(*listen.inner), context.self, std::move(callbacks));
+        inner_.emplace(context.io, daemon::toAsio(*listen.inner), context.members, std::move(callbacks));
     }
     if (listen.worker) {
         workerServer_.emplace(context.io,
--- a/src/programs/yw_store/store_service.cpp
+++ b/src/programs/yw_store/store_service.cpp
@@ -61,7 +61,8 @@
     callbacks.closed = [this](const protocol::ChannelPtr &channel) {
         onClosed(channel);
     };
-    listener_.emplace(context.io, daemon::toAsio(*context.settings.listen.inner), context.self, std::move(callbacks));
+    listener_.emplace(
+        context.io, daemon::toAsio(*context.settings.listen.inner), context.members, std::move(callbacks));
     connectReplicas();
 }
 
@@ -110,7 +111,7 @@
     for (const settings::Peer &peer : context_.settings.stores) {
         if (peer.node != context_.settings.node) {
             replicas_[nodeNumber(peer.node)] = std::make_unique<protocol::Peer>(
-                context_.io, daemon::toAsio(peer.address), context_.self, protocol::Peer::Callbacks{});
+                context_.io, daemon::toAsio(peer.address), context_.members, protocol::Peer::Callbacks{});
         }
     }
 }
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -1,10 +1,12 @@
 #include "protocol/channel.h"
 
 #include "base/traffic.h"
+#include "protocol/members.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccawheel::protocol
@@ -12,12 +14,15 @@
 
 namespace asio = boost::asio;
 
-Channel::Channel(asio::ip::tcp::socket socket, Identity peer)
+Channel::Channel(asio::ip::tcp::socket socket, Identity peer, Members &members)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
     , peer_(std::move(peer))
-    , lastReceived_(std::chrono::steady_clock::now())
+    , members_(members)
+    , rhythm_(members.settings())
+    , lastReceived_(base::BootClock::now())
     , lastSent_(lastReceived_)
+    , timerDue_(lastReceived_)
 {
     boost::system::error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -26,6 +31,7 @@
 void Channel::start(Callbacks callbacks)
 {
     callbacks_ = std::move(callbacks);
+    members_.opened(shared_from_this());
     readHeader();
     onTimer();
 }
@@ -42,6 +48,7 @@
     encoded.append(header.begin(), header.end());
     encoded.append(frame.payload);
     queuedBytes_ += bytes;
+    lastSent_ = base::BootClock::now();
     base::controlTraffic().sentBytes += bytes;
     queue_.push_back(std::move(encoded));
     if (!writing_) {
@@ -61,6 +68,7 @@
     socket_.close(ignored);
     // The callbacks often hold a pointer to this channel, so they are released with the connection.
     const auto callbacks = std::exchange(callbacks_, {});
+    members_.closed(shared_from_this());
     if (callbacks.closed) {
         callbacks.closed(shared_from_this(), reason);
     }
@@ -75,7 +83,7 @@
                              self->close(error.message());
                              return;
                          }
-                         self->lastReceived_ = std::chrono::steady_clock::now();
+                         self->onReceived();
                          const auto header = decodeHeader(self->readBuffer_);
                          if (!header || header->payloadBytes > MaxPayloadBytes) {
                              self->close("malformed frame header");
@@ -96,9 +104,12 @@
                              self->close(error ? error.message() : "closed");
                              return;
                          }
-                         self->lastReceived_ = std::chrono::steady_clock::now();
+                         self->onReceived();
                          base::controlTraffic().receivedBytes += FrameHeaderBytes + pending->payload.size();
-                         if (pending->type != MessageType::Heartbeat && self->callbacks_.frame) {
+                         if (pending->type == MessageType::Leave) {
+                             self->members_.left(self->peer_);
+                             self->close("left");
+                         } else if (pending->type != MessageType::Heartbeat && self->callbacks_.frame) {
                              const auto handler = self->callbacks_.frame;
                              handler(self, std::move(*pending));
                          }
@@ -115,7 +126,6 @@
         return;
     }
     writing_ = true;
-    lastSent_ = std::chrono::steady_clock::now();
     asio::async_write(socket_,
                       asio::buffer(queue_.front()),
                       [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
@@ -129,21 +139,52 @@
                       });
 }
 
-// An open connection proves nothing about the far side: only what arrives does.
+void Channel::onReceived()
+{
+    const base::TimePoint now = base::BootClock::now();
+    longestGap_ = std::max(longestGap_, now - lastReceived_);
+    lastReceived_ = now;
+}
+
+// An open connection proves nothing about the far side: only what arrives does. Between two heartbeats only the longest
+// gap counts, or a burst of messages would make the rhythm look faster than the heartbeats are.
 void Channel::onTimer()
 {
     if (!open_) {
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
-    if (now - lastReceived_ > SilenceLimit) {
+    const base::TimePoint now = base::BootClock::now();
+    forgivePause(now);
+    if (longestGap_ > base::Duration::zero()) {
+        rhythm_.observe(std::exchange(longestGap_, base::Duration::zero()));
+        members_.heard(peer_);
+    }
+    if (now - lastReceived_ >= rhythm_.timeout()) {
         close("silent");
         return;
     }
-    if (now - lastSent_ >= HeartbeatInterval) {
+    if (now - lastSent_ >= members_.settings().expectedInterval) {
         send(Frame{});
     }
-    timer_.expires_after(HeartbeatInterval);
+    startTimer(now);
+}
+
+// A process that was itself paused has yet to read what has arrived meanwhile, so it gives the far side the time of one
+// heartbeat before it judges.
+void Channel::forgivePause(base::TimePoint now)
+{
+    const base::Duration heartbeat = members_.settings().expectedInterval;
+    if (now - timerDue_ < heartbeat) {
+        return;
+    }
+    longestGap_ = base::Duration::zero();
+    lastReceived_ = std::max(lastReceived_, now - rhythm_.timeout() + heartbeat);
+}
+
+void Channel::startTimer(base::TimePoint now)
+{
+    timerDue_ = std::min(lastSent_ + members_.settings().expectedInterval, lastReceived_ + rhythm_.timeout());
+    timer_.expires_after(timerDue_ - now);
     timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         if (const auto self = weak.lock(); self && !error) {
             self->onTimer();
--- a/src/protocol/channel.h
+++ b/src/protocol/channel.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/clock.h"
+#include "coordination/heartbeat_rhythm.h"
 #include "protocol/error.h"
 #include "protocol/frame.h"
 #include "protocol/identity.h"
@@ -17,15 +19,14 @@
 namespace yuccawheel::protocol
 {
 
-inline constexpr std::chrono::milliseconds HeartbeatInterval{500};
-/// A connection on which nothing arrives for this long is closed, open or not.
-inline constexpr std::chrono::milliseconds SilenceLimit{3000};
 inline constexpr std::size_t MaxQueuedBytes = 8U << 20U;
 
 class Channel;
+class Members;
 using ChannelPtr = std::shared_ptr<Channel>;
 
-/// One connection after its handshake: frames in both directions, heartbeats, a bounded send queue.
+/// One connection after its handshake: frames in both directions, heartbeats, a bounded send queue. It is closed when
+/// nothing arrives for longer than the far side's own rhythm explains, or when the far side says that it leaves.
 /// All calls and callbacks are on the io_context's thread.
 class Channel : public std::enable_shared_from_this<Channel>
 {
@@ -35,7 +36,8 @@
         std::function<void(const ChannelPtr &, std::string_view reason)> closed;
     };
 
-    Channel(boost::asio::ip::tcp::socket socket, Identity peer);
+    /// `members` must outlive the channel.
+    Channel(boost::asio::ip::tcp::socket socket, Identity peer, Members &members);
 
     /// Starts reading and the heartbeats.
     void start(Callbacks callbacks);
@@ -63,26 +65,29 @@
     {
         return peer_;
     }
-    bool isOpen() const
-    {
-        return open_;
-    }
 
 private:
     void readHeader();
     void readPayload(Frame frame, std::size_t bytes);
     void writeNext();
+    void onReceived();
     void onTimer();
+    void forgivePause(base::TimePoint now);
+    void startTimer(base::TimePoint now);
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     Identity peer_;
+    Members &members_;
     Callbacks callbacks_;
     FrameHeader readBuffer_{};
     std::deque<std::string> queue_;
     std::size_t queuedBytes_ = 0;
-    std::chrono::steady_clock::time_point lastReceived_;
-    std::chrono::steady_clock::time_point lastSent_;
+    coordination::HeartbeatRhythm rhythm_;
+    base::Duration longestGap_{}; ///< Between arrivals since the timer last ran; zero if nothing has arrived.
+    base::TimePoint lastReceived_;
+    base::TimePoint lastSent_;
+    base::TimePoint timerDue_;
     bool open_ = true;
     bool writing_ = false;
 };
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -21,6 +21,7 @@
     HelloReply = 2,
     Heartbeat = 3,
     Error = 4,
+    Leave = 5,
 
     Submit = 20,
     SubmitReply = 21,
--- a/src/protocol/handshake.cpp
+++ b/src/protocol/handshake.cpp
@@ -19,10 +19,10 @@
 class Handshake : public std::enable_shared_from_this<Handshake>
 {
 public:
-    Handshake(asio::ip::tcp::socket socket, Identity self, HandshakeDone done, HandshakeFailed failed)
+    Handshake(asio::ip::tcp::socket socket, const Members &members, HandshakeDone done, HandshakeFailed failed)
         : socket_(std::move(socket))
         , timer_(socket_.get_executor())
-        , self_(std::move(self))
+        , members_(members)
         , done_(std::move(done))
         , failed_(std::move(failed))
     {
@@ -37,7 +37,7 @@
     void offer()
     {
         startTimer();
-        write(Frame{Hello::Type, FrameKind::Request, 0, encode(Hello{ProtocolVersion, self_})},
+        write(Frame{Hello::Type, FrameKind::Request, 0, encode(Hello{ProtocolVersion, members_.self()})},
               [this] { readFrame(MessageType::HelloReply, [this](std::string_view payload) { onReply(payload); }); });
     }
 
@@ -109,10 +109,10 @@
             reason = "malformed hello: " + hello.error().message;
         } else if (hello->version != ProtocolVersion) {
             reason = fmt::format("protocol version {} instead of {}", hello->version, ProtocolVersion);
-        } else if (hello->identity.cluster != self_.cluster) {
-            reason = "another cluster";
+        } else {
+            reason = refusal(hello->identity);
         }
-        const HelloReply reply{reason.empty(), reason, self_};
+        const HelloReply reply{reason.empty(), reason, members_.self()};
         write(Frame{HelloReply::Type, FrameKind::Response, 0, encode(reply)}, [this, reason, hello] {
             if (reason.empty()) {
                 succeed(hello->identity);
@@ -129,13 +129,19 @@
             fail("malformed answer: " + reply.error().message);
         } else if (!reply->accepted) {
             fail("refused: " + reply->reason);
-        } else if (reply->identity.cluster != self_.cluster) {
-            fail("another cluster");
+        } else if (const std::string reason = refusal(reply->identity); !reason.empty()) {
+            fail(reason);
         } else {
             succeed(reply->identity);
         }
     }
 
+    // Returns why the far side is refused, or an empty string.
+    std::string refusal(const Identity &peer) const
+    {
+        return peer.cluster == members_.self().cluster ? members_.refusal(peer).value_or("") : "another cluster";
+    }
+
     void succeed(const Identity &peer)
     {
         timer_.cancel();
@@ -158,7 +164,7 @@
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    Identity self_;
+    const Members &members_;
     HandshakeDone done_;
     HandshakeFailed failed_;
     FrameHeader header_{};
@@ -168,14 +174,14 @@
 
 } // namespace
 
-void acceptHandshake(asio::ip::tcp::socket socket, Identity self, HandshakeDone done, HandshakeFailed failed)
+void acceptHandshake(asio::ip::tcp::socket socket, const Members &members, HandshakeDone done, HandshakeFailed failed)
 {
-    std::make_shared<Handshake>(std::move(socket), std::move(self), std::move(done), std::move(failed))->accept();
+    std::make_shared<Handshake>(std::move(socket), members, std::move(done), std::move(failed))->accept();
 }
 
-void offerHandshake(asio::ip::tcp::socket socket, Identity self, HandshakeDone done, HandshakeFailed failed)
+void offerHandshake(asio::ip::tcp::socket socket, const Members &members, HandshakeDone done, HandshakeFailed failed)
 {
-    std::make_shared<Handshake>(std::move(socket), std::move(self), std::move(done), std::move(failed))->offer();
+    std::make_shared<Handshake>(std::move(socket), members, std::move(done), std::move(failed))->offer();
 }
 
 } // namespace yuccawheel::protocol
--- a/src/protocol/listener.cpp
+++ b/src/protocol/listener.cpp
@@ -10,9 +10,9 @@
 
 namespace asio = boost::asio;
 
-Listener::Listener(asio::io_context &io, const asio::ip::tcp::endpoint &address, Identity self, Callbacks callbacks)
+Listener::Listener(asio::io_context &io, const asio::ip::tcp::endpoint &address, Members &members, Callbacks callbacks)
     : acceptor_(io, address)
-    , self_(std::move(self))
+    , members_(members)
     , callbacks_(std::move(callbacks))
     , alive_(std::make_shared<Listener *>(this))
 {
@@ -50,7 +50,7 @@
         if (!error) {
             acceptHandshake(
                 std::move(socket),
-                self->self_,
+                self->members_,
                 [alive](asio::ip::tcp::socket accepted, Identity peer) {
                     if (*alive != nullptr) {
                         (*alive)->onHandshake(std::move(accepted), std::move(peer));
@@ -64,7 +64,7 @@
 
 void Listener::onHandshake(asio::ip::tcp::socket socket, Identity peer)
 {
-    const auto channel = std::make_shared<Channel>(std::move(socket), std::move(peer));
+    const auto channel = std::make_shared<Channel>(std::move(socket), std::move(peer), members_);
     channels_.insert(channel);
     if (callbacks_.opened) {
         callbacks_.opened(channel);
--- a/src/protocol/listener.h
+++ b/src/protocol/listener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/channel.h"
+#include "protocol/members.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,7 +25,7 @@
     /// Throws boost::system::system_error if the address cannot be bound.
     Listener(boost::asio::io_context &io,
              const boost::asio::ip::tcp::endpoint &address,
-             Identity self,
+             Members &members,
              Callbacks callbacks);
     ~Listener();
     Listener(const Listener &) = delete;
@@ -39,7 +40,7 @@
     void onHandshake(boost::asio::ip::tcp::socket socket, Identity peer);
 
     boost::asio::ip::tcp::acceptor acceptor_;
-    Identity self_;
+    Members &members_;
     Callbacks callbacks_;
     std::unordered_set<ChannelPtr> channels_;
     std::shared_ptr<Listener *> alive_;
--- a/src/protocol/peer.cpp
+++ b/src/protocol/peer.cpp
@@ -19,10 +19,10 @@
 
 } // namespace
 
-Peer::Peer(asio::io_context &io, asio::ip::tcp::endpoint address, Identity self, Callbacks callbacks)
+Peer::Peer(asio::io_context &io, asio::ip::tcp::endpoint address, Members &members, Callbacks callbacks)
     : io_(io)
     , address_(std::move(address))
-    , self_(std::move(self))
+    , members_(members)
     , callbacks_(std::move(callbacks))
     , retryTimer_(io)
     , retryDelay_(FirstRetryDelay)
@@ -101,7 +101,7 @@
         }
         offerHandshake(
             std::move(*socket),
-            self->self_,
+            self->members_,
             [alive](asio::ip::tcp::socket ready, Identity identity) {
                 if (*alive != nullptr) {
                     (*alive)->onConnected(std::move(ready), std::move(identity));
@@ -134,7 +134,7 @@
 {
     retryDelay_ = FirstRetryDelay;
     identity_ = identity;
-    channel_ = std::make_shared<Channel>(std::move(socket), std::move(identity));
+    channel_ = std::make_shared<Channel>(std::move(socket), std::move(identity), members_);
     const auto channel = channel_;
     channel->start({[alive = alive_](const ChannelPtr &from, Frame frame) {
                         if (*alive != nullptr) {
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/channel.h"
+#include "protocol/members.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,7 +26,7 @@
         std::function<void()> closed;
     };
 
-    Peer(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint address, Identity self, Callbacks callbacks);
+    Peer(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint address, Members &members, Callbacks callbacks);
     ~Peer();
     Peer(const Peer &) = delete;
     Peer &operator=(const Peer &) = delete;
@@ -106,7 +107,7 @@
 
     boost::asio::io_context &io_;
     boost::asio::ip::tcp::endpoint address_;
-    Identity self_;
+    Members &members_;
     Identity identity_;
     Callbacks callbacks_;
     ChannelPtr channel_;
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t LongestSettingsFile = 1U << 20U;
 // A lease must outlive a few lost heartbeats, or a short network fault would stop healthy tasks.
 constexpr int HeartbeatsPerLease = 4;
+// A heartbeat that is a little late on a busy VM must not count as a failure.
+constexpr int HeartbeatsPerTimeout = 3;
 
 void checkUniqueNodes(const std::vector<Peer> &peers, const std::string &key, Reader &root)
 {
@@ -40,6 +42,16 @@
                                      HeartbeatsPerLease,
                                      formatDuration(settings.heartbeat * HeartbeatsPerLease)));
     }
+    if (settings.peerTimeoutMin < settings.heartbeat * HeartbeatsPerTimeout) {
+        root.reportValue("peer_timeout_min",
+                         fmt::format("at least {} heartbeats, here {}",
+                                     HeartbeatsPerTimeout,
+                                     formatDuration(settings.heartbeat * HeartbeatsPerTimeout)));
+    }
+    if (settings.peerTimeoutMax < settings.peerTimeoutMin) {
+        root.reportValue("peer_timeout_max",
+                         fmt::format("at least peer_timeout_min, here {}", formatDuration(settings.peerTimeoutMin)));
+    }
 }
 
 /// The settings file and the one that it includes, joined into one mapping.
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -58,6 +58,8 @@
     std::string dataDir;
     placement::Objective objective = placement::Objective::Packing;
     std::chrono::milliseconds heartbeat{0};
+    std::chrono::milliseconds peerTimeoutMin{0};
+    std::chrono::milliseconds peerTimeoutMax{0};
     std::chrono::milliseconds lease{0};
     std::chrono::milliseconds drainDelay{0};
     std::chrono::milliseconds drainLimit{0};
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -190,6 +190,20 @@
                "What placement weighs most: waiting time, or how full the busy VMs are."),
         duration(
             "heartbeat", "500ms", 50ms, 10s, &ProcessSettings::heartbeat, "Time between two heartbeats to a peer."),
+        duration("peer_timeout_min",
+                 "1500ms",
+                 150ms,
+                 1min,
+                 &ProcessSettings::peerTimeoutMin,
+                 "Shortest silence after which a peer counts as failed, however regular its heartbeats are. At least "
+                 "three heartbeats."),
+        duration("peer_timeout_max",
+                 "5s",
+                 150ms,
+                 1min,
+                 &ProcessSettings::peerTimeoutMax,
+                 "Longest silence that a peer is allowed, however irregular its heartbeats are. At least "
+                 "peer_timeout_min."),
         duration("lease",
                  "10s",
                  1s,
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -21,10 +21,10 @@
 
 StoreClient::StoreClient(asio::io_context &io,
                          const std::vector<asio::ip::tcp::endpoint> &replicas,
-                         const protocol::Identity &self,
+                         protocol::Members &members,
                          OnUpdate onUpdate)
     : io_(io)
-    , zone_(self.zone)
+    , zone_(members.self().zone)
     , onUpdate_(std::move(onUpdate))
     , leader_(NoReplica)
     , probeTimer_(io)
@@ -38,7 +38,7 @@
         callbacks.closed = [this, i] {
             loseLeader(i);
         };
-        replicas_.push_back(std::make_unique<protocol::Peer>(io, replicas[i], self, std::move(callbacks)));
+        replicas_.push_back(std::make_unique<protocol::Peer>(io, replicas[i], members, std::move(callbacks)));
     }
     probe();
 }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/members.h"
 #include "protocol/messages.h"
 #include "protocol/peer.h"
 
@@ -25,7 +26,7 @@
 
     StoreClient(boost::asio::io_context &io,
                 const std::vector<boost::asio::ip::tcp::endpoint> &replicas,
-                const protocol::Identity &self,
+                protocol::Members &members,
                 OnUpdate onUpdate);
     ~StoreClient();
     StoreClient(const StoreClient &) = delete;
--- /dev/null
+++ b/tests/process_membership_test.py
@@ -0,0 +1,43 @@
+"""What the daemons know of each other: a paused process is suspected, a stopping one says that it leaves."""
+
+import unittest
+
+from cluster import Cluster, wait_until
+
+
+class MembershipTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = Cluster({"a": 1, "b": 1}, stores=["a"])
+        self.addCleanup(self.cluster.stop)
+        self.cluster.start()
+        self.first, self.second = self.cluster.vms
+
+    def wait_state(self, state):
+        """Waits until the first entry's last word on the second one is `state`."""
+        mark = f"event=member_changed node=entry-{self.second.name} "
+
+        def seen():
+            lines = [line for line in self.first.entry.log_text().splitlines() if mark in line]
+            return lines and f"state={state} " in lines[-1]
+
+        wait_until(seen, f"{self.second.name} is {state}")
+
+    def test_paused_entry_is_suspected_and_comes_back(self):
+        self.wait_state("alive")
+        self.second.entry.pause()
+        self.wait_state("suspected")
+        self.assertIn(f"event=peer_closed node=entry-{self.second.name} reason=silent", self.first.entry.log_text())
+        self.second.entry.resume()
+        self.wait_state("alive")
+
+    def test_stopping_entry_says_that_it_leaves(self):
+        self.wait_state("alive")
+        self.assertEqual(self.second.entry.terminate(), 0)
+        self.wait_state("left")
+        self.assertIn(f"event=peer_closed node=entry-{self.second.name} reason=left", self.first.entry.log_text())
+        self.second.entry.start()
+        self.wait_state("alive")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/settings_process_test.cpp
+++ b/tests/settings_process_test.cpp
@@ -111,6 +111,8 @@
     EXPECT_EQ(faults(Valid + "lease: 10\n"), "16 lease");
     EXPECT_EQ(faults(Valid + "lease: 2h\n"), "16 lease");
     EXPECT_EQ(faults(Valid + "lease: 1s\n"), "16 lease");
+    EXPECT_EQ(faults(Valid + "peer_timeout_min: 1s\n"), "16 peer_timeout_min");
+    EXPECT_EQ(faults(Valid + "peer_timeout_max: 1s\n"), "16 peer_timeout_max");
     EXPECT_EQ(faults(Valid + "zone: b\n"), "16 zone");
     EXPECT_EQ(faults(Valid + "drain_limit: 2h\n"), "16 drain_limit");
     EXPECT_EQ(faults(with("address: 127.0.0.1:7400", "address: localhost:7400")), "11 stores[0].address");
