The leading store hands over when it is stopped

Cause: a leader that was stopped ended at once, and the others elected after their timeout: a rolling restart of the stores left the cell without a leader for 1 to 2 s each time.

The leader now hands over first (Ongaro's dissertation, 3.10): it refuses proposals, tells the voter with the longest log to stand for election at once, and ends when that one leads or after 1.5 s. Its request to vote is marked as the leader's wish, since the others refuse elections while they hear a leader (4.2.3). After an election timeout without success the leader takes proposals again.

Ruled out: a shorter election timeout (more elections on a busy VM); leaving the set before the stop (two changes of voters a restart, and a smaller majority meanwhile).

Seen to fail with the mechanism off, one at a time: aLeaderHandsOverToTheVoterWithTheLongestLog (no word to the successor; no exemption from the refusal of votes; the shortest log chosen), both new tests (proposals taken meanwhile). Not proved: with the wait for the leader's own commit off, or the end of a handover after an election timeout, all tests still pass.

--- a/fakes/fake_cluster.cpp
+++ b/fakes/fake_cluster.cpp
@@ -280,6 +280,12 @@
     return leading.replica->removeReplica(log(number).self(), localTime(leading)).has_value();
 }
 
+bool FakeCluster::handOver(std::uint32_t number)
+{
+    Node &node = nodes_.at(number);
+    return node.replica != nullptr && node.replica->handOver(localTime(node));
+}
+
 std::uint32_t FakeCluster::leader() const
 {
     std::uint32_t leader = 0;
--- a/fakes/fake_cluster.h
+++ b/fakes/fake_cluster.h
@@ -56,6 +56,9 @@
     /// Has the leader remove a node's replica from the set. Returns whether it took the request.
     bool remove(std::uint32_t node);
 
+    /// Has the replica hand its leadership over. Returns whether it began to.
+    bool handOver(std::uint32_t node);
+
     void kill(std::uint32_t node);
     void losePower(std::uint32_t node);
     /// Ends the process and empties the disk.
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -15,6 +15,7 @@
     bool preVote = false;
     Index lastIndex = 0;
     Term lastTerm = 0;
+    bool handover = false; ///< The leader itself asked for this election.
 };
 
 struct VoteResponse {
@@ -57,13 +58,18 @@
 struct JoinRequest {
 };
 
+/// Sent by a leader that hands over to the replica that shall lead next.
+struct HandoverRequest {
+};
+
 using MessageBody = std::variant<VoteRequest,
                                  VoteResponse,
                                  AppendRequest,
                                  AppendResponse,
                                  SnapshotChunk,
                                  SnapshotChunkResponse,
-                                 JoinRequest>;
+                                 JoinRequest,
+                                 HandoverRequest>;
 
 /// One message between replicas. It is routed by `to.node`.
 struct Message {
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -82,6 +82,11 @@
     return log_.removeReplica(id, now);
 }
 
+bool Replica::handOver(base::TimePoint now)
+{
+    return log_.handOver(now);
+}
+
 // Messages leave only with what they promise on disk: that is the whole order of this loop.
 StorageResult<ReplicaOutput> Replica::flush(base::TimePoint now)
 {
--- a/src/coordination/replica.h
+++ b/src/coordination/replica.h
@@ -46,6 +46,7 @@
     tl::expected<Position, ProposeError> propose(std::string data);
     tl::expected<void, ProposeError> read(std::uint64_t read);
     tl::expected<Position, ProposeError> removeReplica(ReplicaId id, base::TimePoint now);
+    bool handOver(base::TimePoint now);
 
     /// Saves and syncs what is due, and returns what follows from it. Call it after each batch of the calls above.
     StorageResult<ReplicaOutput> flush(base::TimePoint now);
--- a/src/coordination/replicated_log.cpp
+++ b/src/coordination/replicated_log.cpp
@@ -76,8 +76,12 @@
             reviewReplicas(now);
         }
         if (state_ == State::Leader && now >= nextHeartbeat_) {
+            handoverSent_ = false;
             heartbeat(now);
         }
+        if (handoverUntil_ && now >= *handoverUntil_) {
+            handoverUntil_.reset();
+        }
         return;
     }
     if (now < electionDeadline_) {
@@ -103,6 +107,9 @@
     if (state_ != State::Leader) {
         return tl::unexpected(ProposeError{ProposeFailure::NotLeader, leader_});
     }
+    if (handoverUntil_) {
+        return tl::unexpected(ProposeError{ProposeFailure::HandingOver, self()});
+    }
     if (data.size() > settings_.maxEntryBytes) {
         return tl::unexpected(ProposeError{ProposeFailure::TooLarge, self()});
     }
@@ -138,6 +145,7 @@
             replicate(id, progress);
         }
         releaseReads();
+        continueHandover(now);
     }
     Ready ready;
     if (std::exchange(hardStateDirty_, false)) {
--- a/src/coordination/replicated_log.h
+++ b/src/coordination/replicated_log.h
@@ -65,6 +65,7 @@
     ChangeUnderWay, ///< Not appended: an earlier change of replicas is not committed yet.
     TooLarge, ///< Not appended.
     DiskFull, ///< Not appended: the leader's disk has less than its reserve left.
+    HandingOver, ///< Not appended: the leader hands over to another replica.
     LastVoter, ///< Not appended: a set without voters could never change again.
 };
 
@@ -128,6 +129,11 @@
     /// Removes a replica for good. Only one change of replicas is under way at a time.
     tl::expected<Position, ProposeError> removeReplica(ReplicaId id, base::TimePoint now);
 
+    /// Begins to hand the leadership over to the voter whose log is the longest. Proposals are refused until another
+    /// replica leads, or until an election timeout has passed without that. Returns false if this replica does not
+    /// lead, or is the only voter.
+    bool handOver(base::TimePoint now);
+
     /// Takes what has to be done since the last call. Call `persisted` before the next one.
     Ready takeReady(base::TimePoint now);
     /// Says that everything of the last Ready is on disk and synced.
@@ -199,9 +205,12 @@
     void resetElectionTimer(base::TimePoint now);
     void becomeFollower(Term term, ReplicaId leader, base::TimePoint now);
     void startPreVote(base::TimePoint now);
-    void startElection(base::TimePoint now);
+    void startElection(base::TimePoint now, bool handover);
+    ReplicaId successor(base::TimePoint now) const;
+    void continueHandover(base::TimePoint now);
+    void onHandoverRequest(const Message &message, base::TimePoint now);
     void becomeLeader(base::TimePoint now);
-    void requestVotes(Term term, bool preVote);
+    void requestVotes(const VoteRequest &request, Term term);
     void countVotes(base::TimePoint now);
     bool hearsLeader(base::TimePoint now) const;
     void onVoteRequest(const Message &message, const VoteRequest &request, base::TimePoint now);
@@ -265,6 +274,8 @@
     base::TimePoint nextHeartbeat_{};
     base::TimePoint nextReview_{};
     base::TimePoint nextQuorumCheck_{};
+    std::optional<base::TimePoint> handoverUntil_; ///< Set while the leadership is being handed over.
+    bool handoverSent_ = false; ///< Since the last heartbeat.
     std::set<ReplicaId> votes_;
     std::uint64_t random_ = 0;
 
--- a/src/coordination/replicated_log_election.cpp
+++ b/src/coordination/replicated_log_election.cpp
@@ -34,6 +34,7 @@
     if (state_ == State::Leader) {
         refuseReads();
         progress_.clear();
+        handoverUntil_.reset();
         uncommittedBytes_ = 0;
     }
     state_ = State::Follower;
@@ -50,27 +51,28 @@
     leader_ = ReplicaId{};
     votes_ = {self()};
     resetElectionTimer(now);
-    requestVotes(term() + 1, true);
+    requestVotes(VoteRequest{true, buffer_.lastIndex(), buffer_.lastTerm(), false}, term() + 1);
     countVotes(now);
 }
 
-void ReplicatedLog::startElection(base::TimePoint now)
+void ReplicatedLog::startElection(base::TimePoint now, bool handover)
 {
     state_ = State::Candidate;
+    leader_ = ReplicaId{};
     hardState_.term += 1;
     hardState_.votedFor = self();
     hardStateDirty_ = true;
     votes_ = {self()};
     resetElectionTimer(now);
-    requestVotes(term(), false);
+    requestVotes(VoteRequest{false, buffer_.lastIndex(), buffer_.lastTerm(), handover}, term());
     countVotes(now);
 }
 
-void ReplicatedLog::requestVotes(Term term, bool preVote)
+void ReplicatedLog::requestVotes(const VoteRequest &request, Term term)
 {
     for (const Member &member : replicaSet().members) {
         if (member.voter && member.id != self()) {
-            send(member.id, term, VoteRequest{preVote, buffer_.lastIndex(), buffer_.lastTerm()});
+            send(member.id, term, request);
         }
     }
 }
@@ -81,7 +83,7 @@
         return;
     }
     if (state_ == State::PreCandidate) {
-        startElection(now);
+        startElection(now, false);
     } else {
         becomeLeader(now);
     }
--- a/src/coordination/replicated_log_receive.cpp
+++ b/src/coordination/replicated_log_receive.cpp
@@ -39,6 +39,8 @@
                 onSnapshotChunk(message, body, now);
             } else if constexpr (std::is_same_v<Body, SnapshotChunkResponse>) {
                 onSnapshotResponse(message, body, now);
+            } else if constexpr (std::is_same_v<Body, HandoverRequest>) {
+                onHandoverRequest(message, now);
             }
         },
         message.body);
@@ -78,7 +80,7 @@
         if (request->preVote) {
             return true;
         }
-        if (hearsLeader(now)) {
+        if (hearsLeader(now) && !request->handover) {
             return false;
         }
     }
--- a/src/programs/yw_store/store_service.cpp
+++ b/src/programs/yw_store/store_service.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds HandoverTimeout{1'500};
+constexpr std::chrono::milliseconds HandoverPoll{5};
+
 std::uint32_t randomGeneration()
 {
     std::random_device device;
@@ -50,6 +53,7 @@
     : context_(context)
     , alive_(std::make_shared<StoreService *>(this))
     , thread_(startThread())
+    , drainTimer_(context.io)
 {
     protocol::Listener::Callbacks callbacks;
     callbacks.opened = [this](const protocol::ChannelPtr &channel) {
@@ -122,9 +126,26 @@
                                    : std::optional<std::string>("not a voter yet, or no leader is known");
 }
 
+// A leader that just ended would leave the cell without one for an election timeout.
 void StoreService::drain(std::function<void()> done)
 {
-    done();
+    drainDeadline_ = std::chrono::steady_clock::now() + HandoverTimeout;
+    thread_->tryPush(StoreInput{StoreInput::HandOver{}});
+    awaitHandover(std::move(done));
+}
+
+void StoreService::awaitHandover(std::function<void()> done)
+{
+    if (!thread_->status().leads || std::chrono::steady_clock::now() >= drainDeadline_) {
+        done();
+        return;
+    }
+    drainTimer_.expires_after(HandoverPoll);
+    drainTimer_.async_wait([this, done = std::move(done)](const boost::system::error_code &error) {
+        if (!error) {
+            awaitHandover(done);
+        }
+    });
 }
 
 std::size_t StoreService::inProgress() const
--- a/src/programs/yw_store/store_service.h
+++ b/src/programs/yw_store/store_service.h
@@ -31,6 +31,7 @@
 
 private:
     std::unique_ptr<StoreThread> startThread();
+    void awaitHandover(std::function<void()> done);
     void connectReplicas();
     void onOpened(const protocol::ChannelPtr &channel);
     void onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame);
@@ -46,6 +47,8 @@
     ClientId nextClient_ = 1;
     std::unique_ptr<StoreThread> thread_;
     std::optional<protocol::Listener> listener_;
+    boost::asio::steady_timer drainTimer_;
+    std::chrono::steady_clock::time_point drainDeadline_{};
 };
 
 /// Writes the state of a new cluster, with this replica and those named in the settings, to an empty data folder.
--- a/src/programs/yw_store/store_thread.cpp
+++ b/src/programs/yw_store/store_thread.cpp
@@ -71,8 +71,10 @@
         core_.receive(*message, now);
     } else if (const auto *request = std::get_if<ClientRequest>(&input.what)) {
         core_.request(*request, now, wallNow());
+    } else if (const auto *gone = std::get_if<StoreInput::ClientGone>(&input.what)) {
+        core_.clientGone(gone->client);
     } else {
-        core_.clientGone(std::get<StoreInput::ClientGone>(input.what).client);
+        core_.handOver(now);
     }
 }
 
--- a/src/programs/yw_store/store_thread.h
+++ b/src/programs/yw_store/store_thread.h
@@ -23,7 +23,9 @@
     struct ClientGone {
         ClientId client = 0;
     };
-    std::variant<coordination::Message, ClientRequest, ClientGone> what;
+    struct HandOver {
+    };
+    std::variant<coordination::Message, ClientRequest, ClientGone, HandOver> what;
 };
 
 /// Status for the health page, read by other threads.
--- a/src/store/replication_codec.cpp
+++ b/src/store/replication_codec.cpp
@@ -20,9 +20,9 @@
                   (put(value.index), put(value.term), put(value.replicas), put(value.size), put(value.checksum)),
                   (take(value.index), take(value.term), take(value.replicas), take(value.size), take(value.checksum)))
 YW_MSGPACK_STRUCT(yuccawheel::coordination::VoteRequest,
-                  3,
-                  (put(value.preVote), put(value.lastIndex), put(value.lastTerm)),
-                  (take(value.preVote), take(value.lastIndex), take(value.lastTerm)))
+                  4,
+                  (put(value.preVote), put(value.lastIndex), put(value.lastTerm), put(value.handover)),
+                  (take(value.preVote), take(value.lastIndex), take(value.lastTerm), take(value.handover)))
 YW_MSGPACK_STRUCT(yuccawheel::coordination::VoteResponse,
                   2,
                   (put(value.preVote), put(value.granted)),
@@ -72,6 +72,23 @@
             return packer.pack_nil();
         }
     };
+    template <>
+    struct convert<yuccawheel::coordination::HandoverRequest> {
+        const msgpack::object &operator()(const msgpack::object &object,
+                                          yuccawheel::coordination::HandoverRequest & /*value*/) const
+        {
+            return object;
+        }
+    };
+    template <>
+    struct pack<yuccawheel::coordination::HandoverRequest> {
+        template <typename Stream>
+        packer<Stream> &operator()(packer<Stream> &packer,
+                                   const yuccawheel::coordination::HandoverRequest & /*value*/) const
+        {
+            return packer.pack_nil();
+        }
+    };
     } // namespace adaptor
 }
 } // namespace msgpack
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -28,6 +28,13 @@
     replica_.receive(message, now);
 }
 
+void StoreCore::handOver(base::TimePoint now)
+{
+    if (replica_.handOver(now)) {
+        base::logInfo("store_hands_over").with("term", replica_.log().term());
+    }
+}
+
 void StoreCore::clientGone(ClientId client)
 {
     watchers_.erase(client);
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -59,6 +59,9 @@
     void clientGone(ClientId client);
     void tick(base::TimePoint now, WallTime wall);
 
+    /// Begins to hand the leadership over, if this replica leads and another voter can take it.
+    void handOver(base::TimePoint now);
+
     /// Saves, syncs, applies, and returns what to send. An error is fatal.
     coordination::StorageResult<StoreOutput> flush(base::TimePoint now);
 
--- a/tests/coordination_log_test.cpp
+++ b/tests/coordination_log_test.cpp
@@ -25,6 +25,7 @@
     CutOff,
     Heal,
     Restart,
+    HandOver,
 };
 
 struct Action {
@@ -68,7 +69,8 @@
                                                                         {2, Fault::CutOneWay},
                                                                         {1, Fault::CutOff},
                                                                         {4, Fault::Heal},
-                                                                        {5, Fault::Restart}})),
+                                                                        {5, Fault::Restart},
+                                                                        {2, Fault::HandOver}})),
                                   gen::set(&Action::node, evenly<std::uint32_t>(1, 6)),
                                   gen::set(&Action::other, evenly<std::uint32_t>(1, 6)),
                                   gen::set(&Action::amount, evenly<std::uint32_t>(0, 3000)));
@@ -176,6 +178,11 @@
         case Fault::Heal:
             cluster_.network().heal();
             break;
+        case Fault::HandOver:
+            if (const std::uint32_t leader = cluster_.leader(); leader != 0) {
+                cluster_.handOver(leader);
+            }
+            break;
         case Fault::Restart:
             for (std::uint32_t peer = 1; peer <= replicas_; ++peer) {
                 if (!cluster_.running(peer)) {
@@ -292,6 +299,50 @@
     }
 }
 
+TEST(ReplicatedLog, aLeaderHandsOverToTheVoterWithTheLongestLog)
+{
+    FakeCluster cluster({});
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 10s));
+    const std::uint32_t old = cluster.leader();
+    const std::uint32_t behind = old % 3 + 1;
+    const std::uint32_t ahead = behind % 3 + 1;
+    const auto term = cluster.log(old).term();
+    cluster.network().cut(old, behind);
+    for (int i = 0; i < 20; ++i) {
+        ASSERT_TRUE(cluster.propose(old));
+    }
+    ASSERT_TRUE(cluster.handOver(old));
+    EXPECT_FALSE(cluster.propose(old)) << "proposals wait for the successor";
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.leader() == ahead; }, 500ms)) << "no election timeout passes";
+    EXPECT_EQ(cluster.log(ahead).term(), term + 1);
+    EXPECT_EQ(cluster.acknowledged().size(), 20U) << "each proposal has its answer before the leader leaves";
+    EXPECT_EQ(cluster.log(old).role(), coordination::Role::Follower);
+    cluster.network().heal();
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 10s));
+    cluster.checkAcknowledged();
+}
+
+TEST(ReplicatedLog, aHandoverThatFindsNoSuccessorEnds)
+{
+    FakeCluster cluster({});
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 10s));
+    const std::uint32_t old = cluster.leader();
+    ASSERT_TRUE(cluster.handOver(old));
+    for (std::uint32_t node = 1; node <= 3; ++node) {
+        if (node != old) {
+            cluster.kill(node);
+        }
+    }
+    EXPECT_FALSE(cluster.propose(old));
+    for (std::uint32_t node = 1; node <= 3; ++node) {
+        if (node != old) {
+            cluster.start(node);
+        }
+    }
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0 && cluster.propose(cluster.leader()); }, 10s));
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.settled(); }, 10s));
+}
+
 TEST(ReplicatedLog, aLeaderCutOffStepsDownAndServesNoReads)
 {
     FakeCluster cluster({3, 9});
--- a/tests/process_store_test.py
+++ b/tests/process_store_test.py
@@ -61,6 +61,17 @@
             self.cluster.wait_ready(leader, "store")
         self.check_nothing_lost()
 
+    def test_stopped_leader_hands_over_each_time(self):
+        self.cluster.accept(jobs.document(jobs.team()), "team", expected_version=0)
+        for number in range(ROUNDS):
+            leader = self.leader()
+            self.assertEqual(leader.store.terminate(), 0)
+            self.assertIn("event=store_hands_over", leader.store.log_text())
+            self.submit(f"after-{number}")
+            leader.store.start()
+            self.cluster.wait_ready(leader, "store")
+        self.check_nothing_lost()
+
     def test_lost_disk_then_a_second_vm_right_after_the_repair(self):
         self.cluster.accept(jobs.document(jobs.team()), "team", expected_version=0)
         for number in range(ROUNDS):
