One home for requests to the store that pass on the answer of their entry

Submissions, cancellations and reservations of keys each proposed an entry and sent back what applying it gave, in the same seven lines. StoreCore::proposeFor does it for all three. store_state_test and process_store_test pass.

No functional change.

--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -97,6 +97,17 @@
     return std::move(*message);
 }
 
+// For requests whose answer is what applying their entry gave.
+template <typename Reply>
+void StoreCore::proposeFor(const LogEntry &entry, const ClientRequest &request)
+{
+    const ClientId client = request.client;
+    const std::uint64_t correlation = request.frame.correlation;
+    propose(entry, client, correlation, [this, client, correlation](const ApplyReply &applied) {
+        reply(client, correlation, std::get<Reply>(applied));
+    });
+}
+
 void StoreCore::onSubmit(const ClientRequest &request, WallTime wall)
 {
     const auto submit = read<protocol::Submit>(request);
@@ -117,11 +128,7 @@
     }
     entry.serviceShares.resize(submit->services.size());
     entry.jobShares.resize(submit->jobs.size());
-    const ClientId client = request.client;
-    const std::uint64_t correlation = request.frame.correlation;
-    propose(entry, client, correlation, [this, client, correlation](const ApplyReply &applied) {
-        reply(client, correlation, std::get<protocol::SubmitReply>(applied));
-    });
+    proposeFor<protocol::SubmitReply>(entry, request);
 }
 
 void StoreCore::onCancel(const ClientRequest &request, WallTime wall)
@@ -130,16 +137,11 @@
     if (!cancel) {
         return;
     }
-    const ClientId client = request.client;
-    const std::uint64_t correlation = request.frame.correlation;
     if (state_.findJob(cancel->job) == nullptr) {
-        refuse(client, correlation, ErrorCode::NotFound, "no such job");
+        refuse(request.client, request.frame.correlation, ErrorCode::NotFound, "no such job");
         return;
     }
-    propose(
-        CancelEntry{cancel->job, wall}, client, correlation, [this, client, correlation](const ApplyReply &applied) {
-            reply(client, correlation, std::get<protocol::CancelJobReply>(applied));
-        });
+    proposeFor<protocol::CancelJobReply>(CancelEntry{cancel->job, wall}, request);
 }
 
 // A zone changes hands when its owner gave it up, was restarted, or has been silent for its lease. A new leader has
@@ -220,12 +222,7 @@
     if (!reserve) {
         return;
     }
-    const ClientId client = request.client;
-    const std::uint64_t correlation = request.frame.correlation;
-    propose(
-        ReserveKeyEntry{*reserve, wall}, client, correlation, [this, client, correlation](const ApplyReply &applied) {
-            reply(client, correlation, std::get<protocol::ReserveKeyReply>(applied));
-        });
+    proposeFor<protocol::ReserveKeyReply>(ReserveKeyEntry{*reserve, wall}, request);
 }
 
 void StoreCore::onFinishKey(const ClientRequest &request)
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -116,6 +116,8 @@
     std::string configurationStatus() const;
     std::string storeStatus(base::TimePoint now) const;
 
+    template <typename Reply>
+    void proposeFor(const LogEntry &entry, const ClientRequest &request);
     void propose(const LogEntry &entry,
                  ClientId client,
                  std::uint64_t correlation,
