A daemon that restarts in a cut-off zone learns the configuration from its zone

Cause: entries and schedulers keep no state on disk. After a restart out of reach of the store a scheduler stayed unready until the cut ended, and an entry took callers without knowing any configuration.

Rule: a version is put in force once another entry or scheduler of the zone has answered that it keeps it, or all of them refuse connections. A restarted daemon takes the highest version that all the others keep, and stays unready, with the names of those that have not answered in its log and /readyz, until then.

Ruled out: a version known to one peer only is no proof, as the earlier run may have had a later one in force; answers to questions sent before the version arrived are none either, as the peer may have restarted in between.

Two daemons of a zone that restart during one cut stay unready until it ends. Placement decisions are unchanged.

--- a/src/programs/yw_entry/entry_peers.cpp
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -26,10 +26,14 @@
 } // namespace
 
 // The proxy calls back on its own thread; the connections belong to the network thread.
-EntryPeers::EntryPeers(daemon::Context &context, http::ProxyServer &proxy, routing::ZoneKeyStore &keys)
+EntryPeers::EntryPeers(daemon::Context &context,
+                       http::ProxyServer &proxy,
+                       routing::ZoneKeyStore &keys,
+                       daemon::ZoneConfiguration &configuration)
     : context_(context)
     , proxy_(proxy)
     , keys_(keys)
+    , configuration_(configuration)
     , alive_(std::make_shared<EntryPeers *>(this))
 {
     protocol::Listener::Callbacks callbacks;
@@ -88,6 +92,9 @@
 
 void EntryPeers::onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
 {
+    if (configuration_.handle(channel, frame)) {
+        return;
+    }
     if (channel->peer().role != protocol::Role::Entry) {
         channel->close("not an entry");
         return;
--- a/src/programs/yw_entry/entry_peers.h
+++ b/src/programs/yw_entry/entry_peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/daemon.h"
+#include "daemon/zone_configuration.h"
 #include "http/proxy_server.h"
 #include "protocol/listener.h"
 #include "protocol/peer.h"
@@ -15,11 +16,15 @@
 namespace yuccawheel::entry
 {
 
-/// Carries what the routing core has to tell to the other entries, and what they tell to it.
+/// Carries what the routing core has to tell to the other entries, and what they tell to it. Answers the zone's
+/// processes about the configuration.
 class EntryPeers
 {
 public:
-    EntryPeers(daemon::Context &context, http::ProxyServer &proxy, routing::ZoneKeyStore &keys);
+    EntryPeers(daemon::Context &context,
+               http::ProxyServer &proxy,
+               routing::ZoneKeyStore &keys,
+               daemon::ZoneConfiguration &configuration);
     ~EntryPeers();
     EntryPeers(const EntryPeers &) = delete;
     EntryPeers &operator=(const EntryPeers &) = delete;
@@ -34,6 +39,7 @@
     daemon::Context &context_;
     http::ProxyServer &proxy_;
     routing::ZoneKeyStore &keys_;
+    daemon::ZoneConfiguration &configuration_;
     std::map<std::string, std::unique_ptr<protocol::Peer>> peers_; ///< By node.
     std::optional<protocol::Listener> listener_;
     std::shared_ptr<EntryPeers *> alive_;
--- a/src/programs/yw_entry/entry_service.cpp
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -86,17 +86,17 @@
     , store_(context.io,
              daemon::addressesOf(context.settings.stores),
              context.self,
-             [](const protocol::StateUpdate &update) {
-                 if (update.configurationChanged) {
-                     base::logInfo("configuration_applied").with("version", update.configurationVersion);
-                 }
-             })
+             [this](const protocol::StateUpdate &update) { configuration_.onStoreUpdate(update); })
+    , configuration_(context,
+                     [this](const protocol::Configuration &configuration) {
+                         store_.acknowledgeConfiguration(configuration.version);
+                     })
     , keys_(std::make_shared<routing::ZoneKeyStore>(
           keyOptions(context),
           std::make_shared<LogKeyStore>(context.io, store_),
           [this](std::vector<routing::KeyMessage> messages) { sendKeyMessages(std::move(messages)); }))
     , proxy_(proxyOptions(context), keys_)
-    , peers_(context, proxy_, *keys_)
+    , peers_(context, proxy_, *keys_, configuration_)
     , timer_(context.io)
 {
     const auto port = proxy_.start();
@@ -143,7 +143,10 @@
 
 std::optional<std::string> EntryService::notReadyReason() const
 {
-    return proxy_.ready() ? std::nullopt : std::optional<std::string>("the proxy does not take callers");
+    if (!proxy_.ready()) {
+        return "the proxy does not take callers";
+    }
+    return configuration_.notReadyReason();
 }
 
 void EntryService::drain(std::function<void()> done)
--- a/src/programs/yw_entry/entry_service.h
+++ b/src/programs/yw_entry/entry_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/daemon.h"
+#include "daemon/zone_configuration.h"
 #include "entry_peers.h"
 #include "http/proxy_server.h"
 #include "http/server.h"
@@ -41,6 +42,7 @@
     daemon::Context &context_;
     std::shared_ptr<EntryService *> alive_;
     store::StoreClient store_;
+    daemon::ZoneConfiguration configuration_;
     std::shared_ptr<routing::ZoneKeyStore> keys_;
     http::ProxyServer proxy_;
     EntryPeers peers_;
--- a/src/programs/yw_scheduler/queries.cpp
+++ b/src/programs/yw_scheduler/queries.cpp
@@ -43,6 +43,9 @@
 
 void SchedulerService::handleInner(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
 {
+    if (configuration_.handle(channel, frame)) {
+        return;
+    }
     if (frame.type != protocol::MessageType::Query || frame.kind != protocol::FrameKind::Request) {
         return;
     }
--- a/src/programs/yw_scheduler/scheduler_service.cpp
+++ b/src/programs/yw_scheduler/scheduler_service.cpp
@@ -52,6 +52,8 @@
              daemon::addressesOf(context.settings.stores),
              context.self,
              [this](const protocol::StateUpdate &update) { onUpdate(update); })
+    , configuration_(context,
+                     [this](const protocol::Configuration &configuration) { applyConfiguration(configuration); })
 {
     const settings::Listeners &listen = context.settings.listen;
     if (listen.inner) {
@@ -81,10 +83,7 @@
 
 std::optional<std::string> SchedulerService::notReadyReason() const
 {
-    if (store_.index() == 0) {
-        return "no state from the store yet";
-    }
-    return std::nullopt;
+    return configuration_.notReadyReason();
 }
 
 // The workers' tasks go on; the next owner of the zone recovers them from the workers' lists.
--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/daemon.h"
+#include "daemon/zone_configuration.h"
 #include "http/server.h"
 #include "placement/planner.h"
 #include "planner_thread.h"
@@ -60,7 +61,7 @@
 
     // State from the log.
     void onUpdate(const protocol::StateUpdate &update);
-    void applyQuotas(const protocol::StateUpdate &update);
+    void applyConfiguration(const protocol::Configuration &configuration);
     placement::QuotasChanged quotas() const;
     void onOwner(const protocol::ZoneOwner &owner);
     void dropUnnamed(const protocol::StateUpdate &update);
@@ -113,6 +114,7 @@
     std::shared_ptr<SchedulerService *> alive_;
     boost::asio::steady_timer timer_;
     store::StoreClient store_;
+    daemon::ZoneConfiguration configuration_;
     std::optional<protocol::Listener> inner_;
     std::optional<http::Server> workerServer_;
 };
--- a/src/programs/yw_scheduler/state_from_log.cpp
+++ b/src/programs/yw_scheduler/state_from_log.cpp
@@ -19,10 +19,7 @@
 
 void SchedulerService::onUpdate(const protocol::StateUpdate &update)
 {
-    if (update.full || update.configurationChanged) {
-        applyQuotas(update);
-        base::logInfo("configuration_applied").with("version", update.configurationVersion);
-    }
+    configuration_.onStoreUpdate(update);
     if (update.full || update.workersChanged) {
         roster_ = update.workers;
     }
@@ -43,21 +40,11 @@
     }
 }
 
-// A full state replaces the quotas; a change names the teams that it touches.
-void SchedulerService::applyQuotas(const protocol::StateUpdate &update)
+void SchedulerService::applyConfiguration(const protocol::Configuration &configuration)
 {
-    if (update.full) {
-        quotas_.clear();
-    }
-    for (const placement::TeamQuota &quota : update.teams) {
-        quotas_[quota.team] = quota;
-    }
-    for (const std::string &team : update.removedTeams) {
-        quotas_.erase(team);
-    }
-    if (update.full || !update.teams.empty() || !update.removedTeams.empty()) {
-        pushToPlanner(quotas());
-    }
+    quotas_ = configuration.teams;
+    pushToPlanner(quotas());
+    store_.acknowledgeConfiguration(configuration.version);
 }
 
 placement::QuotasChanged SchedulerService::quotas() const
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -48,6 +48,11 @@
     ReserveKeyReply = 74,
     FinishKey = 75,
     FinishKeyReply = 76,
+
+    HoldConfiguration = 90,
+    HoldConfigurationReply = 91,
+    RecallConfiguration = 92,
+    RecallConfigurationReply = 93,
 };
 
 enum class FrameKind : std::uint8_t { Request = 0, Response = 1, Notice = 2 };
--- a/src/protocol/peer.cpp
+++ b/src/protocol/peer.cpp
@@ -97,6 +97,9 @@
         self->retryTimer_.cancel();
         if (error) {
             self->reconnectLater(error.message());
+            if (error == asio::error::connection_refused && self->callbacks_.refused) {
+                self->callbacks_.refused();
+            }
             return;
         }
         offerHandshake(
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -23,6 +23,7 @@
         std::function<void(const ChannelPtr &)> opened;
         std::function<void(const ChannelPtr &, Frame)> notice; ///< Frames that answer no request.
         std::function<void()> closed;
+        std::function<void()> refused; ///< No process listens at the address.
     };
 
     Peer(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint address, Identity self, Callbacks callbacks);
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -136,9 +136,16 @@
     }
     watching_ = true;
     index_ = update.index;
-    version_ = update.configurationVersion;
     onUpdate_(update);
-    replicas_[leader_]->notify(protocol::WatchAck{index_, version_});
+    replicas_[leader_]->notify(protocol::WatchAck{index_, versionInForce_});
+}
+
+void StoreClient::acknowledgeConfiguration(std::uint64_t version)
+{
+    versionInForce_ = version;
+    if (watching_) {
+        replicas_[leader_]->notify(protocol::WatchAck{index_, versionInForce_});
+    }
 }
 
 // Joins the parts of a full state. Returns true, with the whole in `update`, once the last part is there.
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -51,10 +51,8 @@
     {
         return index_;
     }
-    std::uint64_t configurationVersion() const
-    {
-        return version_;
-    }
+    /// Tells the leader, now and with each later update, which configuration is in force here.
+    void acknowledgeConfiguration(std::uint64_t version);
     /// When the leader was last heard.
     std::chrono::steady_clock::time_point lastContact() const
     {
@@ -124,7 +122,7 @@
     bool watching_ = false;
     protocol::StateUpdate fullParts_; ///< Parts of a full state that is still arriving.
     std::uint64_t index_ = 0;
-    std::uint64_t version_ = 0;
+    std::uint64_t versionInForce_ = 0;
     std::chrono::steady_clock::time_point lastContact_{};
     boost::asio::steady_timer probeTimer_;
     std::shared_ptr<StoreClient *> alive_;
--- a/tests/process_partition_test.py
+++ b/tests/process_partition_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 import jobs
-from cluster import Cluster, check_journal, wait_until
+from cluster import Cluster, check_journal, request, wait_until
 from load import CountingUpstream, issue_key, send
 
 SERVICE = "loan-check"
@@ -84,6 +84,45 @@
         self.cluster.cut("c", "none")
         self.check_joined([])
 
+    def check_recovered(self, vm, role, version):
+        self.cluster.wait_ready(vm, role)
+        self.assertIn(f"event=configuration_applied version={version}", getattr(vm, role).log_text())
+
+    def test_daemons_restart_inside_the_cut_off_zone(self):
+        """The last version before the cut is in force again, and callers are served."""
+        self.cluster.accept(jobs.document(jobs.service("late", 1)), "late", expected_version=1)
+        for vm in self.inside:
+            for process in (vm.entry, vm.scheduler):
+                wait_until(lambda process=process: "applied version=2" in process.log_text(), "version 2 in zone c")
+        owner = wait_until(self.owner_inside, "zone c has an owner")
+        standby = next(vm for vm in self.inside if vm is not owner)
+        self.cluster.cut("c")
+        for role in ("entry", "scheduler"):
+            getattr(standby, role).kill()
+            getattr(standby, role).start()
+            self.check_recovered(standby, role, 2)
+        self.serve_inside()
+        self.cluster.cut("c", "none")
+        self.check_joined([])
+
+    def test_daemon_that_can_not_learn_the_configuration_stays_unready(self):
+        first, second = self.inside
+        self.cluster.cut("c")
+        second.entry.pause()
+        first.scheduler.kill()
+        first.scheduler.start()
+        answer = wait_until(lambda: self.unready(first.scheduler, "entry-c2"), "the log says who did not answer")
+        self.assertIn("configuration unknown", answer)
+        address = first.address["scheduler_health"]
+        self.assertEqual(request(address, "GET", "/readyz")[0], 503)
+        self.assertIn(b"entry-c2", request(address, "GET", "/readyz")[2])
+        second.entry.resume()
+        self.check_recovered(first, "scheduler", 1)
+
+    def unready(self, process, node):
+        lines = [line for line in process.log_text().splitlines() if "event=configuration_waits" in line]
+        return next((line for line in lines if line.rstrip('"').endswith(f": {node}")), None)
+
 
 if __name__ == "__main__":
     unittest.main()
