--- a/tests/process_partition_test.py
+++ b/tests/process_partition_test.py
@@ -119,6 +119,28 @@
         second.entry.resume()
         self.check_recovered(first, "scheduler", 1)
 
+    def test_zone_of_one_vm_recovers_one_process_at_a_time(self):
+        vm = next(vm for vm in self.outside if vm.zone == "b")
+        for process in (vm.entry, vm.scheduler):
+            wait_until(lambda process=process: "applied version=1" in process.log_text(), "version 1 in zone b")
+        self.cluster.cut("b")
+        for role in ("scheduler", "entry"):
+            getattr(vm, role).kill()
+            getattr(vm, role).start()
+            self.check_recovered(vm, role, 1)
+        for process in (vm.entry, vm.scheduler):
+            process.kill()
+        for process in (vm.entry, vm.scheduler):
+            process.start()
+        wait_until(lambda: self.unready(vm.scheduler, "entry-b1"), "the scheduler waits for the entry")
+        wait_until(lambda: self.unready(vm.entry, "scheduler-b1"), "the entry waits for the scheduler")
+        self.assertFalse(self.cluster.is_ready(vm, "scheduler"))
+        self.assertFalse(self.cluster.is_ready(vm, "entry"))
+        self.cluster.cut("b", "none")
+        for role in ("scheduler", "entry"):
+            self.check_recovered(vm, role, 1)
+        self.check_joined([])
+
     def unready(self, process, node):
         lines = [line for line in process.log_text().splitlines() if "event=configuration_waits" in line]
         return next((line for line in lines if line.rstrip('"').endswith(f": {node}")), None)
