Limits of executors proved over whole entries; a second look before the first byte

Cause: that all entries together keep to an executor's slots and connections was shown with fakes only, and an attempt was judged when it was dispatched, not when it was sent: while its connection opened or its process stood still, the deadline could pass and the upstream could leave.

Now: Router::mayStart reads the boot clock and the upstream's state directly before the first byte; what may not start is withdrawn as not run and doesn't count against the upstream. process_limits_test counts requests and connections at two stand-in executors while 40 callers load four entries of two zones, entries are killed and restarted, and the zone without executors is cut off past the end of every loan.

--- a/src/http/proxy_exchange.cpp
+++ b/src/http/proxy_exchange.cpp
@@ -139,7 +139,11 @@
     request_->body().size = prefix.size();
     request_->body().more = !session_->bodyComplete();
     requestSerializer_.emplace(*request_);
-    writeRequest();
+    if (core_.router.mayStart(attempt_, base::BootClock::now())) {
+        writeRequest();
+    } else {
+        end(routing::AttemptOutcome::Withdrawn);
+    }
 }
 
 void Exchange::writeRequest()
--- a/src/http/proxy_session.cpp
+++ b/src/http/proxy_session.cpp
@@ -105,6 +105,8 @@
         return "refused";
     case routing::AttemptOutcome::NotSent:
         return "not-sent";
+    case routing::AttemptOutcome::Withdrawn:
+        return "withdrawn";
     case routing::AttemptOutcome::Cut:
         return "cut";
     case routing::AttemptOutcome::TimedOut:
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -44,7 +44,7 @@
 bool isFailure(AttemptOutcome outcome)
 {
     return outcome != AttemptOutcome::Answered && outcome != AttemptOutcome::Refused
-        && outcome != AttemptOutcome::CallerGone;
+        && outcome != AttemptOutcome::Withdrawn && outcome != AttemptOutcome::CallerGone;
 }
 
 base::Verdict verdictOf(AttemptOutcome outcome)
@@ -55,6 +55,7 @@
         return base::Verdict::Ran;
     case AttemptOutcome::Refused:
     case AttemptOutcome::NotSent:
+    case AttemptOutcome::Withdrawn:
         return base::Verdict::NotRun;
     case AttemptOutcome::Cut:
     case AttemptOutcome::TimedOut:
@@ -111,6 +112,14 @@
     return queued;
 }
 
+// A borrowed slot ends after the deadline and the grace time, so a start before the deadline keeps within its loan.
+bool Router::mayStart(AttemptId id, base::TimePoint now) const
+{
+    const Attempt *attempt = findAttempt(id);
+    YW_INVARIANT(attempt != nullptr && !attempt->abandoned, "only an attempt that has not ended starts");
+    return now < attempt->deadline && table_.serving(table_.at(attempt->upstream), now);
+}
+
 FinishResult Router::finished(AttemptId id, const AttemptResult &result, base::TimePoint now)
 {
     Attempt *attempt = findAttempt(id);
@@ -321,13 +330,18 @@
     freeRequests_.push_back(static_cast<std::uint32_t>(request.id & IndexMask));
 }
 
-Router::Attempt *Router::findAttempt(AttemptId id)
+const Router::Attempt *Router::findAttempt(AttemptId id) const
 {
     const std::uint64_t index = id & IndexMask;
     const bool found = index < attempts_.size() && attempts_[index].id == id && attempts_[index].active;
     return found ? &attempts_[index] : nullptr;
 }
 
+Router::Attempt *Router::findAttempt(AttemptId id)
+{
+    return const_cast<Attempt *>(std::as_const(*this).findAttempt(id));
+}
+
 AttemptId Router::newAttempt(const Request &request, UpstreamIndex upstream, LoanId loan)
 {
     if (freeAttempts_.empty()) {
@@ -337,7 +351,7 @@
     const std::uint32_t index = freeAttempts_.back();
     freeAttempts_.pop_back();
     const AttemptId id = (nextGeneration_++ << IndexBits) | index;
-    attempts_[index] = Attempt{id, true, false, request.id, upstream, loan, {}};
+    attempts_[index] = Attempt{id, true, false, request.id, upstream, loan, request.deadline, {}};
     return id;
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -72,6 +72,7 @@
     ServerError, ///< A whole answer with status 5xx.
     Refused, ///< A whole answer that says that the request was not run.
     NotSent, ///< No byte of the request was written.
+    Withdrawn, ///< No byte of the request was written, since it might not start any more.
     Cut, ///< Bytes were written, and the connection ended before a whole answer.
     TimedOut, ///< Bytes were written, and the deadline passed.
     CallerGone, ///< Bytes were written, and the caller went away.
@@ -106,6 +107,9 @@
 
     /// Decides on a new request. Dispatch and Queued carry its number.
     Decision route(const RequestInfo &info, base::TimePoint now);
+    /// Whether the first byte of an attempt may be written now: its deadline is ahead and its upstream still serves.
+    /// To be asked immediately before, since the process may have been paused, or connecting may have taken long.
+    bool mayStart(AttemptId attempt, base::TimePoint now) const;
     /// Takes the end of an attempt. Unless it ended with a whole answer or a closed upstream, its slot stays taken
     /// until `settled` or the grace time.
     FinishResult finished(AttemptId attempt, const AttemptResult &result, base::TimePoint now);
@@ -166,6 +170,7 @@
         RequestId request = 0;
         UpstreamIndex upstream = 0;
         LoanId loan = OwnShare;
+        base::TimePoint deadline;
         base::TimePoint abandonedUntil;
     };
     struct Service {
@@ -183,6 +188,7 @@
     Request *findRequest(RequestId id);
     void freeRequest(Request &request);
     Attempt *findAttempt(AttemptId id);
+    const Attempt *findAttempt(AttemptId id) const;
     AttemptId newAttempt(const Request &request, UpstreamIndex upstream, LoanId loan);
 
     std::optional<Rejection>
--- a/tests/load.py
+++ b/tests/load.py
@@ -4,6 +4,8 @@
 import http.client
 import http.server
 import json
+import socket
+import sys
 import threading
 import time
 
@@ -11,25 +13,34 @@
 
 HEARTBEAT_S = 0.2
 BALANCER_INTERVAL_S = 0.1
+TCP_ESTABLISHED = 1
 
 
 class CountingUpstream:
-    """Upstream of one zone that answers `/REST` with the key it got, after `delay` seconds, and counts runs by key."""
+    """Upstream of one zone that answers `/REST` with the key it got, and counts runs by key and what it held at once.
 
-    def __init__(self, cluster, zone, service, delay=0.0):
+    `delay` is the time of an answer in seconds, or a function of the key that returns it."""
+
+    def __init__(self, cluster, zone, service, delay=0.0, executor=None, slots=8, connections=64):
         self.runs = collections.Counter()
-        self._service = service
-        self._delay = delay
+        self.peak_running = 0
+        self.peak_connections = 0
+        self.last_run = 0.0  # When the last request came, by the monotonic clock
+        self._running = 0
+        self._silent = False
+        self._last_heartbeat = 0.0
+        self._held = {}  # Key -> event that lets its run go on
+        self._sockets = {}  # Open connection -> whether a request runs on it
+        self._delay = delay if callable(delay) else lambda key: delay
         self._entries = [vm.address["upstream"] for vm in cluster.vms if vm.zone == zone]
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         address = free_addresses(cluster.fake_ip, 1)[0]
-        self._announcement = {
-            "executor": f"e-{zone}", "incarnation": 1, "address": text(address), "slots": 8, "connections": 64,
-            "services": [service], "state": "serving",
+        self.announcement = {
+            "executor": executor or f"e-{zone}", "incarnation": 1, "address": text(address), "slots": slots,
+            "connections": connections, "services": [service], "state": "serving",
         }
-        self._server = http.server.ThreadingHTTPServer(address, self._handler_class())
-        self._server.daemon_threads = True
+        self._server = CountingServer(address, self)
         for target in (self._server.serve_forever, self._announce):
             threading.Thread(target=target, daemon=True).start()
 
@@ -38,32 +49,55 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def _handler_class(self):
-        upstream = self
+    def opened(self, connection):
+        """Counts a new connection along with those that their entry hasn't closed or whose request still runs."""
+        with self._lock:
+            self._sockets[connection] = False
+            held = sum(running or established(known) for known, running in self._sockets.items())
+            self.peak_connections = max(self.peak_connections, held)
 
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-            disable_nagle_algorithm = True
+    def closed(self, connection):
+        with self._lock:
+            del self._sockets[connection]
 
-            def do_POST(self):
-                self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                key = self.headers["Yw-Key"]
-                with upstream._lock:
-                    upstream.runs[key] += 1
-                time.sleep(upstream._delay)
-                self.send_response(200)
-                self.send_header("Content-Length", str(len(key)))
-                self.end_headers()
-                self.wfile.write(key.encode())
+    def leave(self):
+        """Announces to every entry that it leaves. Returns when its last heartbeat that said serving was sent."""
+        self.announcement["state"] = "leaving"
+        return self._last_heartbeat
 
-            def log_message(self, *arguments):
-                pass
+    def fall_silent(self):
+        """Sends no further heartbeat. Returns when the last one was sent."""
+        self._silent = True
+        return self._last_heartbeat
 
-        return Handler
+    def hold(self, key):
+        """Lets the run of a key last until `release`."""
+        self._held[key] = threading.Event()
+
+    def release(self, key):
+        self._held[key].set()
+
+    def run(self, connection, key):
+        """Runs one request. It ends before its answer leaves, since the entry may then send the next one."""
+        with self._lock:
+            self.runs[key] += 1
+            self.last_run = time.monotonic()
+            self._running += 1
+            self.peak_running = max(self.peak_running, self._running)
+            self._sockets[connection] = True
+        if key in self._held:
+            self._held[key].wait()
+        time.sleep(self._delay(key))
+        with self._lock:
+            self._running -= 1
+            self._sockets[connection] = False
 
     def _announce(self):
-        body = json.dumps(self._announcement)
         while not self._stopped.wait(HEARTBEAT_S):
+            if self._silent:
+                continue
+            body = json.dumps(self.announcement)
+            self._last_heartbeat = time.monotonic()
             for entry in self._entries:
                 try:
                     request(entry, "POST", "/v1/upstreams", body, {"Content-Type": "application/json"}, timeout=2)
@@ -71,8 +105,57 @@
                     continue
 
 
+class CountingServer(http.server.ThreadingHTTPServer):
+    """Tells its upstream of each connection's begin and end."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, address, upstream):
+        self.upstream = upstream
+        super().__init__(address, CountingHandler)
+
+    def process_request(self, connection, client):
+        self.upstream.opened(connection)
+        super().process_request(connection, client)
+
+    def shutdown_request(self, connection):
+        self.upstream.closed(connection)
+        super().shutdown_request(connection)
+
+    def handle_error(self, connection, client):
+        """An entry that was killed ends its connections at any time."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(connection, client)
+
+
+class CountingHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        key = self.headers["Yw-Key"]
+        self.server.upstream.run(self.connection, key)
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(key)))
+        self.end_headers()
+        self.wfile.write(key.encode())
+
+    def log_message(self, *arguments):
+        pass
+
+
+def established(connection):
+    """Says whether neither side of a connection has closed it."""
+    return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_ESTABLISHED
+
+
 class Callers:
-    """Threads that send non-repeatable requests, each with a key of its own, through the entries that are ready."""
+    """Threads that send non-repeatable requests, each with a key of its own, through the entries that are ready.
+
+    Every other key is issued by another entry than the one that it is sent through. A request without an answer is
+    sent again at once, through another entry."""
 
     def __init__(self, cluster, service, threads=8):
         self._cluster = cluster
@@ -81,6 +164,8 @@
         self._stopped = threading.Event()
         self._ready = []
         self.outcomes = {}  # key -> (status, verdict), or ("none", "") without a whole answer
+        self.resent = {}  # key -> outcome of the resend
+        self.served = collections.Counter()  # Whole answers by VM
         self._look()
         self._threads = [threading.Thread(target=self._balance)]
         self._threads += [threading.Thread(target=self._send, args=(number,)) for number in range(threads)]
@@ -112,11 +197,20 @@
                 continue
             number += 1
             vm = ready[number % len(ready)]
-            key = issue_key(vm)
+            key = issue_key(ready[(number + number // len(ready) % 2) % len(ready)])
             outcome = send(self._cluster, self._service, key, vm)
+            resent = self._resend(key, vm) if outcome[0] == "none" else None
             key = key or f"unissued-{thread_number}-{number}"
             with self._lock:
+                if resent:
+                    self.resent[key] = resent
                 self.outcomes[key] = outcome
+                self.served[vm.name] += outcome == (200, "ran")
+
+
+    def _resend(self, key, first):
+        others = [vm for vm in self._ready if vm is not first]
+        return send(self._cluster, self._service, key, others[0]) if others else None
 
 
 def issue_key(vm):
--- /dev/null
+++ b/tests/process_limits_test.py
@@ -0,0 +1,86 @@
+"""Slots and connections of executors over all entries together, counted by stand-in upstreams."""
+
+import collections
+import time
+import unittest
+import zlib
+
+from cluster import Cluster, wait_until
+from load import Callers, CountingUpstream, issue_key, send
+
+SERVICE = "loan-check"
+LONG_RUN_S = 1.5  # Outlives the restart of an entry.
+LONG_RUN_ONE_IN = 5
+SHORT_RUN_S = 0.02
+LONGEST_LOAN_S = 20.4
+CALLERS = 40
+
+
+def run_time(key):
+    return LONG_RUN_S if zlib.crc32(key.encode()) % LONG_RUN_ONE_IN == 0 else SHORT_RUN_S
+
+
+class LimitsTest(unittest.TestCase):
+    """Three entries share two executors; one of another zone has borrowed slots only. One executor takes as many
+    connections as requests, so that each idle connection counts."""
+
+    def setUp(self):
+        self.cluster = Cluster({"a": 3, "b": 1}, stores=["a"], relays=True, settings={"request_timeout": "4s"})
+        self.addCleanup(self.cluster.stop)
+        self.cluster.start()
+        self.upstreams = [CountingUpstream(self.cluster, "a", SERVICE, run_time, executor="e-wide"),
+                          CountingUpstream(self.cluster, "a", SERVICE, run_time, executor="e-tight", connections=8)]
+        for upstream in self.upstreams:
+            self.addCleanup(upstream.close)
+        for vm in self.cluster.vms:
+            wait_until(lambda vm=vm: send(self.cluster, SERVICE, issue_key(vm), vm)[0] == 200, "every entry serves")
+        self.callers = Callers(self.cluster, SERVICE, threads=CALLERS)
+        self.addCleanup(self.callers.stop)
+
+    def load(self, more):
+        goal = self.callers.count() + more
+        wait_until(lambda: self.callers.count() >= goal, f"{more} more requests")
+
+    def restart(self, vm):
+        vm.entry.kill()
+        vm.entry.start()
+        self.cluster.wait_ready(vm, "entry")
+
+    def check(self):
+        for upstream in self.upstreams:
+            name, limit = upstream.announcement["executor"], upstream.announcement["connections"]
+            print(f"{name}: {sum(upstream.runs.values())} runs, at once at most {upstream.peak_running} requests of 8 "
+                  f"and {upstream.peak_connections} connections of {limit}")
+        for upstream in self.upstreams:
+            limit = upstream.announcement["connections"]
+            self.assertEqual(upstream.peak_running, 8, "the load fills the slots and never exceeds them")
+            self.assertLessEqual(upstream.peak_connections, limit, upstream.announcement["executor"])
+        runs = sum((upstream.runs for upstream in self.upstreams), collections.Counter())
+        self.assertEqual([key for key, count in runs.items() if count > 1], [])
+
+    def test_limits_hold_while_entries_are_killed_and_a_zone_is_cut(self):
+        inside, outside = self.cluster.vms[:3], self.cluster.vms[3]
+        self.load(300)
+        for vm in inside:
+            self.restart(vm)
+            self.load(200)
+        self.assertGreater(self.callers.served[outside.name], 0, "the other zone borrows slots")
+        self.cluster.cut("b")
+        end = time.monotonic() + LONGEST_LOAN_S
+        self.restart(inside[0])
+        wait_until(lambda: time.monotonic() > end, "every loan has ended")
+        self.load(200)
+        outside.entry.kill()
+        self.load(100)
+        self.cluster.cut("b", "none")
+        outside.entry.start()
+        self.cluster.wait_ready(outside, "entry")
+        self.load(200)
+        self.callers.stop()
+        outcomes = collections.Counter(self.callers.outcomes.values())
+        print(f"sent {len(self.callers.outcomes)}, outcomes {dict(outcomes)}, served {dict(self.callers.served)}")
+        self.check()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/routing_proxy_test.cpp
+++ b/tests/routing_proxy_test.cpp
@@ -3,9 +3,11 @@
 #include "http/proxy_server.h"
 #include "routing/zone_key_store.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
 #include <future>
 #include <thread>
 
@@ -228,6 +230,48 @@
     }
 }
 
+TEST_F(ProxyTest, nothingIsSentToAnUpstreamThatLeftWhileItsConnectionOpened)
+{
+    http::ProxyOptions options;
+    options.limits.connect = 30s;
+    startProxy(std::move(options));
+    boost::asio::io_context context;
+    const auto loopback = boost::asio::ip::address_v4::loopback();
+    boost::asio::ip::tcp::acceptor acceptor(context, {loopback, 0});
+    acceptor.listen(0);
+    // One connection that nobody accepts fills a queue of length zero; the next one opens once there is room again.
+    boost::asio::ip::tcp::socket filler(context);
+    filler.connect(acceptor.local_endpoint());
+    routing::UpstreamAnnouncement upstream;
+    upstream.executor = "e0";
+    upstream.incarnation = 1;
+    upstream.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    upstream.slots = 1;
+    upstream.connections = 1;
+    upstream.services = {"loan-check"};
+    upstream.running = 0;
+    const auto tell = [&] {
+        std::promise<void> done;
+        proxy_->announce(upstream, [&](auto) { done.set_value(); });
+        done.get_future().get();
+    };
+    tell();
+    auto answer = std::async(std::launch::async, [&] {
+        return sendRequest(port_, "GET", "/serve/loan-check/x", {{"Yw-Timeout-Ms", "5000"}});
+    });
+    while (proxy_->statistics().router.dispatched == 0) {
+        ASSERT_EQ(answer.wait_for(1ms), std::future_status::timeout) << "refused before any dispatch";
+    }
+    upstream.state = routing::UpstreamState::Leaving;
+    tell();
+    acceptor.accept();
+    auto late = acceptor.accept();
+    std::array<char, 64> bytes{};
+    boost::system::error_code error;
+    EXPECT_EQ(late.read_some(boost::asio::buffer(bytes), error), 0);
+    EXPECT_EQ(answer.get().verdict, "not-run");
+}
+
 RC_GTEST_PROP(CallerRequest, anyTextIsParsedSafely, ())
 {
     const auto text = [] {
--- a/tests/routing_router_test.cpp
+++ b/tests/routing_router_test.cpp
@@ -397,6 +397,23 @@
     EXPECT_EQ(route("x").rejection, Rejection::NoUpstream) << "2.6 s after it was heard, whatever came twice";
 }
 
+TEST_F(RouterTest, anAttemptStartsOnlyBeforeItsDeadlineAndAtAnUpstreamThatServes)
+{
+    start();
+    announce("e0", 3);
+    const Decision paused = route("x", Urgency::Normal, 1s);
+    const Decision left = route("x");
+    EXPECT_TRUE(router_->mayStart(paused.attempt, now_ + 999ms));
+    EXPECT_FALSE(router_->mayStart(paused.attempt, now_ + 1s));
+    EXPECT_FALSE(router_->mayStart(left.attempt, now_ + 2600ms)) << "silent by then";
+    announce("e0", 3, UpstreamState::Leaving);
+    EXPECT_FALSE(router_->mayStart(left.attempt, now_));
+    const FinishResult finish = router_->finished(left.attempt, {AttemptOutcome::Withdrawn, 0ms, false}, now_);
+    EXPECT_EQ(finish.verdict, base::Verdict::NotRun);
+    EXPECT_TRUE(finish.retrying);
+    EXPECT_EQ(router_->upstream(left.upstream).latency.count(), 0) << "no failure of the upstream";
+}
+
 TEST_F(RouterTest, urgentRequestsPassBulkOnes)
 {
     start();
