Operators see running and waiting tasks, quarantine with its reason, retries, waits, packing and control cost

Cause: the agreed log knows neither which tasks run nor which workers are quarantined, so `list` showed a dash for running tasks, `workers` showed a quarantined worker as active, and the report had no waiting times, no retries and no control cost.

Not done: a count of a job whose zone is cut off is not tested; the first start of a task after a change of owner is not counted as a retry.

No functional change to placement decisions.

--- a/src/placement/attempt_endings.cpp
+++ b/src/placement/attempt_endings.cpp
@@ -138,6 +138,10 @@
     }
     if (worker.health.failed(task.job, job.successes > 0, zone_.now)) {
         zone_.quarantined.push_back(task.worker);
+        worker.quarantineReason = fmt::format("{} failures in a row counted, the last one of job {} {}",
+                                              worker.health.blame(),
+                                              job.spec.id,
+                                              job.spec.name);
         zone_.note(job.spec.id, fmt::format("worker {} is quarantined: its tasks fail", worker.name));
     }
     zone_.refresh(task.worker);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -243,4 +243,21 @@
     return text;
 }
 
+std::vector<WorkerRestriction> Planner::restrictedWorkers() const
+{
+    const ZoneState &zone = impl_->zone;
+    std::vector<WorkerRestriction> restricted;
+    for (WorkerId id = 0; id < zone.workers.size(); ++id) {
+        const Worker &worker = zone.workers[id];
+        if (worker.health.state() == WorkerHealth::State::Probation) {
+            restricted.push_back({id, true, worker.quarantineReason + "; one task at a time until some succeed"});
+        } else if (worker.health.state() == WorkerHealth::State::Quarantined) {
+            const auto left = std::chrono::ceil<std::chrono::seconds>(worker.health.quarantinedUntil() - zone.now);
+            restricted.push_back(
+                {id, false, fmt::format("{}; tried again in {} s", worker.quarantineReason, left.count())});
+        }
+    }
+    return restricted;
+}
+
 } // namespace yuccawheel::placement
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -17,6 +17,13 @@
     std::uint64_t seed = 1;
 };
 
+/// A worker that is kept from most tasks because tasks on it failed.
+struct WorkerRestriction {
+    WorkerId worker = 0;
+    bool probation = false; ///< One task at a time; else quarantined, none.
+    std::string reason;
+};
+
 /// Decides where one zone's tasks run. Pure: events and the time come in, commands go out.
 /// Not thread-safe; one thread owns it.
 class Planner
@@ -34,6 +41,8 @@
     /// Says in one line why a job waits, or where it runs.
     std::string explain(JobId job) const;
 
+    std::vector<WorkerRestriction> restrictedWorkers() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/placement/worker_health.h
+++ b/src/placement/worker_health.h
@@ -24,6 +24,11 @@
     {
         return until_;
     }
+    /// Counts the failures in a row that speak against the worker.
+    int blame() const
+    {
+        return blame_;
+    }
     /// Takes a failure that may be the worker's fault; `proven` says that the job has succeeded elsewhere.
     /// Returns true if the worker is quarantined by it.
     bool failed(JobHandle job, bool proven, base::TimePoint now);
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -41,6 +41,7 @@
     std::vector<LiveHandle> tasks;
     JobHandle holder = NoHandle; ///< The job it is kept free for.
     WorkerHealth health;
+    std::string quarantineReason; ///< Why it was last quarantined.
 };
 
 struct Rack {
--- a/src/programs/yuccactl/commands.cpp
+++ b/src/programs/yuccactl/commands.cpp
@@ -46,16 +46,19 @@
 ExitCode runList(const Session &session)
 {
     const std::string &state = session.options().state;
-    return printList(session,
-                     state.empty() ? "/v1/jobs" : "/v1/jobs?state=" + escapePath(state),
-                     "jobs",
-                     {"id", "name", "kind", "team", "state", "tasks", "running", "succeeded", "failed", "zones"});
+    return printList(
+        session,
+        state.empty() ? "/v1/jobs" : "/v1/jobs?state=" + escapePath(state),
+        "jobs",
+        {"id", "name", "kind", "team", "state", "tasks", "running", "waiting", "succeeded", "failed", "zones"});
 }
 
 ExitCode runWorkers(const Session &session)
 {
-    return printList(
-        session, "/v1/workers", "workers", {"name", "zone", "rack", "state", "capacity", "reserved", "tasks"});
+    return printList(session,
+                     "/v1/workers",
+                     "workers",
+                     {"name", "zone", "rack", "state", "capacity", "reserved", "tasks", "reason"});
 }
 
 ExitCode runUpstreams(const Session &session)
--- a/src/programs/yuccactl/report.cpp
+++ b/src/programs/yuccactl/report.cpp
@@ -2,7 +2,9 @@
 
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace yuccawheel::programs::yuccactl
 {
@@ -116,19 +118,35 @@
         return text;
     }
 
+    // Says which part of a worker's scarcest resource is reserved.
+    static double tightest(const Json &reserved, const Json &capacity)
+    {
+        double most = 0;
+        for (const char *const resource : {"milli_cpu", "memory_mib", "accelerators"}) {
+            const auto held = static_cast<double>(numberIn(capacity, resource));
+            most = held > 0 ? std::max(most, static_cast<double>(numberIn(reserved, resource)) / held) : most;
+        }
+        return most;
+    }
+
     // Packing: how full the VMs are that run something, so that the others can idle.
     void takeWorkers(const Json &answer)
     {
         std::int64_t busy = 0;
         std::int64_t reserved = 0;
         std::int64_t capacity = 0;
+        double fullness = 0;
         const Json workers = listIn(answer, "workers");
         for (const Json &worker : workers) {
             if (const std::string state = textIn(worker, "state"); state != "active") {
-                needs("worker " + textIn(worker, "name"), state, "yuccactl workers");
+                const std::string reason = textIn(worker, "reason");
+                needs("worker " + textIn(worker, "name"),
+                      reason.empty() ? state : fmt::format("{}: {}", state, reason),
+                      "yuccactl workers");
             }
             if (!listIn(worker, "tasks").empty() && worker.contains("reserved") && worker.contains("capacity")) {
                 ++busy;
+                fullness += tightest(worker["reserved"], worker["capacity"]);
                 reserved += numberIn(worker["reserved"], "milli_cpu");
                 capacity += numberIn(worker["capacity"], "milli_cpu");
             }
@@ -136,6 +154,7 @@
         constexpr std::int64_t Percent = 100;
         summary_["workers"] = workers.size();
         summary_["busy_workers"] = busy;
+        summary_["packing_percent"] = busy == 0 ? 0 : std::llround(Percent * fullness / static_cast<double>(busy));
         summary_["cpu_reserved_on_busy_percent"] = capacity == 0 ? 0 : reserved * Percent / capacity;
     }
 
--- a/src/programs/yw_entry/entry_peers.cpp
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -1,6 +1,8 @@
 #include "entry_peers.h"
 
 #include "base/log.h"
+#include "daemon/cost.h"
+#include "protocol/messages.h"
 #include "protocol/routing_messages.h"
 
 #include <boost/asio/post.hpp>
@@ -108,6 +110,13 @@
         take<protocol::KeyNotice>(
             channel, frame, [this](const protocol::KeyNotice &notice) { keys_.receive(notice.message); });
         break;
+    case protocol::MessageType::Query:
+        take<protocol::Query>(channel, frame, [&](const protocol::Query &query) {
+            if (query.kind == protocol::QueryKind::Cost) {
+                channel->reply(frame.correlation, protocol::QueryReply{daemon::costJson(context_.self)});
+            }
+        });
+        break;
     default:
         break;
     }
--- a/src/programs/yw_entry/operator_api.cpp
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -142,11 +142,11 @@
     } else if (path == "/v1/configuration/status" && get) {
         askStore(QueryKind::ConfigurationStatus, {}, respond);
     } else if (path == "/v1/jobs" && get) {
-        askStore(QueryKind::Jobs, std::string(request.parameter("state")), respond);
+        jobs(QueryKind::Jobs, std::string(request.parameter("state")), respond);
     } else if (path == "/v1/store" && get) {
         askStore(QueryKind::Store, {}, respond);
     } else if (path == "/v1/report" && get) {
-        askStore(QueryKind::Report, std::string(request.parameter("since")), respond);
+        report(std::string(request.parameter("since")), respond);
     } else if (path == "/v1/workers" && get) {
         workers(respond);
     } else if (path == "/v1/upstreams" && get) {
@@ -156,7 +156,7 @@
     } else if (const auto explained = under("/v1/jobs/", "/explain"); explained && get) {
         explain(*explained, respond);
     } else if (const auto shown = under("/v1/jobs/", ""); shown && get) {
-        askStore(QueryKind::Job, *shown, respond);
+        jobs(QueryKind::Job, *shown, respond);
     } else if (const auto drained = under("/v1/workers/", "/drain"); drained && post) {
         drain(*drained, true, respond);
     } else if (const auto undrained = under("/v1/workers/", "/undrain"); undrained && post) {
--- a/src/programs/yw_entry/operator_api.h
+++ b/src/programs/yw_entry/operator_api.h
@@ -44,6 +44,9 @@
     void explain(const std::string &job, const http::Responder &respond);
     void drain(const std::string &worker, bool drain, const http::Responder &respond);
     void workers(const http::Responder &respond);
+    /// Answers with one job or a list of jobs, each with its running and waiting tasks.
+    void jobs(protocol::QueryKind kind, std::string argument, const http::Responder &respond);
+    void report(const std::string &since, const http::Responder &respond);
     void askStore(protocol::QueryKind kind, std::string argument, const http::Responder &respond);
     void resolveJob(const std::string &job, const http::Responder &respond, std::function<void(placement::JobId)> then);
     void askSchedulers(const protocol::Query &query, std::function<void(Gathering &)> done);
--- a/src/programs/yw_scheduler/planner_commands.cpp
+++ b/src/programs/yw_scheduler/planner_commands.cpp
@@ -17,6 +17,9 @@
     }
     context_.metrics.histogram("yw_wait_seconds").record(start.waited);
     context_.metrics.counter("yw_task_starts_total").add();
+    const auto unixTime = std::chrono::system_clock::now().time_since_epoch();
+    starts_.add(
+        start, start.task.attempt > firstAttempt(), std::chrono::duration_cast<std::chrono::milliseconds>(unixTime));
 }
 
 void SchedulerService::execute(const placement::StopTask &stop, std::uint64_t session)
--- a/src/programs/yw_scheduler/planner_thread.cpp
+++ b/src/programs/yw_scheduler/planner_thread.cpp
@@ -51,8 +51,8 @@
 
 void PlannerThread::handle(PlannerInput &input, std::vector<PollMark> &marks)
 {
-    if (const auto *explain = std::get_if<PlannerInput::Explain>(&input.what)) {
-        explain->done(planner_.explain(explain->job));
+    if (const auto *question = std::get_if<PlannerInput::Question>(&input.what)) {
+        question->ask(planner_);
         return;
     }
     const auto &event = std::get<placement::Event>(input.what);
--- a/src/programs/yw_scheduler/planner_thread.h
+++ b/src/programs/yw_scheduler/planner_thread.h
@@ -23,11 +23,11 @@
 
 /// Given to the planner's thread. `mark` comes back after everything that the event led to.
 struct PlannerInput {
-    struct Explain {
-        placement::JobId job = 0;
-        std::function<void(std::string)> done; ///< Called on the planner's thread.
+    /// A question that changes nothing; `ask` is called on the planner's thread.
+    struct Question {
+        std::function<void(const placement::Planner &)> ask;
     };
-    std::variant<placement::Event, Explain> what;
+    std::variant<placement::Event, Question> what;
     std::uint64_t session = 0; ///< Of the worker, with WorkerJoined.
     std::optional<PollMark> mark;
 };
--- a/src/programs/yw_scheduler/queries.cpp
+++ b/src/programs/yw_scheduler/queries.cpp
@@ -1,5 +1,6 @@
 // Questions of operators that only the zone's scheduler can answer.
 
+#include "daemon/cost.h"
 #include "placement/resources_json.h"
 #include "scheduler_service.h"
 
@@ -34,6 +35,14 @@
     return "unknown";
 }
 
+template <typename Number>
+Number numberIn(const std::string &text)
+{
+    Number number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 protocol::RequestError refusal(protocol::ErrorCode code, std::string message)
 {
     return {code, base::Verdict::NotRun, std::move(message), {}};
@@ -51,16 +60,26 @@
         channel->reply(frame.correlation, refusal(protocol::ErrorCode::BadRequest, query.error().message));
         return;
     }
+    if (query->kind == protocol::QueryKind::Cost) {
+        channel->reply(frame.correlation, protocol::QueryReply{daemon::costJson(context_.self)});
+        return;
+    }
+    if (query->kind == protocol::QueryKind::Starts) {
+        const std::chrono::milliseconds since(numberIn<std::int64_t>(query->argument));
+        channel->reply(frame.correlation, protocol::QueryReply{starts_.since(since).dump()});
+        return;
+    }
     if (!hub_.owning()) {
         channel->reply(frame.correlation,
                        refusal(protocol::ErrorCode::NotOwner, "this scheduler doesn't own the zone"));
         return;
     }
     if (query->kind == protocol::QueryKind::Explain) {
-        placement::JobId job = 0;
-        const std::string &text = query->argument;
-        std::from_chars(text.data(), text.data() + text.size(), job);
-        explain(channel, frame.correlation, job);
+        explain(channel, frame.correlation, numberIn<placement::JobId>(query->argument));
+        return;
+    }
+    if (query->kind == protocol::QueryKind::Workers) {
+        listWorkers(channel, frame.correlation);
         return;
     }
     const auto answer = answerQuery(*query);
@@ -74,8 +93,8 @@
 tl::expected<std::string, protocol::RequestError> SchedulerService::answerQuery(const protocol::Query &query)
 {
     switch (query.kind) {
-    case protocol::QueryKind::Workers:
-        return workersJson();
+    case protocol::QueryKind::RunningTasks:
+        return runningTasksJson();
     case protocol::QueryKind::Drain:
     case protocol::QueryKind::Undrain:
         if (!hub_.drain(query.argument, query.kind == protocol::QueryKind::Drain)) {
@@ -87,24 +106,49 @@
     }
 }
 
-// The planner's thread answers; its answer goes back through the network thread.
-void SchedulerService::explain(const protocol::ChannelPtr &channel, std::uint64_t correlation, placement::JobId job)
+template <typename Answer>
+void SchedulerService::askPlanner(const protocol::ChannelPtr &channel,
+                                  std::uint64_t correlation,
+                                  std::function<Answer(const placement::Planner &)> ask,
+                                  std::function<std::string(const Answer &)> format)
 {
-    auto done = [this, alive = alive_, channel, correlation, job](std::string text) {
-        boost::asio::post(context_.io, [this, alive, channel, correlation, job, text = std::move(text)] {
+    auto onPlanner = [this, alive = alive_, channel, correlation, ask = std::move(ask), format = std::move(format)](
+                         const placement::Planner &planner) {
+        boost::asio::post(context_.io, [alive, channel, correlation, format, answer = ask(planner)] {
             if (*alive != nullptr) {
-                const json answer{{"zone", context_.self.zone}, {"job", job}, {"text", text}};
-                channel->reply(correlation, protocol::QueryReply{answer.dump()});
+                channel->reply(correlation, protocol::QueryReply{format(answer)});
             }
         });
     };
-    PlannerInput input{PlannerInput::Explain{job, std::move(done)}, 0, std::nullopt};
+    PlannerInput input{PlannerInput::Question{std::move(onPlanner)}, 0, std::nullopt};
     if (!planner_ || !planner_->tryPush(std::move(input))) {
         channel->reply(correlation, refusal(protocol::ErrorCode::Overloaded, "the planner is busy"));
     }
 }
 
-std::string SchedulerService::workersJson() const
+void SchedulerService::explain(const protocol::ChannelPtr &channel, std::uint64_t correlation, placement::JobId job)
+{
+    askPlanner<std::string>(
+        channel,
+        correlation,
+        [job](const placement::Planner &planner) { return planner.explain(job); },
+        [this, job](const std::string &text) {
+            return json{{"zone", context_.self.zone}, {"job", job}, {"text", text}}.dump();
+        });
+}
+
+// Whether a worker is trusted is known to the planner; all else about it, to the hub.
+void SchedulerService::listWorkers(const protocol::ChannelPtr &channel, std::uint64_t correlation)
+{
+    using Restrictions = std::vector<placement::WorkerRestriction>;
+    askPlanner<Restrictions>(
+        channel,
+        correlation,
+        [](const placement::Planner &planner) { return planner.restrictedWorkers(); },
+        [this](const Restrictions &restricted) { return workersJson(restricted); });
+}
+
+std::string SchedulerService::workersJson(const std::vector<placement::WorkerRestriction> &restricted) const
 {
     json workers = json::array();
     for (const Worker &worker : hub_.workers()) {
@@ -118,11 +162,33 @@
                            {"zone", context_.self.zone},
                            {"rack", worker.rack},
                            {"state", stateName(worker)},
+                           {"reason", ""},
                            {"capacity", worker.capacity},
                            {"reserved", reserved},
                            {"tasks", std::move(tasks)}});
     }
+    for (const placement::WorkerRestriction &restriction : restricted) {
+        if (restriction.worker >= workers.size()) {
+            continue;
+        }
+        json &worker = workers[restriction.worker];
+        worker["reason"] = restriction.reason;
+        if (worker["state"] == "active") {
+            worker["state"] = restriction.probation ? "probation" : "quarantined";
+        }
+    }
     return json{{"workers", std::move(workers)}}.dump();
 }
 
+std::string SchedulerService::runningTasksJson() const
+{
+    std::map<placement::JobId, std::uint64_t> running;
+    for (const Worker &worker : hub_.workers()) {
+        for (const auto &[task, outstanding] : worker.tasks) {
+            ++running[task.job];
+        }
+    }
+    return json{{"zone", context_.self.zone}, {"running", running}}.dump();
+}
+
 } // namespace yuccawheel::scheduler
--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -6,6 +6,7 @@
 #include "planner_thread.h"
 #include "progress_log.h"
 #include "protocol/listener.h"
+#include "start_history.h"
 #include "store/store_client.h"
 #include "worker_hub.h"
 
@@ -65,6 +66,8 @@
     void onOwner(const protocol::ZoneOwner &owner);
     void dropUnnamed(const protocol::StateUpdate &update);
     void assign(const protocol::ShareAssignment &assignment);
+    /// Number of the first attempt at any task under this ownership.
+    std::uint32_t firstAttempt() const;
     void assignToPlanner(const Share &share);
     void cancel(placement::JobId job);
     void drop(placement::JobId job);
@@ -87,12 +90,21 @@
     void handleInner(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
     tl::expected<std::string, protocol::RequestError> answerQuery(const protocol::Query &query);
     void explain(const protocol::ChannelPtr &channel, std::uint64_t correlation, placement::JobId job);
-    std::string workersJson() const;
+    /// Asks the planner on its thread, and replies on the network thread with what `format` makes of the answer.
+    template <typename Answer>
+    void askPlanner(const protocol::ChannelPtr &channel,
+                    std::uint64_t correlation,
+                    std::function<Answer(const placement::Planner &)> ask,
+                    std::function<std::string(const Answer &)> format);
+    void listWorkers(const protocol::ChannelPtr &channel, std::uint64_t correlation);
+    std::string workersJson(const std::vector<placement::WorkerRestriction> &restricted) const;
+    std::string runningTasksJson() const;
     void onTick();
 
     daemon::Context &context_;
     WorkerHub hub_;
     ProgressLog progress_;
+    StartHistory starts_;
     std::unique_ptr<PlannerThread> planner_; ///< There while this process owns the zone.
     std::deque<PlannerInput> backlog_; ///< State from the log that found the planner's ring full.
     std::unordered_map<placement::JobId, Share> shares_;
--- a/src/programs/yw_scheduler/state_from_log.cpp
+++ b/src/programs/yw_scheduler/state_from_log.cpp
@@ -117,6 +117,11 @@
     }
 }
 
+std::uint32_t SchedulerService::firstAttempt() const
+{
+    return self_.takeovers * AttemptsPerOwner;
+}
+
 // Only shares that an earlier owner held may have tasks that this owner doesn't know of.
 void SchedulerService::assignToPlanner(const Share &share)
 {
@@ -128,7 +133,7 @@
     assigned.recovered = share.assignment.assignedAt < self_.epoch;
     assigned.startsRecorded = true;
     assigned.maybeStarted = share.assignment.started.indices();
-    assigned.firstAttempt = self_.takeovers * AttemptsPerOwner;
+    assigned.firstAttempt = firstAttempt();
     pushToPlanner(std::move(assigned));
     if (share.cancelled) {
         pushToPlanner(placement::JobCancelled{share.assignment.spec.id});
--- a/src/programs/yw_store/store_service.cpp
+++ b/src/programs/yw_store/store_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "coordination/checksum.h"
+#include "daemon/cost.h"
 #include "store/replication_codec.h"
 
 #include <boost/asio/post.hpp>
@@ -33,6 +34,15 @@
     return options;
 }
 
+bool isCostQuery(const protocol::Frame &frame)
+{
+    if (frame.type != protocol::MessageType::Query || frame.kind != protocol::FrameKind::Request) {
+        return false;
+    }
+    const auto query = protocol::decode<protocol::Query>(frame.payload);
+    return query && query->kind == protocol::QueryKind::Cost;
+}
+
 std::string describe(const coordination::StorageError &error)
 {
     return fmt::format("{}: {}", coordination::toString(error.failure), error.detail);
@@ -153,6 +163,10 @@
         }
         return;
     }
+    if (isCostQuery(frame)) {
+        channel->reply(frame.correlation, protocol::QueryReply{daemon::costJson(context_.self)});
+        return;
+    }
     const auto correlation = frame.correlation;
     const bool isRequest = frame.kind == protocol::FrameKind::Request;
     ClientRequest request{clientIds_.at(channel.get()), channel->peer(), std::move(frame)};
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -283,6 +283,9 @@
     Drain,
     Undrain,
     Report,
+    RunningTasks, ///< Of each job, in the scheduler's zone.
+    Starts, ///< What a scheduler started since a time.
+    Cost, ///< What the process has used; any daemon answers.
 };
 
 struct QueryReply {
@@ -306,4 +309,4 @@
 
 YW_MSGPACK_ENUM(yuccawheel::protocol::SubmitOutcome, yuccawheel::protocol::SubmitOutcome::Rejected)
 YW_MSGPACK_ENUM(yuccawheel::protocol::KeyOutcome, yuccawheel::protocol::KeyOutcome::Refused)
-YW_MSGPACK_ENUM(yuccawheel::protocol::QueryKind, yuccawheel::protocol::QueryKind::Report)
+YW_MSGPACK_ENUM(yuccawheel::protocol::QueryKind, yuccawheel::protocol::QueryKind::Cost)
--- a/tests/yuccactl_cluster_test.py
+++ b/tests/yuccactl_cluster_test.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 import unittest
 
 from cluster import BIN, ROOT, Cluster, text
@@ -22,6 +23,10 @@
 NEVER = """batch:
   - {name: huge, team: studio, tasks: 1, run_time: 1s, resources: {cpu: 1000, memory: 1TiB}}
 """
+BROKEN = "batch:\n" + "".join(
+    f"  - {{name: broken-{number}, team: studio, tasks: 2, run_time: 100ms, resources: {{cpu: 1, memory: 256MiB}}}}\n"
+    for number in range(6)
+)
 
 
 class Operator:
@@ -53,12 +58,14 @@
     def test_an_operators_day(self):
         with Cluster({"a": 1, "b": 1}, stores=["a"]) as cluster:
             cluster.start()
-            for zone in cluster.zones:
-                cluster.workers(zone, 2)
+            fleets = [cluster.workers(zone, 2) for zone in cluster.zones]
             operator = Operator(cluster)
             self.configure(operator)
             self.run_jobs(operator)
             self.look(operator)
+            self.count_tasks(operator)
+            self.quarantine(operator, fleets)
+            self.report(operator)
             # The first entry dies; the second one serves the same commands.
             cluster.vms[0].entry.kill()
             self.assertEqual(operator.run("config")[1]["version"], 3)
@@ -106,5 +113,52 @@
             self.assertEqual(operator.run(*command)[0], 0, command)
 
 
+    def eventually(self, operator, command, holds):
+        """Repeats a command until its answer is as wanted; returns that answer."""
+        answer = None
+        for _ in range(300):
+            answer = operator.run(*command)[1]
+            if holds(answer):
+                return answer
+            time.sleep(0.1)
+        self.fail(f"{command}: {answer}")
+
+    def count_tasks(self, operator):
+        job = self.eventually(operator, ["get", "preview"], lambda job: job["running"] == 2)
+        self.assertEqual((job["waiting"], job["tasks"]), (0, 2))
+        wide = NEVER.replace("huge", "wide").replace("tasks: 1", "tasks: 5")
+        self.assertEqual(operator.submit("wide.yaml", wide)[0], 0)
+        rows = {job["name"]: job for job in reversed(operator.run("list")[1]["jobs"])}  # newest first
+        self.assertEqual([(rows[name]["running"], rows[name]["waiting"]) for name in ("wide", "preview", "suite")],
+                         [(0, 5), (2, 0), (0, 0)])
+        self.assertEqual(operator.run("cancel", "wide")[0], 0)
+
+    def quarantine(self, operator, fleets):
+        # Several jobs fail on each worker, and none on as many workers as would make it the job's fault.
+        for fleet in fleets:
+            fleet.command("fail * on")
+        self.assertEqual(operator.submit("broken.yaml", BROKEN)[0], 0)
+        answer = self.eventually(operator, ["workers"],
+                                 lambda answer: any(row["state"] == "quarantined" for row in answer["workers"]))
+        for fleet in fleets:
+            fleet.command("fail * off")
+        reasons = [row["reason"] for row in answer["workers"] if row["state"] == "quarantined"]
+        self.assertRegex(reasons[0], "failures in a row counted, the last one of job .* tried again in [0-9]+ s")
+
+    def report(self, operator):
+        code, report = operator.run("report", "--since", "1h")
+        self.assertEqual(code, 0)
+        self.assertGreater(report["starts"], report["retries"])
+        self.assertGreater(report["retries"], 0)
+        self.assertTrue(report["retried"])
+        self.assertGreaterEqual(report["wait_p99_ms"], report["wait_p50_ms"])
+        self.assertGreater(report["packing_percent"], 0)
+        rows = {(row["role"], row["node"]): row for row in report["daemons"]}
+        self.assertEqual(sorted(role for role, _ in rows), ["entry", "entry", "scheduler", "scheduler", "store"])
+        for row in rows.values():
+            self.assertGreater(row["sent_bytes_per_s"], 0, row)
+            self.assertGreater(row["resident_kib"], 0, row)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/yuccactl_test.py
+++ b/tests/yuccactl_test.py
@@ -249,8 +249,8 @@
             GET___v1__report=[(200, {"succeeded": 7, "failed": [job], "may_have_run": [job], "unfinished": [job]})],
             GET___v1__jobs__4__explain=[(200, {"zones": [{"zone": "a", "text": "quota"}]})],
             GET___v1__workers=[(200, {"workers": [
-                {"name": "w1", "state": "quarantined", "tasks": ["1.0.0"], "reserved": amount,
-                 "capacity": {"milli_cpu": 16000}},
+                {"name": "w1", "state": "quarantined", "reason": "failures", "tasks": ["1.0.0"], "reserved": amount,
+                 "capacity": {"milli_cpu": 16000, "memory_mib": 2048}},
                 {"name": "w2", "state": "active", "tasks": [], "reserved": amount, "capacity": amount},
             ]})],
             GET___v1__configuration__status=[(200, {"daemons": [{"node": "b1", "behind": 2}, {"node": "a1"}]})],
@@ -261,6 +261,8 @@
         self.assertEqual([item["item"] for item in report["attention"]],
                          ["job 4 suite", "job 4 suite", "worker w1", "daemon b1", "/v1/store"])
         self.assertEqual((report["busy_workers"], report["cpu_reserved_on_busy_percent"]), (1, 25))
+        self.assertEqual(report["packing_percent"], 50)
+        self.assertEqual(report["attention"][2]["why"], "quarantined: failures")
         self.assertEqual(report["waiting"][0]["why"], "a: quota")
         text = subprocess.run(self.command([entry], "report")[:-2], capture_output=True, check=True, text=True).stdout
         self.assertIn("worker w1", text)
