Control bytes are counted by kind of message

Cause: the capacity page knew each daemon's bytes, not what they are, so there was nothing to choose cuts by.

The sum of the kinds is held against the total in yuccactl_cluster_test.py. No functional change.

--- a/src/base/traffic.h
+++ b/src/base/traffic.h
@@ -1,15 +1,59 @@
 #pragma once
 
+#include <array>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 
 namespace yuccawheel::base
 {
 
 /// Bytes of control traffic of this process: the inner protocol and the control interfaces, without callers' requests.
-struct ControlTraffic {
-    std::atomic<std::uint64_t> sentBytes{0};
-    std::atomic<std::uint64_t> receivedBytes{0};
+class ControlTraffic
+{
+public:
+    /// Kind of the control interfaces over HTTP; other kinds are numbers of the inner protocol's message types.
+    static constexpr std::size_t HttpKind = 0;
+    static constexpr std::size_t Kinds = 128;
+
+    void sent(std::size_t kind, std::uint64_t bytes)
+    {
+        sentBytes_.at(kind).fetch_add(bytes, std::memory_order_relaxed);
+    }
+    void received(std::size_t kind, std::uint64_t bytes)
+    {
+        receivedBytes_.at(kind).fetch_add(bytes, std::memory_order_relaxed);
+    }
+    std::uint64_t sentBytes(std::size_t kind) const
+    {
+        return sentBytes_.at(kind).load(std::memory_order_relaxed);
+    }
+    std::uint64_t receivedBytes(std::size_t kind) const
+    {
+        return receivedBytes_.at(kind).load(std::memory_order_relaxed);
+    }
+    std::uint64_t sentBytes() const
+    {
+        return sum(sentBytes_);
+    }
+    std::uint64_t receivedBytes() const
+    {
+        return sum(receivedBytes_);
+    }
+
+private:
+    using ByKind = std::array<std::atomic<std::uint64_t>, Kinds>;
+    static std::uint64_t sum(const ByKind &bytes)
+    {
+        std::uint64_t total = 0;
+        for (const auto &part : bytes) {
+            total += part.load(std::memory_order_relaxed);
+        }
+        return total;
+    }
+
+    ByKind sentBytes_{};
+    ByKind receivedBytes_{};
 };
 
 inline ControlTraffic &controlTraffic()
--- a/src/daemon/cost.cpp
+++ b/src/daemon/cost.cpp
@@ -51,8 +51,8 @@
                           {"up_ms", nowMs - static_cast<std::int64_t>(self.incarnation)},
                           {"cpu_ms", processorTime().count()},
                           {"resident_kib", residentKib()},
-                          {"sent_bytes", traffic.sentBytes.load()},
-                          {"received_bytes", traffic.receivedBytes.load()}}
+                          {"sent_bytes", traffic.sentBytes()},
+                          {"received_bytes", traffic.receivedBytes()}}
         .dump();
 }
 
--- a/src/daemon/health_server.cpp
+++ b/src/daemon/health_server.cpp
@@ -4,6 +4,8 @@
 #include "base/traffic.h"
 #include "daemon/json_api.h"
 
+#include <fmt/core.h>
+
 namespace yuccawheel::daemon
 {
 
@@ -30,8 +32,17 @@
     } else if (request.path == "/metrics") {
         context_.metrics.gauge("yw_log_lines_dropped").set(static_cast<std::int64_t>(base::LogWriter::dropped()));
         const base::ControlTraffic &traffic = base::controlTraffic();
-        context_.metrics.gauge("yw_control_sent_bytes").set(static_cast<std::int64_t>(traffic.sentBytes));
-        context_.metrics.gauge("yw_control_received_bytes").set(static_cast<std::int64_t>(traffic.receivedBytes));
+        context_.metrics.gauge("yw_control_sent_bytes").set(static_cast<std::int64_t>(traffic.sentBytes()));
+        context_.metrics.gauge("yw_control_received_bytes").set(static_cast<std::int64_t>(traffic.receivedBytes()));
+        for (std::size_t kind = 0; kind < base::ControlTraffic::Kinds; ++kind) {
+            const std::string label = fmt::format("{{kind=\"{}\"}}", kind);
+            const auto sent = static_cast<std::int64_t>(traffic.sentBytes(kind));
+            const auto received = static_cast<std::int64_t>(traffic.receivedBytes(kind));
+            if (sent + received > 0) {
+                context_.metrics.gauge("yw_control_kind_sent_bytes" + label).set(sent);
+                context_.metrics.gauge("yw_control_kind_received_bytes" + label).set(received);
+            }
+        }
         respond({200, context_.metrics.render(), "text/plain; version=0.0.4", {}});
     } else {
         respond(errorResponse(404, "not_found", "paths are /healthz, /readyz and /metrics"));
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -12,6 +12,18 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+// A type that this version doesn't know counts with the heartbeats; both carry nothing.
+std::size_t trafficKind(MessageType type)
+{
+    const auto kind = static_cast<std::size_t>(type);
+    return kind < base::ControlTraffic::Kinds ? kind : static_cast<std::size_t>(MessageType::Heartbeat);
+}
+
+} // namespace
+
 Channel::Channel(asio::ip::tcp::socket socket, Identity peer)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
@@ -42,7 +54,7 @@
     encoded.append(header.begin(), header.end());
     encoded.append(frame.payload);
     queuedBytes_ += bytes;
-    base::controlTraffic().sentBytes += bytes;
+    base::controlTraffic().sent(trafficKind(frame.type), bytes);
     queue_.push_back(std::move(encoded));
     if (!writing_) {
         writeNext();
@@ -97,7 +109,8 @@
                              return;
                          }
                          self->lastReceived_ = std::chrono::steady_clock::now();
-                         base::controlTraffic().receivedBytes += FrameHeaderBytes + pending->payload.size();
+                         base::controlTraffic().received(trafficKind(pending->type),
+                                                         FrameHeaderBytes + pending->payload.size());
                          if (pending->type != MessageType::Heartbeat && self->callbacks_.frame) {
                              const auto handler = self->callbacks_.frame;
                              handler(self, std::move(*pending));
--- a/tests/yuccactl_cluster_test.py
+++ b/tests/yuccactl_cluster_test.py
@@ -5,6 +5,7 @@
 import sys
 import time
 import unittest
+import urllib.request
 
 from cluster import BIN, ROOT, Cluster, text
 
@@ -66,6 +67,7 @@
             self.count_tasks(operator)
             self.quarantine(operator, fleets)
             self.report(operator)
+            self.traffic_by_kind(cluster.vms[0])
             # The first entry dies; the second one serves the same commands.
             cluster.vms[0].entry.kill()
             self.assertEqual(operator.run("config")[1]["version"], 3)
@@ -159,6 +161,15 @@
             self.assertGreater(row["sent_bytes_per_s"], 0, row)
             self.assertGreater(row["resident_kib"], 0, row)
 
+    def traffic_by_kind(self, vm):
+        with urllib.request.urlopen(f"http://{text(vm.address['entry_health'])}/metrics", timeout=10) as answer:
+            lines = [line.split() for line in answer.read().decode().splitlines() if line.startswith("yw_control_")]
+        values = {name: int(value) for name, value in lines}
+        for way in ("sent", "received"):
+            kinds = [value for name, value in values.items() if name.startswith(f"yw_control_kind_{way}_bytes{{")]
+            self.assertGreater(len(kinds), 3, values)
+            self.assertEqual(sum(kinds), values[f"yw_control_{way}_bytes"], values)
+
 
 if __name__ == "__main__":
     unittest.main()
