--- a/src/programs/yw_scheduler/worker_protocol.cpp
+++ b/src/programs/yw_scheduler/worker_protocol.cpp
@@ -108,8 +108,10 @@
         poll.incarnation = number(object.at("incarnation"), "incarnation", MaxCounter);
         poll.sequence = number(object.at("sequence"), "sequence", MaxCounter);
         poll.rack = object.value("rack", std::string());
-        poll.capacity = parseResources(object.at("capacity"));
         poll.full = object.value("full", false);
+        if (poll.full) {
+            poll.capacity = parseResources(object.at("capacity"));
+        }
         poll.wait = std::chrono::milliseconds(number(object.value("wait_ms", json(0U)), "wait_ms", MaxWait.count()));
         if (poll.rack.size() > MaxRackName) {
             refuse(fmt::format("rack: allowed at most {} bytes", MaxRackName));
@@ -125,15 +127,17 @@
 
 std::string formatStart(const placement::StartTask &start, const JobInfo &job)
 {
-    return json{{"command", "start"},
-                {"task", placement::toString(start.task)},
-                {"reserved", start.reserved},
-                {"payload", job.payload},
-                {"kind", kindName(job.kind)},
-                {"name", job.name},
-                {"resume", start.resumeFromCheckpoint},
-                {"detached_for_ms", job.detachedFor.count()}}
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    json command{{"command", "start"},
+                 {"task", placement::toString(start.task)},
+                 {"reserved", start.reserved},
+                 {"payload", job.payload},
+                 {"kind", kindName(job.kind)},
+                 {"name", job.name},
+                 {"detached_for_ms", job.detachedFor.count()}};
+    if (start.resumeFromCheckpoint) {
+        command["resume"] = true;
+    }
+    return command.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string formatStop(const placement::StopTask &stop)
@@ -148,20 +152,21 @@
         .dump();
 }
 
+// An idle worker gets this each second, so what has its default is left out.
 std::string formatAnswer(const AnswerHead &head,
                          std::uint64_t acknowledged,
                          bool needFull,
                          const std::vector<std::string> &commands)
 {
-    return fmt::format(
-        R"({{"epoch":[{},0],"owner":"{}","acknowledged":{},"lease_ms":{},"need_full":{},"released":{},"commands":[{}]}})",
-        head.epoch,
-        head.owner,
-        acknowledged,
-        head.lease.count(),
-        needFull,
-        head.released,
-        fmt::join(commands, ","));
+    std::string answer = fmt::format(R"({{"epoch":[{},0],"owner":"{}","acknowledged":{},"lease_ms":{})",
+                                     head.epoch,
+                                     head.owner,
+                                     acknowledged,
+                                     head.lease.count());
+    answer += needFull ? R"(,"need_full":true)" : "";
+    answer += head.released ? R"(,"released":true)" : "";
+    answer += commands.empty() ? "" : fmt::format(R"(,"commands":[{}])", fmt::join(commands, ","));
+    return answer + '}';
 }
 
 } // namespace yuccawheel::scheduler
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -14,6 +14,18 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+// A type that this version doesn't know counts with the heartbeats; both carry nothing.
+std::size_t trafficKind(MessageType type)
+{
+    const auto kind = static_cast<std::size_t>(type);
+    return kind < base::ControlTraffic::Kinds ? kind : static_cast<std::size_t>(MessageType::Heartbeat);
+}
+
+} // namespace
+
 Channel::Channel(asio::ip::tcp::socket socket, Identity peer, Members &members)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
@@ -49,7 +61,7 @@
     encoded.append(frame.payload);
     queuedBytes_ += bytes;
     lastSent_ = base::BootClock::now();
-    base::controlTraffic().sentBytes += bytes;
+    base::controlTraffic().sent(trafficKind(frame.type), bytes);
     queue_.push_back(std::move(encoded));
     if (!writing_) {
         writeNext();
@@ -105,7 +117,8 @@
                              return;
                          }
                          self->onReceived();
-                         base::controlTraffic().receivedBytes += FrameHeaderBytes + pending->payload.size();
+                         base::controlTraffic().received(trafficKind(pending->type),
+                                                         FrameHeaderBytes + pending->payload.size());
                          if (pending->type == MessageType::Leave) {
                              self->members_.left(self->peer_);
                              self->close("left");
