Reservations of running tasks shrink once the worker reports the lower limit

The policy bench now splits what busy hours are above the bound: unused reservations (services apart), the other resource, and free room (with and without work waiting).

A report carries the limit in force. ReservationTrimmer sends a lower limit first and lowers the ledger when a report says that it holds; a lower limit is below all earlier ones of the attempt, so a late or doubled report can't stand for it. A new owner adopts the limit in force instead of the reservation of the start.

The policy bench's fields stand in one list for both formats.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <functional>
 #include <stdexcept>
+#include <string_view>
 
 namespace yuccawheel::bench
 {
@@ -92,63 +93,83 @@
     return figures;
 }
 
-void measure(const Trace &trace, milliseconds warmUp, const std::string &format, const std::string &only)
+/// One figure of a run, as it stands in the output.
+struct Figure {
+    std::string_view name;
+    double value = 0;
+    int decimals = 0;
+};
+
+std::vector<Figure> listFigures(const PolicyFigures &figures, const Outcomes &outcomes)
+{
+    const double busy = std::max(1e-9, outcomes.busyWorkerHours);
+    const double bound = std::max(1e-9, outcomes.lowerBoundHours);
+    return {
+        {"wait_p50_s", figures.waitP50Seconds, 2},
+        {"wait_p99_s", figures.waitP99Seconds, 2},
+        {"urgent_worst_s", figures.urgentWorstSeconds, 2},
+        {"late", static_cast<double>(figures.lateTasks), 0},
+        {"not_started", static_cast<double>(figures.notStarted), 0},
+        {"finished", static_cast<double>(figures.finished), 0},
+        {"busy_vm_hours", outcomes.busyWorkerHours, 2},
+        {"lower_bound_vm_hours", outcomes.lowerBoundHours, 2},
+        {"over_lower_bound", outcomes.busyWorkerHours / bound, 4},
+        {"reserved_of_busy", outcomes.reservedBoundHours / busy, 4},
+        // What busy hours are above the bound, by cause. The first part is within the one before it.
+        {"unused_reservations_vm_hours", outcomes.reservedBoundHours - outcomes.lowerBoundHours, 2},
+        {"unused_by_services_vm_hours", outcomes.serviceSlackHours, 2},
+        {"other_resource_vm_hours", outcomes.shareHours - outcomes.reservedBoundHours, 2},
+        {"free_vm_hours", outcomes.busyWorkerHours - outcomes.shareHours, 2},
+        {"free_while_waiting_vm_hours", outcomes.waitingFreeHours, 2},
+        {"lost_work_hours", outcomes.lostWorkHours, 3},
+        {"overbooked", static_cast<double>(outcomes.overbooked), 0},
+        {"doubled", static_cast<double>(outcomes.doubled), 0},
+    };
+}
+
+void print(const Trace &trace, std::string_view scheduler, const std::vector<Figure> &figures, bool json)
+{
+    fmt::print(
+        fmt::runtime(json ? "{{\"trace\": \"{}\", \"scheduler\": \"{}\"" : "{:<28} {:<15}"), trace.title, scheduler);
+    for (const Figure &figure : figures) {
+        fmt::print(
+            fmt::runtime(json ? ", \"{}\": {:.{}f}" : "  {} {:.{}f}"), figure.name, figure.value, figure.decimals);
+    }
+    fmt::print("{}\n", json ? "}" : "");
+}
+
+/// What is run beside what, and how it is printed.
+struct MeasureOptions {
+    std::string only; ///< Name of one scheduler; empty for all.
+    bool json = false;
+    bool reportLimits = true;
+    milliseconds warmUp{0};
+};
+
+void measure(const Trace &trace, const MeasureOptions &options)
 {
     for (const Contender &contender : contenders()) {
-        if (!only.empty() && only != contender.name) {
-            continue;
-        }
-        Platform platform(trace, contender.make(), {false, warmUp});
-        const Outcomes &outcomes = platform.run();
-        const PolicyFigures figures = figuresOf(outcomes, trace, warmUp);
-        const double overBound = outcomes.busyWorkerHours / std::max(1e-9, outcomes.lowerBoundHours);
-        const double reserved = outcomes.reservedBoundHours / std::max(1e-9, outcomes.busyWorkerHours);
-        if (format == "json") {
-            fmt::print("{{\"trace\": \"{}\", \"scheduler\": \"{}\", \"wait_p50_s\": {:.2f}, \"wait_p99_s\": {:.2f}, "
-                       "\"urgent_worst_s\": {:.2f}, \"late\": {}, \"not_started\": {}, \"finished\": {}, "
-                       "\"busy_vm_hours\": {:.2f}, \"lower_bound_vm_hours\": {:.2f}, \"over_lower_bound\": {:.4f}, "
-                       "\"reserved_of_busy\": {:.4f}, \"lost_work_hours\": {:.3f}, \"overbooked\": {}, "
-                       "\"doubled\": {}}}\n",
-                       trace.title,
-                       contender.name,
-                       figures.waitP50Seconds,
-                       figures.waitP99Seconds,
-                       figures.urgentWorstSeconds,
-                       figures.lateTasks,
-                       figures.notStarted,
-                       figures.finished,
-                       outcomes.busyWorkerHours,
-                       outcomes.lowerBoundHours,
-                       overBound,
-                       reserved,
-                       outcomes.lostWorkHours,
-                       outcomes.overbooked,
-                       outcomes.doubled);
-            continue;
+        if (options.only.empty() || options.only == contender.name) {
+            Platform platform(trace, contender.make(), {false, options.warmUp, options.reportLimits});
+            const Outcomes &outcomes = platform.run();
+            const PolicyFigures figures = figuresOf(outcomes, trace, options.warmUp);
+            print(trace, contender.name, listFigures(figures, outcomes), options.json);
         }
-        fmt::print(
-            "{:<28} {:<15} wait p50 {:8.2f} s  p99 {:9.2f} s  urgent worst {:8.2f} s  late {:5}  not started {:6}  "
-            "finished {:6}  busy {:7.2f} h  bound {:7.2f} h  ratio {:.3f}  reserved/busy {:.3f}  lost {:.2f} h\n",
-            trace.title,
-            contender.name,
-            figures.waitP50Seconds,
-            figures.waitP99Seconds,
-            figures.urgentWorstSeconds,
-            figures.lateTasks,
-            figures.notStarted,
-            figures.finished,
-            outcomes.busyWorkerHours,
-            outcomes.lowerBoundHours,
-            overBound,
-            reserved,
-            outcomes.lostWorkHours);
     }
 }
 
+MeasureOptions measureOptions(const cxxopts::ParseResult &arguments)
+{
+    MeasureOptions options;
+    options.only = arguments["scheduler"].as<std::string>();
+    options.json = arguments["format"].as<std::string>() == "json";
+    options.reportLimits = arguments["limits"].as<bool>();
+    return options;
+}
+
 void measureLoads(const cxxopts::ParseResult &arguments)
 {
-    const auto format = arguments["format"].as<std::string>();
-    const auto only = arguments["scheduler"].as<std::string>();
+    MeasureOptions measured = measureOptions(arguments);
     const auto wanted = arguments["deployment"].as<std::string>();
     for (const Deployment &deployment : deployments()) {
         if (!wanted.empty() && wanted != deployment.name) {
@@ -161,7 +182,8 @@
             options.lies = arguments["lies"].as<double>();
             options.length = std::chrono::minutes(arguments["minutes"].as<std::uint32_t>());
             options.seed = arguments["seed"].as<std::uint64_t>();
-            measure(makeLoad(options), options.length / 4, format, only);
+            measured.warmUp = options.length / 4;
+            measure(makeLoad(options), measured);
         }
     }
 }
@@ -177,6 +199,7 @@
         "load", "loads in percent", cxxopts::value<std::vector<std::uint32_t>>()->default_value("60,85,110"))(
         "lies", "declarations are off by up to this factor", cxxopts::value<double>()->default_value("10"))(
         "minutes", "virtual time", cxxopts::value<std::uint32_t>()->default_value("360"))(
+        "limits", "workers report the limits in force", cxxopts::value<bool>()->default_value("true"))(
         "scheduler", "only this one", cxxopts::value<std::string>()->default_value(""))(
         "seed", "seed of the load", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "format", "text or json", cxxopts::value<std::string>()->default_value("text"))("help", "print usage");
@@ -189,8 +212,7 @@
             measureLoads(arguments);
         } else {
             std::ifstream file(path);
-            measure(
-                readTrace(file), 0ms, arguments["format"].as<std::string>(), arguments["scheduler"].as<std::string>());
+            measure(readTrace(file), measureOptions(arguments));
         }
     } catch (const std::exception &error) {
         fmt::print(stderr, "yw-bench policy: {}\n", error.what());
--- a/bench/replay_platform.cpp
+++ b/bench/replay_platform.cpp
@@ -114,6 +114,13 @@
     outcomes_.busyWorkerHours += span * busyWorkers_;
     outcomes_.lowerBoundHours += span * workersFilled(used_, capacity_);
     outcomes_.reservedBoundHours += span * workersFilled(reserved_, capacity_);
+    const bool memoryIsTightest = used_.memoryMib * capacity_.milliCpu > used_.milliCpu * capacity_.memoryMib;
+    const Resources slack =
+        memoryIsTightest ? Resources{0, serviceSlack_.memoryMib, 0} : Resources{serviceSlack_.milliCpu, 0, 0};
+    outcomes_.serviceSlackHours += span * workersFilled(slack, capacity_);
+    outcomes_.shareHours += span * shares_;
+    const bool waits = unfinished_ > static_cast<std::int64_t>(live_.size());
+    outcomes_.waitingFreeHours += waits ? span * (busyWorkers_ - shares_) : 0;
 }
 
 void Platform::push(Step step, milliseconds delay)
@@ -176,6 +183,7 @@
     JobOutcome &outcome = outcomes_.jobs[action.spec.id];
     outcome.spec = action.spec;
     outcome.arrivedAt = now_;
+    unfinished_ += action.spec.tasks;
     assign(arrived, false, false);
 }
 
@@ -352,6 +360,7 @@
         takeDone(*done);
     } else if (const auto *notRun = std::get_if<TasksNotRun>(&command)) {
         outcomes_.jobs[notRun->job].notRun += notRun->count;
+        unfinished_ -= notRun->count;
         for (std::uint32_t index = 0; index < notRun->count; ++index) {
             jobs_[notRun->job].finals.insert(notRun->firstIndex + index);
         }
@@ -377,6 +386,7 @@
 {
     JobOutcome &outcome = outcomes_.jobs[done.task.job];
     jobs_[done.task.job].finals.insert(done.task.index);
+    --unfinished_;
     if (done.verdict == base::Verdict::NotRun) {
         ++outcome.notRun;
     } else if (done.verdict == base::Verdict::MayHaveRun) {
@@ -447,9 +457,9 @@
         const auto found = machine.running.find(throttle->task);
         if (found != machine.running.end()) {
             advance(found->second);
-            addUse(found->second, -1);
+            addUse(worker, found->second, -1);
             found->second.limit = throttle->limit;
-            addUse(found->second, 1);
+            addUse(worker, found->second, 1);
             schedule(worker, found->second);
         }
     }
@@ -474,7 +484,7 @@
     busyWorkers_ += machine.running.empty() ? 1 : 0;
     outcomes_.doubled += live_.insert({start.task.job, start.task.index}).second ? 0 : 1;
     Running &entry = machine.running[start.task] = running;
-    addUse(entry, 1);
+    addUse(worker, entry, 1);
     schedule(worker, entry);
     Resources sum;
     std::uint32_t onRack = 0;
@@ -520,7 +530,7 @@
         const double saved = jobs_[task.job].saved[task.index];
         outcomes_.lostWorkHours += std::max(0.0, running.doneMs - saved) / 3.6e6;
     }
-    addUse(running, -1);
+    addUse(worker, running, -1);
     const Resources sampled = running.sampled;
     machine.running.erase(task);
     live_.erase({task.job, task.index});
@@ -535,7 +545,7 @@
     message.kind = Kind::Report;
     message.worker = worker;
     message.session = machines_[worker].session;
-    message.reports = {{task, state, use}};
+    message.reports = {{task, state, use, std::nullopt}};
     push(std::move(message), MessageDelay);
 }
 
@@ -548,7 +558,8 @@
     for (auto &[task, running] : machines_[worker].running) {
         advance(running);
         running.sampled = usage(running);
-        message.reports.push_back({task, TaskState::Running, running.sampled});
+        const auto limit = options_.reportLimits ? std::optional(running.limit) : std::nullopt;
+        message.reports.push_back({task, TaskState::Running, running.sampled, limit});
     }
     if (!message.reports.empty()) {
         push(std::move(message), UsageLag);
@@ -580,10 +591,18 @@
     running.updatedAt = now_;
 }
 
-void Platform::addUse(const Running &running, int sign)
+void Platform::addUse(WorkerId worker, const Running &running, int sign)
 {
-    used_ += smaller(running.truth.usage, running.limit) * sign;
+    Machine &machine = machines_[worker];
+    const Resources used = smaller(running.truth.usage, running.limit);
+    used_ += used * sign;
     reserved_ += running.limit * sign;
+    if (jobs_[running.task.job].job.spec.kind == JobKind::Service) {
+        serviceSlack_ += (running.limit - used) * sign;
+    }
+    shares_ -= workersFilled(machine.reserved, machine.origin.capacity);
+    machine.reserved += running.limit * sign;
+    shares_ += workersFilled(machine.reserved, machine.origin.capacity);
 }
 
 void Platform::schedule(WorkerId worker, Running &running)
--- a/bench/replay_platform.h
+++ b/bench/replay_platform.h
@@ -54,6 +54,9 @@
     double busyWorkerHours = 0;
     double lowerBoundHours = 0; ///< Of busy workers, from the sum of what running tasks really use.
     double reservedBoundHours = 0; ///< The same from what is reserved.
+    double serviceSlackHours = 0; ///< Of reservedBoundHours - lowerBoundHours, what services reserve and don't use.
+    double shareHours = 0; ///< Sum over workers of the reserved part of the tightest resource.
+    double waitingFreeHours = 0; ///< Of busyWorkerHours - shareHours, while a task waited to start.
     double lostWorkHours = 0; ///< Of tasks, run again after a stop without a checkpoint.
     std::uint32_t overbooked = 0; ///< Times a worker's limits exceeded what it holds.
     std::uint32_t doubled = 0; ///< Times a task index ran in two places.
@@ -64,6 +67,7 @@
 struct PlatformOptions {
     bool printCommands = false;
     milliseconds measureFrom{0}; ///< Sums over time begin here.
+    bool reportLimits = true; ///< Reports say which limit is in force.
 };
 
 /// Runs the tasks that a scheduler starts, on virtual time: commands take a while, use grows up to its peak and is
@@ -91,6 +95,7 @@
         bool connected = true;
         bool failsAll = false;
         std::uint32_t session = 0; ///< Messages of earlier sessions are lost.
+        placement::Resources reserved; ///< Sum of the limits.
         std::map<placement::TaskId, Running> running;
         std::map<placement::TaskId, placement::TaskState> ended;
     };
@@ -153,7 +158,7 @@
     void schedule(placement::WorkerId worker, Running &running);
     void reportUsage(placement::WorkerId worker);
     void account(base::TimePoint until);
-    void addUse(const Running &running, int sign);
+    void addUse(placement::WorkerId worker, const Running &running, int sign);
 
     const Trace &trace_;
     PlatformOptions options_;
@@ -172,6 +177,9 @@
     std::uint32_t busyWorkers_ = 0;
     placement::Resources used_;
     placement::Resources reserved_;
+    placement::Resources serviceSlack_; ///< What services reserve and don't use.
+    double shares_ = 0; ///< Sum over workers of the reserved part of the tightest resource.
+    std::int64_t unfinished_ = 0; ///< Tasks that arrived and have no final word.
     placement::Resources capacity_; ///< Of one worker.
 };
 
--- a/fakes/worker_state.cpp
+++ b/fakes/worker_state.cpp
@@ -249,7 +249,7 @@
             report(id, "unknown");
             return true;
         }
-        total += task.reserved;
+        total += task.limit.value_or(task.reserved);
     }
     if (!total.fitsIn(options_.capacity)) {
         record(WorkerRecord::Kind::Violation, id, "over-capacity", now);
@@ -307,7 +307,11 @@
             usage.memoryMib = std::min(usage.memoryMib, task.limit->memoryMib);
         }
     }
-    return {{"task", task.id}, {"state", "running"}, {"reserved", toJson(task.reserved)}, {"usage", toJson(usage)}};
+    return {{"task", task.id},
+            {"state", "running"},
+            {"reserved", toJson(task.reserved)},
+            {"limit", toJson(task.limit.value_or(task.reserved))},
+            {"usage", toJson(usage)}};
 }
 
 void WorkerState::record(WorkerRecord::Kind kind, const std::string &task, const std::string &detail, TimePoint at)
--- a/src/placement/events.h
+++ b/src/placement/events.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -29,6 +30,7 @@
     TaskId task;
     TaskState state = TaskState::Running;
     Resources usage; ///< Measured use; lags behind.
+    std::optional<Resources> limit{}; ///< In force on the worker when it made the report; none if it doesn't say.
 };
 
 // Events given to the planner.
@@ -37,7 +39,7 @@
 struct WorkerJoined {
     struct Held {
         TaskId task;
-        Resources reserved;
+        Resources reserved; ///< The limit in force.
     };
     WorkerId worker = 0;
     std::string name;
--- a/src/placement/growth_watch.cpp
+++ b/src/placement/growth_watch.cpp
@@ -24,12 +24,14 @@
 
 } // namespace
 
-void GrowthWatch::reported(LiveHandle live, const Resources &usage)
+void GrowthWatch::reported(LiveHandle live, const TaskReport &report)
 {
+    const Resources &usage = report.usage;
     const LiveTask &task = zone_.jobs.live(live);
     if (task.job == NoHandle || task.stopping) {
         return;
     }
+    restoreLimit(live, report);
     const Job &job = zone_.jobs[task.job];
     const std::int64_t growTo = GrowTo[std::min<std::size_t>(task.growths, GrowTo.size() - 1)];
     Resources wanted = larger(task.reserved, usage);
@@ -57,6 +59,22 @@
     }
 }
 
+// A task that fills a limit below its reservation gets the whole of it first: a lower limit was too low, or the command
+// that raised it was lost.
+void GrowthWatch::restoreLimit(LiveHandle live, const TaskReport &report)
+{
+    LiveTask &task = zone_.jobs.live(live);
+    if (!report.limit || task.reserved.fitsIn(*report.limit)) {
+        return;
+    }
+    const bool full = reaches(report.usage.memoryMib, report.limit->memoryMib, GrowAt)
+        || reaches(report.usage.milliCpu, report.limit->milliCpu, FullAt);
+    if (full) {
+        task.lowering.reset();
+        zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, task.reserved});
+    }
+}
+
 // A processor limit only slows a task, so memory grows alone where there is no room for both.
 bool GrowthWatch::grow(LiveHandle live, const Resources &wanted)
 {
@@ -73,6 +91,7 @@
         return false;
     }
     zone_.resize(live, amount);
+    task.lowering.reset();
     task.growths = static_cast<std::uint8_t>(std::min(task.growths + 1, 100));
     zone_.outbox.emplace_back(ThrottleTask{task.worker, task.task, amount});
     return amount.memoryMib >= wanted.memoryMib;
--- a/src/placement/growth_watch.h
+++ b/src/placement/growth_watch.h
@@ -19,12 +19,13 @@
     }
 
     /// Takes a report of a running task's use.
-    void reported(LiveHandle live, const Resources &usage);
+    void reported(LiveHandle live, const TaskReport &report);
     /// Gives room that came free on a worker to the tasks there that wait to grow.
     void roomCameFree(WorkerId worker);
 
 private:
     bool grow(LiveHandle live, const Resources &wanted);
+    void restoreLimit(LiveHandle live, const TaskReport &report);
     void stopNeighbour(LiveHandle live, const Resources &wanted);
     void restartLarger(LiveHandle live, const Resources &wanted);
 
--- a/src/placement/job_table.h
+++ b/src/placement/job_table.h
@@ -107,6 +107,11 @@
     bool seenRunning = false;
     bool stopping = false;
     bool checkpointing = false;
+    std::optional<Resources> lowering; ///< Lower limit that was sent and isn't confirmed yet.
+    Resources lowest; ///< Least limit ever sent, in each resource.
+    base::TimePoint loweringSentAt;
+    std::int64_t steadyMemoryMib = 0; ///< Peak since which the count below runs.
+    std::uint8_t steadyReports = 0; ///< Reports since the peak of memory last grew.
     std::uint8_t usageReports = 0;
     std::uint8_t growths = 0; ///< Times its reservation grew.
     StopReason reason = StopReason::Cancelled;
--- a/src/placement/worker_events.cpp
+++ b/src/placement/worker_events.cpp
@@ -148,7 +148,8 @@
         return;
     }
     task.seenRunning = true;
-    growth_.reported(*live, report.usage);
+    trimmer_.reported(*live, report);
+    growth_.reported(*live, report);
 }
 
 std::optional<LiveHandle> WorkerEvents::findOn(WorkerId worker, const TaskId &task) const
--- a/src/placement/zone_events.h
+++ b/src/placement/zone_events.h
@@ -2,6 +2,7 @@
 
 #include "placement/attempt_endings.h"
 #include "placement/growth_watch.h"
+#include "placement/reservation_trimmer.h"
 #include "placement/zone_state.h"
 
 namespace yuccawheel::placement
@@ -15,6 +16,7 @@
         : zone_(zone)
         , endings_(endings)
         , growth_(growth)
+        , trimmer_(zone)
     {
     }
 
@@ -39,6 +41,7 @@
     ZoneState &zone_;
     AttemptEndings &endings_;
     GrowthWatch &growth_;
+    ReservationTrimmer trimmer_;
 };
 
 /// Takes the events about jobs, teams and recovery into the state of the zone.
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -175,6 +175,7 @@
     task.worker = worker;
     task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
     task.reserved = job.size;
+    task.lowest = task.reserved;
     task.startedAt = now;
     task.session = workers[worker].session;
     const LiveHandle live = jobs.addLive(task);
@@ -196,6 +197,7 @@
     task.worker = worker;
     task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
     task.reserved = smaller(larger(reserved, {}), ledger.free(worker));
+    task.lowest = task.reserved;
     task.startedAt = now;
     task.session = workers[worker].session;
     task.seenRunning = true;
--- a/src/programs/yw_scheduler/worker_protocol.cpp
+++ b/src/programs/yw_scheduler/worker_protocol.cpp
@@ -81,6 +81,10 @@
     task.report.state = parseState(object.at("state").get<std::string>());
     task.report.usage = parseResources(object.value("usage", json::object()));
     task.reserved = parseResources(object.value("reserved", json::object()));
+    if (object.contains("limit")) {
+        task.report.limit = parseResources(object.at("limit"));
+        task.reserved = *task.report.limit;
+    }
     return task;
 }
 
--- a/src/programs/yw_scheduler/worker_protocol.h
+++ b/src/programs/yw_scheduler/worker_protocol.h
@@ -17,7 +17,7 @@
 struct Poll {
     struct Task {
         placement::TaskReport report;
-        placement::Resources reserved;
+        placement::Resources reserved; ///< The limit in force, if the worker says it.
     };
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
--- a/tests/fake_worker_test.cpp
+++ b/tests/fake_worker_test.cpp
@@ -78,6 +78,17 @@
     EXPECT_EQ(violations(), 0);
 }
 
+TEST_F(FakeWorkerTest, reportsTheLimitInForceAndCountsItAgainstItsCapacity)
+{
+    const json lower{{"milli_cpu", 10'000}, {"memory_mib", 1'024}, {"accelerators", 0}};
+    exchange(0ms, 1, "x", {startCommand("1.0.0", 60'000, "{run_ms: 60000}")});
+    exchange(10ms, 1, "x", {{{"command", "throttle"}, {"task", "1.0.0"}, {"limit", lower}}});
+    EXPECT_EQ(sent_["tasks"][0]["limit"]["milli_cpu"], 60'000);
+    exchange(600ms, 1, "x", {startCommand("2.0.0", 50'000, "{run_ms: 60000}")});
+    EXPECT_EQ(sent_["tasks"][0]["limit"], lower);
+    EXPECT_EQ(violations(), 0) << "60 cores were lowered to 10, so that 50 more fit into 64";
+}
+
 TEST_F(FakeWorkerTest, refusesLowerEpochsAndASecondOwnerDuringAGrant)
 {
     EXPECT_TRUE(exchange(0ms, 5, "x", {}));
--- a/tests/placement_planner_test.cpp
+++ b/tests/placement_planner_test.cpp
@@ -48,6 +48,11 @@
     {
         planner.handle(WorkerReported{worker, {{task, state, usage}}}, now);
     }
+    /// Reports a running task with the limit that is in force on the worker.
+    void reportLimit(WorkerId worker, const TaskId &task, Resources usage, Resources limit)
+    {
+        planner.handle(WorkerReported{worker, {{task, TaskState::Running, usage, limit}}}, now);
+    }
     void decide(std::chrono::milliseconds later = 10ms)
     {
         now += later;
@@ -190,3 +195,72 @@
     std::sort(workers.begin(), workers.end());
     EXPECT_EQ(workers, (std::vector<WorkerId>{0, 2, 3}));
 }
+
+TEST_F(PlannerTest, unusedRoomIsGivenAwayOnlyOnceTheWorkerHasLoweredTheLimit)
+{
+    join(0);
+    const Resources declared{40'000, 100'000, 0};
+    const Resources usage{10'000, 20'000, 0};
+    assign(job(1, 2, declared));
+    decide();
+    ASSERT_EQ(all<StartTask>().size(), 1U);
+    const TaskId first = all<StartTask>()[0].task;
+    std::vector<ThrottleTask> limits;
+    for (int count = 0; count < 5; ++count) {
+        reportLimit(0, first, usage, declared);
+        decide(5s);
+        EXPECT_TRUE(all<StartTask>().empty());
+        for (const ThrottleTask &throttle : all<ThrottleTask>()) {
+            limits.push_back(throttle);
+        }
+    }
+    ASSERT_FALSE(limits.empty());
+    EXPECT_EQ(limits[0].task, first);
+    EXPECT_LT(limits[0].limit.milliCpu, 11'000);
+    reportLimit(0, first, usage, limits[0].limit);
+    decide();
+    EXPECT_EQ(all<StartTask>().size(), 1U);
+}
+
+TEST_F(PlannerTest, lateReportOfALowerLimitFreesNoRoomAgain)
+{
+    join(0);
+    const Resources declared{32'000, 100'000, 0};
+    assign(job(1, 1, declared));
+    decide();
+    const TaskId task = all<StartTask>()[0].task;
+    reportLimit(0, task, {10'000, 100, 0}, declared);
+    decide();
+    ASSERT_EQ(all<ThrottleTask>().size(), 1U);
+    const Resources low = all<ThrottleTask>()[0].limit;
+    reportLimit(0, task, {10'000, 100, 0}, low);
+    // It fills the lower limit and grows again.
+    reportLimit(0, task, low, low);
+    decide();
+    ASSERT_EQ(all<ThrottleTask>().size(), 1U);
+    const Resources grown = all<ThrottleTask>()[0].limit;
+    EXPECT_GT(grown.milliCpu, low.milliCpu);
+    // Its use falls again; then a report from before it grew arrives.
+    reportLimit(0, task, {10'000, 100, 0}, grown);
+    decide();
+    reportLimit(0, task, {10'000, 100, 0}, low);
+    assign(job(2, 1, {64'000 - (low.milliCpu * 104 / 100), 1'000, 0}));
+    decide();
+    EXPECT_TRUE(all<StartTask>().empty());
+}
+
+TEST_F(PlannerTest, taskThatFillsALimitBelowItsReservationGetsTheWholeOfIt)
+{
+    join(0);
+    const Resources declared{32'000, 100'000, 0};
+    assign(job(1, 1, declared));
+    decide();
+    const TaskId task = all<StartTask>()[0].task;
+    const Resources low{8'000, 50'000, 0};
+    reportLimit(0, task, low, low);
+    decide();
+    const auto limits = all<ThrottleTask>();
+    EXPECT_TRUE(std::any_of(limits.begin(), limits.end(), [&](const ThrottleTask &throttle) {
+        return throttle.task == task && throttle.limit == declared;
+    }));
+}
--- a/tests/placement_state_test.cpp
+++ b/tests/placement_state_test.cpp
@@ -273,7 +273,7 @@
     RC_ASSERT((finals_.count(index) == 0U || finals_[index] != Verdict::NotRun));
     everRan_.insert(index);
     worker.running[start.task] = {start.reserved, 0};
-    worker.reports.push_back({start.task, TaskState::Running, start.reserved});
+    worker.reports.push_back({start.task, TaskState::Running, start.reserved, start.reserved});
 }
 
 void World::stop(FakeWorker &worker, const StopTask &command)
@@ -330,7 +330,7 @@
         const auto part = static_cast<std::int64_t>(draw(101));
         const Resources usage{
             running.limit.milliCpu * part / 100, running.limit.memoryMib * part / 100, running.limit.accelerators};
-        workers_[id].reports.push_back({task, TaskState::Running, usage});
+        workers_[id].reports.push_back({task, TaskState::Running, usage, running.limit});
     }
 }
 
