Tasks of an earlier owner have an expected run time

Cause: the expected run time of a recovered job was computed only when something of it waited. With all its tasks held by workers it stayed zero, so each task seemed to end at once: a drain never moved them and packing never consolidated them. Found while a test of consolidation with adopted tasks saw no stop.

Test seen to fail without it: longTasksOfAnEarlierOwnerMoveOffADrainedWorker.

--- a/src/placement/job_events.cpp
+++ b/src/placement/job_events.cpp
@@ -43,6 +43,8 @@
             ++job.doneCount;
         }
     }
+    // Tasks that workers hold are judged by the expected run time, also if nothing of the job waits.
+    zone_.updateSize(handle);
     claimHeld(handle);
     if (event.recovered && zone_.recoveryFinished) {
         settleUncertain(handle);
--- a/tests/placement_planner_test.cpp
+++ b/tests/placement_planner_test.cpp
@@ -264,3 +264,20 @@
         return throttle.task == task && throttle.limit == declared;
     }));
 }
+
+TEST_F(PlannerTest, longTasksOfAnEarlierOwnerMoveOffADrainedWorker)
+{
+    JobAssigned event;
+    event.spec = job(1, 1, {8'000, 1'024, 0});
+    event.spec.declaredRunTime = 1h;
+    event.count = 1;
+    event.recovered = true;
+    planner.handle(event, now);
+    join(0, "r1", Capacity, {{{1, 0, 0}, event.spec.perTask}});
+    join(1);
+    planner.handle(RecoveryFinished{}, now);
+    planner.handle(WorkerDrain{0}, now);
+    decide();
+    ASSERT_EQ(all<StopTask>().size(), 1U);
+    EXPECT_EQ(all<StopTask>().front().reason, StopReason::Drained);
+}
