Consolidation tries several VMs and empties them up to nine tenths of use

Cause: after reservations of running tasks shrank, 15 to 20 of about 145 busy VM-hours at 85 % load were free room on busy VMs (free_vm_hours), most of it while nothing waited. The consolidator looked only at the least used VM; if that held a replica, a gang's member or urgent work, no other VM was tried. It also left VMs above half use alone.

Now the eight least used under 90 % for 20 s are tried; one VM at a time, at most each 5 s, only when no job waits. A task that was stopped once is not moved for packing.

Test seen to fail with one VM tried: workerWithAReplicaDoesNotKeepAnotherOneFromBeingEmptied.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -59,6 +59,7 @@
     std::uint32_t lateTasks = 0;
     std::uint32_t notStarted = 0;
     std::uint32_t finished = 0;
+    std::uint32_t stops = 0;
 };
 
 // Work that has not started by the end counts with its wait so far.
@@ -69,6 +70,7 @@
     PolicyFigures figures;
     for (const auto &[id, job] : outcomes.jobs) {
         figures.finished += job.finished;
+        figures.stops += job.stops;
         if (job.arrivedAt < start + warmUp || job.spec.kind == JobKind::Service) {
             continue;
         }
@@ -111,6 +113,7 @@
         {"late", static_cast<double>(figures.lateTasks), 0},
         {"not_started", static_cast<double>(figures.notStarted), 0},
         {"finished", static_cast<double>(figures.finished), 0},
+        {"stops", static_cast<double>(figures.stops), 0},
         {"busy_vm_hours", outcomes.busyWorkerHours, 2},
         {"lower_bound_vm_hours", outcomes.lowerBoundHours, 2},
         {"over_lower_bound", outcomes.busyWorkerHours / bound, 4},
--- a/src/placement/consolidator.cpp
+++ b/src/placement/consolidator.cpp
@@ -11,11 +11,12 @@
 namespace
 {
 
-constexpr std::chrono::seconds Interval{10};
-constexpr std::chrono::seconds LittleFor{60}; ///< How long a VM must have been of little use.
-constexpr std::chrono::seconds RestFor{60}; ///< How long an emptied VM is the last to be chosen.
-constexpr std::chrono::seconds EndsSoon{60}; ///< Tasks that end within this are waited for.
-constexpr std::int64_t LittleShare = 50; ///< Percent of the tightest resource.
+constexpr std::chrono::seconds Interval{5};
+constexpr std::chrono::seconds LittleFor{20}; ///< How long a VM must have been of little use.
+constexpr std::chrono::seconds RestFor{5}; ///< How long an emptied VM is the last to be chosen.
+constexpr std::chrono::seconds EndsSoon{30}; ///< Tasks that end within this are waited for.
+constexpr std::int64_t LittleShare = 90; ///< Percent of the tightest resource.
+constexpr std::size_t MaxTried = 8; ///< Candidates looked at in one run, so that its cost is bounded.
 
 std::int64_t share(const Resources &reserved, const Resources &capacity)
 {
@@ -40,7 +41,9 @@
     // Replicas stay where they were spread: moving them would disrupt the service and undo the spread.
     const Job &job = zone_.jobs[task.job];
     const bool endsSoon = task.startedAt + job.runTime <= zone_.now + EndsSoon;
-    return job.spec.kind == JobKind::Batch && !job.spec.urgent && !endsSoon;
+    // A task moves at most once for the sake of packing, and not at all after a preemption.
+    const bool moved = job.slots[task.task.index - job.firstIndex].checkpointed;
+    return job.spec.kind == JobKind::Batch && !job.spec.urgent && !endsSoon && !moved;
 }
 
 // Each task must fit on another busy VM, and all of them into half of the room there.
@@ -74,7 +77,27 @@
         zone_.refresh(resting_);
         resting_ = NoHandle;
     }
-    std::optional<WorkerId> best;
+    std::vector<WorkerId> candidates = littleUsed();
+    if (resting_ != NoHandle || zone_.queue.size() != 0) {
+        return;
+    }
+    // One that can't be emptied, because of a replica for instance, must not keep the others from it.
+    const auto least = [this](WorkerId left, WorkerId right) {
+        const Ledger &ledger = zone_.ledger;
+        return std::pair(ledger.reserved(left).milliCpu, left) < std::pair(ledger.reserved(right).milliCpu, right);
+    };
+    std::sort(candidates.begin(), candidates.end(), least);
+    candidates.resize(std::min(candidates.size(), MaxTried));
+    const auto found =
+        std::find_if(candidates.begin(), candidates.end(), [this](WorkerId worker) { return fitsElsewhere(worker); });
+    if (found != candidates.end()) {
+        empty(*found);
+    }
+}
+
+std::vector<WorkerId> Consolidator::littleUsed()
+{
+    std::vector<WorkerId> found;
     for (WorkerId worker = 0; worker < zone_.workers.size(); ++worker) {
         Worker &entry = zone_.workers[worker];
         if (!entry.busy || !little(worker)) {
@@ -82,15 +105,11 @@
             continue;
         }
         entry.littleSince = entry.littleSince.value_or(zone_.now);
-        const bool waited = zone_.now - *entry.littleSince >= LittleFor;
-        const bool smaller = !best || zone_.ledger.reserved(worker).milliCpu < zone_.ledger.reserved(*best).milliCpu;
-        if (waited && smaller && zone_.open.contains(worker)) {
-            best = worker;
+        if (zone_.now - *entry.littleSince >= LittleFor && zone_.open.contains(worker)) {
+            found.push_back(worker);
         }
     }
-    if (best && resting_ == NoHandle && zone_.queue.size() == 0 && fitsElsewhere(*best)) {
-        empty(*best);
-    }
+    return found;
 }
 
 void Consolidator::empty(WorkerId worker)
--- a/src/placement/consolidator.h
+++ b/src/placement/consolidator.h
@@ -19,6 +19,8 @@
 
 private:
     bool little(WorkerId worker) const;
+    /// Returns the workers that have been of little use for a while, and notes since when others are.
+    std::vector<WorkerId> littleUsed();
     bool movable(LiveHandle live) const;
     bool fitsElsewhere(WorkerId worker) const;
     void empty(WorkerId worker);
--- a/tests/placement_planner_test.cpp
+++ b/tests/placement_planner_test.cpp
@@ -281,3 +281,32 @@
     ASSERT_EQ(all<StopTask>().size(), 1U);
     EXPECT_EQ(all<StopTask>().front().reason, StopReason::Drained);
 }
+
+TEST_F(PlannerTest, workerWithAReplicaDoesNotKeepAnotherOneFromBeingEmptied)
+{
+    JobSpec longJob = job(1, 1, {40'000, 1'024, 0});
+    JobSpec replica = job(2, 1, {2'000, 1'024, 0}, JobKind::Service);
+    JobSpec movable = job(3, 1, {8'000, 1'024, 0});
+    longJob.declaredRunTime = 1h;
+    movable.declaredRunTime = 1h;
+    WorkerId worker = 0;
+    for (const JobSpec &spec : {longJob, replica, movable}) {
+        JobAssigned event;
+        event.spec = spec;
+        event.count = 1;
+        event.recovered = true;
+        planner.handle(event, now);
+        join(worker++, "r1", Capacity, {{{spec.id, 0, 0}, spec.perTask}});
+    }
+    planner.handle(RecoveryFinished{}, now);
+    std::vector<StopTask> stops;
+    for (int count = 0; count < 8; ++count) {
+        decide(5s);
+        for (const StopTask &stop : all<StopTask>()) {
+            stops.push_back(stop);
+        }
+    }
+    ASSERT_FALSE(stops.empty());
+    EXPECT_EQ(stops[0].task.job, 3U);
+    EXPECT_EQ(stops[0].reason, StopReason::Consolidated);
+}
