--- a/fakes/worker_state.cpp
+++ b/fakes/worker_state.cpp
@@ -254,7 +254,7 @@
             report(id, "unknown");
             return true;
         }
-        total += task.reserved;
+        total += task.limit.value_or(task.reserved);
     }
     if (!total.fitsIn(options_.capacity)) {
         record(WorkerRecord::Kind::Violation, id, "over-capacity", now);
@@ -316,6 +316,9 @@
     if (needFull_) {
         report["reserved"] = toJson(task.reserved);
     }
+    if (needFull_ || task.limit) {
+        report["limit"] = toJson(task.limit.value_or(task.reserved));
+    }
     if (usage != Resources{}) {
         report["usage"] = toJson(usage);
     }
--- a/src/programs/yw_entry/cost_survey.cpp
+++ b/src/programs/yw_entry/cost_survey.cpp
@@ -80,7 +80,7 @@
                 }
             };
             peers_[key] = std::make_unique<protocol::Peer>(
-                context_.io, daemon::toAsio(peer.address), context_.self, std::move(callbacks));
+                context_.io, daemon::toAsio(peer.address), context_.members, std::move(callbacks));
         }
     }
 
