Test: a paused process holds back no configuration of its zone

Cause: a version needs another process of the zone that keeps it before it is put in force, so a paused one must not be the only one asked.

Seen to fail: with dialling of the zone's other processes switched off ("not seen within 120 s: version 2 at entry-c1"); with it the test passed in 8 s.

Failed try, not in the code: a process goes on alone after 3 s without an answer from the other process of its VM, and a process that did not run for 1 s vouches for nothing until it has asked again. A process paused for longer than 3 s loses its connections first, so the version was not seen in force in 120 s; a stall of a whole VM during a cut would leave both of its processes in doubt.

No functional change.

--- a/tests/process_partition_test.py
+++ b/tests/process_partition_test.py
@@ -141,6 +141,17 @@
             self.check_recovered(vm, role, 1)
         self.check_joined([])
 
+    def test_paused_process_holds_back_no_configuration_of_its_zone(self):
+        paused = self.inside[1].entry
+        paused.pause()
+        self.cluster.accept(jobs.document(jobs.service("late", 1)), "late", expected_version=1)
+        others = [process for vm in self.cluster.vms for process in (vm.entry, vm.scheduler) if process is not paused]
+        for process in others:
+            wait_until(lambda process=process: "applied version=2" in process.log_text(), f"version 2 at {process.name}")
+        paused.resume()
+        wait_until(lambda: "applied version=2" in paused.log_text(), "version 2 at the process that was paused")
+        self.check_joined([])
+
     def unready(self, process, node):
         lines = [line for line in process.log_text().splitlines() if "event=configuration_waits" in line]
         return next((line for line in lines if line.rstrip('"').endswith(f": {node}")), None)
