--- a/bench/state.cpp
+++ b/bench/state.cpp
@@ -3,7 +3,9 @@
 #include "base/invariant.h"
 #include "coordination/file_log_storage.h"
 #include "fakes/fake_cluster.h"
+#include "protocol/frame.h"
 #include "state_replicas.h"
+#include "store/replication_codec.h"
 
 #include <cxxopts.hpp>
 #include <fmt/core.h>
@@ -44,7 +46,8 @@
 };
 
 struct IdleResult {
-    double messagesPerSecond = 0; ///< Of the busiest replica, the leader.
+    double messagesPerSecond = 0; ///< Of all replicas together.
+    double bytesPerSecond = 0; ///< Of the frames that carry them.
 };
 
 double residentMb()
@@ -84,10 +87,14 @@
     FakeCluster cluster({3, 1});
     YW_INVARIANT(cluster.runUntil([&] { return cluster.leader() != 0; }, 30s), "a leader is elected");
     cluster.run(1s);
+    cluster.network().countBytes(
+        [](const Message &message) { return protocol::FrameHeaderBytes + store::encodeReplication(message).size(); });
     const std::uint64_t before = cluster.network().sent();
     cluster.run(Length);
     const auto sent = static_cast<double>(cluster.network().sent() - before);
-    return IdleResult{sent / static_cast<double>(Length.count())};
+    const auto bytes = static_cast<double>(cluster.network().sentBytes());
+    const auto seconds = static_cast<double>(Length.count());
+    return IdleResult{sent / seconds, bytes / seconds};
 }
 
 // Without a snapshot, so that every entry is read back: the worst case, which snapshots keep away from.
@@ -153,7 +160,9 @@
                result.election.p50Ms,
                result.election.p99Ms,
                result.election.maxMs);
-    fmt::print("  \"idle_messages_per_second\": {:.1f},\n  \"recoveries\": [", result.idle.messagesPerSecond);
+    fmt::print("  \"idle_messages_per_second\": {:.1f},\n  \"idle_bytes_per_second\": {:.0f},\n  \"recoveries\": [",
+               result.idle.messagesPerSecond,
+               result.idle.bytesPerSecond);
     for (std::size_t i = 0; i < result.recoveries.size(); ++i) {
         const RecoveryResult &recovery = result.recoveries[i];
         fmt::print("{}\n    {{\"entries\": {}, \"seconds\": {:.3f}, \"file_mb\": {:.1f}, \"resident_mb\": {:.1f}}}",
@@ -180,7 +189,9 @@
                result.election.p50Ms,
                result.election.p99Ms,
                result.election.maxMs);
-    fmt::print("idle: {:.1f} messages/s in all\n", result.idle.messagesPerSecond);
+    fmt::print("idle: {:.1f} messages/s and {:.0f} bytes/s in all\n",
+               result.idle.messagesPerSecond,
+               result.idle.bytesPerSecond);
     for (const RecoveryResult &recovery : result.recoveries) {
         fmt::print("{} entries recovered in {:.3f} s, {:.1f} MB on disk, {:.1f} MB in memory\n",
                    recovery.entries,
--- a/fakes/fake_network.h
+++ b/fakes/fake_network.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -50,9 +51,16 @@
         cuts_.clear();
     }
 
+    /// Counts the bytes of each message sent from now on, as `sizeOf` gives them.
+    void countBytes(std::function<std::size_t(const Message &)> sizeOf)
+    {
+        sizeOf_ = std::move(sizeOf);
+    }
+
     void send(std::uint32_t from, std::uint32_t to, const Message &message, base::TimePoint now)
     {
         ++sent_;
+        sentBytes_ += sizeOf_ ? sizeOf_(message) : 0;
         if (cuts_.contains({from, to}) || chance(faults_.dropPercent)) {
             return;
         }
@@ -79,6 +87,10 @@
     {
         return sent_;
     }
+    std::uint64_t sentBytes() const
+    {
+        return sentBytes_;
+    }
 
 private:
     bool chance(unsigned percent)
@@ -96,7 +108,9 @@
     LinkFaults faults_;
     std::set<std::pair<std::uint32_t, std::uint32_t>> cuts_;
     std::multimap<base::TimePoint, Delivery> queue_;
+    std::function<std::size_t(const Message &)> sizeOf_;
     std::uint64_t sent_ = 0;
+    std::uint64_t sentBytes_ = 0;
 };
 
 } // namespace yuccawheel::fakes
