News of upstreams that a link held back counts as old

Cause: the age of an update between entries left out the time on the way, so a silent upstream whose news came late got requests for longer than 3 s from entries of another zone.

Now: receivers send probes with their own time; senders put the last probe and its holding time before each batch of updates; the receiver adds what may have passed since to their age (routing::TransportDelay). Waits between the threads of either process count too. No clock of another VM is trusted but for its rate. An update before the first echo of a connection doesn't show that its upstream lives.

--- a/src/http/proxy_server.cpp
+++ b/src/http/proxy_server.cpp
@@ -213,8 +213,10 @@
 
 void ProxyServer::receive(routing::UpstreamUpdate update)
 {
-    asio::post(impl_->context, [this, update = std::move(update)] {
-        impl_->core.router.receive(update, base::BootClock::now());
+    asio::post(impl_->context, [this, update = std::move(update), heardAt = base::BootClock::now()]() mutable {
+        const base::TimePoint now = base::BootClock::now();
+        update.age += now - heardAt;
+        impl_->core.router.receive(update, now);
         impl_->core.deliver();
     });
 }
--- a/src/programs/yw_entry/entry_peers.cpp
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -1,16 +1,21 @@
 #include "entry_peers.h"
 
 #include "base/log.h"
-#include "protocol/routing_messages.h"
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace yuccawheel::entry
 {
 
 namespace
 {
 
+constexpr std::chrono::seconds ProbeInterval{2};
+/// Age of an update that may have been on the way for any time: it doesn't show that its upstream lives.
+constexpr std::chrono::minutes UnknownAge{1};
+
 // Hands a message on, or ends a connection that sends what can't be read.
 template <typename Message, typename Taker>
 void take(const protocol::ChannelPtr &channel, const protocol::Frame &frame, Taker taker)
@@ -30,27 +35,39 @@
     : context_(context)
     , proxy_(proxy)
     , keys_(keys)
+    , probeTimer_(context.io)
     , alive_(std::make_shared<EntryPeers *>(this))
 {
     protocol::Listener::Callbacks callbacks;
     callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
         onFrame(channel, frame);
     };
+    callbacks.closed = [this](const protocol::ChannelPtr &channel) {
+        delays_.erase(channel.get());
+    };
     listener_.emplace(context.io, daemon::toAsio(*context.settings.listen.inner), context.self, std::move(callbacks));
     for (const settings::Peer &peer : context.settings.entries) {
         if (peer.node != context.self.node) {
-            peers_[peer.node] = std::make_unique<protocol::Peer>(
-                context.io, daemon::toAsio(peer.address), context.self, protocol::Peer::Callbacks{});
+            protocol::Peer::Callbacks events;
+            events.opened = [this](const protocol::ChannelPtr &channel) {
+                channel->notify(
+                    protocol::DelayProbe{routing::makeProbe(context_.self.incarnation, base::BootClock::now())});
+            };
+            peers_[peer.node].peer = std::make_unique<protocol::Peer>(
+                context.io, daemon::toAsio(peer.address), context.self, std::move(events));
         }
     }
     proxy.setPeerSink([this, alive = alive_](std::vector<routing::UpstreamUpdate> updates,
                                              std::vector<routing::ShareMessage> messages) {
-        boost::asio::post(context_.io, [this, alive, updates = std::move(updates), messages = std::move(messages)] {
-            if (*alive != nullptr) {
-                send(updates, messages);
-            }
-        });
+        const base::TimePoint takenAt = base::BootClock::now();
+        boost::asio::post(context_.io,
+                          [this, alive, takenAt, updates = std::move(updates), messages = std::move(messages)] {
+                              if (*alive != nullptr) {
+                                  send(updates, messages, takenAt);
+                              }
+                          });
     });
+    probeAll();
 }
 
 EntryPeers::~EntryPeers()
@@ -58,30 +75,74 @@
     *alive_ = nullptr;
 }
 
-void EntryPeers::send(const std::vector<routing::UpstreamUpdate> &updates,
-                      const std::vector<routing::ShareMessage> &messages)
+void EntryPeers::send(std::vector<routing::UpstreamUpdate> updates,
+                      const std::vector<routing::ShareMessage> &messages,
+                      base::TimePoint takenAt)
 {
+    const base::TimePoint now = base::BootClock::now();
+    for (routing::UpstreamUpdate &update : updates) {
+        update.age += now - takenAt;
+    }
     if (!updates.empty()) {
-        for (const auto &[node, peer] : peers_) {
-            peer->notify(protocol::UpstreamUpdates{updates});
+        const protocol::UpstreamUpdates message{std::move(updates)};
+        for (auto &[node, receiver] : peers_) {
+            sendUpdates(receiver, message, now);
         }
     }
     for (const routing::ShareMessage &message : messages) {
         if (message.to.empty()) {
-            for (const auto &[node, peer] : peers_) {
-                peer->notify(protocol::ShareNotice{message});
+            for (const auto &[node, receiver] : peers_) {
+                receiver.peer->notify(protocol::ShareNotice{message});
             }
-        } else if (const auto peer = peers_.find(message.to); peer != peers_.end()) {
-            peer->second->notify(protocol::ShareNotice{message});
+        } else if (const auto receiver = peers_.find(message.to); receiver != peers_.end()) {
+            receiver->second.peer->notify(protocol::ShareNotice{message});
         }
     }
 }
 
+// The ages hold for the same moment as the echo, so what delays either counts for both.
+void EntryPeers::sendUpdates(Receiver &receiver, const protocol::UpstreamUpdates &message, base::TimePoint now)
+{
+    if (const auto echo = receiver.echoes.echo(now)) {
+        receiver.peer->notify(protocol::DelayEcho{*echo});
+    }
+    receiver.peer->notify(message);
+}
+
+void EntryPeers::receive(const protocol::ChannelPtr &channel, protocol::UpstreamUpdates &message)
+{
+    const auto delay = delayOf(channel).bound(base::BootClock::now());
+    for (routing::UpstreamUpdate &update : message.updates) {
+        update.age = delay ? std::min<base::Duration>(update.age, UnknownAge) + *delay : UnknownAge;
+        proxy_.receive(std::move(update));
+    }
+}
+
+routing::TransportDelay &EntryPeers::delayOf(const protocol::ChannelPtr &channel)
+{
+    return delays_.try_emplace(channel.get(), context_.self.incarnation).first->second;
+}
+
+// A fresh probe keeps the allowance for the drift of clocks small.
+void EntryPeers::probeAll()
+{
+    const protocol::DelayProbe probe{routing::makeProbe(context_.self.incarnation, base::BootClock::now())};
+    for (const auto &[node, receiver] : peers_) {
+        receiver.peer->notify(probe);
+    }
+    probeTimer_.expires_after(ProbeInterval);
+    probeTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            probeAll();
+        }
+    });
+}
+
 void EntryPeers::send(const std::vector<routing::KeyMessage> &messages)
 {
     for (const routing::KeyMessage &message : messages) {
         if (const auto peer = peers_.find(message.to); peer != peers_.end()) {
-            peer->second->notify(protocol::KeyNotice{message});
+            peer->second.peer->notify(protocol::KeyNotice{message});
         }
     }
 }
@@ -94,12 +155,21 @@
     }
     switch (frame.type) {
     case protocol::MessageType::UpstreamUpdates:
-        take<protocol::UpstreamUpdates>(channel, frame, [this](protocol::UpstreamUpdates &message) {
-            for (routing::UpstreamUpdate &update : message.updates) {
-                proxy_.receive(std::move(update));
+        take<protocol::UpstreamUpdates>(
+            channel, frame, [&](protocol::UpstreamUpdates &message) { receive(channel, message); });
+        break;
+    case protocol::MessageType::DelayProbe:
+        take<protocol::DelayProbe>(channel, frame, [&](const protocol::DelayProbe &message) {
+            if (const auto receiver = peers_.find(channel->peer().node); receiver != peers_.end()) {
+                receiver->second.echoes.take(message.probe, base::BootClock::now());
             }
         });
         break;
+    case protocol::MessageType::DelayEcho:
+        take<protocol::DelayEcho>(channel, frame, [&](const protocol::DelayEcho &message) {
+            delayOf(channel).take(message.echo, base::BootClock::now());
+        });
+        break;
     case protocol::MessageType::ShareMessage:
         take<protocol::ShareNotice>(
             channel, frame, [this](protocol::ShareNotice &notice) { proxy_.receive(std::move(notice.message)); });
--- a/src/programs/yw_entry/entry_peers.h
+++ b/src/programs/yw_entry/entry_peers.h
@@ -4,8 +4,12 @@
 #include "http/proxy_server.h"
 #include "protocol/listener.h"
 #include "protocol/peer.h"
+#include "protocol/routing_messages.h"
+#include "routing/transport_delay.h"
 #include "routing/zone_key_store.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,13 +32,27 @@
     void send(const std::vector<routing::KeyMessage> &messages);
 
 private:
-    void send(const std::vector<routing::UpstreamUpdate> &updates, const std::vector<routing::ShareMessage> &messages);
+    /// An entry as a receiver of our updates.
+    struct Receiver {
+        std::unique_ptr<protocol::Peer> peer;
+        routing::DelayEchoes echoes;
+    };
+
+    void send(std::vector<routing::UpstreamUpdate> updates,
+              const std::vector<routing::ShareMessage> &messages,
+              base::TimePoint takenAt);
+    void sendUpdates(Receiver &receiver, const protocol::UpstreamUpdates &message, base::TimePoint now);
+    void receive(const protocol::ChannelPtr &channel, protocol::UpstreamUpdates &message);
     void onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
+    routing::TransportDelay &delayOf(const protocol::ChannelPtr &channel);
+    void probeAll();
 
     daemon::Context &context_;
     http::ProxyServer &proxy_;
     routing::ZoneKeyStore &keys_;
-    std::map<std::string, std::unique_ptr<protocol::Peer>> peers_; ///< By node.
+    std::map<std::string, Receiver> peers_; ///< By node.
+    std::map<const protocol::Channel *, routing::TransportDelay> delays_; ///< Of each open connection to us.
+    boost::asio::steady_timer probeTimer_;
     std::optional<protocol::Listener> listener_;
     std::shared_ptr<EntryPeers *> alive_;
 };
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -48,6 +48,8 @@
     ReserveKeyReply = 74,
     FinishKey = 75,
     FinishKeyReply = 76,
+    DelayProbe = 77,
+    DelayEcho = 78,
 };
 
 enum class FrameKind : std::uint8_t { Request = 0, Response = 1, Notice = 2 };
--- a/src/protocol/routing_messages.h
+++ b/src/protocol/routing_messages.h
@@ -3,6 +3,7 @@
 #include "protocol/codec.h"
 #include "protocol/frame.h"
 #include "routing/loan_book.h"
+#include "routing/transport_delay.h"
 #include "routing/types.h"
 #include "routing/zone_keys.h"
 
@@ -64,6 +65,14 @@
                   4,
                   (put(value.announcement), put(value.zone), put(value.sequence), put(value.age)),
                   (take(value.announcement), take(value.zone), take(value.sequence), take(value.age)))
+YW_MSGPACK_STRUCT(yuccawheel::routing::DelayProbe,
+                  2,
+                  (put(value.incarnation), put(value.sentAt)),
+                  (take(value.incarnation), take(value.sentAt)))
+YW_MSGPACK_STRUCT(yuccawheel::routing::DelayEcho,
+                  2,
+                  (put(value.probe), put(value.heldFor)),
+                  (take(value.probe), take(value.heldFor)))
 YW_MSGPACK_STRUCT(yuccawheel::routing::ShareMessage,
                   10,
                   (put(value.kind),
@@ -98,6 +107,22 @@
     MSGPACK_DEFINE(updates)
 };
 
+/// Lets the sender of updates show how long they are on the way.
+struct DelayProbe {
+    static constexpr MessageType Type = MessageType::DelayProbe;
+    routing::DelayProbe probe;
+
+    MSGPACK_DEFINE(probe)
+};
+
+/// Goes directly before updates, on the same connection.
+struct DelayEcho {
+    static constexpr MessageType Type = MessageType::DelayEcho;
+    routing::DelayEcho echo;
+
+    MSGPACK_DEFINE(echo)
+};
+
 /// What an entry has to settle with another about slots.
 struct ShareNotice {
     static constexpr MessageType Type = MessageType::ShareMessage;
--- a/tests/load.py
+++ b/tests/load.py
@@ -157,8 +157,9 @@
     Every other key is issued by another entry than the one that it is sent through. A request without an answer is
     sent again at once, through another entry."""
 
-    def __init__(self, cluster, service, threads=8):
+    def __init__(self, cluster, service, threads=8, vms=None):
         self._cluster = cluster
+        self._vms = vms or cluster.vms
         self._service = service
         self._lock = threading.Lock()
         self._stopped = threading.Event()
@@ -182,7 +183,7 @@
             return len(self.outcomes)
 
     def _look(self):
-        self._ready = [vm for vm in self._cluster.vms if self._cluster.is_ready(vm, "entry")]
+        self._ready = [vm for vm in self._vms if self._cluster.is_ready(vm, "entry")]
 
     def _balance(self):
         while not self._stopped.wait(BALANCER_INTERVAL_S):
--- a/tests/routing_router_test.cpp
+++ b/tests/routing_router_test.cpp
@@ -1,5 +1,6 @@
 #include "routing/announcement.h"
 #include "routing/router.h"
+#include "routing/transport_delay.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -713,6 +714,31 @@
     EXPECT_EQ(route().kind, DecisionKind::Queued);
 }
 
+TEST(TransportDelay, countsWhateverHeldAnUpdateUp)
+{
+    const base::TimePoint receiver{1h};
+    const base::TimePoint sender{5h};
+    DelayEchoes echoes;
+    TransportDelay delay(7);
+    EXPECT_FALSE(echoes.echo(sender));
+    EXPECT_FALSE(delay.bound(receiver)) << "it may have been on the way for any time";
+    echoes.take(makeProbe(7, receiver), sender);
+    const auto echo = echoes.echo(sender + 1s);
+    ASSERT_TRUE(echo);
+    delay.take(*echo, receiver + 4s);
+    EXPECT_GE(*delay.bound(receiver + 4s), 3s) << "held up for 3 s";
+    EXPECT_LE(*delay.bound(receiver + 4s), 3s + 20ms) << "the drift of clocks during 1 s";
+    EXPECT_GE(*delay.bound(receiver + 5s), 4s) << "the update came later than the echo";
+    TransportDelay restarted(8);
+    restarted.take(*echo, receiver + 4s);
+    EXPECT_FALSE(restarted.bound(receiver + 4s)) << "a probe of a former process";
+    TransportDelay doubted(7);
+    doubted.take({{7, 2h}, 0s}, receiver);
+    doubted.take({{7, 1h}, 1h}, receiver);
+    doubted.take({{7, 1h}, -1h}, receiver);
+    EXPECT_FALSE(doubted.bound(receiver)) << "times that can't be";
+}
+
 TEST(WaitQueue, idlenessEarnsNoTurns)
 {
     WaitQueue queue;
