--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -49,6 +49,8 @@
     ReserveKeyReply = 74,
     FinishKey = 75,
     FinishKeyReply = 76,
+    DelayProbe = 77,
+    DelayEcho = 78,
 
     HoldConfiguration = 90,
     HoldConfigurationReply = 91,
