A process without an open channel is not suspected

Cause: two seconds after its start each scheduler logged the other one of its zone as suspected. Daemons of a zone keep one connection to ask for the configuration and close the spare ones, and a report of costs opens connections for a moment; no heartbeats arrive over a closed channel, and the membership took their lack for silence. Ruled out: late heartbeats (the channel's own rhythm saw none), a wrong timeout. Before: both schedulers of a zone of two VMs suspected each other within 2 s of the start. A killed process shows as disconnected at once; one that falls silent on its channel stays suspected. Seen to fail: processWithoutAChannelIsNotSuspected without the word to the membership. No functional change to routing or placement.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -33,6 +33,15 @@
     Entry &entry = found->second;
     const bool sameRun = known == heartbeat.sender.incarnation;
     entry.leaving = heartbeat.leaving || (sameRun && entry.leaving);
+    entry.connected = true;
+}
+
+void Membership::disconnected(std::uint32_t node)
+{
+    const auto found = entries_.find(node);
+    if (found != entries_.end()) {
+        found->second.connected = false;
+    }
 }
 
 std::vector<PeerChange> Membership::review(base::TimePoint now)
@@ -42,7 +51,7 @@
         PeerState state = PeerState::Unknown;
         if (entry.leaving) {
             state = PeerState::Left;
-        } else if (detector_.incarnation(node)) {
+        } else if (entry.connected) {
             state = detector_.suspects(node, now) ? PeerState::Suspected : PeerState::Alive;
         }
         if (state != entry.state) {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -21,7 +21,7 @@
 };
 
 enum class PeerState : std::uint8_t {
-    Unknown, ///< Named by the settings, not heard of yet.
+    Unknown, ///< Not heard of yet, or no heartbeats are expected of it now.
     Alive,
     Suspected, ///< Silent for longer than its heartbeats explain.
     Left, ///< Said that it was leaving; a later incarnation brings it back.
@@ -50,6 +50,9 @@
     void add(Peer peer);
     /// Takes a heartbeat. Those of unknown nodes and of earlier incarnations are ignored.
     void receive(const Heartbeat &heartbeat, base::TimePoint now);
+    /// Says that no heartbeats of a node are expected, as its last connection has ended: until the next one it is
+    /// neither alive nor suspected.
+    void disconnected(std::uint32_t node);
     /// Brings the states up to date, and returns what has changed since the last call.
     std::vector<PeerChange> review(base::TimePoint now);
 
@@ -64,6 +67,7 @@
         Peer peer;
         PeerState state = PeerState::Unknown;
         bool leaving = false;
+        bool connected = false;
     };
 
     FailureDetector detector_;
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -17,6 +17,8 @@
 namespace
 {
 
+constexpr std::string_view SilentReason = "silent";
+
 // A type that this version doesn't know counts with the heartbeats; both carry nothing.
 std::size_t trafficKind(MessageType type)
 {
@@ -80,7 +82,7 @@
     socket_.close(ignored);
     // The callbacks often hold a pointer to this channel, so they are released with the connection.
     const auto callbacks = std::exchange(callbacks_, {});
-    members_.closed(shared_from_this());
+    members_.closed(shared_from_this(), reason == SilentReason);
     if (callbacks.closed) {
         callbacks.closed(shared_from_this(), reason);
     }
@@ -173,7 +175,7 @@
         members_.heard(peer_);
     }
     if (now - lastReceived_ >= rhythm_.timeout()) {
-        close("silent");
+        close(SilentReason);
         return;
     }
     if (now - lastSent_ >= members_.settings().expectedInterval) {
--- a/src/protocol/members.cpp
+++ b/src/protocol/members.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <string_view>
 #include <vector>
 
@@ -15,7 +16,7 @@
 {
     switch (state) {
     case coordination::PeerState::Unknown:
-        return "unknown";
+        return "disconnected";
     case coordination::PeerState::Alive:
         return "alive";
     case coordination::PeerState::Suspected:
@@ -23,7 +24,7 @@
     case coordination::PeerState::Left:
         return "left";
     }
-    return "unknown";
+    return "disconnected";
 }
 
 } // namespace
@@ -88,9 +89,19 @@
     }
 }
 
-void Members::closed(const ChannelPtr &channel)
+// A process to which no channel is open sends no heartbeats here, so their lack says nothing about it. One that fell
+// silent on its channel stays suspected.
+void Members::closed(const ChannelPtr &channel, bool silent)
 {
     channels_.erase(channel);
+    const auto found = numbers_.find(keyOf(channel->peer()));
+    const bool others = std::any_of(channels_.begin(), channels_.end(), [&channel](const ChannelPtr &other) {
+        return keyOf(other->peer()) == keyOf(channel->peer());
+    });
+    if (found != numbers_.end() && !others && !silent) {
+        membership_.disconnected(found->second);
+        noteChanges();
+    }
     if (leaving_ && channels_.empty()) {
         finishLeaving();
     }
@@ -101,10 +112,10 @@
     membership_.receive({processOf(peer), false}, base::BootClock::now());
 }
 
-bool Members::hasLeft(const Identity &peer) const
+coordination::PeerState Members::state(const Identity &peer) const
 {
     const auto found = numbers_.find(keyOf(peer));
-    return found != numbers_.end() && membership_.state(found->second) == coordination::PeerState::Left;
+    return found == numbers_.end() ? coordination::PeerState::Unknown : membership_.state(found->second);
 }
 
 void Members::left(const Identity &peer)
--- a/src/protocol/members.h
+++ b/src/protocol/members.h
@@ -44,11 +44,12 @@
     std::optional<std::string> refusal(const Identity &peer) const;
     /// Takes note of a new channel. Closes those to earlier incarnations of its process.
     void opened(const ChannelPtr &channel);
-    void closed(const ChannelPtr &channel);
+    /// Takes note that a channel has ended; `silent` says that its far side fell silent.
+    void closed(const ChannelPtr &channel, bool silent);
     /// Takes note that a process has sent something of late.
     void heard(const Identity &peer);
-    /// Says whether the last incarnation heard of has left.
-    bool hasLeft(const Identity &peer) const;
+    /// Returns what is known of the last incarnation heard of.
+    coordination::PeerState state(const Identity &peer) const;
     /// Takes note that a process has said that it leaves.
     void left(const Identity &peer);
     /// Says on every channel that this process leaves. Calls `done` once the others have closed the channels, or after
--- a/tests/protocol_members_test.cpp
+++ b/tests/protocol_members_test.cpp
@@ -81,6 +81,22 @@
     ASSERT_TRUE(runUntil([this] { return opened_ == 1; }));
     EXPECT_TRUE(runUntil([this] { return closed_ == 1; }));
     EXPECT_TRUE(held && held->is_open());
+    EXPECT_TRUE(runUntil([this] { return members_.state(identity("b1", 1)) == coordination::PeerState::Suspected; }));
+}
+
+TEST_F(MembersTest, processWithoutAChannelIsNotSuspected)
+{
+    Members far(io_, identity("b1", 1), Fast);
+    {
+        const Peer first(io_, listener_.address(), far, {});
+        const Peer second(io_, listener_.address(), far, {});
+        ASSERT_TRUE(
+            runUntil([this, &first, &second] { return opened_ == 2 && first.connected() && second.connected(); }));
+    }
+    ASSERT_TRUE(runUntil([this] { return closed_ == 2; }));
+    const auto end = std::chrono::steady_clock::now() + Fast.maxTimeout * 2;
+    runUntil([end] { return std::chrono::steady_clock::now() >= end; });
+    EXPECT_EQ(members_.state(identity("b1", 1)), coordination::PeerState::Unknown);
 }
 
 TEST_F(MembersTest, pauseOfThisProcessIsNoSilenceOfTheOthers)
@@ -124,7 +140,7 @@
     EXPECT_TRUE(runUntil([&left] { return left; }));
     EXPECT_EQ(closed_, 1);
     EXPECT_TRUE(runUntil([&peer] { return !peer.connected(); }));
-    EXPECT_TRUE(far.hasLeft(identity("a1", 1)));
+    EXPECT_EQ(far.state(identity("a1", 1)), coordination::PeerState::Left);
     EXPECT_TRUE(members_.refusal(identity("b1", 2)));
 }
 
