--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -19,6 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "fakes"))
 sys.path.insert(0, str(ROOT / "operator"))
+from journal import read_journal  # noqa: E402
 from relay import Relay  # noqa: E402
 
 BIN = pathlib.Path(os.environ.get("YW_BIN", ROOT / "build" / "bin"))
@@ -409,43 +410,3 @@
 
     def records(self):
         return read_journal(self.journal)
-
-
-class Record:
-    """One line of the journal: what happened to a task on a worker, at a time of the boot clock."""
-
-    def __init__(self, line):
-        nanoseconds, self.kind, self.task, self.worker, self.incarnation, self.detail = line.split()
-        self.time = int(nanoseconds) / 1e9
-        self.index = tuple(self.task.split(".")[:2])
-
-
-def read_journal(path):
-    if not path.exists():
-        return []
-    lines = path.read_text().splitlines(keepends=True)
-    return sorted((Record(line) for line in lines if line.endswith("\n")), key=lambda record: record.time)
-
-
-def journal_faults(records):
-    """Returns every breach of the platform's promises in a journal: violations that a worker saw itself, and task
-    indices that ran in two places at once."""
-    faults = [f"{r.worker}: {r.detail} {r.task}" for r in records if r.kind == "violation"]
-    running = {}
-    for record in records:
-        if record.kind == "start":
-            other = running.get(record.index)
-            if other:
-                faults.append(f"{record.task} on {record.worker} while {other.task} runs on {other.worker}")
-            running[record.index] = record
-        elif record.kind == "end":
-            current = running.get(record.index)
-            if current and (current.task, current.worker) == (record.task, record.worker):
-                del running[record.index]
-    return faults
-
-
-def check_journal(records):
-    faults = journal_faults(records)
-    if faults:
-        raise AssertionError("\n".join(faults))
--- a/tests/process_detached_test.py
+++ b/tests/process_detached_test.py
@@ -4,7 +4,8 @@
 import unittest
 
 import cluster as _cluster  # noqa: F401  (puts the operators' library on the path)
-from cluster import Cluster, check_journal, wait_until
+from cluster import Cluster, wait_until
+from journal import check_journal
 from yuccawheel import BatchJob, Configuration, Resources, Team
 
 TASKS = 8
--- a/tests/process_owner_test.py
+++ b/tests/process_owner_test.py
@@ -4,7 +4,8 @@
 import unittest
 
 import jobs
-from cluster import Cluster, check_journal, wait_until
+from cluster import Cluster, wait_until
+from journal import check_journal
 
 REPLICAS = 4
 TASKS = 150
--- a/tests/process_partition_test.py
+++ b/tests/process_partition_test.py
@@ -4,7 +4,8 @@
 import unittest
 
 import jobs
-from cluster import Cluster, check_journal, request, wait_until
+from cluster import Cluster, request, wait_until
+from journal import check_journal
 from load import CountingUpstream, issue_key, send
 
 SERVICE = "loan-check"
--- a/tests/process_worker_test.py
+++ b/tests/process_worker_test.py
@@ -4,7 +4,8 @@
 import unittest
 
 import jobs
-from cluster import Cluster, check_journal, request, wait_until
+from cluster import Cluster, request, wait_until
+from journal import check_journal
 
 REPLICAS = 3
 TASKS = 80
--- a/tools/run_demo.py
+++ b/tools/run_demo.py
@@ -9,7 +9,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
-from cluster import BIN, Cluster, check_journal, text, wait_until  # noqa: E402
+from cluster import BIN, Cluster, text, wait_until  # noqa: E402
+from journal import check_journal  # noqa: E402
 
 EXAMPLE = ROOT / "examples" / "bibliobus.py"
 SERVICE = "loan-checks"
