--- a/bench/replay_platform.h
+++ b/bench/replay_platform.h
@@ -12,6 +12,12 @@
 namespace yuccawheel::bench
 {
 
+/// Time that a command takes to a worker.
+constexpr milliseconds MessageDelay{5};
+
+/// Returns the number of workers that an amount fills in its tightest resource.
+double workersFilled(const placement::Resources &amount, const placement::Resources &capacity);
+
 /// What decides: the product's planner, or a baseline to compare it with.
 class Scheduler
 {
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -10,7 +10,7 @@
 {
 
 /// Version of the inner protocol. Processes of different versions refuse each other.
-inline constexpr std::uint16_t ProtocolVersion = 1;
+inline constexpr std::uint16_t ProtocolVersion = 2;
 
 inline constexpr std::size_t MaxPayloadBytes = 4U << 20U;
 inline constexpr std::size_t MaxHelloBytes = 1024;
--- a/tests/process_worker_test.py
+++ b/tests/process_worker_test.py
@@ -54,6 +54,12 @@
         self.assertEqual((status, set(json.loads(body))), (200, {"epoch", "owner", "acknowledged", "lease_ms"}))
         # A whole list without the worker's size would make the planner forget what the worker holds.
         self.assertEqual(self.poll(sequence=sequence + 2, full=True)[0], 400)
+        # A number of another kind is refused by name, and the worker's next poll is served.
+        for fields in ({"incarnation": -1}, {"sequence": 0.5}, {"wait_ms": 1e29}):
+            status, _, body = self.poll(**({"sequence": sequence + 3} | fields))
+            self.assertEqual(status, 400, body)
+            self.assertIn(f"{next(iter(fields))}: found", body.decode())
+        self.assertEqual(self.poll(sequence=sequence + 3)[0], 200)
 
     def test_power_loss_of_every_worker_in_turn(self):
         ids = self.submit(run_ms=300)
--- a/tests/protocol_fuzz_test.cpp
+++ b/tests/protocol_fuzz_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <random>
 #include <set>
 
@@ -104,6 +105,14 @@
     EXPECT_TRUE(store::decodeEntry(samples[8]));
 }
 
+TEST(InnerProtocol, countsBeyondTheBytesAreRefusedBeforeTheyAreAllocatedFor)
+{
+    const std::string mapOfManyPairs("\xdf\x03\x8b\0\x01", 5);
+    const auto map = decode<std::map<std::string, std::string>>(mapOfManyPairs, Origin::OwnDisk);
+    ASSERT_FALSE(map);
+    EXPECT_EQ(map.error().message, "map size overflow");
+}
+
 TEST(InnerProtocol, enumsOutsideTheirRangeAreRefused)
 {
     RequestError error;
