One home for logic that stood twice: answers to a leader, new attempts, messages to all entries

Cause: a re-reading of the whole change. The two answers to a leader's messages each looked up and noted the sender; start and adopt each filled in an attempt, so that a new field had to be added twice; an entry encoded the same updates once for each other entry, though Peer::notifyFrame sends an encoded one; the probe was made in two places; StoreTimeout stood in two files of one class; a metrics request built 128 labels, most of which it dropped. Ruled out: the names of job kinds (workers read 'gang', operators 'all_at_once'), the echo before each batch of updates (it must be as fresh as their ages). Processor time was not measured. No functional change.

--- a/src/coordination/replicated_log.h
+++ b/src/coordination/replicated_log.h
@@ -231,6 +231,7 @@
     void installSnapshot(const SnapshotMeta &meta);
 
     // Replication by the leader.
+    Progress *noteResponse(ReplicaId from, std::uint64_t round, base::TimePoint now);
     void onAppendResponse(const Message &message, const AppendResponse &response, base::TimePoint now);
     void onRefusedAppend(ReplicaId from, Progress &progress, const AppendResponse &response);
     void onSnapshotResponse(const Message &message, const SnapshotChunkResponse &response, base::TimePoint now);
--- a/src/coordination/replicated_log_replicate.cpp
+++ b/src/coordination/replicated_log_replicate.cpp
@@ -6,15 +6,26 @@
 namespace yuccawheel::coordination
 {
 
-void ReplicatedLog::onAppendResponse(const Message &message, const AppendResponse &response, base::TimePoint now)
+// Takes what every answer to the leader tells. Returns the sender's progress, or null if this replica doesn't lead it.
+Progress *ReplicatedLog::noteResponse(ReplicaId from, std::uint64_t round, base::TimePoint now)
 {
-    const auto found = progress_.find(message.from);
+    const auto found = progress_.find(from);
     if (state_ != State::Leader || found == progress_.end()) {
-        return;
+        return nullptr;
     }
     Progress &progress = found->second;
     progress.lastHeard = now;
-    progress.ackedRound = std::max(progress.ackedRound, response.round);
+    progress.ackedRound = std::max(progress.ackedRound, round);
+    return &progress;
+}
+
+void ReplicatedLog::onAppendResponse(const Message &message, const AppendResponse &response, base::TimePoint now)
+{
+    Progress *const noted = noteResponse(message.from, response.round, now);
+    if (noted == nullptr) {
+        return;
+    }
+    Progress &progress = *noted;
     if (!response.accepted) {
         onRefusedAppend(message.from, progress, response);
         return;
@@ -50,13 +61,11 @@
                                        const SnapshotChunkResponse &response,
                                        base::TimePoint now)
 {
-    const auto found = progress_.find(message.from);
-    if (state_ != State::Leader || found == progress_.end()) {
+    Progress *const noted = noteResponse(message.from, response.round, now);
+    if (noted == nullptr) {
         return;
     }
-    Progress &progress = found->second;
-    progress.lastHeard = now;
-    progress.ackedRound = std::max(progress.ackedRound, response.round);
+    Progress &progress = *noted;
     if (progress.mode != Progress::Mode::Snapshot || response.snapshotIndex != progress.snapshot.index) {
         return;
     }
--- a/src/daemon/health_server.cpp
+++ b/src/daemon/health_server.cpp
@@ -35,10 +35,10 @@
         context_.metrics.gauge("yw_control_sent_bytes").set(static_cast<std::int64_t>(traffic.sentBytes()));
         context_.metrics.gauge("yw_control_received_bytes").set(static_cast<std::int64_t>(traffic.receivedBytes()));
         for (std::size_t kind = 0; kind < base::ControlTraffic::Kinds; ++kind) {
-            const std::string label = fmt::format("{{kind=\"{}\"}}", kind);
             const auto sent = static_cast<std::int64_t>(traffic.sentBytes(kind));
             const auto received = static_cast<std::int64_t>(traffic.receivedBytes(kind));
             if (sent + received > 0) {
+                const std::string label = fmt::format("{{kind=\"{}\"}}", kind);
                 context_.metrics.gauge("yw_control_kind_sent_bytes" + label).set(sent);
                 context_.metrics.gauge("yw_control_kind_received_bytes" + label).set(received);
             }
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -161,6 +161,20 @@
     return std::find(avoided.begin(), avoided.end(), worker) != avoided.end();
 }
 
+LiveTask ZoneState::newAttempt(const TaskId &id, JobHandle handle, WorkerId worker, const Resources &reserved) const
+{
+    LiveTask task;
+    task.task = id;
+    task.job = handle;
+    task.worker = worker;
+    task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
+    task.reserved = reserved;
+    task.lowest = reserved;
+    task.startedAt = now;
+    task.session = workers[worker].session;
+    return task;
+}
+
 LiveHandle ZoneState::start(JobHandle handle, std::uint32_t slotNumber, WorkerId worker)
 {
     Job &job = jobs[handle];
@@ -169,15 +183,8 @@
     YW_INVARIANT(workers[worker].liveness == Liveness::Up, "tasks start on workers that answer");
     YW_INVARIANT(!job.cancelled, "a cancelled job starts nothing");
     reserve(job.team, worker, job.size);
-    LiveTask task;
-    task.task = {job.spec.id, job.firstIndex + slotNumber, slot.nextAttempt};
-    task.job = handle;
-    task.worker = worker;
-    task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
-    task.reserved = job.size;
-    task.lowest = task.reserved;
-    task.startedAt = now;
-    task.session = workers[worker].session;
+    const TaskId id{job.spec.id, job.firstIndex + slotNumber, slot.nextAttempt};
+    const LiveTask task = newAttempt(id, handle, worker, job.size);
     const LiveHandle live = jobs.addLive(task);
     workers[worker].tasks.push_back(live);
     slot.started = true;
@@ -191,15 +198,7 @@
 
 LiveHandle ZoneState::adopt(const TaskId &id, JobHandle handle, WorkerId worker, const Resources &reserved)
 {
-    LiveTask task;
-    task.task = id;
-    task.job = handle;
-    task.worker = worker;
-    task.position = static_cast<std::uint32_t>(workers[worker].tasks.size());
-    task.reserved = smaller(larger(reserved, {}), ledger.free(worker));
-    task.lowest = task.reserved;
-    task.startedAt = now;
-    task.session = workers[worker].session;
+    LiveTask task = newAttempt(id, handle, worker, smaller(larger(reserved, {}), ledger.free(worker)));
     task.seenRunning = true;
     if (handle != NoHandle && jobs.slotOf(handle, id.index)->state == SlotState::Fresh) {
         --jobs[handle].freshCount;
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -155,6 +155,8 @@
     void note(JobId job, std::string text);
 
 private:
+    /// Returns an attempt that begins now on a worker; it is not in the table yet.
+    LiveTask newAttempt(const TaskId &id, JobHandle job, WorkerId worker, const Resources &reserved) const;
     void reserve(TeamId team, WorkerId worker, const Resources &amount);
     void unreserve(TeamId team, WorkerId worker, const Resources &amount);
     void updateBand(TeamId team);
--- a/src/programs/yw_entry/entry_peers.cpp
+++ b/src/programs/yw_entry/entry_peers.cpp
@@ -31,6 +31,13 @@
     }
 }
 
+/// Encodes a message once for all its receivers.
+template <typename Message>
+protocol::Frame noticeOf(const Message &message)
+{
+    return protocol::Frame{Message::Type, protocol::FrameKind::Notice, 0, protocol::encode(message)};
+}
+
 } // namespace
 
 // The proxy calls back on its own thread; the connections belong to the network thread.
@@ -58,8 +65,7 @@
         if (peer.node != context.self.node) {
             protocol::Peer::Callbacks events;
             events.opened = [this](const protocol::ChannelPtr &channel) {
-                channel->notify(
-                    protocol::DelayProbe{routing::makeProbe(context_.self.incarnation, base::BootClock::now())});
+                channel->notify(probe());
             };
             peers_[peer.node].peer = std::make_unique<protocol::Peer>(
                 context.io, daemon::toAsio(peer.address), context.members, std::move(events));
@@ -92,15 +98,16 @@
         update.age += now - takenAt;
     }
     if (!updates.empty()) {
-        const protocol::UpstreamUpdates message{std::move(updates)};
+        const protocol::Frame frame = noticeOf(protocol::UpstreamUpdates{std::move(updates)});
         for (auto &[node, receiver] : peers_) {
-            sendUpdates(receiver, message, now);
+            sendUpdates(receiver, frame, now);
         }
     }
     for (const routing::ShareMessage &message : messages) {
         if (message.to.empty()) {
+            const protocol::Frame frame = noticeOf(protocol::ShareNotice{message});
             for (const auto &[node, receiver] : peers_) {
-                receiver.peer->notify(protocol::ShareNotice{message});
+                receiver.peer->notifyFrame(frame);
             }
         } else if (const auto receiver = peers_.find(message.to); receiver != peers_.end()) {
             receiver->second.peer->notify(protocol::ShareNotice{message});
@@ -109,12 +116,12 @@
 }
 
 // The ages hold for the same moment as the echo, so what delays either counts for both.
-void EntryPeers::sendUpdates(Receiver &receiver, const protocol::UpstreamUpdates &message, base::TimePoint now)
+void EntryPeers::sendUpdates(Receiver &receiver, const protocol::Frame &updates, base::TimePoint now)
 {
     if (const auto echo = receiver.echoes.echo(now)) {
         receiver.peer->notify(protocol::DelayEcho{*echo});
     }
-    receiver.peer->notify(message);
+    receiver.peer->notifyFrame(updates);
 }
 
 void EntryPeers::receive(const protocol::ChannelPtr &channel, protocol::UpstreamUpdates &message)
@@ -131,12 +138,17 @@
     return delays_.try_emplace(channel.get(), context_.self.incarnation).first->second;
 }
 
+protocol::DelayProbe EntryPeers::probe() const
+{
+    return protocol::DelayProbe{routing::makeProbe(context_.self.incarnation, base::BootClock::now())};
+}
+
 // A fresh probe keeps the allowance for the drift of clocks small.
 void EntryPeers::probeAll()
 {
-    const protocol::DelayProbe probe{routing::makeProbe(context_.self.incarnation, base::BootClock::now())};
+    const protocol::DelayProbe message = probe();
     for (const auto &[node, receiver] : peers_) {
-        receiver.peer->notify(probe);
+        receiver.peer->notify(message);
     }
     probeTimer_.expires_after(ProbeInterval);
     probeTimer_.async_wait([this](const boost::system::error_code &error) {
--- a/src/programs/yw_entry/entry_peers.h
+++ b/src/programs/yw_entry/entry_peers.h
@@ -46,10 +46,11 @@
     void send(std::vector<routing::UpstreamUpdate> updates,
               const std::vector<routing::ShareMessage> &messages,
               base::TimePoint takenAt);
-    void sendUpdates(Receiver &receiver, const protocol::UpstreamUpdates &message, base::TimePoint now);
+    void sendUpdates(Receiver &receiver, const protocol::Frame &updates, base::TimePoint now);
     void receive(const protocol::ChannelPtr &channel, protocol::UpstreamUpdates &message);
     void onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
     routing::TransportDelay &delayOf(const protocol::ChannelPtr &channel);
+    protocol::DelayProbe probe() const;
     void probeAll();
 
     daemon::Context &context_;
--- a/src/programs/yw_entry/operator_api.cpp
+++ b/src/programs/yw_entry/operator_api.cpp
@@ -16,7 +16,6 @@
 using nlohmann::json;
 using protocol::QueryKind;
 
-constexpr std::chrono::milliseconds StoreTimeout{8'000};
 constexpr std::chrono::milliseconds SchedulerTimeout{2'000};
 constexpr std::string_view BearerScheme = "Bearer ";
 constexpr std::size_t LongestSubmissionId = 128;
--- a/src/programs/yw_entry/operator_api.h
+++ b/src/programs/yw_entry/operator_api.h
@@ -7,6 +7,7 @@
 #include "settings/token_file.h"
 #include "store/store_client.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +29,8 @@
     OperatorApi(daemon::Context &context, store::StoreClient &store, ListUpstreams listUpstreams);
 
 private:
+    static constexpr std::chrono::milliseconds StoreTimeout{8'000}; ///< For an answer of the store's leader.
+
     /// Answers of several schedulers, collected before the operator is answered.
     struct Gathering {
         std::vector<std::string> answers;
--- a/src/programs/yw_entry/operator_report.cpp
+++ b/src/programs/yw_entry/operator_report.cpp
@@ -16,7 +16,6 @@
 using nlohmann::json;
 using protocol::QueryKind;
 
-constexpr std::chrono::milliseconds StoreTimeout{8'000};
 constexpr std::size_t MaxRetriedJobs = 20;
 constexpr double Median = 0.5;
 constexpr double NinetyNinth = 0.99;
