Waiting for the callers' load stands once in the tests

Cause: three whole-process tests each had the same loop until every entry serves, and the same wait for more outcomes. After: load.wait_served and Callers.wait_more; conditions, counts and assertions are as they were. No functional change.

--- a/tests/load.py
+++ b/tests/load.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-from cluster import free_addresses, request, text
+from cluster import free_addresses, request, text, wait_until
 
 HEARTBEAT_S = 0.2
 BALANCER_INTERVAL_S = 0.1
@@ -182,6 +182,11 @@
         with self._lock:
             return len(self.outcomes)
 
+    def wait_more(self, more):
+        """Lets the callers get so many further outcomes."""
+        goal = self.count() + more
+        wait_until(lambda: self.count() >= goal, f"{more} more requests")
+
     def _look(self):
         self._ready = [vm for vm in self._vms if self._cluster.is_ready(vm, "entry")]
 
@@ -223,6 +228,12 @@
     return json.loads(answer)["key"] if status == 200 else None
 
 
+def wait_served(cluster, service):
+    """Waits until every entry serves a request of its own key."""
+    for vm in cluster.vms:
+        wait_until(lambda vm=vm: send(cluster, service, issue_key(vm), vm)[0] == 200, "every entry serves")
+
+
 def send(cluster, service, key, vm):
     """Sends one non-repeatable request. Returns (status, verdict)."""
     if key is None:
--- a/tests/process_leaving_test.py
+++ b/tests/process_leaving_test.py
@@ -3,8 +3,8 @@
 import time
 import unittest
 
-from cluster import Cluster, wait_until
-from load import Callers, CountingUpstream, issue_key, send
+from cluster import Cluster
+from load import Callers, CountingUpstream, wait_served
 
 SERVICE = "loan-check"
 LIMIT_S = 3  # After its last heartbeat that says that it serves.
@@ -19,23 +19,18 @@
         self.cluster.start()
         self.upstream = CountingUpstream(self.cluster, "a", SERVICE, delay=0.02)
         self.addCleanup(self.upstream.close)
-        for vm in self.cluster.vms:
-            wait_until(lambda vm=vm: send(self.cluster, SERVICE, issue_key(vm), vm)[0] == 200, "every entry serves")
+        wait_served(self.cluster, SERVICE)
         self.callers = Callers(self.cluster, SERVICE, threads=24)
         self.addCleanup(self.callers.stop)
-        self.load(300)
+        self.callers.wait_more(300)
         for vm in self.cluster.vms:
             self.assertGreater(self.callers.served[vm.name], 0, f"{vm.name} sends requests to the upstream")
 
-    def load(self, more):
-        goal = self.callers.count() + more
-        wait_until(lambda: self.callers.count() >= goal, f"{more} more requests")
-
     def check_nothing_runs(self, since):
         time.sleep(max(0, since + LIMIT_S - time.monotonic()))
         before = sum(self.upstream.runs.values())
         time.sleep(LIMIT_S)
-        self.load(50)
+        self.callers.wait_more(50)
         after = sum(self.upstream.runs.values())
         print(f"{before} requests until {LIMIT_S} s after the last heartbeat that said serving, {after - before} later; "
               f"the last one came {self.upstream.last_run - since:.2f} s after it")
@@ -54,7 +49,7 @@
         self.callers.stop()
         self.callers = Callers(self.cluster, SERVICE, threads=24, vms=self.cluster.vms[2:])
         self.addCleanup(self.callers.stop)
-        self.load(300)
+        self.callers.wait_more(300)
         self.cluster.cut("b", "in")
         time.sleep(RELAY_INTERVAL_S)
         since = self.upstream.fall_silent()
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -6,7 +6,7 @@
 import zlib
 
 from cluster import Cluster, wait_until
-from load import Callers, CountingUpstream, issue_key, send
+from load import Callers, CountingUpstream, wait_served
 
 SERVICE = "loan-check"
 LONG_RUN_S = 1.5  # Outlives the restart of an entry.
@@ -32,15 +32,10 @@
                           CountingUpstream(self.cluster, "a", SERVICE, run_time, executor="e-tight", connections=8)]
         for upstream in self.upstreams:
             self.addCleanup(upstream.close)
-        for vm in self.cluster.vms:
-            wait_until(lambda vm=vm: send(self.cluster, SERVICE, issue_key(vm), vm)[0] == 200, "every entry serves")
+        wait_served(self.cluster, SERVICE)
         self.callers = Callers(self.cluster, SERVICE, threads=CALLERS)
         self.addCleanup(self.callers.stop)
 
-    def load(self, more):
-        goal = self.callers.count() + more
-        wait_until(lambda: self.callers.count() >= goal, f"{more} more requests")
-
     def restart(self, vm):
         vm.entry.kill()
         vm.entry.start()
@@ -60,22 +55,22 @@
 
     def test_limits_hold_while_entries_are_killed_and_a_zone_is_cut(self):
         inside, outside = self.cluster.vms[:3], self.cluster.vms[3]
-        self.load(300)
+        self.callers.wait_more(300)
         for vm in inside:
             self.restart(vm)
-            self.load(200)
+            self.callers.wait_more(200)
         self.assertGreater(self.callers.served[outside.name], 0, "the other zone borrows slots")
         self.cluster.cut("b")
         end = time.monotonic() + LONGEST_LOAN_S
         self.restart(inside[0])
         wait_until(lambda: time.monotonic() > end, "every loan has ended")
-        self.load(200)
+        self.callers.wait_more(200)
         outside.entry.kill()
-        self.load(100)
+        self.callers.wait_more(100)
         self.cluster.cut("b", "none")
         outside.entry.start()
         self.cluster.wait_ready(outside, "entry")
-        self.load(200)
+        self.callers.wait_more(200)
         self.callers.stop()
         outcomes = collections.Counter(self.callers.outcomes.values())
         print(f"sent {len(self.callers.outcomes)}, outcomes {dict(outcomes)}, served {dict(self.callers.served)}")
--- a/tests/process_requests_test.py
+++ b/tests/process_requests_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from cluster import Cluster, wait_until
-from load import Callers, CountingUpstream, issue_key, send
+from load import Callers, CountingUpstream, issue_key, send, wait_served
 
 SERVICE = "loan-check"
 
@@ -17,16 +17,10 @@
         self.cluster.start()
         self.upstream = CountingUpstream(self.cluster, "a", SERVICE, delay=0.02)
         self.addCleanup(self.upstream.close)
-        for vm in self.cluster.vms:
-            wait_until(lambda vm=vm: send(self.cluster, SERVICE, issue_key(vm), vm)[0] == 200, "every entry serves")
+        wait_served(self.cluster, SERVICE)
         self.callers = Callers(self.cluster, SERVICE)
         self.addCleanup(self.callers.stop)
 
-    def load(self, more):
-        """Lets the callers get so many further outcomes."""
-        goal = self.callers.count() + more
-        wait_until(lambda: self.callers.count() >= goal, f"{more} more requests")
-
     def check(self, runs, outcomes):
         """What a caller was told is what happened, and nothing ran twice."""
         for key, (status, verdict) in outcomes.items():
@@ -43,12 +37,12 @@
 
     def test_rolling_restart_loses_no_request(self):
         for vm in self.cluster.vms:
-            self.load(100)
+            self.callers.wait_more(100)
             self.assertEqual(vm.entry.terminate(), 0, vm.entry.log_text()[-2000:])
-            self.load(50)
+            self.callers.wait_more(50)
             vm.entry.start()
             self.cluster.wait_ready(vm, "entry")
-        self.load(100)
+        self.callers.wait_more(100)
         self.callers.stop()
         self.summary()
         lost = {key: outcome for key, outcome in self.callers.outcomes.items() if outcome != (200, "ran")}
@@ -56,16 +50,16 @@
         self.check(self.upstream.runs, self.callers.outcomes)
 
     def test_killed_entry_doubles_nothing_and_resends_learn_the_verdict(self):
-        self.load(100)
+        self.callers.wait_more(100)
         for vm in self.cluster.vms:
             # With a request in progress all the time, a kill leaves callers without an answer.
             unanswered = len(self.callers.resent)
             while len(self.callers.resent) == unanswered:
                 vm.entry.kill()
-                self.load(50)
+                self.callers.wait_more(50)
                 vm.entry.start()
                 self.cluster.wait_ready(vm, "entry")
-                self.load(50)
+                self.callers.wait_more(50)
         self.callers.stop()
         self.summary()
         print(f"resent {len(self.callers.resent)}, outcomes {dict(collections.Counter(self.callers.resent.values()))}, "
