--- a/src/coordination/replica.h
+++ b/src/coordination/replica.h
@@ -47,6 +47,10 @@
     tl::expected<void, ProposeError> read(std::uint64_t read);
     tl::expected<Position, ProposeError> removeReplica(ReplicaId id, base::TimePoint now);
     bool handOver(base::TimePoint now);
+    void setNodes(std::vector<std::uint32_t> nodes)
+    {
+        log_.setNodes(std::move(nodes));
+    }
 
     /// Saves and syncs what is due, and returns what follows from it. Call it after each batch of the calls above.
     StorageResult<ReplicaOutput> flush(base::TimePoint now);
--- a/src/coordination/replicated_log.cpp
+++ b/src/coordination/replicated_log.cpp
@@ -8,6 +8,13 @@
 namespace yuccawheel::coordination
 {
 
+namespace
+{
+
+constexpr std::chrono::milliseconds LeaseMargin{50}; ///< For clocks of different rates, and the end of an order.
+
+} // namespace
+
 std::string_view toString(Role role)
 {
     switch (role) {
@@ -36,6 +43,7 @@
     , hardState_(state.hardState)
     , snapshot_(state.snapshot)
     , random_(settings_.seed)
+    , startedAt_(now)
 {
     if (hardState_.self == ReplicaId{}) {
         hardState_.self = settings_.self;
@@ -87,13 +95,14 @@
     if (now < electionDeadline_) {
         return;
     }
-    if (isVoter(replicaSet(), self())) {
+    const bool voter = isVoter(replicaSet(), self());
+    if (voter) {
         startPreVote(now);
-        return;
+    } else {
+        resetElectionTimer(now);
     }
-    resetElectionTimer(now);
-    // Only a replica that has never had a log asks to join: one that was removed stays out.
-    if (buffer_.lastIndex() == 0) {
+    // A replica that was removed stays out, unless any may join: then it may have been taken for lost.
+    if (settings_.openMembership ? state_ != State::Leader : !voter && buffer_.lastIndex() == 0) {
         for (const std::uint32_t node : settings_.nodes) {
             if (node != self().node) {
                 send(ReplicaId{node, 0}, term(), JoinRequest{});
@@ -203,6 +212,30 @@
     sets_.emplace(buffer_.baseIndex(), base);
 }
 
+// Followers grant no vote for an election timeout after they last heard this leader, which was not before the round
+// that they acknowledged began.
+std::optional<base::TimePoint> ReplicatedLog::leaseEnd() const
+{
+    if (state_ != State::Leader || handoverUntil_ || !settings_.leaderLease) {
+        return std::nullopt;
+    }
+    std::vector<std::uint64_t> acknowledged;
+    for (const Member &member : replicaSet().members) {
+        if (member.voter) {
+            acknowledged.push_back(member.id == self() ? round_ : progress_.at(member.id).ackedRound);
+        }
+    }
+    std::sort(acknowledged.begin(), acknowledged.end(), std::greater<>());
+    const std::uint64_t round = acknowledged[acknowledged.size() / 2];
+    std::optional<base::TimePoint> end;
+    for (const auto &[number, start] : roundStarts_) {
+        if (number <= round) {
+            end = start + settings_.electionTimeout - LeaseMargin;
+        }
+    }
+    return end;
+}
+
 Role ReplicatedLog::role() const
 {
     const Member *member = findMember(replicaSet(), self());
--- a/src/coordination/replicated_log.h
+++ b/src/coordination/replicated_log.h
@@ -12,11 +12,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace yuccawheel::coordination
@@ -34,7 +36,13 @@
 
 struct LogSettings {
     ReplicaId self; ///< Used only on an empty disk; otherwise the disk's own identity holds.
-    std::vector<std::uint32_t> nodes; ///< Nodes of the settings, self included; only these may join.
+    std::vector<std::uint32_t> nodes; ///< Nodes of the settings, self included; these are asked for admission.
+    bool openMembership = false; ///< Any node may join; otherwise only those in `nodes`.
+    std::size_t mostVoters = 7; ///< Learners beyond stay learners.
+    /// A voter that has been silent for so long is replaced by a learner that has caught up; zero for never.
+    std::chrono::milliseconds replaceSilentAfter{0};
+    /// Lets a leader rely on its lease: a replica that restarts grants no vote for an election timeout.
+    bool leaderLease = false;
     std::chrono::milliseconds heartbeatInterval{200};
     std::chrono::milliseconds electionTimeout{1000}; ///< Least time without a leader before an election.
     std::chrono::milliseconds electionSpread{1000}; ///< Random addition to it.
@@ -134,6 +142,14 @@
     /// lead, or is the only voter.
     bool handOver(base::TimePoint now);
 
+    /// Replaces the nodes that are asked for admission.
+    void setNodes(std::vector<std::uint32_t> nodes)
+    {
+        settings_.nodes = std::move(nodes);
+    }
+    /// Returns until when no other replica can lead, given `leaderLease` on all of them; nothing without a lease.
+    std::optional<base::TimePoint> leaseEnd() const;
+
     /// Takes what has to be done since the last call. Call `persisted` before the next one.
     Ready takeReady(base::TimePoint now);
     /// Says that everything of the last Ready is on disk and synced.
@@ -257,6 +273,8 @@
     void appendReplicaSet(const ReplicaSet &set, base::TimePoint now);
     void syncProgressWithSet(base::TimePoint now);
     void promoteLearner(base::TimePoint now);
+    std::optional<ReplicaId> silentVoter(base::TimePoint now) const;
+    void removeReplacedVoter(base::TimePoint now);
     const ReplicaSet &replicaSetAt(Index index) const;
     void send(ReplicaId to, Term term, MessageBody body);
 
@@ -289,6 +307,8 @@
 
     std::map<ReplicaId, Progress> progress_;
     std::uint64_t round_ = 0;
+    std::deque<std::pair<std::uint64_t, base::TimePoint>> roundStarts_; ///< Of the rounds that may set the lease.
+    base::TimePoint startedAt_;
     bool roundWanted_ = false;
     std::vector<PendingRead> pendingReads_;
     Index termStart_ = 0; ///< Index of the entry by which this leadership began.
--- a/src/coordination/replicated_log_election.cpp
+++ b/src/coordination/replicated_log_election.cpp
@@ -100,6 +100,7 @@
         uncommittedBytes_ += sizeOf(buffer_.at(index));
     }
     round_ = 0;
+    roundStarts_.clear();
     progress_.clear();
     appendOwn(EntryKind::TermStart, {});
     termStart_ = buffer_.lastIndex();
@@ -112,6 +113,10 @@
 // leader must not disturb the others.
 bool ReplicatedLog::hearsLeader(base::TimePoint now) const
 {
+    // A restarted replica has forgotten whom it heard. On a new cluster there is nobody to have heard.
+    if (settings_.leaderLease && now - startedAt_ < settings_.electionTimeout && term() > 1) {
+        return true;
+    }
     if (state_ == State::Leader) {
         return true;
     }
--- a/src/coordination/replicated_log_members.cpp
+++ b/src/coordination/replicated_log_members.cpp
@@ -40,7 +40,8 @@
 void ReplicatedLog::onJoinRequest(const Message &message, base::TimePoint now)
 {
     const auto &nodes = settings_.nodes;
-    const bool known = std::find(nodes.begin(), nodes.end(), message.from.node) != nodes.end();
+    const bool known =
+        settings_.openMembership || std::find(nodes.begin(), nodes.end(), message.from.node) != nodes.end();
     if (state_ != State::Leader || !known || changeUnderWay() || findMember(replicaSet(), message.from) != nullptr) {
         return;
     }
@@ -75,6 +76,10 @@
             continue;
         }
         const Member *old = findOtherGeneration(replicaSet(), member.id);
+        const std::size_t voters = voterCount(replicaSet());
+        if (old == nullptr && voters >= settings_.mostVoters + (silentVoter(now) ? 1 : 0)) {
+            continue;
+        }
         const ReplicaSet set = old != nullptr ? without(replicaSet(), old->id) : withVoter(replicaSet(), member.id);
         if (majorityOf(set, [this, since](ReplicaId id) { return heardSince(id, since); })) {
             appendReplicaSet(set, now);
@@ -83,6 +88,33 @@
     }
 }
 
+std::optional<ReplicaId> ReplicatedLog::silentVoter(base::TimePoint now) const
+{
+    if (settings_.replaceSilentAfter.count() == 0) {
+        return std::nullopt;
+    }
+    for (const Member &member : replicaSet().members) {
+        if (member.voter && !heardSince(member.id, now - settings_.replaceSilentAfter)) {
+            return member.id;
+        }
+    }
+    return std::nullopt;
+}
+
+// Its successor is a voter already, so that no step leaves fewer voters than are wanted.
+void ReplicatedLog::removeReplacedVoter(base::TimePoint now)
+{
+    const auto silent = silentVoter(now);
+    if (!silent || changeUnderWay() || voterCount(replicaSet()) <= settings_.mostVoters) {
+        return;
+    }
+    const ReplicaSet set = without(replicaSet(), *silent);
+    const base::TimePoint since = now - settings_.electionTimeout;
+    if (majorityOf(set, [this, since](ReplicaId id) { return heardSince(id, since); })) {
+        appendReplicaSet(set, now);
+    }
+}
+
 tl::expected<Position, ProposeError> ReplicatedLog::removeReplica(ReplicaId id, base::TimePoint now)
 {
     if (state_ != State::Leader) {
--- a/src/coordination/replicated_log_replicate.cpp
+++ b/src/coordination/replicated_log_replicate.cpp
@@ -86,6 +86,10 @@
     nextHeartbeat_ = now + settings_.heartbeatInterval;
     roundWanted_ = false;
     ++round_;
+    roundStarts_.emplace_back(round_, now);
+    while (roundStarts_.front().second + settings_.electionTimeout < now) {
+        roundStarts_.pop_front();
+    }
     for (auto &[id, progress] : progress_) {
         sendHeartbeat(id, progress);
     }
@@ -187,6 +191,7 @@
         }
     }
     promoteLearner(now);
+    removeReplacedVoter(now);
     for (auto &[id, progress] : progress_) {
         progress.catchUpTarget = committed_;
     }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -77,6 +77,10 @@
         return protocol::Role::Scheduler;
     case settings::Program::Store:
         return protocol::Role::Store;
+    case settings::Program::Manager:
+        return protocol::Role::Manager;
+    case settings::Program::Gateway:
+        return protocol::Role::Gateway;
     }
     return protocol::Role::Entry;
 }
--- /dev/null
+++ b/src/daemon/manager_book.cpp
@@ -0,0 +1,113 @@
+#include "daemon/manager_book.h"
+
+#include "base/log.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <algorithm>
+
+namespace yuccawheel::daemon
+{
+
+std::optional<std::uint32_t> managerNumber(const std::string &ip)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address_v4(ip, error);
+    return error ? std::nullopt : std::optional<std::uint32_t>(address.to_uint());
+}
+
+std::string managerIp(std::uint32_t number)
+{
+    return boost::asio::ip::address_v4(number).to_string();
+}
+
+ManagerBook::ManagerBook(Context &context, std::uint32_t self, Callbacks callbacks)
+    : context_(context)
+    , self_(self)
+    , callbacks_(std::move(callbacks))
+{
+    setSeeds(context.settings.seeds);
+}
+
+void ManagerBook::setSeeds(const std::vector<settings::Endpoint> &seeds)
+{
+    seeds_.clear();
+    for (const settings::Endpoint &seed : seeds) {
+        if (const auto number = managerNumber(seed.ip)) {
+            seeds_.push_back(*number);
+        }
+    }
+    for (const std::uint32_t seed : seeds_) {
+        if (seed != self_) {
+            peer(seed);
+        }
+    }
+}
+
+protocol::Peer &ManagerBook::peer(std::uint32_t manager)
+{
+    auto &peer = peers_[manager];
+    if (!peer) {
+        const boost::asio::ip::tcp::endpoint address(boost::asio::ip::address_v4(manager),
+                                                     context_.settings.listen.inner->port);
+        protocol::Peer::Callbacks callbacks;
+        callbacks.notice = [this, manager](const protocol::ChannelPtr &, protocol::Frame frame) {
+            if (frame.type != protocol::MessageType::Topology) {
+                callbacks_.notice(manager, std::move(frame));
+            } else if (const auto topology = protocol::decode<workflow::Topology>(frame.payload)) {
+                learn(*topology);
+            }
+        };
+        peer = std::make_unique<protocol::Peer>(context_.io, address, context_.members, std::move(callbacks));
+    }
+    return *peer;
+}
+
+// A manager that was cut off may still name an old leader, so the word of the highest term holds.
+void ManagerBook::learn(const workflow::Topology &topology)
+{
+    if (topology.term < topology_.term || (topology.term == topology_.term && topology.leader == 0)) {
+        return;
+    }
+    const std::uint32_t before = topology_.leader;
+    topology_ = topology;
+    for (const std::uint32_t manager : topology_.managers) {
+        if (manager != self_) {
+            peer(manager);
+        }
+    }
+    if (before != topology_.leader) {
+        base::logInfo("leader_known")
+            .with("leader", topology_.leader == 0 ? "none" : managerIp(topology_.leader))
+            .with("term", topology_.term);
+        dropOthers();
+        if (callbacks_.leaderChanged) {
+            callbacks_.leaderChanged();
+        }
+    }
+}
+
+// Addresses that neither the seeds nor the members name any more, and that do not answer, belonged to machines that are
+// gone.
+void ManagerBook::dropOthers()
+{
+    std::erase_if(peers_, [this](const auto &item) {
+        const auto names = [number = item.first](const std::vector<std::uint32_t> &list) {
+            return std::find(list.begin(), list.end(), number) != list.end();
+        };
+        return !item.second->connected() && !names(seeds_) && !names(topology_.managers);
+    });
+}
+
+protocol::Peer *ManagerBook::leader()
+{
+    const auto found = peers_.find(topology_.leader);
+    return found == peers_.end() || !found->second->connected() ? nullptr : found->second.get();
+}
+
+bool ManagerBook::connected() const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [](const auto &item) { return item.second->connected(); });
+}
+
+} // namespace yuccawheel::daemon
--- /dev/null
+++ b/src/http/call_pool.cpp
@@ -0,0 +1,278 @@
+#include "http/call_pool.h"
+
+#include "base/traffic.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace yuccawheel::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace
+{
+
+constexpr unsigned HttpVersion11 = 11;
+
+struct QueuedCall {
+    ClientRequest request;
+    std::chrono::steady_clock::time_point deadline;
+    CallPool::Done done;
+    bool retried = false;
+};
+
+} // namespace
+
+class PooledConnection;
+
+struct CallPool::Impl : std::enable_shared_from_this<CallPool::Impl> {
+    Impl(asio::io_context &context, const settings::Endpoint &address, CallPoolOptions opts)
+        : io(context)
+        , server(address)
+        , options(opts)
+    {
+        boost::system::error_code invalid;
+        endpoint = {asio::ip::make_address(server.ip, invalid), server.port};
+        host = settings::toString(server);
+    }
+
+    void start();
+    void release(const std::shared_ptr<PooledConnection> &connection, bool reusable);
+    void finish(QueuedCall call, tl::expected<ClientResponse, CallError> answer)
+    {
+        if (!stopped) {
+            call.done(std::move(answer));
+        }
+    }
+
+    asio::io_context &io;
+    settings::Endpoint server;
+    asio::ip::tcp::endpoint endpoint;
+    std::string host;
+    CallPoolOptions options;
+    std::deque<QueuedCall> queue;
+    std::vector<std::shared_ptr<PooledConnection>> idle;
+    std::vector<std::shared_ptr<PooledConnection>> busy;
+    bool stopped = false;
+};
+
+/// One connection, which carries one call at a time.
+class PooledConnection : public std::enable_shared_from_this<PooledConnection>
+{
+public:
+    explicit PooledConnection(std::shared_ptr<CallPool::Impl> pool) : pool_(std::move(pool)), stream_(pool_->io)
+    {
+    }
+
+    void run(QueuedCall call)
+    {
+        call_.emplace(std::move(call));
+        stream_.expires_at(call_->deadline);
+        prepare();
+        if (connected_) {
+            reused_ = true;
+            write();
+            return;
+        }
+        verdict_ = base::Verdict::NotRun;
+        stream_.async_connect(pool_->endpoint, [self = shared_from_this()](beast::error_code error) {
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->connected_ = true;
+            beast::error_code ignored;
+            self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        stream_.socket().close(ignored);
+    }
+
+private:
+    void prepare()
+    {
+        message_ = {};
+        message_.method_string(call_->request.method);
+        message_.target(call_->request.target);
+        message_.version(HttpVersion11);
+        message_.set(beast::http::field::host, pool_->host);
+        for (const Header &header : call_->request.headers) {
+            message_.set(header.name, header.value);
+        }
+        message_.body() = call_->request.body;
+        message_.prepare_payload();
+    }
+
+    void write()
+    {
+        verdict_ = base::Verdict::MayHaveRun;
+        beast::http::async_write(
+            stream_, message_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+                base::controlTraffic().sent(base::ControlTraffic::HttpKind, bytes);
+                if (error) {
+                    self->fail(error);
+                    return;
+                }
+                self->read();
+            });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(pool_->options.maxAnswerBytes);
+        beast::http::async_read(
+            stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+                base::controlTraffic().received(base::ControlTraffic::HttpKind, bytes);
+                self->anythingRead_ = bytes > 0;
+                if (error || self->parser_->need_eof()) {
+                    self->fail(error);
+                    return;
+                }
+                self->succeed();
+            });
+    }
+
+    void succeed()
+    {
+        ClientResponse response;
+        response.status = static_cast<int>(parser_->get().result_int());
+        for (const auto &field : parser_->get()) {
+            response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+        const bool reusable = parser_->get().keep_alive();
+        response.body = std::move(parser_->get().body());
+        parser_.reset();
+        stream_.expires_never();
+        QueuedCall call = std::move(*call_);
+        call_.reset();
+        const auto pool = pool_;
+        pool->release(shared_from_this(), reusable);
+        pool->finish(std::move(call), std::move(response));
+    }
+
+    void fail(beast::error_code error)
+    {
+        QueuedCall call = std::move(*call_);
+        call_.reset();
+        const auto pool = pool_;
+        const bool closedWhileIdle = reused_ && !anythingRead_ && error != beast::error::timeout && !call.retried;
+        pool->release(shared_from_this(), false);
+        if (closedWhileIdle && !pool->stopped) {
+            call.retried = true;
+            pool->queue.push_front(std::move(call));
+            pool->start();
+            return;
+        }
+        const std::string text = error ? error.message() : "answer without a length";
+        pool->finish(std::move(call), tl::unexpected(CallError{verdict_, pool->host + ": " + text}));
+    }
+
+    std::shared_ptr<CallPool::Impl> pool_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    beast::http::request<beast::http::string_body> message_;
+    std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
+    std::optional<QueuedCall> call_;
+    base::Verdict verdict_ = base::Verdict::NotRun;
+    bool connected_ = false;
+    bool reused_ = false;
+    bool anythingRead_ = false;
+};
+
+void CallPool::Impl::start()
+{
+    while (!queue.empty() && (!idle.empty() || busy.size() < options.maxConnections)) {
+        QueuedCall call = std::move(queue.front());
+        queue.pop_front();
+        if (call.deadline <= std::chrono::steady_clock::now()) {
+            finish(std::move(call), tl::unexpected(CallError{base::Verdict::NotRun, host + ": no connection in time"}));
+            continue;
+        }
+        std::shared_ptr<PooledConnection> connection;
+        // A repeated call must not meet another connection that was closed while it was idle.
+        if (!idle.empty() && !call.retried) {
+            connection = idle.back();
+            idle.pop_back();
+        } else {
+            connection = std::make_shared<PooledConnection>(shared_from_this());
+        }
+        busy.push_back(connection);
+        connection->run(std::move(call));
+    }
+}
+
+void CallPool::Impl::release(const std::shared_ptr<PooledConnection> &connection, bool reusable)
+{
+    std::erase(busy, connection);
+    if (reusable && !stopped) {
+        idle.push_back(connection);
+    } else {
+        connection->close();
+    }
+    if (!queue.empty() && !stopped) {
+        asio::post(io, [self = shared_from_this()] { self->start(); });
+    }
+}
+
+CallPool::CallPool(asio::io_context &io, const settings::Endpoint &server, CallPoolOptions options)
+    : impl_(std::make_shared<Impl>(io, server, options))
+{
+}
+
+CallPool::~CallPool()
+{
+    impl_->stopped = true;
+    closeConnections();
+    impl_->queue.clear();
+}
+
+void CallPool::closeConnections()
+{
+    for (const auto &connection : impl_->busy) {
+        connection->close();
+    }
+    for (const auto &connection : impl_->idle) {
+        connection->close();
+    }
+    impl_->idle.clear();
+}
+
+bool CallPool::isIdle() const
+{
+    return impl_->busy.empty() && impl_->queue.empty();
+}
+
+void CallPool::call(ClientRequest request, std::chrono::milliseconds timeout, Done done)
+{
+    QueuedCall call{std::move(request), std::chrono::steady_clock::now() + timeout, std::move(done)};
+    if (impl_->queue.size() >= impl_->options.maxQueued) {
+        asio::post(impl_->io, [impl = impl_, call = std::move(call)]() mutable {
+            impl->finish(std::move(call),
+                         tl::unexpected(CallError{base::Verdict::NotRun, impl->host + ": too many calls wait"}));
+        });
+        return;
+    }
+    impl_->queue.push_back(std::move(call));
+    impl_->start();
+}
+
+} // namespace yuccawheel::http
--- /dev/null
+++ b/src/http/call_pool.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "http/client.h"
+#include "settings/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace yuccawheel::http
+{
+
+struct CallPoolOptions {
+    std::size_t maxConnections = 4;
+    std::size_t maxQueued = 1'000; ///< Calls that wait for a connection.
+    std::size_t maxAnswerBytes = 4U << 20U;
+};
+
+/// Keeps connections to one server open from call to call. All calls and callbacks are on the io_context's thread.
+/// A call whose connection was closed while it was idle is sent once more on a new one, so only idempotent requests may
+/// be sent. A connection whose call got no answer in time is closed.
+class CallPool
+{
+public:
+    using Done = std::function<void(tl::expected<ClientResponse, CallError>)>;
+
+    CallPool(boost::asio::io_context &io, const settings::Endpoint &server, CallPoolOptions options = {});
+    ~CallPool();
+    CallPool(const CallPool &) = delete;
+    CallPool &operator=(const CallPool &) = delete;
+
+    /// Sends a request and calls `done` exactly once, never from within this call, unless the pool is destroyed first.
+    void call(ClientRequest request, std::chrono::milliseconds timeout, Done done);
+
+    /// Closes all connections. Calls in progress end with an error.
+    void closeConnections();
+    /// Returns whether no call waits or is in progress.
+    bool isIdle() const;
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace yuccawheel::http
--- /dev/null
+++ b/src/platform/caller_api.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "http/server.h"
+#include "settings/endpoint.h"
+#include "workflow/outside.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+
+namespace yuccawheel::platform
+{
+
+/// Serves callers' requests for jobs and queues over the platform's HTTP interface.
+class CallerApi
+{
+public:
+    /// Throws boost::system::system_error if the address can't be bound. `handler` must outlive the object.
+    CallerApi(boost::asio::io_context &io,
+              const boost::asio::ip::tcp::endpoint &address,
+              workflow::CallerHandler &handler);
+
+    /// Requests that have been read and not answered.
+    std::size_t inProgress() const
+    {
+        return inProgress_;
+    }
+
+private:
+    void handle(const http::Request &request, const http::Responder &respond);
+
+    workflow::CallerHandler &handler_;
+    std::size_t inProgress_ = 0;
+    http::Server server_;
+};
+
+} // namespace yuccawheel::platform
--- /dev/null
+++ b/src/platform/control_api.cpp
@@ -0,0 +1,125 @@
+#include "platform/control_api.h"
+
+#include "platform/job_format.h"
+#include "platform/json_fields.h"
+
+#include "base/log.h"
+
+#include <optional>
+
+namespace yuccawheel::platform
+{
+
+namespace
+{
+
+constexpr std::size_t MostBodyBytes = 4U << 20U; ///< Largest body that the platform sends.
+constexpr std::size_t MostConnections = 2'048; ///< One for each worker, and some more.
+
+http::ServerOptions serverOptions()
+{
+    http::ServerOptions options;
+    options.maxBodyBytes = MostBodyBytes;
+    options.maxConnections = MostConnections;
+    return options;
+}
+
+http::Response plain(int status, std::string_view error)
+{
+    return {status, Json{{"error", error}}.dump(), "application/json", {}};
+}
+
+// The worker's id in `/instances/ID/ACTION`.
+std::optional<std::string> workerIn(std::string_view path, std::string_view action)
+{
+    constexpr std::string_view Prefix = "/instances/";
+    if (!path.starts_with(Prefix) || !path.ends_with(action) || path.size() <= Prefix.size() + action.size()) {
+        return std::nullopt;
+    }
+    const std::string_view id = path.substr(Prefix.size(), path.size() - Prefix.size() - action.size());
+    return id.find('/') == std::string_view::npos ? std::optional(std::string(id)) : std::nullopt;
+}
+
+} // namespace
+
+ControlApi::ControlApi(boost::asio::io_context &io,
+                       const boost::asio::ip::tcp::endpoint &address,
+                       workflow::ControlHandler &handler)
+    : handler_(handler)
+    , server_(io, address, serverOptions(), [this](const http::Request &request, const http::Responder &respond) {
+        handle(request, respond);
+    })
+{
+}
+
+void ControlApi::handle(const http::Request &request, const http::Responder &respond)
+{
+    try {
+        if (request.method == "GET" && request.path == "/config/get") {
+            getConfiguration(respond);
+        } else if (request.method != "POST") {
+            respond(plain(404, "unknown path"));
+        } else if (const auto reporting = workerIn(request.path, "/heartbeat")) {
+            report(decodeReport(*reporting, request.body), respond);
+        } else if (const auto leaving = workerIn(request.path, "/leave")) {
+            workflow::WorkerReport last;
+            last.worker.id = *leaving;
+            last.leaving = true;
+            const Json body = request.body.empty() ? Json::object() : parseObject(request.body);
+            last.worker.born = integerField(body, "born");
+            report(last, respond);
+        } else if (request.path == "/config/put") {
+            putConfiguration(request, respond);
+        } else {
+            respond(plain(404, "unknown path"));
+        }
+    } catch (const FormatError &error) {
+        base::logInfo("request_unreadable").with("path", request.path).with("reason", error.what());
+        respond(plain(400, error.what()));
+    }
+}
+
+void ControlApi::report(const workflow::WorkerReport &report, const http::Responder &respond)
+{
+    handler_.report(report, [respond](const tl::expected<workflow::ReportWorkerReply, workflow::Unanswered> &reply) {
+        if (!reply) {
+            respond(plain(503, "no leader"));
+            return;
+        }
+        Json body = Json::object();
+        if (!reply->reportTo.empty()) {
+            body["heartbeat_addr"] = reply->reportTo; // Where the next reports go.
+        }
+        respond({200, body.dump(), "application/json", {}});
+    });
+}
+
+void ControlApi::putConfiguration(const http::Request &request, const http::Responder &respond)
+{
+    workflow::Configuration configuration = decodeConfiguration(request.body);
+    if (const auto fault = workflow::findFault(configuration)) {
+        base::logInfo("configuration_invalid").with("version", configuration.version).with("reason", *fault);
+        respond(plain(400, *fault));
+        return;
+    }
+    handler_.putConfiguration(
+        std::move(configuration),
+        [respond](const tl::expected<workflow::PutConfigurationReply, workflow::Unanswered> &reply) {
+            respond(reply ? http::Response{200, Json{{"version", reply->version}}.dump(), "application/json", {}}
+                          : plain(503, "not known to be stored"));
+        });
+}
+
+void ControlApi::getConfiguration(const http::Responder &respond)
+{
+    handler_.getConfiguration(
+        [respond](const tl::expected<workflow::GetConfigurationReply, workflow::Unanswered> &reply) {
+            if (!reply || reply->version == 0) {
+                respond(plain(503, "the newest configuration is not known here"));
+                return;
+            }
+            respond({200, reply->text, "application/json", {}});
+        });
+}
+
+} // namespace yuccawheel::platform
--- /dev/null
+++ b/src/platform/control_api.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "http/server.h"
+#include "workflow/outside.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace yuccawheel::platform
+{
+
+/// Serves workers' reports and operators' configurations over the platform's HTTP interface.
+class ControlApi
+{
+public:
+    /// Throws boost::system::system_error if the address can't be bound. `handler` must outlive the object.
+    ControlApi(boost::asio::io_context &io,
+               const boost::asio::ip::tcp::endpoint &address,
+               workflow::ControlHandler &handler);
+
+private:
+    void handle(const http::Request &request, const http::Responder &respond);
+    void report(const workflow::WorkerReport &report, const http::Responder &respond);
+    void putConfiguration(const http::Request &request, const http::Responder &respond);
+    void getConfiguration(const http::Responder &respond);
+
+    workflow::ControlHandler &handler_;
+    http::Server server_;
+};
+
+} // namespace yuccawheel::platform
--- /dev/null
+++ b/src/platform/eligibility_client.cpp
@@ -0,0 +1,59 @@
+#include "platform/eligibility_client.h"
+
+#include "platform/json_fields.h"
+
+#include "base/log.h"
+
+namespace yuccawheel::platform
+{
+
+namespace
+{
+
+constexpr std::size_t MostConnections = 8; ///< The service serves one call of a machine at a time; the others wait.
+
+workflow::EligibilityRows decodeRows(const http::ClientResponse &response)
+{
+    const Json body = parseObject(response.body);
+    std::vector<std::pair<std::string, std::string>> rows;
+    for (const Json &row : arrayField(body, "good")) {
+        if (!row.is_array() || row.size() < 2 || !row[0].is_string() || !row[1].is_string()) {
+            throw FormatError("a row is not a worker and a ticket");
+        }
+        rows.emplace_back(row[0].get<std::string>(), row[1].get<std::string>());
+    }
+    return rows;
+}
+
+} // namespace
+
+EligibilityClient::EligibilityClient(boost::asio::io_context &io, const settings::Endpoint &service)
+    : pool_(io, service, {MostConnections, 64, 1U << 20U})
+{
+}
+
+void EligibilityClient::ask(const std::string &step,
+                            const std::vector<std::string> &workers,
+                            std::chrono::milliseconds timeout,
+                            std::function<void(workflow::EligibilityRows)> done)
+{
+    const Json body{{"step", step}, {"workers", workers}};
+    pool_.call({"POST", "/advise", {{"Content-Type", "application/json"}}, body.dump()},
+               timeout,
+               [step, done = std::move(done)](const tl::expected<http::ClientResponse, http::CallError> &answer) {
+                   try {
+                       if (answer && answer->status == 200) {
+                           done(decodeRows(*answer));
+                           return;
+                       }
+                       base::logInfo("eligibility_refused")
+                           .with("step", step)
+                           .with("reason", answer ? std::to_string(answer->status) : answer.error().text);
+                   } catch (const FormatError &error) {
+                       base::logWarning("eligibility_unreadable").with("step", step).with("reason", error.what());
+                   }
+                   done(std::nullopt);
+               });
+}
+
+} // namespace yuccawheel::platform
--- /dev/null
+++ b/src/platform/json_fields.cpp
@@ -0,0 +1,110 @@
+#include "platform/json_fields.h"
+
+namespace yuccawheel::platform
+{
+
+namespace
+{
+
+[[noreturn]] void fail(const char *name, const char *expected)
+{
+    throw FormatError(std::string("field ") + name + " is not " + expected);
+}
+
+const Json *findField(const Json &object, const char *name)
+{
+    if (!object.is_object()) {
+        throw FormatError(std::string("no object to hold the field ") + name);
+    }
+    const auto found = object.find(name);
+    return found == object.end() || found->is_null() ? nullptr : &*found;
+}
+
+} // namespace
+
+Json parseObject(std::string_view body)
+{
+    Json parsed = Json::parse(body, nullptr, false);
+    if (!parsed.is_object()) {
+        throw FormatError("the body is not a JSON object");
+    }
+    return parsed;
+}
+
+std::string textField(const Json &object, const char *name, const std::string &absent)
+{
+    const Json *const field = findField(object, name);
+    if (field == nullptr) {
+        return absent;
+    }
+    if (!field->is_string()) {
+        fail(name, "a text");
+    }
+    return field->get<std::string>();
+}
+
+std::int64_t integerField(const Json &object, const char *name, std::int64_t absent)
+{
+    const double number = numberField(object, name, static_cast<double>(absent));
+    if (std::floor(number) != number || std::abs(number) > 9.0e15) {
+        fail(name, "a whole number");
+    }
+    return static_cast<std::int64_t>(number);
+}
+
+double numberField(const Json &object, const char *name, double absent)
+{
+    const Json *const field = findField(object, name);
+    if (field == nullptr) {
+        return absent;
+    }
+    if (!field->is_number()) {
+        fail(name, "a number");
+    }
+    return field->get<double>();
+}
+
+bool flagField(const Json &object, const char *name)
+{
+    const Json *const field = findField(object, name);
+    if (field == nullptr) {
+        return false;
+    }
+    if (!field->is_boolean()) {
+        fail(name, "true or false");
+    }
+    return field->get<bool>();
+}
+
+const Json &arrayField(const Json &object, const char *name)
+{
+    static const Json empty = Json::array();
+    const Json *const field = findField(object, name);
+    if (field == nullptr) {
+        return empty;
+    }
+    if (!field->is_array()) {
+        fail(name, "a list");
+    }
+    return *field;
+}
+
+const Json &requiredField(const Json &object, const char *name)
+{
+    const Json *const field = findField(object, name);
+    if (field == nullptr) {
+        throw FormatError(std::string("field ") + name + " is missing");
+    }
+    return *field;
+}
+
+std::uint32_t countField(const Json &object, const char *name, std::uint32_t absent)
+{
+    const std::int64_t number = integerField(object, name, absent);
+    if (number < 0 || number > std::numeric_limits<std::uint32_t>::max()) {
+        fail(name, "a count");
+    }
+    return static_cast<std::uint32_t>(number);
+}
+
+} // namespace yuccawheel::platform
--- /dev/null
+++ b/src/platform/worker_client.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "http/call_pool.h"
+#include "workflow/outside.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace yuccawheel::platform
+{
+
+/// Gives orders to workers over the platform's HTTP interface.
+class WorkerClient : public workflow::WorkerCalls
+{
+public:
+    explicit WorkerClient(boost::asio::io_context &io);
+
+    void start(const workflow::WorkerIdentity &worker,
+               const workflow::StartOrder &order,
+               std::function<void(const workflow::OrderAnswer &)> done) override;
+    void stop(const workflow::WorkerIdentity &worker,
+              const workflow::StopOrder &order,
+              std::function<void(const workflow::OrderAnswer &)> done) override;
+    void look(const workflow::WorkerIdentity &worker,
+              const workflow::LookOrder &order,
+              std::function<void(const workflow::LookAnswer &)> done) override;
+    void forget(const workflow::WorkerIdentity &worker) override;
+
+private:
+    http::CallPool &poolOf(const std::string &address);
+
+    boost::asio::io_context &io_;
+    std::map<std::string, std::unique_ptr<http::CallPool>> pools_; ///< By address.
+};
+
+} // namespace yuccawheel::platform
--- /dev/null
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -0,0 +1,148 @@
+#include "log_thread.h"
+
+#include "base/log.h"
+
+#include <utility>
+
+namespace yuccawheel::manager
+{
+
+namespace
+{
+
+constexpr std::size_t InputRingItems = 8'192;
+constexpr std::size_t OutputRingItems = 1'024;
+constexpr std::size_t MaxInputsPerRound = 512; ///< One sync covers them.
+constexpr std::chrono::milliseconds TickInterval{50}; ///< A quarter of the heartbeat.
+constexpr std::chrono::milliseconds FullRingWait{1};
+constexpr std::chrono::milliseconds StateWait{20};
+
+} // namespace
+
+LogThread::LogThread(std::unique_ptr<coordination::FileSystem> files,
+                     std::unique_ptr<coordination::FileLogStorage> storage,
+                     std::unique_ptr<coordination::Replica> replica,
+                     std::function<void()> wake,
+                     std::function<void(std::string)> failed)
+    : files_(std::move(files))
+    , storage_(std::move(storage))
+    , replica_(std::move(replica))
+    , wake_(std::move(wake))
+    , failed_(std::move(failed))
+    , input_(InputRingItems)
+    , output_(OutputRingItems)
+    , thread_([this] { run(); })
+{
+}
+
+LogThread::~LogThread()
+{
+    stopping_ = true;
+    input_.close();
+    thread_.join();
+}
+
+void LogThread::run()
+{
+    while (!stopping_) {
+        auto input = input_.popFor(TickInterval);
+        for (std::size_t taken = 0; input; ++taken) {
+            handle(*input);
+            input = taken < MaxInputsPerRound ? input_.tryPop() : std::nullopt;
+        }
+        replica_->tick(base::BootClock::now());
+        if (!flush()) {
+            return;
+        }
+    }
+}
+
+void LogThread::handle(LogInput &input)
+{
+    const base::TimePoint now = base::BootClock::now();
+    if (const auto *message = std::get_if<coordination::Message>(&input.what)) {
+        replica_->receive(*message, now);
+    } else if (auto *proposal = std::get_if<LogInput::Proposal>(&input.what)) {
+        const auto position = replica_->propose(std::move(proposal->data));
+        if (!position) {
+            base::logInfo("proposal_refused").with("failure", static_cast<int>(position.error().failure));
+        }
+        fates_.push_back({proposal->number, position ? std::optional(*position) : std::nullopt});
+    } else if (const auto *nodes = std::get_if<LogInput::Nodes>(&input.what)) {
+        replica_->setNodes(nodes->nodes);
+    } else {
+        replica_->handOver(now);
+    }
+}
+
+LogStatus LogThread::status() const
+{
+    const coordination::ReplicatedLog &log = replica_->log();
+    LogStatus status{log.role(), log.term(), log.leader(), log.leaseEnd(), {}};
+    for (const coordination::Member &member : log.replicaSet().members) {
+        status.members.push_back(member.id.node);
+    }
+    return status;
+}
+
+bool LogThread::flush()
+{
+    bool more = true;
+    while (more && !stopping_) {
+        auto result = replica_->flush(base::BootClock::now());
+        if (!result) {
+            failed_(std::string(coordination::toString(result.error().failure)) + ": " + result.error().detail);
+            return false;
+        }
+        more = result->more;
+        LogOutput output;
+        output.fates = std::exchange(fates_, {});
+        output.messages = std::move(result->messages);
+        output.snapshot = std::move(result->snapshot);
+        output.committed = std::move(result->committed);
+        output.status = status();
+        std::future<std::string> state;
+        coordination::Index index = 0;
+        if (replica_->snapshotDue() && !output.committed.empty()) {
+            index = output.committed.back().index;
+            output.stateWanted = std::make_shared<std::promise<std::string>>();
+            state = output.stateWanted->get_future();
+        }
+        const bool news = !output.fates.empty() || !output.messages.empty() || output.snapshot
+            || !output.committed.empty() || output.status.role != published_.role
+            || output.status.leader != published_.leader || output.status.term != published_.term
+            || output.status.leaseEnd != published_.leaseEnd || output.status.members != published_.members;
+        if (news) {
+            published_ = output.status;
+            if (!publish(std::move(output))) {
+                return true;
+            }
+        }
+        while (state.valid() && !stopping_) {
+            if (state.wait_for(StateWait) != std::future_status::ready) {
+                continue;
+            }
+            const auto saved = replica_->saveSnapshot(index, state.get());
+            if (!saved) {
+                failed_("snapshot: " + saved.error().detail);
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool LogThread::publish(LogOutput output)
+{
+    while (!output_.tryPushFrom(output)) {
+        if (stopping_) {
+            return false;
+        }
+        wake_();
+        std::this_thread::sleep_for(FullRingWait);
+    }
+    wake_();
+    return true;
+}
+
+} // namespace yuccawheel::manager
--- /dev/null
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -0,0 +1,685 @@
+#include "manager_service.h"
+
+#include "base/log.h"
+#include "store/replication_codec.h"
+
+#include <boost/asio/post.hpp>
+
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+namespace yuccawheel::manager
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{50}; ///< Finest timeout of the job manager.
+constexpr milliseconds DispatchDelay{5}; ///< Events that come together are decided together.
+constexpr milliseconds PassOnTimeout{700}; ///< Callers try the next manager after a second.
+constexpr milliseconds RetryDelay{1'000}; ///< An election takes about so long.
+constexpr milliseconds HandoverTimeout{1'500};
+constexpr milliseconds HandoverPoll{5};
+constexpr milliseconds ElectionTimeout{700}; ///< Three heartbeats and a half.
+constexpr milliseconds ElectionSpread{500};
+constexpr milliseconds ReplaceVoterAfter{10'000}; ///< Longer than a restart, or a cut that heals by itself.
+constexpr std::uint64_t DiskReserve = 8U << 20U;
+constexpr std::size_t SnapshotEvery = 4U << 20U; ///< Two snapshots and the log between them fit on a small disk.
+
+workflow::WallTime wallNow()
+{
+    return std::chrono::duration_cast<workflow::WallTime>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::string describe(const coordination::StorageError &error)
+{
+    return std::string(coordination::toString(error.failure)) + ": " + error.detail;
+}
+
+std::uint32_t ownNumber(const settings::ProcessSettings &settings)
+{
+    const auto number = daemon::managerNumber(settings.listen.inner->ip);
+    if (!number || *number == 0) {
+        throw std::runtime_error("listen.inner of a manager must be an IPv4 address of this VM");
+    }
+    return *number;
+}
+
+workflow::ManagerLimits limitsOf(const settings::ProcessSettings &settings)
+{
+    return {settings.workerLease, ElectionTimeout};
+}
+
+// All seeds start with the same first state, so that none of them has to be the first.
+coordination::RecoveredState firstState(std::uint32_t self, const std::vector<std::uint32_t> &seeds)
+{
+    constexpr std::uint32_t FirstGeneration = 1;
+    coordination::ReplicaSet set;
+    coordination::ClusterId cluster = 0xcbf29ce484222325ULL;
+    for (const std::uint32_t seed : seeds) {
+        set.members.push_back({{seed, FirstGeneration}, true});
+        cluster = (cluster ^ seed) * 0x100000001b3ULL;
+    }
+    return coordination::ReplicatedLog::bootstrap(cluster == 0 ? 1 : cluster, {self, FirstGeneration}, set);
+}
+
+} // namespace
+
+ManagerService::ManagerService(daemon::Context &context)
+    : context_(context)
+    , alive_(std::make_shared<ManagerService *>(this))
+    , self_(ownNumber(context.settings))
+    , managers_(context,
+                self_,
+                {[](std::uint32_t, const protocol::Frame &) {},
+                 [this] { log_->tryPush(LogInput{LogInput::Nodes{managers_.seeds()}}); }})
+    , jobs_(*this, limitsOf(context.settings))
+    , workerCalls_(context.io)
+    , log_(startLog())
+    , timer_(context.io)
+    , drainTimer_(context.io)
+{
+    protocol::Listener::Callbacks callbacks;
+    callbacks.opened = [this](const protocol::ChannelPtr &channel) {
+        onOpened(channel);
+    };
+    callbacks.frame = [this](const protocol::ChannelPtr &channel, protocol::Frame frame) {
+        onFrame(channel, std::move(frame));
+    };
+    callbacks.closed = [this](const protocol::ChannelPtr &channel) {
+        onClosed(channel);
+    };
+    listener_.emplace(
+        context.io, daemon::toAsio(*context.settings.listen.inner), context.members, std::move(callbacks));
+    workflow::ControlHandler &handler = *this;
+    control_.emplace(context.io, daemon::toAsio(*context.settings.listen.control), handler);
+    armTimer(TickInterval);
+}
+
+ManagerService::~ManagerService()
+{
+    *alive_ = nullptr;
+    log_.reset();
+    listener_.reset();
+}
+
+std::unique_ptr<LogThread> ManagerService::startLog()
+{
+    const settings::ProcessSettings &settings = context_.settings;
+    auto files = coordination::openFolder(settings.dataDir);
+    if (!files) {
+        throw std::runtime_error(describe(files.error()));
+    }
+    auto storage = std::make_unique<coordination::FileLogStorage>(**files);
+    const std::vector<std::uint32_t> &seeds = managers_.seeds();
+    const bool isSeed = std::find(seeds.begin(), seeds.end(), self_) != seeds.end();
+    if (settings.newCluster && isSeed) {
+        const coordination::RecoveredState first = firstState(self_, seeds);
+        const auto set = coordination::decodeReplicaSet(first.entries.front().data);
+        const auto formed =
+            coordination::Replica::formCluster(*storage, first.hardState.cluster, first.hardState.self, *set);
+        // A disk that holds a log already is one that has been started before.
+        base::logInfo("log_formed").with("formed", formed.has_value()).with("seeds", seeds.size());
+        storage = std::make_unique<coordination::FileLogStorage>(**files);
+    }
+    coordination::ReplicaSettings replica;
+    std::random_device device;
+    replica.log.self = {self_, std::uniform_int_distribution<std::uint32_t>(2)(device)};
+    replica.log.seed = (std::uint64_t{device()} << 32U) | device();
+    replica.log.nodes = seeds;
+    replica.log.openMembership = true;
+    replica.log.leaderLease = true;
+    replica.log.mostVoters = static_cast<std::size_t>(2 * settings.toleratedLosses + 1);
+    replica.log.replaceSilentAfter = ReplaceVoterAfter;
+    replica.log.electionTimeout = ElectionTimeout;
+    replica.log.electionSpread = ElectionSpread;
+    replica.diskReserveBytes = DiskReserve;
+    replica.snapshotEvery = SnapshotEvery;
+    auto started = coordination::Replica::start(replica, *storage, base::BootClock::now());
+    if (!started) {
+        throw std::runtime_error(describe(started.error()));
+    }
+    const auto wake = [this, alive = alive_] {
+        boost::asio::post(context_.io, [this, alive] {
+            if (*alive != nullptr) {
+                takeOutput();
+            }
+        });
+    };
+    const auto failed = [this](const std::string &reason) {
+        base::logError("disk_failed").with("reason", reason);
+        boost::asio::post(context_.io, [reason] { throw std::runtime_error(reason); });
+    };
+    return std::make_unique<LogThread>(std::move(*files), std::move(storage), std::move(*started), wake, failed);
+}
+
+std::optional<std::string> ManagerService::notReadyReason() const
+{
+    return status_.leader.node != 0 ? std::nullopt : std::optional<std::string>("no leader is known");
+}
+
+std::size_t ManagerService::inProgress() const
+{
+    return inProgress_;
+}
+
+// A leader that just ended would leave the system without one for an election timeout.
+void ManagerService::drain(std::function<void()> done)
+{
+    draining_ = true;
+    drainDeadline_ = std::chrono::steady_clock::now() + HandoverTimeout;
+    log_->tryPush(LogInput{LogInput::HandOver{}});
+    awaitHandover(std::move(done));
+}
+
+void ManagerService::awaitHandover(std::function<void()> done)
+{
+    const bool leading = status_.role == coordination::Role::Leader;
+    if ((!leading && inProgress_ == 0) || std::chrono::steady_clock::now() >= drainDeadline_) {
+        done();
+        return;
+    }
+    drainTimer_.expires_after(HandoverPoll);
+    drainTimer_.async_wait([this, done = std::move(done)](const boost::system::error_code &error) {
+        if (!error) {
+            awaitHandover(done);
+        }
+    });
+}
+
+bool ManagerService::leads(base::TimePoint now) const
+{
+    return jobs_.leads() && status_.leaseEnd && now < *status_.leaseEnd;
+}
+
+void ManagerService::armTimer(milliseconds delay)
+{
+    const auto due = std::chrono::steady_clock::now() + delay;
+    if (timerDue_ <= due && timerDue_ > std::chrono::steady_clock::now()) {
+        return;
+    }
+    timerDue_ = due;
+    timer_.expires_at(due);
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            onTimer();
+        }
+    });
+}
+
+void ManagerService::onTimer()
+{
+    timerDue_ = {};
+    jobs_.tick(base::BootClock::now(), wallNow());
+    armTimer(TickInterval);
+}
+
+void ManagerService::takeOutput()
+{
+    while (auto round = log_->takeOutput()) {
+        takeRound(*round);
+    }
+}
+
+void ManagerService::takeRound(LogOutput &round)
+{
+    for (const ProposalFate &fate : round.fates) {
+        takeFate(fate);
+    }
+    for (const coordination::Message &message : round.messages) {
+        if (message.to.node != self_) {
+            managers_.peer(message.to.node)
+                .notifyFrame({protocol::MessageType::Replication,
+                              protocol::FrameKind::Notice,
+                              0,
+                              store::encodeReplication(message)});
+        }
+    }
+    if (round.snapshot) {
+        auto restored = workflow::State::restore(*round.snapshot);
+        if (!restored) {
+            throw std::runtime_error("the snapshot can't be read: " + restored.error().message);
+        }
+        state_ = std::move(*restored);
+    }
+    for (const coordination::Entry &entry : round.committed) {
+        applyEntry(entry);
+    }
+    if (round.stateWanted) {
+        round.stateWanted->set_value(state_.snapshot());
+    }
+    noteStatus(round.status);
+}
+
+void ManagerService::takeFate(const ProposalFate &fate)
+{
+    auto node = proposals_.extract(fate.number);
+    if (node.empty()) {
+        return;
+    }
+    if (fate.position) {
+        pending_[fate.position->index] = {fate.position->term, std::move(node.mapped())};
+    } else if (node.mapped()) {
+        node.mapped()(false);
+    }
+}
+
+void ManagerService::applyEntry(const coordination::Entry &entry)
+{
+    if (entry.kind == coordination::EntryKind::TermStart) {
+        startedTerm_ = entry.term;
+    } else if (entry.kind == coordination::EntryKind::Application) {
+        const auto decoded = workflow::decodeEntry(entry.data);
+        if (!decoded) {
+            throw std::runtime_error("a committed entry can't be read: " + decoded.error().message);
+        }
+        std::vector<workflow::StateEvent> events;
+        state_.apply(*decoded, events);
+        jobs_.applied(*decoded, events, base::BootClock::now(), wallNow());
+        armTimer(DispatchDelay);
+    }
+    settle(entry);
+}
+
+// An entry of another term at the same place means that the proposed one will never be committed.
+void ManagerService::settle(const coordination::Entry &entry)
+{
+    while (!pending_.empty() && pending_.begin()->first <= entry.index) {
+        auto node = pending_.extract(pending_.begin());
+        if (node.mapped().done) {
+            node.mapped().done(node.key() == entry.index && node.mapped().term == entry.term);
+        }
+    }
+}
+
+void ManagerService::noteStatus(const LogStatus &status)
+{
+    const bool leaderChanged = status.leader != status_.leader || status.term != status_.term;
+    const bool membersChanged = status.members != status_.members;
+    const coordination::Term termBefore = status_.term;
+    if (status.role != status_.role) {
+        base::logInfo("log_role")
+            .with("role", coordination::toString(status.role))
+            .with("before", coordination::toString(status_.role))
+            .with("term", status.term)
+            .with("leader", status.leader.node == 0 ? "none" : daemon::managerIp(status.leader.node));
+    }
+    status_ = status;
+    const bool leading = status.role == coordination::Role::Leader;
+    if (jobs_.leads() && (!leading || status.term != termBefore)) {
+        stopLeading("another term");
+    }
+    const base::TimePoint now = base::BootClock::now();
+    if (leading && startedTerm_ == status.term && !jobs_.leads()) {
+        jobs_.lead(state_, status.term, now, wallNow());
+        for (const auto &[number, channel] : gateways_) {
+            if (channel->peer().role == protocol::Role::Gateway) {
+                jobs_.addMachine(number);
+            }
+        }
+        armTimer(DispatchDelay);
+    }
+    jobs_.setLeaseEnd(status.leaseEnd.value_or(base::TimePoint{}));
+    if (leaderChanged || membersChanged) {
+        shareTopology();
+    }
+}
+
+void ManagerService::stopLeading(std::string_view reason)
+{
+    base::logInfo("leadership_lost").with("reason", reason).with("term", status_.term);
+    jobs_.stepDown();
+    // What becomes of these entries is the next leader's to find out.
+    for (auto &[index, entry] : std::exchange(pending_, {})) {
+        if (entry.done) {
+            entry.done(false);
+        }
+    }
+}
+
+bool ManagerService::proposeWith(const workflow::LogEntry &entry, EntryDone done)
+{
+    const std::uint64_t number = nextProposal_++;
+    if (status_.role != coordination::Role::Leader
+        || !log_->tryPush(LogInput{LogInput::Proposal{number, workflow::encodeEntry(entry)}})) {
+        return false;
+    }
+    proposals_[number] = std::move(done);
+    return true;
+}
+
+bool ManagerService::propose(const workflow::LogEntry &entry)
+{
+    return proposeWith(entry, nullptr);
+}
+
+void ManagerService::start(workflow::WorkerNumber worker,
+                           const workflow::WorkerIdentity &identity,
+                           const workflow::StartOrder &order)
+{
+    workerCalls_.start(identity,
+                       order,
+                       [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
+                           jobs_.onStartAnswer(worker, task, run, answer, base::BootClock::now());
+                       });
+}
+
+void ManagerService::stop(workflow::WorkerNumber worker,
+                          const workflow::WorkerIdentity &identity,
+                          const workflow::StopOrder &order)
+{
+    workerCalls_.stop(identity,
+                      order,
+                      [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
+                          jobs_.onStopAnswer(worker, task, run, answer, base::BootClock::now());
+                      });
+}
+
+void ManagerService::look(workflow::WorkerNumber worker,
+                          const workflow::WorkerIdentity &identity,
+                          const workflow::LookOrder &order)
+{
+    workerCalls_.look(identity, order, [this, worker](const workflow::LookAnswer &answer) {
+        jobs_.onLookAnswer(worker, answer, base::BootClock::now());
+    });
+}
+
+void ManagerService::forget(const workflow::WorkerIdentity &identity)
+{
+    workerCalls_.forget(identity);
+}
+
+void ManagerService::ask(const workflow::EligibilityQuestion &question)
+{
+    const auto gateway = gateways_.find(question.machine);
+    const bool sent = gateway != gateways_.end()
+        && gateway->second->notify(
+            workflow::AskEligibility{question.number, question.step, question.workers, question.timeout});
+    if (!sent) {
+        boost::asio::post(context_.io, [this, alive = alive_, number = question.number] {
+            if (*alive != nullptr) {
+                jobs_.onEligibility(number, std::nullopt, base::BootClock::now());
+            }
+        });
+    }
+}
+
+void ManagerService::report(const workflow::WorkerReport &report,
+                            std::function<void(tl::expected<workflow::ReportWorkerReply, workflow::Unanswered>)> done)
+{
+    const base::TimePoint now = base::BootClock::now();
+    if (leads(now)) {
+        jobs_.onReport(report, now);
+        armTimer(DispatchDelay);
+        done(workflow::ReportWorkerReply{settings::toString(*context_.settings.listen.control)});
+        return;
+    }
+    passOn(workflow::ReportWorker{report}, std::move(done));
+}
+
+void ManagerService::putConfiguration(
+    workflow::Configuration configuration,
+    std::function<void(tl::expected<workflow::PutConfigurationReply, workflow::Unanswered>)> done)
+{
+    if (!leads(base::BootClock::now())) {
+        passOn(workflow::PutConfiguration{std::move(configuration)}, std::move(done));
+        return;
+    }
+    base::logInfo("configuration_offered")
+        .with("version", configuration.version)
+        .with("in_force", state_.configuration().version)
+        .with("routes", configuration.routes.size());
+    if (configuration.version <= state_.configuration().version) {
+        done(workflow::PutConfigurationReply{state_.configuration().version});
+        return;
+    }
+    auto committed = [this, done](bool known) {
+        if (known) {
+            done(workflow::PutConfigurationReply{state_.configuration().version});
+        } else {
+            done(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+        }
+    };
+    if (!proposeWith(workflow::ConfigurationEntry{std::move(configuration)}, std::move(committed))) {
+        done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
+    }
+}
+
+void ManagerService::getConfiguration(
+    std::function<void(tl::expected<workflow::GetConfigurationReply, workflow::Unanswered>)> done)
+{
+    if (leads(base::BootClock::now())) {
+        done(workflow::GetConfigurationReply{state_.configuration().version, state_.configuration().text});
+        return;
+    }
+    passOn(workflow::GetConfiguration{}, std::move(done));
+}
+
+template <typename Request>
+void ManagerService::passOn(const Request &request,
+                            std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done)
+{
+    protocol::Peer *const leader = status_.leader.node == self_ ? nullptr : managers_.leader();
+    if (leader == nullptr) {
+        done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
+        return;
+    }
+    leader->request(request,
+                    PassOnTimeout,
+                    [done = std::move(done)](tl::expected<typename Request::Reply, protocol::RequestError> answer) {
+                        if (answer) {
+                            done(std::move(*answer));
+                            return;
+                        }
+                        base::logInfo("not_passed_on").with("reason", protocol::toString(answer.error().code));
+                        const bool mayTakeEffect = answer.error().verdict != base::Verdict::NotRun;
+                        done(tl::make_unexpected(workflow::Unanswered{mayTakeEffect, RetryDelay}));
+                    });
+}
+
+void ManagerService::onOpened(const protocol::ChannelPtr &channel)
+{
+    const std::uint64_t number = nextChannel_++;
+    channelNumbers_[channel.get()] = number;
+    gateways_[number] = channel;
+    if (channel->peer().role == protocol::Role::Gateway) {
+        jobs_.addMachine(number);
+    }
+    boost::asio::post(context_.io, [this, alive = alive_, channel] {
+        if (*alive != nullptr) {
+            sendTopology(channel);
+        }
+    });
+}
+
+void ManagerService::onClosed(const protocol::ChannelPtr &channel)
+{
+    const auto found = channelNumbers_.find(channel.get());
+    if (found != channelNumbers_.end()) {
+        jobs_.removeMachine(found->second);
+        gateways_.erase(found->second);
+        channelNumbers_.erase(found);
+    }
+}
+
+void ManagerService::sendTopology(const protocol::ChannelPtr &channel)
+{
+    channel->notify(workflow::Topology{status_.leader.node, status_.term, status_.members});
+}
+
+void ManagerService::shareTopology()
+{
+    const workflow::Topology topology{status_.leader.node, status_.term, status_.members};
+    managers_.learn(topology);
+    for (const auto &[number, channel] : gateways_) {
+        channel->notify(topology);
+    }
+}
+
+template <typename Reply>
+std::function<void(tl::expected<Reply, workflow::Unanswered>)>
+ManagerService::replyTo(const protocol::ChannelPtr &channel, std::uint64_t correlation)
+{
+    ++inProgress_;
+    return [this, channel, correlation](const tl::expected<Reply, workflow::Unanswered> &reply) {
+        --inProgress_;
+        if (reply) {
+            channel->reply(correlation, *reply);
+        } else {
+            refuse(channel,
+                   correlation,
+                   reply.error().mayTakeEffect ? base::Verdict::MayHaveRun : base::Verdict::NotRun);
+        }
+    };
+}
+
+void ManagerService::refuse(const protocol::ChannelPtr &channel, std::uint64_t correlation, base::Verdict verdict)
+{
+    channel->reply(correlation,
+                   protocol::RequestError{protocol::ErrorCode::NotLeader, verdict, "this manager does not lead", {}});
+}
+
+// Requests are answered by the leader alone: one that was passed on to a manager that does not lead goes no further.
+void ManagerService::onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame)
+{
+    using protocol::MessageType;
+    if (frame.type == MessageType::Replication) {
+        if (auto message = store::decodeReplication(frame.payload)) {
+            log_->tryPush(LogInput{std::move(*message)});
+        }
+        return;
+    }
+    if (frame.type == MessageType::EligibilityAnswer) {
+        onEligibilityAnswer(frame);
+        return;
+    }
+    if (frame.kind != protocol::FrameKind::Request) {
+        return;
+    }
+    if (!leads(base::BootClock::now())) {
+        refuse(channel, frame.correlation, base::Verdict::NotRun);
+        return;
+    }
+    if (frame.type == MessageType::QueueRequest) {
+        onQueueRequest(channel, frame);
+    } else if (frame.type == MessageType::ReportWorker) {
+        if (const auto message = protocol::decode<workflow::ReportWorker>(frame.payload)) {
+            report(message->report, replyTo<workflow::ReportWorkerReply>(channel, frame.correlation));
+        }
+    } else if (frame.type == MessageType::PutConfiguration) {
+        if (auto message = protocol::decode<workflow::PutConfiguration>(frame.payload)) {
+            putConfiguration(std::move(message->configuration),
+                             replyTo<workflow::PutConfigurationReply>(channel, frame.correlation));
+        }
+    } else if (frame.type == MessageType::GetConfiguration) {
+        getConfiguration(replyTo<workflow::GetConfigurationReply>(channel, frame.correlation));
+    }
+}
+
+void ManagerService::onQueueRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
+{
+    using workflow::QueueOutcome;
+    auto request = protocol::decode<workflow::QueueRequest>(frame.payload);
+    if (!request) {
+        base::logWarning("queue_request_unreadable").with("reason", request.error().message);
+        channel->reply(frame.correlation,
+                       workflow::QueueReply{QueueOutcome::Malformed, {}, 0, {}, request.error().message});
+        return;
+    }
+    const workflow::QueueRoute *const route = state_.configuration().findRoute(request->host, request->path);
+    if (route == nullptr) {
+        // Without a configuration nobody knows which queues there are.
+        const auto outcome =
+            state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
+        channel->reply(frame.correlation, workflow::QueueReply{outcome, {}, 0, RetryDelay, "no such queue"});
+        return;
+    }
+    const std::string rest = request->path.substr(route->pathPrefix.size());
+    if (rest.empty() && request->verb == workflow::QueueVerb::Read) {
+        channel->reply(
+            frame.correlation,
+            workflow::QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue), {}, {}});
+        return;
+    }
+    const auto key = workflow::parseJobKey(rest);
+    if (request->verb == workflow::QueueVerb::Submit) {
+        const auto fault = !key ? std::optional<std::string>("a job's name is 16 hexadecimal digits")
+            : request->job      ? workflow::findFault(*request->job)
+                                : std::optional<std::string>("no job");
+        if (fault) {
+            channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::Malformed, {}, 0, {}, *fault});
+            return;
+        }
+        submitJob(channel, frame.correlation, *key, route->policy, std::move(*request->job));
+        return;
+    }
+    const workflow::JobRecord *const job = key ? state_.findJob(*key) : nullptr;
+    if (job == nullptr) {
+        channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
+    } else if (request->verb == workflow::QueueVerb::Read) {
+        channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::State, job->phase, 0, {}, {}});
+    } else {
+        cancelJob(channel, frame.correlation, *key);
+    }
+}
+
+void ManagerService::submitJob(const protocol::ChannelPtr &channel,
+                               std::uint64_t correlation,
+                               workflow::JobKey key,
+                               const workflow::QueuePolicy &policy,
+                               workflow::JobSpec spec)
+{
+    auto reply = replyTo<workflow::QueueReply>(channel, correlation);
+    if (state_.findJob(key) != nullptr) {
+        reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
+        return;
+    }
+    const bool taken = proposeWith(
+        workflow::AcceptEntry{key, std::move(spec), policy, wallNow()}, [reply](bool committed) {
+            if (committed) {
+                reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
+            } else {
+                reply(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+            }
+        });
+    if (!taken) {
+        reply(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
+    }
+}
+
+void ManagerService::cancelJob(const protocol::ChannelPtr &channel, std::uint64_t correlation, workflow::JobKey key)
+{
+    auto reply = replyTo<workflow::QueueReply>(channel, correlation);
+    if (state_.findJob(key)->ended()) {
+        reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
+        return;
+    }
+    const bool taken = proposeWith(workflow::CancelEntry{key, wallNow()}, [reply](bool committed) {
+        if (committed) {
+            reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
+        } else {
+            reply(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+        }
+    });
+    if (!taken) {
+        reply(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
+    }
+}
+
+void ManagerService::onEligibilityAnswer(const protocol::Frame &frame)
+{
+    const auto answer = protocol::decode<workflow::EligibilityAnswer>(frame.payload);
+    if (!answer) {
+        base::logWarning("eligibility_answer_unreadable").with("reason", answer.error().message);
+        return;
+    }
+    jobs_.onEligibility(answer->question,
+                        answer->answered ? workflow::EligibilityRows(answer->rows) : std::nullopt,
+                        base::BootClock::now());
+    armTimer(DispatchDelay);
+}
+
+} // namespace yuccawheel::manager
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -56,6 +56,18 @@
     HoldConfigurationReply = 91,
     RecallConfiguration = 92,
     RecallConfigurationReply = 93,
+
+    QueueRequest = 100,
+    QueueReply = 101,
+    ReportWorker = 102,
+    ReportWorkerReply = 103,
+    PutConfiguration = 104,
+    PutConfigurationReply = 105,
+    GetConfiguration = 106,
+    GetConfigurationReply = 107,
+    AskEligibility = 108,
+    EligibilityAnswer = 109,
+    Topology = 110,
 };
 
 enum class FrameKind : std::uint8_t { Request = 0, Response = 1, Notice = 2 };
--- a/src/protocol/identity.h
+++ b/src/protocol/identity.h
@@ -10,7 +10,7 @@
 namespace yuccawheel::protocol
 {
 
-enum class Role : std::uint8_t { Entry, Scheduler, Store };
+enum class Role : std::uint8_t { Entry, Scheduler, Store, Manager, Gateway };
 
 constexpr std::string_view toString(Role role)
 {
@@ -21,13 +21,17 @@
         return "scheduler";
     case Role::Store:
         return "store";
+    case Role::Manager:
+        return "manager";
+    case Role::Gateway:
+        return "gateway";
     }
     return "unknown";
 }
 
 } // namespace yuccawheel::protocol
 
-YW_MSGPACK_ENUM(yuccawheel::protocol::Role, yuccawheel::protocol::Role::Store)
+YW_MSGPACK_ENUM(yuccawheel::protocol::Role, yuccawheel::protocol::Role::Gateway)
 
 namespace yuccawheel::protocol
 {
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -16,7 +16,7 @@
 namespace yuccawheel::settings
 {
 
-enum class Program : std::uint8_t { Entry, Scheduler, Store };
+enum class Program : std::uint8_t { Entry, Scheduler, Store, Manager, Gateway };
 
 /// Addresses that a process listens on; each program uses those that its role needs.
 struct Listeners {
@@ -26,6 +26,7 @@
     std::optional<Endpoint> worker;
     std::optional<Endpoint> inner;
     std::optional<Endpoint> health;
+    std::optional<Endpoint> control;
 };
 
 /// Another process of the cluster.
@@ -54,6 +55,10 @@
     std::vector<Peer> stores;
     std::vector<Peer> entries;
     std::vector<Peer> schedulers;
+    std::vector<Endpoint> seeds; ///< Managers to begin with; their inner port is this process's.
+    bool newCluster = false;
+    std::int64_t toleratedLosses = 1;
+    std::optional<Endpoint> eligibilityService;
     std::string tokenFile;
     std::string dataDir;
     placement::Objective objective = placement::Objective::Packing;
@@ -61,6 +66,7 @@
     std::chrono::milliseconds peerTimeoutMin{0};
     std::chrono::milliseconds peerTimeoutMax{0};
     std::chrono::milliseconds lease{0};
+    std::chrono::milliseconds workerLease{0};
     std::chrono::milliseconds drainDelay{0};
     std::chrono::milliseconds drainLimit{0};
     std::chrono::milliseconds requestTimeout{0};
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -28,6 +28,10 @@
         return "yw-scheduler";
     case Program::Store:
         return "yw-store";
+    case Program::Manager:
+        return "yw-manager";
+    case Program::Gateway:
+        return "yw-gateway";
     }
     return "";
 }
@@ -109,7 +113,26 @@
     return {{key, "", allowed, programNames(requiredBy), description}, requiredBy, std::move(read)};
 }
 
-const std::vector<Program> Everyone{Program::Entry, Program::Scheduler, Program::Store};
+const std::vector<Program> Everyone{
+    Program::Entry, Program::Scheduler, Program::Store, Program::Manager, Program::Gateway};
+const std::vector<Program> ZoneDaemons{Program::Entry, Program::Scheduler, Program::Store};
+const std::vector<Program> CalledWorkerDaemons{Program::Manager, Program::Gateway};
+
+Setting seedsSetting()
+{
+    const std::string allowed = fmt::format("a list of at most {} addresses", MostStores);
+    auto read = [](Reader &reader, const std::string &name, ProcessSettings &settings) {
+        settings.seeds = reader.list(name, endpointRule(false), MostStores);
+    };
+    return {{"seeds",
+             "",
+             allowed,
+             programNames(CalledWorkerDaemons),
+             "Addresses of some managers, to find all of them. Only the IP numbers count: managers take the inner "
+             "protocol at the port of `listen.inner`."},
+            CalledWorkerDaemons,
+            std::move(read)};
+}
 
 std::vector<Setting> identitySettings()
 {
@@ -143,7 +166,8 @@
 std::vector<Setting> addressSettings()
 {
     return {
-        listener("caller", {Program::Entry}, &Listeners::caller, "Where callers send requests, over HTTP."),
+        listener(
+            "caller", {Program::Entry, Program::Gateway}, &Listeners::caller, "Where callers send requests, over HTTP."),
         listener("operator",
                  {Program::Entry},
                  &Listeners::operators,
@@ -151,8 +175,13 @@
         listener("upstream", {Program::Entry}, &Listeners::upstream, "Where upstreams announce themselves."),
         listener("worker", {Program::Scheduler}, &Listeners::worker, "Where workers announce themselves."),
         listener("inner", Everyone, &Listeners::inner, "Where the cluster's own processes connect."),
-        listener("health", Everyone, &Listeners::health, "Serves `/healthz`, `/readyz` and `/metrics`."),
-        peers("stores", MostStores, Everyone, &ProcessSettings::stores, "Replicas of the agreed log."),
+        listener("health", ZoneDaemons, &Listeners::health, "Serves `/healthz`, `/readyz` and `/metrics`."),
+        listener("control",
+                 {Program::Manager},
+                 &Listeners::control,
+                 "Where called workers report and operators of queues connect, over HTTP."),
+        seedsSetting(),
+        peers("stores", MostStores, ZoneDaemons, &ProcessSettings::stores, "Replicas of the agreed log."),
         peers("entries",
               MostPeers,
               {Program::Entry, Program::Scheduler},
@@ -179,7 +208,7 @@
         scalar("data_dir",
                "",
                pathRule(),
-               {Program::Store},
+               {Program::Store, Program::Manager},
                &ProcessSettings::dataDir,
                "Folder on a disk of this VM. All files of the process live below it."),
         scalar("objective",
@@ -188,6 +217,31 @@
                {},
                &ProcessSettings::objective,
                "What placement weighs most: waiting time, or how full the busy VMs are."),
+        scalar("new_cluster",
+               "false",
+               booleanRule(),
+               {},
+               &ProcessSettings::newCluster,
+               "Whether a manager that is one of the seeds forms a new log if its disk is empty. Only true when the "
+               "whole system starts for the first time."),
+        scalar("tolerated_losses",
+               "1",
+               integerRule(0, 3),
+               {},
+               &ProcessSettings::toleratedLosses,
+               "How many managers may be lost at once; sets the number of voters of their log."),
+        scalar("eligibility_service",
+               "",
+               endpointRule(false),
+               {},
+               &ProcessSettings::eligibilityService,
+               "Service that knows which workers may run a step; gateways ask it."),
+        duration("worker_lease",
+                 "10s",
+                 1s,
+                 1min,
+                 &ProcessSettings::workerLease,
+                 "Longest lease that called workers grant; without a renewal they end what they run."),
         duration(
             "heartbeat", "500ms", 50ms, 10s, &ProcessSettings::heartbeat, "Time between two heartbeats to a peer."),
         duration("peer_timeout_min",
--- /dev/null
+++ b/src/workflow/job_manager.cpp
@@ -0,0 +1,306 @@
+#include "workflow/job_manager.h"
+
+#include "base/invariant.h"
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace yuccawheel::workflow
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds ReviewInterval{50}; ///< Finest timeout of the reviews is 100 ms.
+constexpr std::chrono::milliseconds JobRetention{150'000}; ///< States can be read for 120 s; with a margin.
+constexpr std::chrono::milliseconds ForgetInterval{5'000};
+constexpr std::size_t MostForgottenAtOnce = 500; ///< Keeps the entry small.
+
+} // namespace
+
+JobManager::JobManager(ManagerPort &port, ManagerLimits limits) : port_(port), limits_(limits)
+{
+}
+
+void JobManager::lead(const State &state, std::uint64_t epoch, base::TimePoint now, WallTime wall)
+{
+    stepDown();
+    state_ = &state;
+    epoch_ = epoch;
+    wall_ = wall;
+    for (const auto &[number, record] : state.workers()) {
+        WorkerView &worker = addWorker(number, record, now);
+        // The earlier leader may have renewed the lease up to the end of its own.
+        worker.lease.mayLastUntil(now + limits_.leaderLease + surelyElapsed(limits_.workerLease));
+        for (const TaskRef &task : record.placed) {
+            const TaskRecord *const placed = state.findTask(task);
+            YW_INVARIANT(placed != nullptr, "a placed task is known");
+            LiveRun run;
+            run.run = placed->run;
+            run.stage = LiveRun::Stage::Uncertain;
+            run.placedAt = now;
+            worker.runs[task] = run;
+            reserve(task, number, reservationOf(state.findJob(task.job)->spec.steps[task.step]), {});
+        }
+    }
+    for (const auto &[key, job] : state.jobs()) {
+        const auto age = std::max(wall - job.acceptedAt, WallTime{0});
+        arrivals_[key] = now - age;
+        refreshJob(key, now);
+        if (job.ended()) {
+            stopJob(key, now);
+        }
+    }
+    base::logInfo("leading")
+        .with("epoch", epoch)
+        .with("jobs", state.jobs().size())
+        .with("workers", state.workers().size())
+        .with("placed", reservations_.size())
+        .with("configuration", state.configuration().version);
+}
+
+void JobManager::stepDown()
+{
+    if (state_ != nullptr) {
+        base::logInfo("leading_ended").with("epoch", epoch_);
+    }
+    state_ = nullptr;
+    workers_.clear();
+    ledger_ = {};
+    reservations_.clear();
+    steps_.clear();
+    arrivals_.clear();
+    joining_.clear();
+    questions_.clear();
+}
+
+void JobManager::applied(const LogEntry &entry,
+                         const std::vector<StateEvent> &events,
+                         base::TimePoint now,
+                         WallTime wall)
+{
+    if (!leads()) {
+        return;
+    }
+    wall_ = wall;
+    for (const StateEvent &event : events) {
+        handleEvent(event, now);
+    }
+    if (const auto *starts = std::get_if<StartsEntry>(&entry)) {
+        settleStarts(*starts, now);
+    } else if (const auto *ends = std::get_if<EndsEntry>(&entry)) {
+        const auto worker = workers_.find(ends->worker);
+        if (worker != workers_.end()) {
+            reviewLooks(worker->first, worker->second, now);
+        }
+    }
+    dispatchDue_ = true;
+}
+
+void JobManager::handleEvent(const StateEvent &event, base::TimePoint now)
+{
+    switch (event.kind) {
+    case StateEvent::Kind::ConfigurationChanged:
+        base::logInfo("configuration_in_force").with("version", state_->configuration().version);
+        break;
+    case StateEvent::Kind::JobAccepted:
+        arrivals_[event.job] = now;
+        refreshJob(event.job, now);
+        base::logInfo("job_accepted")
+            .with("job", toString(event.job))
+            .with("queue", state_->findJob(event.job)->policy.queue)
+            .with("steps", state_->findJob(event.job)->spec.steps.size());
+        break;
+    case StateEvent::Kind::JobKnown:
+        break;
+    case StateEvent::Kind::JobEnded: {
+        const JobRecord &job = *state_->findJob(event.job);
+        base::logInfo("job_ended")
+            .with("job", toString(event.job))
+            .with("queue", job.policy.queue)
+            .with("phase", toString(job.phase))
+            .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_[event.job]).count())
+            .with("objective_ms", objectiveOf(job).count());
+        refreshJob(event.job, now);
+        stopJob(event.job, now);
+        break;
+    }
+    case StateEvent::Kind::TaskPlaced:
+        break; // Settled with the whole entry.
+    case StateEvent::Kind::TaskReleased: {
+        const auto worker = workers_.find(event.worker);
+        if (worker != workers_.end()) {
+            worker->second.runs.erase(event.task);
+        }
+        unreserve(event.task);
+        if (event.how != RunEnd::Done) {
+            stopGang(event.task, now);
+        }
+        refreshJob(event.job, now);
+        break;
+    }
+    case StateEvent::Kind::WorkerJoined: {
+        const WorkerRecord &record = state_->workers().at(event.worker);
+        WorkerView &worker = addWorker(event.worker, record, now);
+        const auto joining = joining_.find(record.identity.id);
+        if (joining != joining_.end() && joining->second.worker.born == record.identity.born) {
+            const WorkerReport report = joining->second;
+            joining_.erase(joining);
+            worker.lease.observe(report.clock, now);
+            worker.draining = report.draining;
+            worker.reportSequence = report.sequence;
+            worker.lastReport = now;
+        }
+        base::logInfo("worker_joined")
+            .with("worker", record.identity.id)
+            .with("number", event.worker)
+            .with("address", record.identity.address)
+            .with("rack", record.identity.rack());
+        break;
+    }
+    case StateEvent::Kind::WorkerGone:
+        removeWorker(event.worker);
+        break;
+    case StateEvent::Kind::JobForgotten:
+        arrivals_.erase(event.job);
+        refreshJob(event.job, now);
+        break;
+    }
+}
+
+// Starts that the log took are ordered now; those that it passed over give their room back.
+void JobManager::settleStarts(const StartsEntry &entry, base::TimePoint now)
+{
+    for (const StartsEntry::Start &start : entry.starts) {
+        const TaskRecord *const task = state_->findTask(start.task);
+        const bool placed = task != nullptr && task->phase == TaskPhase::Placed && task->run == start.run;
+        const auto reservation = reservations_.find(start.task);
+        if (!placed) {
+            if (reservation != reservations_.end() && reservation->second.worker == start.worker) {
+                unreserve(start.task);
+                refreshJob(start.task.job, now);
+            }
+            continue;
+        }
+        WorkerView &worker = workers_.at(start.worker);
+        LiveRun &run = worker.runs[start.task];
+        run = {};
+        run.run = start.run;
+        run.placedAt = now;
+        run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
+        sendStart(start.worker, worker, start.task, run, now);
+        reviewLooks(start.worker, worker, now);
+        refreshJob(start.task.job, now);
+    }
+}
+
+// Keeps the list of steps with tasks to start up to date with one job.
+void JobManager::refreshJob(JobKey key, base::TimePoint now)
+{
+    const JobRecord *const job = state_->findJob(key);
+    if (job == nullptr || job->ended()) {
+        steps_.erase(steps_.lower_bound({key, 0}), steps_.upper_bound({key, SIZE_MAX}));
+        return;
+    }
+    for (std::size_t position = 0; position < job->steps.size(); ++position) {
+        const StepRecord &step = job->steps[position];
+        if (!step.finished() && job->orderAllows(position)) {
+            steps_.try_emplace({key, position});
+        } else {
+            steps_.erase({key, position});
+        }
+    }
+    dispatchDue_ = true;
+    static_cast<void>(now);
+}
+
+void JobManager::stopJob(JobKey key, base::TimePoint now)
+{
+    const JobRecord *const job = state_->findJob(key);
+    for (std::size_t position = 0; job != nullptr && position < job->steps.size(); ++position) {
+        for (std::uint32_t index = 0; index < job->steps[position].tasks.size(); ++index) {
+            const TaskRecord &task = job->steps[position].tasks[index];
+            const auto worker = workers_.find(task.worker);
+            if (task.phase != TaskPhase::Placed || worker == workers_.end()) {
+                continue;
+            }
+            const TaskRef ref = job->refOf(key, position, index);
+            LiveRun *const run = findRun(task.worker, ref, task.run);
+            if (run != nullptr) {
+                stopRun(worker->second, *run, now);
+                reviewRun(worker->first, worker->second, ref, *run, now);
+            }
+        }
+    }
+}
+
+// Members that are left alone would wait for the others until they give up.
+void JobManager::stopGang(const TaskRef &member, base::TimePoint now)
+{
+    const JobRecord *const job = state_->findJob(member.job);
+    if (job == nullptr || !job->spec.steps[member.step].gang) {
+        return;
+    }
+    const std::size_t position = job->positionOf(member.occurrence, member.step);
+    for (std::uint32_t index = 0; index < job->steps[position].tasks.size(); ++index) {
+        const TaskRecord &task = job->steps[position].tasks[index];
+        const auto worker = workers_.find(task.worker);
+        if (task.phase != TaskPhase::Placed || worker == workers_.end()) {
+            continue;
+        }
+        const TaskRef ref = job->refOf(member.job, position, index);
+        LiveRun *const run = findRun(task.worker, ref, task.run);
+        if (run != nullptr) {
+            stopRun(worker->second, *run, now);
+            reviewRun(worker->first, worker->second, ref, *run, now);
+        }
+    }
+}
+
+void JobManager::forgetOldJobs(base::TimePoint now)
+{
+    if (now < nextForget_) {
+        return;
+    }
+    nextForget_ = now + ForgetInterval;
+    ForgetEntry entry;
+    for (const auto &[key, job] : state_->jobs()) {
+        if (job.ended() && job.placed == 0 && wall_ - job.endedAt > JobRetention
+            && entry.jobs.size() < MostForgottenAtOnce) {
+            entry.jobs.push_back(key);
+        }
+    }
+    if (!entry.jobs.empty()) {
+        port_.propose(entry);
+    }
+}
+
+void JobManager::tick(base::TimePoint now, WallTime wall)
+{
+    if (!leads()) {
+        return;
+    }
+    wall_ = wall;
+    if (now >= nextReview_) {
+        nextReview_ = now + ReviewInterval;
+        for (auto &[number, worker] : workers_) {
+            reviewWorker(number, worker, now);
+        }
+        forgetOldJobs(now);
+        dispatchDue_ = true;
+    }
+    if (std::exchange(dispatchDue_, false)) {
+        dispatch(now);
+    }
+}
+
+std::size_t JobManager::pendingJobs(const std::string &queue) const
+{
+    YW_INVARIANT(leads(), "only a leader counts jobs");
+    const auto &jobs = state_->jobs();
+    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&queue](const auto &item) {
+        return item.second.phase == JobPhase::Queued && item.second.policy.queue == queue;
+    }));
+}
+
+} // namespace yuccawheel::workflow
--- /dev/null
+++ b/src/workflow/job_manager_placement.cpp
@@ -0,0 +1,261 @@
+#include "base/log.h"
+#include "workflow/job_manager.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccawheel::workflow
+{
+
+namespace
+{
+
+// The objective of a job allows for one question about so many workers at each step.
+constexpr std::size_t WorkersPerQuestion = 30;
+constexpr std::chrono::milliseconds QuestionRetry{100}; ///< After a question without an answer.
+constexpr std::chrono::milliseconds QuestionSlack{1'500}; ///< Wait for an answer beyond the service's own time.
+constexpr std::chrono::milliseconds RelayDelay{50}; ///< Longest way of an answer on a calm network, from the service.
+constexpr std::chrono::milliseconds TicketMargin{150}; ///< A ticket that expires sooner is asked for again.
+constexpr double FirstGoodShare = 0.5; ///< Before any answer.
+constexpr double GoodShareWeight = 0.1; ///< Of the newest answer in the average.
+constexpr double SpareWorkers = 1.5; ///< Workers asked about for each that is expected to be needed.
+
+std::string stepName(JobKey key, const JobRecord &job, std::size_t position)
+{
+    const std::size_t steps = job.spec.steps.size();
+    return fmt::format("{:016x}.{}.{}", key, position / steps, position % steps);
+}
+
+} // namespace
+
+void JobManager::reserve(const TaskRef &task,
+                         WorkerNumber worker,
+                         const placement::Resources &amount,
+                         std::string ticket)
+{
+    ledger_.reserve(worker, amount);
+    reservations_[task] = {worker, amount, std::move(ticket)};
+}
+
+void JobManager::unreserve(const TaskRef &task)
+{
+    const auto found = reservations_.find(task);
+    if (found != reservations_.end()) {
+        ledger_.release(found->second.worker, found->second.amount);
+        reservations_.erase(found);
+    }
+}
+
+std::vector<std::uint32_t> JobManager::waitingTasks(const JobRecord &job, StepKey key) const
+{
+    std::vector<std::uint32_t> waiting;
+    const StepRecord &step = job.steps[key.position];
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase == TaskPhase::Waiting
+            && !reservations_.contains(job.refOf(key.job, key.position, index))) {
+            waiting.push_back(index);
+        }
+    }
+    // A gang starts as one, and not before every member of its last run has ended.
+    if (job.specOf(key.position).gang && waiting.size() != step.tasks.size()) {
+        waiting.clear();
+    }
+    return waiting;
+}
+
+void JobManager::dispatch(base::TimePoint now)
+{
+    if (!mayAct(now)) {
+        return;
+    }
+    std::vector<std::pair<Rank, StepKey>> order;
+    order.reserve(steps_.size());
+    for (const auto &[key, step] : steps_) {
+        const JobRecord &job = *state_->findJob(key.job);
+        order.emplace_back(rankOf(key.job, job, key.position, arrivals_.at(key.job), now), key);
+    }
+    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    StartsEntry starts;
+    for (const auto &[rank, key] : order) {
+        placeStep(key, steps_.at(key), now, starts);
+    }
+    if (!starts.starts.empty() && !port_.propose(starts)) {
+        for (const StartsEntry::Start &start : starts.starts) {
+            unreserve(start.task);
+        }
+    }
+}
+
+void JobManager::placeStep(StepKey key, StepRun &step, base::TimePoint now, StartsEntry &starts)
+{
+    const JobRecord &job = *state_->findJob(key.job);
+    const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
+    if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
+        return;
+    }
+    std::vector<std::uint32_t> waiting = waitingTasks(job, key);
+    if (waiting.empty()) {
+        return;
+    }
+    const StepSpec &spec = job.specOf(key.position);
+    const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
+    const StepPlacer::Request request{job, key.position, waiting, eligibility};
+    const std::vector<Assignment> assignments = StepPlacer(workers_, ledger_, now).place(request);
+    const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
+    std::uint32_t lastRun = 0;
+    for (const TaskRecord &task : tasks) {
+        lastRun = std::max(lastRun, task.run);
+    }
+    for (const Assignment &assignment : assignments) {
+        const TaskRef task = job.refOf(key.job, key.position, assignment.index);
+        const Ticket *const ticket =
+            eligibility == nullptr ? nullptr : eligibility->ticket(assignment.worker, now, std::chrono::milliseconds{0});
+        reserve(task, assignment.worker, reservationOf(spec), ticket == nullptr ? std::string() : ticket->text);
+        // The members of a gang share the number of their run.
+        const std::uint32_t run = (spec.gang ? lastRun : tasks[assignment.index].run) + 1;
+        starts.starts.push_back({task, run, assignment.worker});
+        base::logInfo("task_placed")
+            .with("task", toString(task))
+            .with("run", run)
+            .with("worker", workers_.at(assignment.worker).identity.id)
+            .with("free_millicores", ledger_.free(assignment.worker).milliCpu)
+            .with("waited_ms",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_.at(key.job)).count());
+    }
+    std::erase_if(waiting, [&assignments](std::uint32_t index) {
+        return std::any_of(assignments.begin(), assignments.end(), [index](const Assignment &assignment) {
+            return assignment.index == index;
+        });
+    });
+    if (!waiting.empty() && eligibility != nullptr && !step.asking && now >= step.nextQuestion) {
+        askFor(request, key, step, now);
+    }
+}
+
+// Asks again about good workers that have room and whose tickets run out, and about others as far as the good ones
+// have not enough room. Before anything is known, asks about workers whether they have room now or not: which ones may
+// run the step does not change, and room comes and goes.
+void JobManager::askFor(const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now)
+{
+    struct Candidate {
+        WorkerNumber worker = 0;
+        std::uint32_t room = 0;
+        std::int64_t freeMilliCpu = 0;
+    };
+    const StepPlacer placer(workers_, ledger_, now);
+    std::vector<WorkerNumber> asked;
+    std::vector<Candidate> fresh;
+    std::size_t roomOnGood = 0;
+    bool nothingKnown = true;
+    for (const auto &[number, worker] : workers_) {
+        if (!placer.suits(request, number, worker)) {
+            continue;
+        }
+        const std::uint32_t room = placer.roomFor(request, number);
+        if (step.eligibility.isGood(number)) {
+            nothingKnown = false;
+            roomOnGood += room;
+            if (room > 0 && step.eligibility.ticket(number, now, TicketMargin) == nullptr) {
+                asked.push_back(number);
+            }
+        } else if (!step.eligibility.isKnown(number)) {
+            fresh.push_back({number, room, ledger_.free(number).milliCpu});
+        } else {
+            nothingKnown = false;
+        }
+    }
+    const std::size_t needed = request.waiting.size();
+    if (roomOnGood < needed) {
+        const double share = goodShare_.try_emplace(request.job.policy.queue, FirstGoodShare).first->second;
+        // Steps that arrive together must not all ask about, and then crowd, the same workers.
+        const auto scatter = [&key](WorkerNumber worker) {
+            return (key.job ^ worker) * 0x9e3779b97f4a7c15ULL;
+        };
+        std::sort(fresh.begin(), fresh.end(), [&](const Candidate &left, const Candidate &right) {
+            const auto roomy = [needed](const Candidate &candidate) {
+                return std::min<std::size_t>(candidate.room, needed);
+            };
+            return std::tuple(roomy(right), scatter(left.worker)) < std::tuple(roomy(left), scatter(right.worker));
+        });
+        std::size_t expected = roomOnGood * 100;
+        for (const Candidate &candidate : fresh) {
+            const bool enough = static_cast<double>(expected) / 100 >= static_cast<double>(needed) * SpareWorkers;
+            if (asked.size() >= WorkersPerQuestion || (!nothingKnown && candidate.room == 0) || enough) {
+                break;
+            }
+            asked.push_back(candidate.worker);
+            expected += static_cast<std::size_t>(share * 100 * candidate.room);
+        }
+    }
+    if (asked.size() > WorkersPerQuestion) {
+        asked.resize(WorkersPerQuestion);
+    }
+    if (asked.empty()) {
+        return;
+    }
+    const auto cost = costOf(*request.job.policy.eligibility, asked.size());
+    const auto machine = machines_.choose(cost, now);
+    if (!machine) {
+        return;
+    }
+    const std::uint64_t number = nextQuestion_++;
+    EligibilityQuestion question;
+    question.number = number;
+    question.machine = *machine;
+    question.step = stepName(key.job, request.job, key.position);
+    for (const WorkerNumber worker : asked) {
+        question.workers.push_back(workers_.at(worker).identity.id);
+    }
+    question.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(cost) + QuestionSlack;
+    questions_[number] = {
+        key, *machine, asked, cost, request.job.policy.eligibility->validFor, request.job.policy.queue};
+    step.asking = true;
+    machines_.started(*machine, cost, now);
+    port_.ask(question);
+}
+
+void JobManager::onEligibility(std::uint64_t number, const EligibilityRows &rows, base::TimePoint now)
+{
+    auto node = questions_.extract(number);
+    if (node.empty()) {
+        return;
+    }
+    const Question &question = node.mapped();
+    machines_.finished(question.machine, question.cost, now);
+    const auto found = steps_.find(question.step);
+    if (found == steps_.end()) {
+        return;
+    }
+    StepRun &step = found->second;
+    step.asking = false;
+    if (!rows) {
+        step.nextQuestion = now + QuestionRetry;
+        base::logWarning("eligibility_unanswered")
+            .with("job", toString(question.step.job))
+            .with("workers", question.workers.size());
+        return;
+    }
+    std::map<WorkerNumber, Ticket> good;
+    for (const auto &[id, ticket] : *rows) {
+        for (const WorkerNumber worker : question.workers) {
+            const auto view = workers_.find(worker);
+            if (view != workers_.end() && view->second.identity.id == id) {
+                good[worker] = {ticket, now + question.validFor - RelayDelay};
+            }
+        }
+    }
+    double &share = goodShare_.try_emplace(question.queue, FirstGoodShare).first->second;
+    const double seen = static_cast<double>(good.size()) / static_cast<double>(question.workers.size());
+    share += GoodShareWeight * (seen - share);
+    step.eligibility.learned(question.workers, good);
+    base::logInfo("eligibility_learned")
+        .with("job", toString(question.step.job))
+        .with("step", question.step.position)
+        .with("asked", question.workers.size())
+        .with("good", good.size());
+    dispatchDue_ = true;
+}
+
+} // namespace yuccawheel::workflow
--- /dev/null
+++ b/src/workflow/messages.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "protocol/error.h"
+#include "protocol/frame.h"
+#include "workflow/configuration.h"
+#include "workflow/job.h"
+#include "workflow/state.h"
+#include "workflow/worker.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace yuccawheel::workflow
+{
+
+enum class QueueVerb : std::uint8_t { Submit, Read, Cancel };
+
+enum class QueueOutcome : std::uint8_t {
+    Accepted, ///< The job is in the log: it was taken now or before, or its cancellation is.
+    State,
+    Pending,
+    NoSuchQueue,
+    NoSuchJob,
+    Refused, ///< Not accepted, and never will be for this request.
+    Malformed,
+};
+
+struct QueueReply {
+    static constexpr protocol::MessageType Type = protocol::MessageType::QueueReply;
+    QueueOutcome outcome = QueueOutcome::Refused;
+    JobPhase phase = JobPhase::Queued;
+    std::uint64_t pending = 0; ///< Jobs of the queue that have not started.
+    std::chrono::milliseconds retryAfter{0}; ///< If refused.
+    std::string reason;
+
+    MSGPACK_DEFINE(outcome, phase, pending, retryAfter, reason)
+};
+
+/// A caller's request for a queue: the host and the path's longest known prefix name the queue, the rest the job.
+struct QueueRequest {
+    static constexpr protocol::MessageType Type = protocol::MessageType::QueueRequest;
+    using Reply = QueueReply;
+    QueueVerb verb = QueueVerb::Read;
+    std::string host;
+    std::string path;
+    std::optional<JobSpec> job; ///< If submitted.
+
+    MSGPACK_DEFINE(verb, host, path, job)
+};
+
+struct ReportWorkerReply {
+    static constexpr protocol::MessageType Type = protocol::MessageType::ReportWorkerReply;
+    std::string reportTo; ///< Address of the leader, for the next reports.
+
+    MSGPACK_DEFINE(reportTo)
+};
+
+struct ReportWorker {
+    static constexpr protocol::MessageType Type = protocol::MessageType::ReportWorker;
+    using Reply = ReportWorkerReply;
+    WorkerReport report;
+
+    MSGPACK_DEFINE(report)
+};
+
+struct PutConfigurationReply {
+    static constexpr protocol::MessageType Type = protocol::MessageType::PutConfigurationReply;
+    std::uint64_t version = 0; ///< In force.
+
+    MSGPACK_DEFINE(version)
+};
+
+struct PutConfiguration {
+    static constexpr protocol::MessageType Type = protocol::MessageType::PutConfiguration;
+    using Reply = PutConfigurationReply;
+    Configuration configuration;
+
+    MSGPACK_DEFINE(configuration)
+};
+
+struct GetConfigurationReply {
+    static constexpr protocol::MessageType Type = protocol::MessageType::GetConfigurationReply;
+    std::uint64_t version = 0;
+    std::string text;
+
+    MSGPACK_DEFINE(version, text)
+};
+
+struct GetConfiguration {
+    static constexpr protocol::MessageType Type = protocol::MessageType::GetConfiguration;
+    using Reply = GetConfigurationReply;
+    bool whole = true;
+
+    MSGPACK_DEFINE(whole)
+};
+
+/// To a gateway: ask the eligibility service.
+struct AskEligibility {
+    static constexpr protocol::MessageType Type = protocol::MessageType::AskEligibility;
+    std::uint64_t question = 0;
+    std::string step;
+    std::vector<std::string> workers;
+    std::chrono::milliseconds timeout{0};
+
+    MSGPACK_DEFINE(question, step, workers, timeout)
+};
+
+/// From a gateway.
+struct EligibilityAnswer {
+    static constexpr protocol::MessageType Type = protocol::MessageType::EligibilityAnswer;
+    std::uint64_t question = 0;
+    bool answered = false;
+    std::vector<std::pair<std::string, std::string>> rows; ///< Id of a worker that may run the step, and its ticket.
+
+    MSGPACK_DEFINE(question, answered, rows)
+};
+
+/// From a manager: where all managers that it knows are, and which one leads.
+struct Topology {
+    static constexpr protocol::MessageType Type = protocol::MessageType::Topology;
+    std::uint32_t leader = 0; ///< 0 if none is known.
+    std::uint64_t term = 0;
+    std::vector<std::uint32_t> managers; ///< IPv4 numbers.
+
+    MSGPACK_DEFINE(leader, term, managers)
+};
+
+} // namespace yuccawheel::workflow
+
+YW_MSGPACK_ENUM(yuccawheel::workflow::QueueVerb, yuccawheel::workflow::QueueVerb::Cancel)
+YW_MSGPACK_ENUM(yuccawheel::workflow::QueueOutcome, yuccawheel::workflow::QueueOutcome::Malformed)
--- /dev/null
+++ b/src/workflow/state.cpp
@@ -0,0 +1,291 @@
+#include "workflow/state.h"
+
+#include "base/invariant.h"
+
+#include <algorithm>
+
+namespace yuccawheel::workflow
+{
+
+std::string_view toString(JobPhase phase)
+{
+    constexpr std::string_view Names[] = {"queued", "running", "completed", "failed", "cancelled"};
+    return Names[static_cast<std::size_t>(phase)];
+}
+
+bool JobRecord::orderAllows(std::size_t position) const
+{
+    const std::size_t first = position - position % spec.steps.size();
+    const std::vector<std::uint32_t> &after = specOf(position).after;
+    return std::all_of(
+        after.begin(), after.end(), [&](std::uint32_t earlier) { return steps[first + earlier].finished(); });
+}
+
+void State::apply(const LogEntry &entry, std::vector<StateEvent> &events)
+{
+    std::visit([&](const auto &body) { applyBody(body, events); }, entry);
+}
+
+const JobRecord *State::findJob(JobKey key) const
+{
+    const auto found = jobs_.find(key);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const TaskRecord *State::findTask(const TaskRef &task) const
+{
+    return const_cast<State *>(this)->find(task).task; // NOLINT(cppcoreguidelines-pro-type-const-cast): only read
+}
+
+State::Place State::find(const TaskRef &task)
+{
+    const auto found = jobs_.find(task.job);
+    if (found == jobs_.end()) {
+        return {};
+    }
+    JobRecord &job = found->second;
+    const std::size_t position = job.positionOf(task.occurrence, task.step);
+    if (task.step >= job.spec.steps.size() || position >= job.steps.size()
+        || task.index >= job.steps[position].tasks.size()) {
+        return {};
+    }
+    return {&job, &job.steps[position], &job.steps[position].tasks[task.index], &job.spec.steps[task.step]};
+}
+
+void State::applyBody(const ConfigurationEntry &entry, std::vector<StateEvent> &events)
+{
+    if (entry.configuration.version > configuration_.version) {
+        configuration_ = entry.configuration;
+        events.push_back({StateEvent::Kind::ConfigurationChanged, 0, {}, 0, std::nullopt});
+    }
+}
+
+void State::applyBody(const AcceptEntry &entry, std::vector<StateEvent> &events)
+{
+    const auto [place, added] = jobs_.try_emplace(entry.key);
+    if (!added) {
+        events.push_back({StateEvent::Kind::JobKnown, entry.key, {}, 0, std::nullopt});
+        return;
+    }
+    JobRecord &job = place->second;
+    job.spec = entry.spec;
+    job.policy = entry.policy;
+    job.acceptedAt = entry.acceptedAt;
+    for (std::uint32_t occurrence = 0; occurrence < entry.spec.runs(); ++occurrence) {
+        for (const StepSpec &step : entry.spec.steps) {
+            job.steps.emplace_back().tasks.resize(step.count);
+        }
+    }
+    events.push_back({StateEvent::Kind::JobAccepted, entry.key, {}, 0, std::nullopt});
+}
+
+void State::applyBody(const CancelEntry &entry, std::vector<StateEvent> &events)
+{
+    const auto found = jobs_.find(entry.key);
+    if (found != jobs_.end() && !found->second.ended()) {
+        endJob(entry.key, found->second, JobPhase::Cancelled, entry.cancelledAt, events);
+    }
+}
+
+void State::applyBody(const WorkerJoinedEntry &entry, std::vector<StateEvent> &events)
+{
+    for (const auto &[number, worker] : workers_) {
+        if (worker.identity.id == entry.worker.id && worker.identity.born >= entry.worker.born) {
+            return;
+        }
+    }
+    const WorkerNumber number = nextWorker_++;
+    workers_[number].identity = entry.worker;
+    events.push_back({StateEvent::Kind::WorkerJoined, 0, {}, number, std::nullopt});
+}
+
+void State::applyBody(const WorkerGoneEntry &entry, std::vector<StateEvent> &events)
+{
+    const auto found = workers_.find(entry.worker);
+    if (found == workers_.end()) {
+        return;
+    }
+    for (const WorkerGoneEntry::Saved &saved : entry.saved) {
+        Place place = find(saved.task);
+        if (place.task != nullptr && place.task->phase == TaskPhase::Placed && place.task->worker == entry.worker) {
+            noteCheckpoint(place, saved.checkpoint);
+        }
+    }
+    const std::vector<TaskRef> placed = found->second.placed;
+    for (const TaskRef &task : placed) {
+        Place place = find(task);
+        YW_INVARIANT(place.task != nullptr, "a placed task is known");
+        release(task, place, std::nullopt, events);
+    }
+    workers_.erase(found);
+    events.push_back({StateEvent::Kind::WorkerGone, 0, {}, entry.worker, std::nullopt});
+}
+
+void State::applyBody(const StartsEntry &entry, std::vector<StateEvent> &events)
+{
+    for (const StartsEntry::Start &start : entry.starts) {
+        Place place = find(start.task);
+        const auto worker = workers_.find(start.worker);
+        // A job may have ended, or a worker gone, between the proposal and the commit.
+        if (place.task == nullptr || place.job->ended() || worker == workers_.end()
+            || place.task->phase != TaskPhase::Waiting || start.run <= place.task->run) {
+            continue;
+        }
+        place.task->phase = TaskPhase::Placed;
+        place.task->run = start.run;
+        place.task->worker = start.worker;
+        ++place.step->placed;
+        ++place.job->placed;
+        place.job->phase = JobPhase::Running;
+        worker->second.placed.push_back(start.task);
+        events.push_back({StateEvent::Kind::TaskPlaced, start.task.job, start.task, start.worker, std::nullopt});
+    }
+}
+
+void State::applyBody(const NotStartedEntry &entry, std::vector<StateEvent> &events)
+{
+    for (const NotStartedEntry::Run &run : entry.runs) {
+        Place place = find(run.task);
+        if (place.task != nullptr && place.task->phase == TaskPhase::Placed && place.task->run == run.run) {
+            release(run.task, place, std::nullopt, events);
+        }
+    }
+}
+
+void State::applyBody(const EndsEntry &entry, std::vector<StateEvent> &events)
+{
+    const auto worker = workers_.find(entry.worker);
+    if (worker == workers_.end()) {
+        return;
+    }
+    worker->second.lastNumber = std::max(worker->second.lastNumber, entry.lastNumber);
+    for (const EndsEntry::End &end : entry.ends) {
+        Place place = find(end.task);
+        const bool current = place.task != nullptr && place.task->phase == TaskPhase::Placed
+            && place.task->run == end.run && place.task->worker == entry.worker;
+        if (!current) {
+            continue;
+        }
+        if (end.how == RunEnd::Done && !place.spec->lasting) {
+            finishTask(end.task, place, events);
+        } else {
+            noteCheckpoint(place, end.checkpoint);
+            if (end.how == RunEnd::Failed) {
+                noteFailure(place, end.run);
+            }
+            release(end.task, place, end.how, events);
+        }
+        settle(end.task.job, *place.job, entry.at, events);
+    }
+}
+
+void State::applyBody(const ForgetEntry &entry, std::vector<StateEvent> &events)
+{
+    for (const JobKey key : entry.jobs) {
+        const auto found = jobs_.find(key);
+        if (found != jobs_.end() && found->second.ended() && found->second.placed == 0) {
+            jobs_.erase(found);
+            events.push_back({StateEvent::Kind::JobForgotten, key, {}, 0, std::nullopt});
+        }
+    }
+}
+
+void State::release(const TaskRef &task, Place &place, std::optional<RunEnd> how, std::vector<StateEvent> &events)
+{
+    YW_INVARIANT(place.task->phase == TaskPhase::Placed, "only a placed task is released");
+    const WorkerNumber worker = place.task->worker;
+    std::erase(workers_.at(worker).placed, task);
+    place.task->phase = TaskPhase::Waiting;
+    --place.step->placed;
+    --place.job->placed;
+    events.push_back({StateEvent::Kind::TaskReleased, task.job, task, worker, how});
+}
+
+// The members of a gang end as done together, so that one such end stands for all of them.
+void State::finishTask(const TaskRef &task, Place &place, std::vector<StateEvent> &events)
+{
+    const std::uint32_t run = place.task->run;
+    for (std::uint32_t index = 0; index < place.step->tasks.size(); ++index) {
+        TaskRecord &member = place.step->tasks[index];
+        const bool covered = index == task.index || (place.spec->gang && member.phase == TaskPhase::Placed && member.run == run);
+        if (!covered) {
+            continue;
+        }
+        TaskRef ref = task;
+        ref.index = index;
+        Place each{place.job, place.step, &member, place.spec};
+        release(ref, each, RunEnd::Done, events);
+        member.phase = TaskPhase::Done;
+        member.checkpoint.clear();
+        ++place.step->done;
+    }
+}
+
+void State::noteFailure(Place &place, std::uint32_t run)
+{
+    ++place.task->failures;
+    if (place.spec->gang && place.step->lastFailedRun != run) {
+        place.step->lastFailedRun = run;
+        ++place.step->failures;
+    }
+}
+
+// A checkpoint of one member of a gang is valid for all, and all must start from the same one.
+void State::noteCheckpoint(Place &place, const std::string &checkpoint)
+{
+    if (checkpoint.empty()) {
+        return;
+    }
+    if (!place.spec->gang) {
+        place.task->checkpoint = checkpoint;
+        return;
+    }
+    for (TaskRecord &member : place.step->tasks) {
+        member.checkpoint = checkpoint;
+    }
+}
+
+void State::endJob(JobKey key, JobRecord &job, JobPhase phase, WallTime at, std::vector<StateEvent> &events)
+{
+    job.phase = phase;
+    job.endedAt = at;
+    events.push_back({StateEvent::Kind::JobEnded, key, {}, 0, std::nullopt});
+}
+
+void State::settle(JobKey key, JobRecord &job, WallTime at, std::vector<StateEvent> &events)
+{
+    if (job.ended()) {
+        return;
+    }
+    bool allDone = true;
+    for (std::size_t position = 0; position < job.steps.size(); ++position) {
+        const StepRecord &step = job.steps[position];
+        allDone = allDone && step.finished();
+        if (job.specOf(position).lasting) {
+            continue;
+        }
+        const bool failed = step.failures >= job.policy.attempts
+            || std::any_of(step.tasks.begin(), step.tasks.end(), [&job](const TaskRecord &task) {
+                   return task.failures >= job.policy.attempts;
+               });
+        if (failed) {
+            endJob(key, job, JobPhase::Failed, at, events);
+            return;
+        }
+    }
+    if (allDone) {
+        endJob(key, job, JobPhase::Completed, at, events);
+    }
+}
+
+std::string State::snapshot() const
+{
+    return protocol::encode(*this);
+}
+
+tl::expected<State, protocol::DecodeError> State::restore(std::string_view bytes)
+{
+    return protocol::decode<State>(bytes, protocol::Origin::OwnDisk);
+}
+
+} // namespace yuccawheel::workflow
--- /dev/null
+++ b/src/workflow/step_placer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "placement/ledger.h"
+#include "workflow/eligibility.h"
+#include "workflow/state.h"
+#include "workflow/worker_view.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace yuccawheel::workflow
+{
+
+using WorkerViews = std::map<WorkerNumber, WorkerView>;
+
+/// A task of a step, by its index, and the worker that it goes to.
+struct Assignment {
+    std::uint32_t index = 0;
+    WorkerNumber worker = 0;
+};
+
+/// Amount that a task of a step reserves on its worker.
+placement::Resources reservationOf(const StepSpec &step);
+
+/// Chooses workers for the waiting tasks of one step. Pure: it reads views and the ledger and changes nothing.
+class StepPlacer
+{
+public:
+    StepPlacer(const WorkerViews &workers, const placement::Ledger &ledger, base::TimePoint now)
+        : workers_(workers)
+        , ledger_(ledger)
+        , now_(now)
+    {
+    }
+
+    struct Request {
+        const JobRecord &job;
+        std::size_t position = 0;
+        const std::vector<std::uint32_t> &waiting; ///< Indices of the tasks to place.
+        const StepEligibility *eligibility = nullptr; ///< Null if any worker of the service may run the step.
+    };
+
+    /// Returns as many assignments as there is room for; for a gang all or none.
+    std::vector<Assignment> place(const Request &request) const;
+
+    /// Returns whether the worker could run the step if there were room, leaving tickets aside.
+    bool suits(const Request &request, WorkerNumber number, const WorkerView &worker) const;
+    /// Returns how many of the step's tasks the worker has room for now.
+    std::uint32_t roomFor(const Request &request, WorkerNumber number) const;
+
+private:
+    struct Room {
+        WorkerNumber worker = 0;
+        std::uint32_t tasks = 0;
+        std::int64_t freeMilliCpu = 0;
+    };
+
+    std::vector<Room> roomsOf(const Request &request) const;
+    std::uint32_t tasksThere(const Request &request, WorkerNumber number) const;
+    std::vector<Assignment> placeBatch(const Request &request, std::vector<Room> rooms) const;
+    std::vector<Assignment> placeGang(const Request &request, const std::vector<Room> &rooms) const;
+    static std::vector<Assignment> fill(std::vector<Room> rooms, const std::vector<std::uint32_t> &waiting);
+
+    const WorkerViews &workers_;
+    const placement::Ledger &ledger_;
+    base::TimePoint now_;
+};
+
+} // namespace yuccawheel::workflow
