--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -117,6 +117,7 @@
     // Placement.
     void dispatch(base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
+    std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
     void placeStep(StepKey key, StepRun &step, base::TimePoint now, StartsEntry &starts);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -65,6 +65,20 @@
     return waiting;
 }
 
+std::map<WorkerNumber, std::uint32_t> JobManager::tasksByWorker(const JobRecord &job, StepKey key) const
+{
+    std::map<WorkerNumber, std::uint32_t> there;
+    if (job.specOf(key.position).maxPerWorker == 0) {
+        return there;
+    }
+    const TaskRef first = job.refOf(key.job, key.position, 0);
+    const TaskRef last = job.refOf(key.job, key.position, UINT32_MAX);
+    for (auto task = reservations_.lower_bound(first); task != reservations_.upper_bound(last); ++task) {
+        ++there[task->second.worker];
+    }
+    return there;
+}
+
 void JobManager::dispatch(base::TimePoint now)
 {
     if (!mayAct(now)) {
@@ -101,7 +115,7 @@
     }
     const StepSpec &spec = job.specOf(key.position);
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
-    const StepPlacer::Request request{job, key.position, waiting, eligibility};
+    const StepPlacer::Request request{job, key.position, waiting, eligibility, tasksByWorker(job, key)};
     const std::vector<Assignment> assignments = StepPlacer(workers_, ledger_, now).place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -45,21 +45,14 @@
     const std::int64_t times = reservationOf(step).timesIn(ledger_.free(number));
     auto tasks = static_cast<std::uint32_t>(std::clamp<std::int64_t>(times, 0, step.count));
     if (step.maxPerWorker > 0) {
-        const std::uint32_t there = tasksThere(request, number);
+        const auto found = request.there.find(number);
+        const std::uint32_t there = found == request.there.end() ? 0 : found->second;
         tasks = std::min(tasks, step.maxPerWorker - std::min(step.maxPerWorker, there));
     }
     // A worker on probation takes one task at a time.
     return workers_.at(number).health.onProbation() ? std::min(tasks, 1U) : tasks;
 }
 
-std::uint32_t StepPlacer::tasksThere(const Request &request, WorkerNumber number) const
-{
-    const std::vector<TaskRecord> &tasks = request.job.steps[request.position].tasks;
-    return static_cast<std::uint32_t>(std::count_if(tasks.begin(), tasks.end(), [number](const TaskRecord &task) {
-        return task.phase == TaskPhase::Placed && task.worker == number;
-    }));
-}
-
 std::vector<StepPlacer::Room> StepPlacer::roomsOf(const Request &request) const
 {
     std::vector<Room> rooms;
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -41,6 +41,8 @@
         std::size_t position = 0;
         const std::vector<std::uint32_t> &waiting; ///< Indices of the tasks to place.
         const StepEligibility *eligibility = nullptr; ///< Null if any worker of the service may run the step.
+        /// Tasks of the step on each worker, those on their way to the log included; only where there is a limit.
+        std::map<WorkerNumber, std::uint32_t> there;
     };
 
     /// Returns as many assignments as there is room for; for a gang all or none.
@@ -59,7 +61,6 @@
     };
 
     std::vector<Room> roomsOf(const Request &request) const;
-    std::uint32_t tasksThere(const Request &request, WorkerNumber number) const;
     std::vector<Assignment> placeBatch(const Request &request, std::vector<Room> rooms) const;
     std::vector<Assignment> placeGang(const Request &request, const std::vector<Room> &rooms) const;
     static std::vector<Assignment> fill(std::vector<Room> rooms, const std::vector<std::uint32_t> &waiting);
