--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "daemon/health_server.h"
+#include "daemon/settings_watch.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -161,6 +162,7 @@
 };
 
 int serve(const settings::ProcessSettings &settings,
+          const std::string &settingsFile,
           settings::Program program,
           std::string_view name,
           const ServiceFactory &factory)
@@ -178,6 +180,8 @@
         .with("zone", settings.zone);
     const auto service = factory(context);
     Shutdown shutdown(context, *service);
+    const SettingsWatch watch(
+        io, settingsFile, program, [&](const settings::ProcessSettings &changed) { service->reload(changed); });
     const HealthServer health(context, [&]() -> std::optional<std::string> {
         return shutdown.draining() ? "draining" : service->notReadyReason();
     });
@@ -232,7 +236,7 @@
         return static_cast<int>(ExitCode::Ok);
     }
     try {
-        return serve(*settings, program, name, factory);
+        return serve(*settings, arguments.settingsFile, program, name, factory);
     } catch (const std::exception &error) {
         fmt::print(stderr, "{}: {}\n", name, error.what());
         return static_cast<int>(ExitCode::Failed);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -48,6 +48,12 @@
     /// Stops taking new work and calls `done` when the work in progress has ended.
     virtual void drain(std::function<void()> done) = 0;
 
+    /// Takes settings that changed while the process runs. What a service does not look at waits for a restart.
+    virtual void reload(const settings::ProcessSettings &settings)
+    {
+        static_cast<void>(settings);
+    }
+
     /// Number of pieces of work that ending the process now would cut off.
     virtual std::size_t inProgress() const = 0;
 };
--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds AttemptTimeout{1'000}; ///< An accepted job is on disk within a tenth of that.
 constexpr milliseconds LongestHold{1'500}; ///< An election takes less; beyond, the caller does better elsewhere.
 constexpr int PatienceShare = 2; ///< A request is held for half of its caller's patience at most.
+constexpr milliseconds AnswerReserve{250}; ///< For the way of the last answer to a caller.
 constexpr milliseconds RetryInterval{50};
 constexpr milliseconds RetryAfter{1'000};
 constexpr milliseconds DrainPoll{20};
@@ -52,6 +53,11 @@
     return callers_->inProgress();
 }
 
+void GatewayService::reload(const settings::ProcessSettings &settings)
+{
+    managers_.setSeeds(settings.seeds);
+}
+
 // The balancer takes a while to notice, so requests are accepted for some time.
 void GatewayService::drain(std::function<void()> done)
 {
@@ -79,8 +85,7 @@
     attempt->request = std::move(request);
     attempt->deadline = steady_clock::now() + std::min(LongestHold, patience / PatienceShare);
     attempt->done = std::move(done);
-    // An earlier request for the same job may be on its way through another gateway.
-    attempt->mayTakeEffect = attempt->request.verb == workflow::QueueVerb::Submit;
+    attempt->callerWaitsUntil = steady_clock::now() + patience - AnswerReserve;
     pass(attempt);
 }
 
@@ -113,7 +118,11 @@
                 attempt->done(std::move(*reply));
                 return;
             }
-            attempt->mayTakeEffect = attempt->mayTakeEffect || reply.error().verdict != base::Verdict::NotRun;
+            // What may have taken effect is worth finding out: the caller could only ask the same again.
+            if (reply.error().verdict != base::Verdict::NotRun) {
+                attempt->mayTakeEffect = true;
+                attempt->deadline = std::max(attempt->deadline, attempt->callerWaitsUntil);
+            }
             passLater(attempt);
         });
 }
--- a/src/programs/yw_gateway/gateway_service.h
+++ b/src/programs/yw_gateway/gateway_service.h
@@ -29,6 +29,7 @@
     std::optional<std::string> notReadyReason() const override;
     void drain(std::function<void()> done) override;
     std::size_t inProgress() const override;
+    void reload(const settings::ProcessSettings &settings) override;
 
 private:
     using Done = std::function<void(tl::expected<workflow::QueueReply, workflow::Unanswered>)>;
@@ -36,6 +37,7 @@
     struct Attempt {
         workflow::QueueRequest request;
         std::chrono::steady_clock::time_point deadline;
+        std::chrono::steady_clock::time_point callerWaitsUntil;
         Done done;
         bool mayTakeEffect = false;
     };
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -74,8 +74,7 @@
     , self_(ownNumber(context.settings))
     , managers_(context,
                 self_,
-                {[](std::uint32_t, const protocol::Frame &) {},
-                 [this] { log_->tryPush(LogInput{LogInput::Nodes{managers_.seeds()}}); }})
+                {[](std::uint32_t, const protocol::Frame &) {}, nullptr})
     , jobs_(*this, limitsOf(context.settings))
     , workerCalls_(context.io)
     , log_(startLog())
@@ -166,6 +165,12 @@
     return inProgress_;
 }
 
+void ManagerService::reload(const settings::ProcessSettings &settings)
+{
+    managers_.setSeeds(settings.seeds);
+    log_->tryPush(LogInput{LogInput::Nodes{managers_.seeds()}});
+}
+
 // A leader that just ended would leave the system without one for an election timeout.
 void ManagerService::drain(std::function<void()> done)
 {
@@ -414,7 +419,22 @@
     if (leads(now)) {
         jobs_.onReport(report, now);
         armTimer(DispatchDelay);
-        done(workflow::ReportWorkerReply{settings::toString(*context_.settings.listen.control)});
+        const workflow::ReportWorkerReply reply{settings::toString(*context_.settings.listen.control)};
+        if (!report.draining || state_.isDraining(report.worker)) {
+            done(reply);
+            return;
+        }
+        // Once this is acknowledged, no later leader may start anything there either.
+        auto committed = [reply, done](bool known) {
+            if (known) {
+                done(reply);
+            } else {
+                done(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+            }
+        };
+        if (!proposeWith(workflow::WorkerDrainingEntry{report.worker.id, report.worker.born}, std::move(committed))) {
+            done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
+        }
         return;
     }
     passOn(workflow::ReportWorker{report}, std::move(done));
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -36,6 +36,7 @@
     std::optional<std::string> notReadyReason() const override;
     void drain(std::function<void()> done) override;
     std::size_t inProgress() const override;
+    void reload(const settings::ProcessSettings &settings) override;
 
 private:
     using EntryDone = std::function<void(bool committed)>;
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -72,6 +72,7 @@
     arrivals_.clear();
     joining_.clear();
     questions_.clear();
+    present_.clear();
 }
 
 void JobManager::applied(const LogEntry &entry,
@@ -147,7 +148,7 @@
             const WorkerReport report = joining->second;
             joining_.erase(joining);
             worker.lease.observe(report.clock, now);
-            worker.draining = report.draining;
+            worker.draining = worker.draining || report.draining;
             worker.reportSequence = report.sequence;
             worker.lastReport = now;
         }
@@ -158,10 +159,14 @@
             .with("rack", record.identity.rack());
         break;
     }
+    case StateEvent::Kind::WorkerDraining:
+        workers_.at(event.worker).draining = true;
+        break;
     case StateEvent::Kind::WorkerGone:
         removeWorker(event.worker);
         break;
     case StateEvent::Kind::JobForgotten:
+        present_.erase(event.job);
         arrivals_.erase(event.job);
         refreshJob(event.job, now);
         break;
@@ -298,8 +303,9 @@
 {
     YW_INVARIANT(leads(), "only a leader counts jobs");
     const auto &jobs = state_->jobs();
-    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&queue](const auto &item) {
-        return item.second.phase == JobPhase::Queued && item.second.policy.queue == queue;
+    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&](const auto &item) {
+        const JobRecord &job = item.second;
+        return job.policy.queue == queue && !job.ended() && !job.begun && !present_.contains(item.first);
     }));
 }
 
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace yuccawheel::workflow
@@ -128,6 +129,7 @@
     void removeWorker(WorkerNumber number);
     void noteAnswer(WorkerView &worker, std::optional<std::chrono::milliseconds> clock, base::TimePoint now);
     void noteNoAnswer(WorkerNumber number, WorkerView &worker, base::TimePoint now);
+    void onLeaving(const WorkerIdentity &leaving);
     void markOver(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
     void reviewWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
@@ -154,6 +156,7 @@
     std::map<TaskRef, Reservation> reservations_; ///< Of placed tasks, and of those on their way to the log.
     std::map<StepKey, StepRun> steps_;
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
+    std::unordered_set<JobKey> present_; ///< Jobs of which a run was seen to begin.
     std::map<std::string, WorkerReport> joining_; ///< By id: reported, but not in the log yet.
     AskingMachines machines_;
     std::map<std::uint64_t, Question> questions_;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -26,6 +26,7 @@
     worker.identity = record.identity;
     worker.proposedTo = record.lastNumber;
     worker.lastReport = now;
+    worker.draining = record.draining;
     ledger_.grow(number + 1);
     ledger_.setCapacity(number, record.identity.capacity);
     dispatchDue_ = true;
@@ -83,6 +84,10 @@
     if (!leads()) {
         return;
     }
+    if (report.leaving) {
+        onLeaving(report.worker);
+        return;
+    }
     const bool isNew = joins(report, now);
     for (auto &[number, worker] : workers_) {
         if (worker.identity.id != report.worker.id) {
@@ -92,34 +97,41 @@
             joining_[report.worker.id] = report;
             return;
         }
-        if (report.worker.born != worker.identity.born
-            || (report.sequence <= worker.reportSequence && !report.leaving)) {
+        if (report.worker.born != worker.identity.born || report.sequence <= worker.reportSequence) {
             return;
         }
-        worker.reportSequence = std::max(worker.reportSequence, report.sequence);
+        worker.reportSequence = report.sequence;
         worker.lastReport = now;
-        if (report.leaving) {
-            proposeGone(number, worker, "leaving");
-            return;
-        }
         worker.lease.observe(report.clock, now);
         if (worker.draining != report.draining) {
             base::logInfo("worker_draining")
                 .with("worker", worker.identity.id)
                 .with("draining", report.draining)
                 .with("remaining_ms", report.drainRemaining.count());
-            worker.draining = report.draining;
+            worker.draining = report.draining || state_->isDraining(worker.identity);
             dispatchDue_ = true;
         }
         return;
     }
-    if (isNew && !report.leaving && !report.draining && mayAct(now)) {
+    if (isNew && !report.draining && mayAct(now)) {
         const auto [place, added] = joining_.try_emplace(report.worker.id, report);
         place->second = report;
         port_.propose(WorkerJoinedEntry{report.worker});
     }
 }
 
+// A last report that does not say which life it ends counts only for one that is known to be on its way out: it may be
+// an earlier one's that was delayed.
+void JobManager::onLeaving(const WorkerIdentity &leaving)
+{
+    for (auto &[number, worker] : workers_) {
+        const bool sameLife = leaving.born == worker.identity.born || (leaving.born == 0 && worker.draining);
+        if (worker.identity.id == leaving.id && sameLife && !worker.goneProposed) {
+            proposeGone(number, worker, "leaving");
+        }
+    }
+}
+
 // Another life has begun at the worker's place. Orders on their way to the old one may still reach the new one if it
 // bears the same id, so each placed run is stopped there before the log gives its place up.
 void JobManager::markOver(WorkerNumber number, WorkerView &worker, base::TimePoint now)
@@ -346,6 +358,7 @@
         noteAnswer(worker, answer.clock, now);
         run->stage = LiveRun::Stage::Present;
         run->presentSince = now;
+        present_.insert(task.job);
         return;
     }
     base::logInfo("start_not_confirmed")
@@ -521,6 +534,7 @@
             run->stage = LiveRun::Stage::Present;
             run->presentSince = now;
             run->callInFlight = false;
+            present_.insert(task->job);
         }
     }
     for (const EndedTask &ended : answer.ended) {
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -107,6 +107,14 @@
     MSGPACK_DEFINE(jobs)
 };
 
+/// A worker has said that it ends soon.
+struct WorkerDrainingEntry {
+    std::string id;
+    std::int64_t born = 0;
+
+    MSGPACK_DEFINE(id, born)
+};
+
 using LogEntry = std::variant<ConfigurationEntry,
                               AcceptEntry,
                               CancelEntry,
@@ -115,7 +123,8 @@
                               StartsEntry,
                               NotStartedEntry,
                               EndsEntry,
-                              ForgetEntry>;
+                              ForgetEntry,
+                              WorkerDrainingEntry>;
 
 std::string encodeEntry(const LogEntry &entry);
 tl::expected<LogEntry, protocol::DecodeError> decodeEntry(std::string_view bytes);
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -37,6 +37,14 @@
     return const_cast<State *>(this)->find(task).task; // NOLINT(cppcoreguidelines-pro-type-const-cast): only read
 }
 
+bool State::isDraining(const WorkerIdentity &worker) const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [&worker](const auto &item) {
+        const WorkerRecord &record = item.second;
+        return record.identity.id == worker.id && record.identity.born == worker.born && record.draining;
+    });
+}
+
 State::Place State::find(const TaskRef &task)
 {
     const auto found = jobs_.find(task.job);
@@ -148,6 +156,9 @@
         Place place = find(run.task);
         if (place.task != nullptr && place.task->phase == TaskPhase::Placed && place.task->run == run.run) {
             release(run.task, place, std::nullopt, events);
+            if (place.job->placed == 0 && !place.job->begun && !place.job->ended()) {
+                place.job->phase = JobPhase::Queued;
+            }
         }
     }
 }
@@ -166,6 +177,7 @@
         if (!current) {
             continue;
         }
+        place.job->begun = true;
         if (end.how == RunEnd::Done && !place.spec->lasting) {
             finishTask(end.task, place, events);
         } else {
@@ -190,6 +202,16 @@
     }
 }
 
+void State::applyBody(const WorkerDrainingEntry &entry, std::vector<StateEvent> &events)
+{
+    for (auto &[number, worker] : workers_) {
+        if (worker.identity.id == entry.id && worker.identity.born == entry.born && !worker.draining) {
+            worker.draining = true;
+            events.push_back({StateEvent::Kind::WorkerDraining, 0, {}, number, std::nullopt});
+        }
+    }
+}
+
 void State::release(const TaskRef &task, Place &place, std::optional<RunEnd> how, std::vector<StateEvent> &events)
 {
     YW_INVARIANT(place.task->phase == TaskPhase::Placed, "only a placed task is released");
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -55,6 +55,7 @@
     WallTime endedAt{0};
     std::vector<StepRecord> steps; ///< Of all occurrences, one after the other.
     std::uint32_t placed = 0; ///< Tasks of the job that are placed.
+    bool begun = false; ///< A run of a task is known to have begun.
 
     bool ended() const
     {
@@ -77,15 +78,16 @@
     }
     /// Returns whether every step that this one waits for is finished.
     bool orderAllows(std::size_t position) const;
-    MSGPACK_DEFINE(spec, policy, acceptedAt, phase, endedAt, steps, placed)
+    MSGPACK_DEFINE(spec, policy, acceptedAt, phase, endedAt, steps, placed, begun)
 };
 
 struct WorkerRecord {
     WorkerIdentity identity;
     std::uint64_t lastNumber = 0; ///< Ends up to it are taken note of.
     std::vector<TaskRef> placed;
+    bool draining = false;
 
-    MSGPACK_DEFINE(identity, lastNumber, placed)
+    MSGPACK_DEFINE(identity, lastNumber, placed, draining)
 };
 
 /// What an entry changed, for whoever follows the state.
@@ -99,6 +101,7 @@
         TaskReleased, ///< It is no longer placed on `worker`; a gang's members may be released together.
         WorkerJoined,
         WorkerGone,
+        WorkerDraining,
         JobForgotten,
     };
     Kind kind = Kind::ConfigurationChanged;
@@ -129,6 +132,8 @@
     {
         return workers_;
     }
+    /// Returns whether a life of a worker is known to be draining.
+    bool isDraining(const WorkerIdentity &worker) const;
     /// Returns the record of a task, or null if no such task is known.
     const TaskRecord *findTask(const TaskRef &task) const;
 
@@ -147,6 +152,7 @@
     void applyBody(const NotStartedEntry &entry, std::vector<StateEvent> &events);
     void applyBody(const EndsEntry &entry, std::vector<StateEvent> &events);
     void applyBody(const ForgetEntry &entry, std::vector<StateEvent> &events);
+    void applyBody(const WorkerDrainingEntry &entry, std::vector<StateEvent> &events);
 
     struct Place {
         JobRecord *job = nullptr;
