--- /dev/null
+++ b/fakes/called_workers.cpp
@@ -0,0 +1,290 @@
+#include "fakes/called_workers.h"
+
+#include "base/invariant.h"
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace yuccawheel::fakes
+{
+
+using workflow::OrderOutcome;
+using workflow::RunEnd;
+using workflow::TaskRef;
+
+namespace
+{
+
+constexpr std::string_view Poison = "poison"; ///< Payload of a job whose tasks always fail.
+
+} // namespace
+
+std::string
+CalledWorkers::add(const std::string &id, std::int64_t milliCpu, const std::string &rack, base::TimePoint now)
+{
+    Worker worker;
+    worker.identity = {id, nextBorn_++, "10.0.0.1:" + std::to_string(workers_.size() + 1), "service", "zone", {}, {}};
+    worker.identity.capacity = {milliCpu, 1'000'000, 0};
+    worker.identity.labels = {"kind", rack};
+    worker.clockOffset = std::chrono::milliseconds(1'000 * static_cast<std::int64_t>(workers_.size() + 1))
+        - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    workers_[id] = worker;
+    return id;
+}
+
+void CalledWorkers::restart(const std::string &id, base::TimePoint now)
+{
+    Worker &old = workers_.at(id);
+    Worker worker;
+    worker.identity = old.identity;
+    worker.identity.born = nextBorn_++;
+    worker.cut = old.cut;
+    worker.clockOffset = -std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    old = worker;
+}
+
+std::chrono::milliseconds CalledWorkers::clockOf(const Worker &worker, base::TimePoint now) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + worker.clockOffset;
+}
+
+TaskRef CalledWorkers::standFor(const TaskRef &task) const
+{
+    TaskRef first = task;
+    if (jobs_.at(task.job).steps[task.step].gang) {
+        first.index = 0;
+    }
+    return first;
+}
+
+void CalledWorkers::checkStart(const Worker &worker,
+                               const workflow::StartOrder &order,
+                               const workflow::StepSpec &spec) const
+{
+    placement::Resources used = spec.perTask;
+    std::uint32_t ofStep = 1;
+    for (const auto &[task, run] : worker.runs) {
+        used += run.spec.perTask;
+        ofStep += task.job == order.task.job && task.step == order.task.step ? 1 : 0;
+    }
+    YW_INVARIANT(used.fitsIn(worker.identity.capacity), "a worker holds no more than its capacity");
+    YW_INVARIANT(spec.maxPerWorker == 0 || ofStep <= spec.maxPerWorker, "the limit of tasks a worker is kept");
+    if (notedDone_.contains(standFor(order.task))) {
+        base::logError("started_after_done")
+            .with("task", toString(order.task))
+            .with("run", order.run)
+            .with("worker", worker.identity.id)
+            .with("epoch", order.epoch);
+    }
+    YW_INVARIANT(!notedDone_.contains(standFor(order.task)), "a task whose end was taken note of does not start again");
+    for (const auto &[id, other] : workers_) {
+        const bool twice = other.runs.contains(order.task);
+        YW_INVARIANT(!twice, "a task runs in one place at a time");
+    }
+    for (const std::uint32_t earlier : spec.after) {
+        const std::uint32_t count = jobs_.at(order.task.job).steps[earlier].count;
+        for (std::uint32_t index = 0; index < count; ++index) {
+            const TaskRef before = standFor({order.task.job, order.task.occurrence, earlier, index});
+            YW_INVARIANT(done_.contains(before), "a step starts after the steps that it waits for");
+        }
+    }
+}
+
+workflow::OrderAnswer
+CalledWorkers::start(const std::string &id, const workflow::StartOrder &order, base::TimePoint now)
+{
+    Worker &worker = workers_.at(id);
+    const auto clock = clockOf(worker, now);
+    if (order.epoch < worker.epoch) {
+        return {OrderOutcome::StaleEpoch, clock};
+    }
+    worker.epoch = order.epoch;
+    if (order.leaseUntil <= clock) {
+        return {OrderOutcome::TooLate, clock};
+    }
+    const auto length = std::min(order.leaseUntil - clock, options_.lease);
+    worker.leaseUntil = std::max(worker.leaseUntil, now + length);
+    const auto over = worker.over.find(order.task);
+    if (over != worker.over.end() && order.run <= over->second) {
+        return {OrderOutcome::OldRun, clock};
+    }
+    if (const auto there = worker.runs.find(order.task); there != worker.runs.end()) {
+        return {there->second.run == order.run ? OrderOutcome::Done : OrderOutcome::OldRun, clock};
+    }
+    const workflow::StepSpec &spec = jobs_.at(order.task.job).steps[order.task.step];
+    checkStart(worker, order, spec);
+    for (const End &done : doneEnds_[standFor(order.task)]) {
+        const Worker &earlier = workers_.at(std::get<0>(done));
+        if (earlier.identity.born == std::get<1>(done) && now < earlier.leaseUntil) {
+            overtaken_.insert(done);
+        }
+    }
+    Worker::Run run;
+    run.run = order.run;
+    run.spec = spec;
+    run.presentSince = now;
+    run.working = !spec.gang;
+    run.endsAt = now + options_.runTime;
+    worker.runs[order.task] = run;
+    ++starts_;
+    return {OrderOutcome::Done, clock};
+}
+
+workflow::OrderAnswer
+CalledWorkers::stop(const std::string &id, const workflow::StopOrder &order, base::TimePoint now)
+{
+    Worker &worker = workers_.at(id);
+    const auto clock = clockOf(worker, now);
+    if (order.epoch < worker.epoch) {
+        return {OrderOutcome::StaleEpoch, clock};
+    }
+    worker.epoch = order.epoch;
+    const auto there = worker.runs.find(order.task);
+    if (there != worker.runs.end() && there->second.run <= order.run) {
+        end(worker, order.task, RunEnd::Stopped);
+    }
+    std::uint32_t &over = worker.over[order.task];
+    over = std::max(over, order.run);
+    return {OrderOutcome::Done, clock};
+}
+
+workflow::LookAnswer
+CalledWorkers::look(const std::string &id, const workflow::LookOrder &order, base::TimePoint now)
+{
+    Worker &worker = workers_.at(id);
+    workflow::LookAnswer answer;
+    answer.number = order.number;
+    answer.clock = clockOf(worker, now);
+    answer.born = worker.identity.born;
+    if (order.epoch < worker.epoch) {
+        answer.outcome = OrderOutcome::StaleEpoch;
+        return answer;
+    }
+    answer.outcome = OrderOutcome::Done;
+    worker.epoch = order.epoch;
+    if (order.leaseUntil) {
+        const auto length = std::min(*order.leaseUntil - *answer.clock, options_.lease);
+        worker.leaseUntil = std::max(worker.leaseUntil, now + length);
+    }
+    std::erase_if(worker.ended, [&](const workflow::EndedTask &ended) {
+        const bool noted = ended.number <= order.acknowledged;
+        if (noted && ended.how == RunEnd::Done) {
+            const TaskRef task = standFor(*workflow::parseTaskRef(ended.task));
+            if (overtaken_.contains({id, worker.identity.born, ended.number})) {
+                base::logError("overtaken_end_noted")
+                    .with("task", ended.task)
+                    .with("run", ended.run)
+                    .with("worker", id)
+                    .with("number", ended.number)
+                    .with("acknowledged", order.acknowledged)
+                    .with("epoch", order.epoch);
+            }
+            YW_INVARIANT(!overtaken_.contains({id, worker.identity.born, ended.number}), "a task whose end is taken note of has not started again");
+            notedDone_.insert(task);
+        }
+        return noted;
+    });
+    answer.ended = worker.ended;
+    for (const auto &[task, run] : worker.runs) {
+        answer.running.push_back({toString(task), run.run, {}});
+    }
+    return answer;
+}
+
+// The members of a gang end together.
+void CalledWorkers::end(Worker &worker, const TaskRef &task, RunEnd how)
+{
+    const std::uint32_t run = worker.runs.at(task).run;
+    const bool gang = worker.runs.at(task).working && worker.runs.at(task).spec.gang;
+    endOne(worker, task, how);
+    for (auto &[id, other] : workers_) {
+        std::vector<TaskRef> members;
+        for (const auto &[member, there] : other.runs) {
+            if (gang && member.job == task.job && member.step == task.step && there.run == run && there.working) {
+                members.push_back(member);
+            }
+        }
+        for (const TaskRef &member : members) {
+            endOne(other, member, how == RunEnd::Done ? RunEnd::Done : RunEnd::Broken);
+        }
+    }
+}
+
+void CalledWorkers::endOne(Worker &worker, const TaskRef &task, RunEnd how)
+{
+    const std::uint32_t run = worker.runs.at(task).run;
+    worker.runs.erase(task);
+    std::uint32_t &over = worker.over[task];
+    over = std::max(over, run);
+    if (how == RunEnd::Done) {
+        done_.insert(standFor(task));
+        doneEnds_[standFor(task)].emplace_back(worker.identity.id, worker.identity.born, worker.nextEnd);
+    }
+    worker.ended.push_back({worker.nextEnd++, toString(task), run, how, {}});
+    aloneEnds_ += how == RunEnd::Alone ? 1 : 0;
+}
+
+// A gang works from the moment when all of its members of one run are present.
+void CalledWorkers::startGangs(base::TimePoint now)
+{
+    std::map<std::tuple<workflow::JobKey, std::uint32_t, std::uint32_t>, std::vector<Worker::Run *>> gangs;
+    for (auto &[id, worker] : workers_) {
+        for (auto &[task, run] : worker.runs) {
+            if (run.spec.gang && !run.working) {
+                gangs[{task.job, task.step, run.run}].push_back(&run);
+            }
+        }
+    }
+    for (auto &[key, members] : gangs) {
+        if (members.size() == members.front()->spec.count) {
+            for (Worker::Run *member : members) {
+                member->working = true;
+                member->endsAt = now + options_.runTime;
+            }
+        }
+    }
+}
+
+void CalledWorkers::step(base::TimePoint now)
+{
+    startGangs(now);
+    for (auto &[id, worker] : workers_) {
+        std::vector<std::pair<TaskRef, RunEnd>> due;
+        for (const auto &[task, run] : worker.runs) {
+            const bool poisoned = jobs_.at(task.job).payload == Poison;
+            if (now >= worker.leaseUntil) {
+                due.emplace_back(task, RunEnd::Lapsed);
+            } else if (run.working && now >= run.endsAt) {
+                due.emplace_back(task, poisoned || worker.failsAll ? RunEnd::Failed : RunEnd::Done);
+            } else if (!run.working && now >= run.presentSince + options_.gangTimeout) {
+                due.emplace_back(task, RunEnd::Alone);
+            }
+        }
+        for (const auto &[task, how] : due) {
+            if (worker.runs.contains(task)) {
+                end(worker, task, how);
+            }
+        }
+    }
+}
+
+workflow::WorkerReport CalledWorkers::report(const std::string &id, base::TimePoint now)
+{
+    Worker &worker = workers_.at(id);
+    workflow::WorkerReport report;
+    report.worker = worker.identity;
+    report.clock = clockOf(worker, now);
+    report.sequence = ++worker.sequence;
+    return report;
+}
+
+std::size_t CalledWorkers::running() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, worker] : workers_) {
+        count += worker.runs.size();
+    }
+    return count;
+}
+
+} // namespace yuccawheel::fakes
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t LogRingLines = 8192;
 constexpr std::chrono::milliseconds WriterWait{200};
 
-std::atomic<LogLevel> lowestLevel{LogLevel::Warning};
+std::atomic<LogLevel> lowestLevel{LogLevel::Info};
 std::atomic<BoundedRing<std::string> *> activeRing{nullptr};
 std::atomic<std::uint64_t> droppedLines{0};
 
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -22,10 +22,7 @@
 
 } // namespace
 
-SettingsWatch::SettingsWatch(boost::asio::io_context &io,
-                             std::string file,
-                             settings::Program program,
-                             Changed changed)
+SettingsWatch::SettingsWatch(boost::asio::io_context &io, std::string file, settings::Program program, Changed changed)
     : file_(std::move(file))
     , program_(program)
     , changed_(std::move(changed))
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -31,6 +31,7 @@
     ClientRequest request;
     std::chrono::steady_clock::time_point deadline;
     CallPool::Done done;
+    std::optional<std::string> whenNew;
     bool retried = false;
 };
 
@@ -117,7 +118,7 @@
         for (const Header &header : call_->request.headers) {
             message_.set(header.name, header.value);
         }
-        message_.body() = call_->request.body;
+        message_.body() = !connected_ && call_->whenNew ? *call_->whenNew : call_->request.body;
         message_.prepare_payload();
     }
 
@@ -158,6 +159,7 @@
         for (const auto &field : parser_->get()) {
             response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
+        response.onNewConnection = !reused_;
         const bool reusable = parser_->get().keep_alive();
         response.body = std::move(parser_->get().body());
         parser_.reset();
@@ -261,9 +263,16 @@
     return impl_->busy.empty() && impl_->queue.empty();
 }
 
-void CallPool::call(ClientRequest request, std::chrono::milliseconds timeout, Done done)
+void CallPool::call(ClientRequest request,
+                    std::chrono::milliseconds timeout,
+                    Done done,
+                    std::optional<std::string> whenNew)
 {
-    QueuedCall call{std::move(request), std::chrono::steady_clock::now() + timeout, std::move(done)};
+    QueuedCall call{std::move(request),
+                    std::chrono::steady_clock::now() + timeout,
+                    std::move(done),
+                    std::move(whenNew),
+                    false};
     if (impl_->queue.size() >= impl_->options.maxQueued) {
         asio::post(impl_->io, [impl = impl_, call = std::move(call)]() mutable {
             impl->finish(std::move(call),
--- a/src/http/call_pool.h
+++ b/src/http/call_pool.h
@@ -9,6 +9,8 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace yuccawheel::http
 {
@@ -33,7 +35,12 @@
     CallPool &operator=(const CallPool &) = delete;
 
     /// Sends a request and calls `done` exactly once, never from within this call, unless the pool is destroyed first.
-    void call(ClientRequest request, std::chrono::milliseconds timeout, Done done);
+    /// On a new connection `whenNew`, if given, takes the place of the request's body: the far side may not be the
+    /// process that earlier answers came from.
+    void call(ClientRequest request,
+              std::chrono::milliseconds timeout,
+              Done done,
+              std::optional<std::string> whenNew = std::nullopt);
 
     /// Closes all connections. Calls in progress end with an error.
     void closeConnections();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -30,6 +30,7 @@
     int status = 0;
     std::vector<Header> headers;
     std::string body;
+    bool onNewConnection = false; ///< No earlier answer came over the connection.
 
     /// Returns the first value of a header, compared without regard to case; empty if there is none.
     std::string_view header(std::string_view name) const;
--- a/src/platform/caller_api.cpp
+++ b/src/platform/caller_api.cpp
@@ -1,10 +1,9 @@
 #include "platform/caller_api.h"
 
+#include "base/log.h"
 #include "platform/job_format.h"
 #include "platform/json_fields.h"
 
-#include "base/log.h"
-
 #include <charconv>
 
 namespace yuccawheel::platform
@@ -33,7 +32,7 @@
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     return error == std::errc{} && end == text.data() + text.size() && value > 0 ? milliseconds(value)
-                                                                                  : DefaultPatience;
+                                                                                 : DefaultPatience;
 }
 
 std::string hostOf(const http::Request &request)
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -1,10 +1,9 @@
 #include "platform/control_api.h"
 
+#include "base/log.h"
 #include "platform/job_format.h"
 #include "platform/json_fields.h"
 
-#include "base/log.h"
-
 #include <optional>
 
 namespace yuccawheel::platform
--- a/src/platform/eligibility_client.cpp
+++ b/src/platform/eligibility_client.cpp
@@ -1,8 +1,7 @@
 #include "platform/eligibility_client.h"
 
-#include "platform/json_fields.h"
-
 #include "base/log.h"
+#include "platform/json_fields.h"
 
 namespace yuccawheel::platform
 {
--- a/src/platform/job_format.cpp
+++ b/src/platform/job_format.cpp
@@ -66,10 +66,8 @@
             return std::chrono::duration_cast<std::chrono::microseconds>(Milliseconds(numberField(advice, name)));
         };
         // `decision_ms` is the time of a call, `period_ms` the further time for each worker that it names.
-        route.policy.eligibility =
-            workflow::EligibilityPolicy{exact("decision_ms"),
-                                        exact("period_ms"),
-                                        std::chrono::duration_cast<milliseconds>(exact("valid_ms"))};
+        route.policy.eligibility = workflow::EligibilityPolicy{
+            exact("decision_ms"), exact("period_ms"), std::chrono::duration_cast<milliseconds>(exact("valid_ms"))};
     }
     return route;
 }
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,8 +1,7 @@
 #include "platform/worker_client.h"
 
-#include "platform/json_fields.h"
-
 #include "base/log.h"
+#include "platform/json_fields.h"
 
 namespace yuccawheel::platform
 {
@@ -36,12 +35,12 @@
         return OrderOutcome::Unhealthy;
     case 409: {
         const std::string reason = textField(body, "reason");
-        return reason == "fence"    ? OrderOutcome::StaleEpoch
-            : reason == "old"       ? OrderOutcome::OldRun
-            : reason == "late"      ? OrderOutcome::TooLate
-            : reason == "room"      ? OrderOutcome::NoRoom
-            : reason == "ticket"    ? OrderOutcome::NoTicket
-                                    : OrderOutcome::Malformed;
+        return reason == "fence" ? OrderOutcome::StaleEpoch
+            : reason == "old"    ? OrderOutcome::OldRun
+            : reason == "late"   ? OrderOutcome::TooLate
+            : reason == "room"   ? OrderOutcome::NoRoom
+            : reason == "ticket" ? OrderOutcome::NoTicket
+                                 : OrderOutcome::Malformed;
     }
     case 400:
         return OrderOutcome::Malformed;
@@ -211,12 +210,19 @@
     if (order.wait.count() > 0) {
         body["wait_ms"] = order.wait.count();
     }
+    const http::ClientRequest request = makeRequest(worker, "/hold", body);
+    // A connection does not outlive a process, so that one over which answers came leads to the same life.
+    body["last_seen"] = 0;
     poolOf(worker.address)
-        .call(makeRequest(worker, "/hold", body),
-              order.wait + OrderTimeout,
-              [worker, number = order.number, done = std::move(done)](const auto &answer) {
-                  done(lookAnswer(worker, number, answer));
-              });
+        .call(
+            request,
+            order.wait + OrderTimeout,
+            [worker, order, done = std::move(done)](const auto &answer) {
+                workflow::LookAnswer look = lookAnswer(worker, order.number, answer);
+                look.acknowledged = answer && !answer->onNewConnection ? order.acknowledged : 0;
+                done(look);
+            },
+            body.dump());
 }
 
 // Another life may be at the address already, and have calls of its own in progress.
--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -107,24 +107,23 @@
         passLater(attempt);
         return;
     }
-    leader->request(
-        attempt->request,
-        std::min(left, AttemptTimeout),
-        [this, alive = alive_, attempt](tl::expected<workflow::QueueReply, protocol::RequestError> reply) {
-            if (*alive == nullptr) {
-                return;
-            }
-            if (reply) {
-                attempt->done(std::move(*reply));
-                return;
-            }
-            // What may have taken effect is worth finding out: the caller could only ask the same again.
-            if (reply.error().verdict != base::Verdict::NotRun) {
-                attempt->mayTakeEffect = true;
-                attempt->deadline = std::max(attempt->deadline, attempt->callerWaitsUntil);
-            }
-            passLater(attempt);
-        });
+    leader->request(attempt->request,
+                    std::min(left, AttemptTimeout),
+                    [this, alive = alive_, attempt](tl::expected<workflow::QueueReply, protocol::RequestError> reply) {
+                        if (*alive == nullptr) {
+                            return;
+                        }
+                        if (reply) {
+                            attempt->done(std::move(*reply));
+                            return;
+                        }
+                        // What may have taken effect is worth finding out: the caller could only ask the same again.
+                        if (reply.error().verdict != base::Verdict::NotRun) {
+                            attempt->mayTakeEffect = true;
+                            attempt->deadline = std::max(attempt->deadline, attempt->callerWaitsUntil);
+                        }
+                        passLater(attempt);
+                    });
 }
 
 void GatewayService::passLater(const std::shared_ptr<Attempt> &attempt)
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -72,9 +72,7 @@
     : context_(context)
     , alive_(std::make_shared<ManagerService *>(this))
     , self_(ownNumber(context.settings))
-    , managers_(context,
-                self_,
-                {[](std::uint32_t, const protocol::Frame &) {}, nullptr})
+    , managers_(context, self_, {[](std::uint32_t, const protocol::Frame &) {}, nullptr})
     , jobs_(*this, limitsOf(context.settings))
     , workerCalls_(context.io)
     , log_(startLog())
@@ -365,22 +363,20 @@
                            const workflow::WorkerIdentity &identity,
                            const workflow::StartOrder &order)
 {
-    workerCalls_.start(identity,
-                       order,
-                       [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
-                           jobs_.onStartAnswer(worker, task, run, answer, base::BootClock::now());
-                       });
+    workerCalls_.start(
+        identity, order, [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
+            jobs_.onStartAnswer(worker, task, run, answer, base::BootClock::now());
+        });
 }
 
 void ManagerService::stop(workflow::WorkerNumber worker,
                           const workflow::WorkerIdentity &identity,
                           const workflow::StopOrder &order)
 {
-    workerCalls_.stop(identity,
-                      order,
-                      [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
-                          jobs_.onStopAnswer(worker, task, run, answer, base::BootClock::now());
-                      });
+    workerCalls_.stop(
+        identity, order, [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
+            jobs_.onStopAnswer(worker, task, run, answer, base::BootClock::now());
+        });
 }
 
 void ManagerService::look(workflow::WorkerNumber worker,
@@ -549,9 +545,8 @@
         if (reply) {
             channel->reply(correlation, *reply);
         } else {
-            refuse(channel,
-                   correlation,
-                   reply.error().mayTakeEffect ? base::Verdict::MayHaveRun : base::Verdict::NotRun);
+            refuse(
+                channel, correlation, reply.error().mayTakeEffect ? base::Verdict::MayHaveRun : base::Verdict::NotRun);
         }
     };
 }
@@ -612,16 +607,14 @@
     const workflow::QueueRoute *const route = state_.configuration().findRoute(request->host, request->path);
     if (route == nullptr) {
         // Without a configuration nobody knows which queues there are.
-        const auto outcome =
-            state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
+        const auto outcome = state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
         channel->reply(frame.correlation, workflow::QueueReply{outcome, {}, 0, RetryDelay, "no such queue"});
         return;
     }
     const std::string rest = request->path.substr(route->pathPrefix.size());
     if (rest.empty() && request->verb == workflow::QueueVerb::Read) {
-        channel->reply(
-            frame.correlation,
-            workflow::QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue), {}, {}});
+        channel->reply(frame.correlation,
+                       workflow::QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue), {}, {}});
         return;
     }
     const auto key = workflow::parseJobKey(rest);
@@ -657,8 +650,8 @@
         reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
         return;
     }
-    const bool taken = proposeWith(
-        workflow::AcceptEntry{key, std::move(spec), policy, wallNow()}, [reply](bool committed) {
+    const bool taken =
+        proposeWith(workflow::AcceptEntry{key, std::move(spec), policy, wallNow()}, [reply](bool committed) {
             if (committed) {
                 reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
             } else {
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -166,8 +166,10 @@
 std::vector<Setting> addressSettings()
 {
     return {
-        listener(
-            "caller", {Program::Entry, Program::Gateway}, &Listeners::caller, "Where callers send requests, over HTTP."),
+        listener("caller",
+                 {Program::Entry, Program::Gateway},
+                 &Listeners::caller,
+                 "Where callers send requests, over HTTP."),
         listener("operator",
                  {Program::Entry},
                  &Listeners::operators,
--- a/src/workflow/eligibility.cpp
+++ b/src/workflow/eligibility.cpp
@@ -22,8 +22,7 @@
     }
 }
 
-const Ticket *
-StepEligibility::ticket(WorkerNumber worker, base::TimePoint now, std::chrono::milliseconds margin) const
+const Ticket *StepEligibility::ticket(WorkerNumber worker, base::TimePoint now, std::chrono::milliseconds margin) const
 {
     const auto found = good_.find(worker);
     return found != good_.end() && found->second.validUntil >= now + margin ? &found->second : nullptr;
@@ -47,14 +46,13 @@
     machines_.erase(machine);
 }
 
-std::optional<AskingMachines::Machine> AskingMachines::choose(std::chrono::microseconds cost,
-                                                              base::TimePoint now) const
+std::optional<AskingMachines::Machine> AskingMachines::choose(std::chrono::microseconds cost, base::TimePoint now) const
 {
     const bool isLong = cost >= LongCall;
-    const auto busyWithLong = static_cast<std::size_t>(std::count_if(
-        machines_.begin(), machines_.end(), [](const auto &item) { return item.second.longCalls > 0; }));
-    const auto mostLong = std::max<std::size_t>(
-        1, static_cast<std::size_t>(static_cast<double>(machines_.size()) * LongCallShare));
+    const auto busyWithLong = static_cast<std::size_t>(
+        std::count_if(machines_.begin(), machines_.end(), [](const auto &item) { return item.second.longCalls > 0; }));
+    const auto mostLong =
+        std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(machines_.size()) * LongCallShare));
     std::optional<Machine> best;
     base::TimePoint bestAt{};
     for (const auto &[machine, load] : machines_) {
--- a/src/workflow/job.h
+++ b/src/workflow/job.h
@@ -33,8 +33,7 @@
     bool operator==(const TaskRef &) const = default;
     bool operator<(const TaskRef &other) const
     {
-        return std::tie(job, occurrence, step, index)
-            < std::tie(other.job, other.occurrence, other.step, other.index);
+        return std::tie(job, occurrence, step, index) < std::tie(other.job, other.occurrence, other.step, other.index);
     }
     MSGPACK_DEFINE(job, occurrence, step, index)
 };
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -193,6 +193,10 @@
         run.run = start.run;
         run.placedAt = now;
         run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
+        if (worker.over) {
+            proposeNotStarted(start.task, run); // No order has been sent, and none will be.
+            continue;
+        }
         sendStart(start.worker, worker, start.task, run, now);
         reviewLooks(start.worker, worker, now);
         refreshJob(start.task.job, now);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -122,6 +122,7 @@
     void placeStep(StepKey key, StepRun &step, base::TimePoint now, StartsEntry &starts);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
+    std::vector<WorkerNumber> workersToAsk(const StepPlacer::Request &request, StepKey key, base::TimePoint now);
     void askFor(const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now);
 
     // Workers.
@@ -134,14 +135,17 @@
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
     void reviewWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void reviewRun(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
+    static bool hasUnconfirmedStart(const WorkerView &worker);
     void reviewLooks(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void sendStart(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
     void sendStop(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
     void sendLook(WorkerNumber number, WorkerView &worker, bool quick, base::TimePoint now);
     void stopRun(WorkerView &worker, LiveRun &run, base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
-    void takeRunning(WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
+    void takeRunning(
+        WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
     void takeEnded(WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint now);
+    void takeEndedLater(WorkerNumber number, WorkerView &worker, const LookAnswer &answer);
     LiveRun *findRun(WorkerNumber worker, const TaskRef &task, std::uint32_t run);
     bool joins(const WorkerReport &report, base::TimePoint now);
 
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -14,6 +14,7 @@
 
 // The objective of a job allows for one question about so many workers at each step.
 constexpr std::size_t WorkersPerQuestion = 30;
+constexpr std::size_t MostWorkersPerQuestion = 100; ///< The service takes no more.
 constexpr std::chrono::milliseconds QuestionRetry{100}; ///< After a question without an answer.
 constexpr std::chrono::milliseconds QuestionSlack{1'500}; ///< Wait for an answer beyond the service's own time.
 constexpr std::chrono::milliseconds RelayDelay{50}; ///< Longest way of an answer on a calm network, from the service.
@@ -124,8 +125,9 @@
     }
     for (const Assignment &assignment : assignments) {
         const TaskRef task = job.refOf(key.job, key.position, assignment.index);
-        const Ticket *const ticket =
-            eligibility == nullptr ? nullptr : eligibility->ticket(assignment.worker, now, std::chrono::milliseconds{0});
+        const Ticket *const ticket = eligibility == nullptr
+            ? nullptr
+            : eligibility->ticket(assignment.worker, now, std::chrono::milliseconds{0});
         reserve(task, assignment.worker, reservationOf(spec), ticket == nullptr ? std::string() : ticket->text);
         // The members of a gang share the number of their run.
         const std::uint32_t run = (spec.gang ? lastRun : tasks[assignment.index].run) + 1;
@@ -148,64 +150,80 @@
     }
 }
 
-// Asks again about good workers that have room and whose tickets run out, and about others as far as the good ones
-// have not enough room. Before anything is known, asks about workers whether they have room now or not: which ones may
-// run the step does not change, and room comes and goes.
-void JobManager::askFor(const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now)
+// Says which workers to ask about now. Tickets of good workers that have room are renewed together, so that they are
+// valid at the same time. Others are asked about as far as the good ones have not enough room. Before anything is known
+// it does not matter which have room now: which ones may run the step does not change, and room comes and goes.
+std::vector<WorkerNumber> JobManager::workersToAsk(const StepPlacer::Request &request, StepKey key, base::TimePoint now)
 {
     struct Candidate {
         WorkerNumber worker = 0;
         std::uint32_t room = 0;
-        std::int64_t freeMilliCpu = 0;
     };
+    const StepEligibility &eligibility = *request.eligibility;
     const StepPlacer placer(workers_, ledger_, now);
-    std::vector<WorkerNumber> asked;
+    const std::size_t needed = request.waiting.size();
+    std::vector<WorkerNumber> goodWithRoom;
     std::vector<Candidate> fresh;
     std::size_t roomOnGood = 0;
     bool nothingKnown = true;
+    bool expired = false;
     for (const auto &[number, worker] : workers_) {
         if (!placer.suits(request, number, worker)) {
             continue;
         }
         const std::uint32_t room = placer.roomFor(request, number);
-        if (step.eligibility.isGood(number)) {
-            nothingKnown = false;
+        if (!eligibility.isKnown(number)) {
+            fresh.push_back({number, room});
+            continue;
+        }
+        nothingKnown = false;
+        if (eligibility.isGood(number) && room > 0) {
+            goodWithRoom.push_back(number);
             roomOnGood += room;
-            if (room > 0 && step.eligibility.ticket(number, now, TicketMargin) == nullptr) {
-                asked.push_back(number);
-            }
-        } else if (!step.eligibility.isKnown(number)) {
-            fresh.push_back({number, room, ledger_.free(number).milliCpu});
-        } else {
-            nothingKnown = false;
+            expired = expired || eligibility.ticket(number, now, TicketMargin) == nullptr;
         }
     }
-    const std::size_t needed = request.waiting.size();
+    const bool partly = !request.job.specOf(request.position).gang;
+    std::vector<WorkerNumber> asked;
+    if (expired && (roomOnGood >= needed || partly)) {
+        asked = goodWithRoom;
+    }
     if (roomOnGood < needed) {
         const double share = goodShare_.try_emplace(request.job.policy.queue, FirstGoodShare).first->second;
         // Steps that arrive together must not all ask about, and then crowd, the same workers.
         const auto scatter = [&key](WorkerNumber worker) {
             return (key.job ^ worker) * 0x9e3779b97f4a7c15ULL;
         };
+        const auto roomy = [needed](const Candidate &candidate) {
+            return std::min<std::size_t>(candidate.room, needed);
+        };
         std::sort(fresh.begin(), fresh.end(), [&](const Candidate &left, const Candidate &right) {
-            const auto roomy = [needed](const Candidate &candidate) {
-                return std::min<std::size_t>(candidate.room, needed);
-            };
             return std::tuple(roomy(right), scatter(left.worker)) < std::tuple(roomy(left), scatter(right.worker));
         });
-        std::size_t expected = roomOnGood * 100;
+        std::vector<WorkerNumber> chosen;
+        double expected = static_cast<double>(roomOnGood);
         for (const Candidate &candidate : fresh) {
-            const bool enough = static_cast<double>(expected) / 100 >= static_cast<double>(needed) * SpareWorkers;
-            if (asked.size() >= WorkersPerQuestion || (!nothingKnown && candidate.room == 0) || enough) {
+            const bool enough = expected >= static_cast<double>(needed) * SpareWorkers;
+            if (chosen.size() >= WorkersPerQuestion || (!nothingKnown && candidate.room == 0) || enough) {
                 break;
             }
-            asked.push_back(candidate.worker);
-            expected += static_cast<std::size_t>(share * 100 * candidate.room);
+            chosen.push_back(candidate.worker);
+            expected += share * candidate.room;
+        }
+        if (!chosen.empty()) {
+            asked = goodWithRoom;
+            asked.insert(asked.end(), chosen.begin(), chosen.end());
         }
     }
-    if (asked.size() > WorkersPerQuestion) {
-        asked.resize(WorkersPerQuestion);
+    if (asked.size() > MostWorkersPerQuestion) {
+        asked.resize(MostWorkersPerQuestion);
     }
+    return asked;
+}
+
+void JobManager::askFor(const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now)
+{
+    const std::vector<WorkerNumber> asked = workersToAsk(request, key, now);
     if (asked.empty()) {
         return;
     }
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -142,7 +142,7 @@
     base::logInfo("worker_over").with("worker", worker.identity.id).with("number", number);
     worker.looks.clear();
     for (auto &[task, run] : worker.runs) {
-        if (run.stage != LiveRun::Stage::Released) {
+        if (run.stage != LiveRun::Stage::Released && run.stage != LiveRun::Stage::Ended) {
             run.stage = LiveRun::Stage::Stopping;
             run.stopAnsweredAt.reset();
             run.callInFlight = false;
@@ -212,10 +212,20 @@
         break;
     case LiveRun::Stage::Present:
     case LiveRun::Stage::Uncertain:
+    case LiveRun::Stage::Ended:
         break;
     }
 }
 
+bool JobManager::hasUnconfirmedStart(const WorkerView &worker)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &item) {
+        const LiveRun &run = item.second;
+        return run.stage == LiveRun::Stage::Starting || run.stage == LiveRun::Stage::Uncertain
+            || (run.stage == LiveRun::Stage::Stopping && run.startUnanswered);
+    });
+}
+
 // One look waits at the worker for the next end. A second one, which does not wait, is sent beside it while the fate of
 // a run has to be found out.
 void JobManager::reviewLooks(WorkerNumber number, WorkerView &worker, base::TimePoint now)
@@ -237,6 +247,8 @@
         sendLook(number, worker, true, now);
     } else if (worker.over || worker.hasLook(false) || endsOnTheirWay) {
         return;
+    } else if (unacknowledged && hasUnconfirmedStart(worker)) {
+        return; // It would list the same ends again at once.
     } else if (!worker.runs.empty() && (worker.failedCalls == 0 || quickDue)) {
         sendLook(number, worker, false, now);
     } else if (unacknowledged && quickDue && !worker.hasLook(true)) {
@@ -249,16 +261,22 @@
     LookOrder order;
     order.number = nextLook_++;
     order.epoch = epoch_;
-    order.leaseUntil = worker.lease.extension(limits_.workerLease, now);
+    // The lease of a worker that does not answer must come to its end: orders may still reach it.
+    if (worker.failedCalls == 0) {
+        order.leaseUntil = worker.lease.extension(limits_.workerLease, now);
+    }
     if (order.leaseUntil) {
         worker.lease.granted(*order.leaseUntil);
     }
     const auto record = state_->workers().find(number);
-    order.acknowledged = worker.over || record == state_->workers().end() ? 0 : record->second.lastNumber;
+    // Numbers of ends begin anew with each life. A life that nothing has been heard of since a run was ordered may be a
+    // new one: what it has ended must not be taken for noted.
+    const bool sameLife = !worker.over && worker.failedCalls == 0 && !hasUnconfirmedStart(worker);
+    order.acknowledged = sameLife && record != state_->workers().end() ? record->second.lastNumber : 0;
     // Without a reading of the clock the lease can't be renewed, so the first answer is wanted at once.
     const bool wait = !quick && order.leaseUntil && worker.failedCalls == 0;
     order.wait = wait ? LookWait : std::chrono::milliseconds{0};
-    worker.looks[order.number] = {now, quick, order.acknowledged};
+    worker.looks[order.number] = {now, quick};
     worker.nextLook = now + QuickLookInterval;
     port_.look(number, worker.identity, order);
 }
@@ -292,7 +310,8 @@
 
 void JobManager::stopRun(WorkerView &worker, LiveRun &run, base::TimePoint now)
 {
-    if (run.stage == LiveRun::Stage::Stopping || run.stage == LiveRun::Stage::Released) {
+    if (run.stage == LiveRun::Stage::Stopping || run.stage == LiveRun::Stage::Released
+        || run.stage == LiveRun::Stage::Ended) {
         return;
     }
     run.startUnanswered = run.startUnanswered || (run.stage == LiveRun::Stage::Starting && run.callInFlight);
@@ -355,10 +374,15 @@
     WorkerView &worker = workers_.at(number);
     run->callInFlight = false;
     if (answer.outcome == OrderOutcome::Done) {
+        if (answer.clock && !worker.over && !worker.lease.isPlausible(*answer.clock, now)) {
+            markOver(number, worker, now);
+            return;
+        }
         noteAnswer(worker, answer.clock, now);
         run->stage = LiveRun::Stage::Present;
         run->presentSince = now;
         present_.insert(task.job);
+        reviewLooks(number, worker, now);
         return;
     }
     base::logInfo("start_not_confirmed")
@@ -443,7 +467,7 @@
     if (look == worker.looks.end()) {
         return;
     }
-    const auto [sentAt, quick, acknowledged] = look->second;
+    const base::TimePoint sentAt = look->second.sentAt;
     worker.looks.erase(look);
     if (answer.outcome == OrderOutcome::NoAnswer || answer.outcome == OrderOutcome::Unhealthy) {
         noteNoAnswer(number, worker, now);
@@ -467,8 +491,10 @@
     }
     noteAnswer(worker, answer.clock, now);
     if (!worker.over) {
-        worker.acknowledged = std::max(worker.acknowledged, acknowledged);
+        worker.acknowledged = std::max(worker.acknowledged, answer.acknowledged);
         takeEnded(number, worker, answer, now);
+    } else {
+        takeEndedLater(number, worker, answer);
     }
     takeRunning(number, worker, answer, sentAt, now);
     reviewLooks(number, worker, now);
@@ -507,6 +533,31 @@
     }
 }
 
+// Orders to a life that is over may have reached the next one under the same id. What has ended there has run. The
+// numbers are the next life's, and are taken note of once that has joined.
+void JobManager::takeEndedLater(WorkerNumber number, WorkerView &worker, const LookAnswer &answer)
+{
+    EndsEntry entry;
+    entry.worker = number;
+    entry.lastNumber = state_->workers().at(number).lastNumber;
+    entry.at = wall_;
+    std::vector<LiveRun *> runs;
+    for (const EndedTask &ended : answer.ended) {
+        const auto task = parseTaskRef(ended.task);
+        LiveRun *const run = task ? findRun(number, *task, ended.run) : nullptr;
+        if (run != nullptr && run->stage != LiveRun::Stage::Released && run->stage != LiveRun::Stage::Ended) {
+            entry.ends.push_back({*task, ended.run, ended.how, ended.checkpoint});
+            runs.push_back(run);
+        }
+    }
+    if (!entry.ends.empty() && port_.propose(entry)) {
+        base::logInfo("ended_in_next_life").with("worker", worker.identity.id).with("runs", runs.size());
+        for (LiveRun *const run : runs) {
+            run->stage = LiveRun::Stage::Ended;
+        }
+    }
+}
+
 void JobManager::takeRunning(
     WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint sentAt, base::TimePoint now)
 {
@@ -521,7 +572,10 @@
         LiveRun *const run = findRun(number, *task, running.run);
         if (run == nullptr) {
             // Not placed there: an order that was given up has been carried out after all.
-            base::logWarning("stray_run").with("task", running.task).with("run", running.run).with("worker", worker.identity.id);
+            base::logWarning("stray_run")
+                .with("task", running.task)
+                .with("run", running.run)
+                .with("worker", worker.identity.id);
             if (mayAct(now)) {
                 port_.stop(number, worker.identity, {*task, running.run, epoch_});
             }
@@ -539,7 +593,7 @@
     }
     for (const EndedTask &ended : answer.ended) {
         const auto task = parseTaskRef(ended.task);
-        if (task && !worker.over) {
+        if (task) {
             listed.try_emplace(*task, ended.run);
         }
     }
@@ -551,7 +605,10 @@
         const bool missing = run.stage == LiveRun::Stage::Uncertain
             || (run.stage == LiveRun::Stage::Present && sentAt > run.presentSince);
         if (missing) {
-            base::logInfo("run_not_listed").with("task", toString(task)).with("run", run.run).with("worker", worker.identity.id);
+            base::logInfo("run_not_listed")
+                .with("task", toString(task))
+                .with("run", run.run)
+                .with("worker", worker.identity.id);
             stopRun(worker, run, now);
             reviewRun(number, worker, task, run, now);
         } else if (run.stage == LiveRun::Stage::Stopping && run.stopAnsweredAt && sentAt > *run.stopAnsweredAt) {
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -63,6 +63,7 @@
     OrderOutcome outcome = OrderOutcome::NoAnswer;
     std::optional<std::chrono::milliseconds> clock;
     std::int64_t born = 0; ///< Of the life that answered; 0 if it does not say.
+    std::uint64_t acknowledged = 0; ///< As the worker was told: 0 over a connection that may lead to a new life.
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
 };
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -229,7 +229,8 @@
     const std::uint32_t run = place.task->run;
     for (std::uint32_t index = 0; index < place.step->tasks.size(); ++index) {
         TaskRecord &member = place.step->tasks[index];
-        const bool covered = index == task.index || (place.spec->gang && member.phase == TaskPhase::Placed && member.run == run);
+        const bool covered =
+            index == task.index || (place.spec->gang && member.phase == TaskPhase::Placed && member.run == run);
         if (!covered) {
             continue;
         }
@@ -288,8 +289,8 @@
         }
         const bool failed = step.failures >= job.policy.attempts
             || std::any_of(step.tasks.begin(), step.tasks.end(), [&job](const TaskRecord &task) {
-                   return task.failures >= job.policy.attempts;
-               });
+                                return task.failures >= job.policy.attempts;
+                            });
         if (failed) {
             endJob(key, job, JobPhase::Failed, at, events);
             return;
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -28,7 +28,8 @@
 std::vector<Assignment> StepPlacer::place(const Request &request) const
 {
     std::vector<Room> rooms = roomsOf(request);
-    return request.job.specOf(request.position).gang ? placeGang(request, rooms) : placeBatch(request, std::move(rooms));
+    return request.job.specOf(request.position).gang ? placeGang(request, rooms)
+                                                     : placeBatch(request, std::move(rooms));
 }
 
 bool StepPlacer::suits(const Request &request, WorkerNumber number, const WorkerView &worker) const
@@ -124,8 +125,9 @@
             < std::tuple(left.tasks, right.freeMilliCpu, right.worker);
     };
     const auto total = [](const std::vector<Room> &some) {
-        return std::accumulate(
-            some.begin(), some.end(), std::size_t{0}, [](std::size_t sum, const Room &room) { return sum + room.tasks; });
+        return std::accumulate(some.begin(), some.end(), std::size_t{0}, [](std::size_t sum, const Room &room) {
+            return sum + room.tasks;
+        });
     };
     std::vector<Room> chosen = rooms;
     if (request.job.specOf(request.position).sameRack) {
--- a/src/workflow/worker_lease.cpp
+++ b/src/workflow/worker_lease.cpp
@@ -12,6 +12,7 @@
 
 // Workers' clocks may be 2 % slow; the further per cent covers this machine's own.
 constexpr double SlowestClock = 0.97;
+constexpr std::chrono::milliseconds OvertakingSlack{1'000}; ///< Above the timeout of an order.
 
 } // namespace
 
@@ -29,6 +30,16 @@
     }
 }
 
+// Answers may overtake each other, and a clock may run a little fast. Each life begins its clock anew.
+bool WorkerLease::isPlausible(std::chrono::milliseconds clock, base::TimePoint now) const
+{
+    if (!clock_) {
+        return true;
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - observedAt_);
+    return clock >= *clock_ - OvertakingSlack && clock <= *clock_ + surelyElapsed(elapsed) + OvertakingSlack;
+}
+
 std::optional<std::chrono::milliseconds> WorkerLease::extension(std::chrono::milliseconds length,
                                                                 base::TimePoint now) const
 {
--- a/src/workflow/worker_lease.h
+++ b/src/workflow/worker_lease.h
@@ -15,6 +15,8 @@
 public:
     /// The worker read `clock` at some time up to `now`.
     void observe(std::chrono::milliseconds clock, base::TimePoint now);
+    /// Returns whether the life of the worker that was observed can read `clock` now.
+    bool isPlausible(std::chrono::milliseconds clock, base::TimePoint now) const;
     /// Returns the reading to ask for so that the lease lasts `length` from now; nothing before the first observation.
     std::optional<std::chrono::milliseconds> extension(std::chrono::milliseconds length, base::TimePoint now) const;
     /// A call that may extend the lease to `until` is being sent.
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -22,6 +22,7 @@
         Uncertain, ///< It may be there, or may still come: to be found out.
         Stopping, ///< It is told to stop; if it is not there it can never come after the answer.
         Released, ///< An entry that says that it never began is on its way to the log.
+        Ended, ///< An entry with its end is on its way to the log.
     };
     std::uint32_t run = 0;
     Stage stage = Stage::Starting;
@@ -40,7 +41,6 @@
 struct Look {
     base::TimePoint sentAt{};
     bool quick = false; ///< It does not wait for an end.
-    std::uint64_t acknowledged = 0; ///< Ends up to it are told to be taken note of.
 };
 
 /// What the leader knows of one life of a worker.
@@ -63,7 +63,8 @@
 
     bool hasLook(bool quick) const
     {
-        return std::any_of(looks.begin(), looks.end(), [quick](const auto &look) { return look.second.quick == quick; });
+        return std::any_of(
+            looks.begin(), looks.end(), [quick](const auto &look) { return look.second.quick == quick; });
     }
     /// Returns whether it answers calls and may be given new tasks.
     bool usable(base::TimePoint now) const
