--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -119,11 +119,18 @@
     void dispatch(base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
-    void placeStep(StepKey key, StepRun &step, base::TimePoint now, StartsEntry &starts);
+    void
+    placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
+    placement::Resources claimLimit() const;
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
-    std::vector<WorkerNumber> workersToAsk(const StepPlacer::Request &request, StepKey key, base::TimePoint now);
-    void askFor(const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now);
+    std::vector<WorkerNumber> workersToAsk(
+        const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now);
+    void askFor(const StepPlacer &placer,
+                const StepPlacer::Request &request,
+                StepKey key,
+                StepRun &step,
+                base::TimePoint now);
 
     // Workers.
     WorkerView &addWorker(WorkerNumber number, const WorkerRecord &record, base::TimePoint now);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds QuestionSlack{1'500}; ///< Wait for an answer beyond the service's own time.
 constexpr std::chrono::milliseconds RelayDelay{50}; ///< Longest way of an answer on a calm network, from the service.
 constexpr std::chrono::milliseconds TicketMargin{150}; ///< A ticket that expires sooner is asked for again.
+constexpr double MostClaimed = 0.25; ///< Of all processors: what may lie idle for gangs that wait.
 constexpr double FirstGoodShare = 0.5; ///< Before any answer.
 constexpr double GoodShareWeight = 0.1; ///< Of the newest answer in the average.
 constexpr double SpareWorkers = 1.5; ///< Workers asked about for each that is expected to be needed.
@@ -92,9 +93,10 @@
         order.emplace_back(rankOf(key.job, job, key.position, arrivals_.at(key.job), now), key);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    RoomClaims claims(claimLimit());
     StartsEntry starts;
     for (const auto &[rank, key] : order) {
-        placeStep(key, steps_.at(key), now, starts);
+        placeStep(key, steps_.at(key), now, claims, starts);
     }
     if (!starts.starts.empty() && !port_.propose(starts)) {
         for (const StartsEntry::Start &start : starts.starts) {
@@ -103,7 +105,14 @@
     }
 }
 
-void JobManager::placeStep(StepKey key, StepRun &step, base::TimePoint now, StartsEntry &starts)
+placement::Resources JobManager::claimLimit() const
+{
+    const placement::Resources &total = ledger_.totalCapacity();
+    return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MostClaimed), 0, 0};
+}
+
+void JobManager::placeStep(
+    StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
 {
     const JobRecord &job = *state_->findJob(key.job);
     const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
@@ -117,7 +126,8 @@
     const StepSpec &spec = job.specOf(key.position);
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
     const StepPlacer::Request request{job, key.position, waiting, eligibility, tasksByWorker(job, key)};
-    const std::vector<Assignment> assignments = StepPlacer(workers_, ledger_, now).place(request);
+    const StepPlacer placer(workers_, ledger_, claims, now);
+    const std::vector<Assignment> assignments = placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
     for (const TaskRecord &task : tasks) {
@@ -146,21 +156,24 @@
         });
     });
     if (!waiting.empty() && eligibility != nullptr && !step.asking && now >= step.nextQuestion) {
-        askFor(request, key, step, now);
+        askFor(placer, request, key, step, now);
+    }
+    if (!waiting.empty() && spec.gang) {
+        placer.claimFor(request, claims);
     }
 }
 
 // Says which workers to ask about now. Tickets of good workers that have room are renewed together, so that they are
 // valid at the same time. Others are asked about as far as the good ones have not enough room. Before anything is known
 // it does not matter which have room now: which ones may run the step does not change, and room comes and goes.
-std::vector<WorkerNumber> JobManager::workersToAsk(const StepPlacer::Request &request, StepKey key, base::TimePoint now)
+std::vector<WorkerNumber> JobManager::workersToAsk(
+    const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now)
 {
     struct Candidate {
         WorkerNumber worker = 0;
         std::uint32_t room = 0;
     };
     const StepEligibility &eligibility = *request.eligibility;
-    const StepPlacer placer(workers_, ledger_, now);
     const std::size_t needed = request.waiting.size();
     std::vector<WorkerNumber> goodWithRoom;
     std::vector<Candidate> fresh;
@@ -221,9 +234,13 @@
     return asked;
 }
 
-void JobManager::askFor(const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now)
+void JobManager::askFor(const StepPlacer &placer,
+                        const StepPlacer::Request &request,
+                        StepKey key,
+                        StepRun &step,
+                        base::TimePoint now)
 {
-    const std::vector<WorkerNumber> asked = workersToAsk(request, key, now);
+    const std::vector<WorkerNumber> asked = workersToAsk(placer, request, key, now);
     if (asked.empty()) {
         return;
     }
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -43,7 +43,7 @@
 std::uint32_t StepPlacer::roomFor(const Request &request, WorkerNumber number) const
 {
     const StepSpec &step = request.job.specOf(request.position);
-    const std::int64_t times = reservationOf(step).timesIn(ledger_.free(number));
+    const std::int64_t times = reservationOf(step).timesIn(freeOn(number));
     auto tasks = static_cast<std::uint32_t>(std::clamp<std::int64_t>(times, 0, step.count));
     if (step.maxPerWorker > 0) {
         const auto found = request.there.find(number);
@@ -64,12 +64,42 @@
         }
         const std::uint32_t tasks = roomFor(request, number);
         if (tasks > 0) {
-            rooms.push_back({number, tasks, ledger_.free(number).milliCpu});
+            rooms.push_back({number, tasks, freeOn(number).milliCpu});
         }
     }
     return rooms;
 }
 
+void StepPlacer::claimFor(const Request &request, RoomClaims &claims) const
+{
+    const placement::Resources amount = reservationOf(request.job.specOf(request.position));
+    std::vector<Room> rooms;
+    for (const auto &[number, worker] : workers_) {
+        if (suits(request, number, worker)
+            && (request.eligibility == nullptr || request.eligibility->isGood(number))) {
+            const std::int64_t most = amount.timesIn(ledger_.capacity(number));
+            rooms.push_back({number,
+                             static_cast<std::uint32_t>(std::min<std::int64_t>(most, request.waiting.size())),
+                             freeOn(number).milliCpu});
+        }
+    }
+    std::sort(rooms.begin(), rooms.end(), [](const Room &left, const Room &right) {
+        return std::tuple(right.freeMilliCpu, left.worker) < std::tuple(left.freeMilliCpu, right.worker);
+    });
+    std::size_t needed = request.waiting.size();
+    for (const Room &room : rooms) {
+        if (needed == 0) {
+            return;
+        }
+        const std::uint32_t tasks = std::min<std::uint32_t>(room.tasks, static_cast<std::uint32_t>(needed));
+        const placement::Resources kept = placement::smaller(amount * tasks, freeOn(room.worker));
+        if (kept.nonNegative() && claims.allows(kept)) {
+            claims.claim(room.worker, kept);
+        }
+        needed -= tasks;
+    }
+}
+
 std::vector<Assignment> StepPlacer::fill(std::vector<Room> rooms, const std::vector<std::uint32_t> &waiting)
 {
     std::vector<Assignment> assignments;
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -2,6 +2,7 @@
 
 #include "placement/ledger.h"
 #include "workflow/eligibility.h"
+#include "workflow/room_claims.h"
 #include "workflow/state.h"
 #include "workflow/worker_view.h"
 
@@ -29,9 +30,13 @@
 class StepPlacer
 {
 public:
-    StepPlacer(const WorkerViews &workers, const placement::Ledger &ledger, base::TimePoint now)
+    StepPlacer(const WorkerViews &workers,
+               const placement::Ledger &ledger,
+               const RoomClaims &claims,
+               base::TimePoint now)
         : workers_(workers)
         , ledger_(ledger)
+        , claims_(claims)
         , now_(now)
     {
     }
@@ -50,6 +55,14 @@
 
     /// Returns whether the worker could run the step if there were room, leaving tickets aside.
     bool suits(const Request &request, WorkerNumber number, const WorkerView &worker) const;
+    /// Claims the room on the workers that a gang without enough room is likely to get: those that may run it and have
+    /// the most room now.
+    void claimFor(const Request &request, RoomClaims &claims) const;
+    /// Returns what is free on a worker and not kept for others.
+    placement::Resources freeOn(WorkerNumber number) const
+    {
+        return ledger_.free(number) - claims_.on(number);
+    }
     /// Returns how many of the step's tasks the worker has room for now.
     std::uint32_t roomFor(const Request &request, WorkerNumber number) const;
 
@@ -67,6 +80,7 @@
 
     const WorkerViews &workers_;
     const placement::Ledger &ledger_;
+    const RoomClaims &claims_;
     base::TimePoint now_;
 };
 
