--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -515,7 +515,7 @@
 {
     const auto found = channelNumbers_.find(channel.get());
     if (found != channelNumbers_.end()) {
-        jobs_.removeMachine(found->second);
+        jobs_.removeMachine(found->second, base::BootClock::now());
         gateways_.erase(found->second);
         channelNumbers_.erase(found);
     }
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -295,6 +295,7 @@
         for (auto &[number, worker] : workers_) {
             reviewWorker(number, worker, now);
         }
+        giveUpQuestions(now);
         forgetOldJobs(now);
         dispatchDue_ = true;
     }
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -64,10 +64,8 @@
     {
         machines_.add(machine);
     }
-    void removeMachine(AskingMachines::Machine machine)
-    {
-        machines_.remove(machine);
-    }
+    /// A machine has gone; what it was asked is asked again.
+    void removeMachine(AskingMachines::Machine machine, base::TimePoint now);
 
     /// Returns how many accepted jobs of a queue have not started a task.
     std::size_t pendingJobs(const std::string &queue) const;
@@ -95,6 +93,7 @@
         std::chrono::microseconds cost{0};
         std::chrono::milliseconds validFor{0};
         std::string queue;
+        base::TimePoint deadline{};
     };
     struct Reservation {
         WorkerNumber worker = 0;
@@ -132,6 +131,8 @@
                 StepRun &step,
                 base::TimePoint now);
 
+    void giveUpQuestions(base::TimePoint now);
+
     // Workers.
     WorkerView &addWorker(WorkerNumber number, const WorkerRecord &record, base::TimePoint now);
     void removeWorker(WorkerNumber number);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t MostWorkersPerQuestion = 100; ///< The service takes no more.
 constexpr std::chrono::milliseconds QuestionRetry{100}; ///< After a question without an answer.
 constexpr std::chrono::milliseconds QuestionSlack{1'500}; ///< Wait for an answer beyond the service's own time.
+constexpr std::chrono::milliseconds RelaySlack{500}; ///< Wait for an answer that a machine was to pass on.
 constexpr std::chrono::milliseconds RelayDelay{50}; ///< Longest way of an answer on a calm network, from the service.
 constexpr std::chrono::milliseconds TicketMargin{150}; ///< A ticket that expires sooner is asked for again.
 constexpr double MostClaimed = 0.25; ///< Of all processors: what may lie idle for gangs that wait.
@@ -216,7 +217,8 @@
         std::vector<WorkerNumber> chosen;
         double expected = static_cast<double>(roomOnGood);
         for (const Candidate &candidate : fresh) {
-            const bool enough = expected >= static_cast<double>(needed) * SpareWorkers;
+            // Most of a call's time is spent whatever it names, so the first one names many.
+            const bool enough = !nothingKnown && expected >= static_cast<double>(needed) * SpareWorkers;
             if (chosen.size() >= WorkersPerQuestion || (!nothingKnown && candidate.room == 0) || enough) {
                 break;
             }
@@ -259,12 +261,46 @@
     }
     question.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(cost) + QuestionSlack;
     questions_[number] = {
-        key, *machine, asked, cost, request.job.policy.eligibility->validFor, request.job.policy.queue};
+        key,
+        *machine,
+        asked,
+        cost,
+        request.job.policy.eligibility->validFor,
+        request.job.policy.queue,
+        now + question.timeout + RelaySlack};
     step.asking = true;
     machines_.started(*machine, cost, now);
     port_.ask(question);
 }
 
+void JobManager::removeMachine(AskingMachines::Machine machine, base::TimePoint now)
+{
+    machines_.remove(machine);
+    std::vector<std::uint64_t> lost;
+    for (const auto &[number, question] : questions_) {
+        if (question.machine == machine) {
+            lost.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : lost) {
+        onEligibility(number, std::nullopt, now);
+    }
+}
+
+// An answer may get lost on its way through a machine that lives on.
+void JobManager::giveUpQuestions(base::TimePoint now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[number, question] : questions_) {
+        if (now >= question.deadline) {
+            late.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : late) {
+        onEligibility(number, std::nullopt, now);
+    }
+}
+
 void JobManager::onEligibility(std::uint64_t number, const EligibilityRows &rows, base::TimePoint now)
 {
     auto node = questions_.extract(number);
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -213,6 +213,35 @@
     EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 3s));
 }
 
+TEST_F(WorkflowManager, QuestionThatIsNeverAnsweredIsAskedAgain)
+{
+    World world({});
+    addWorkers(world, 4);
+    workflow::QueuePolicy checked = policy();
+    checked.eligibility = workflow::EligibilityPolicy{500ms, 7ms, 2'000ms};
+    world.dropQuestions = true;
+    world.submit(Key, job({gang(3, 10'000)}), checked);
+    world.run(1s);
+    ASSERT_EQ(world.questions, 1U);
+    world.dropQuestions = false;
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 6s));
+}
+
+TEST_F(WorkflowManager, QuestionOfAMachineThatIsGoneIsAskedAgainAtOnce)
+{
+    World world({});
+    addWorkers(world, 4);
+    workflow::QueuePolicy checked = policy();
+    checked.eligibility = workflow::EligibilityPolicy{500ms, 7ms, 2'000ms};
+    world.dropQuestions = true;
+    world.submit(Key, job({gang(3, 10'000)}), checked);
+    world.run(200ms);
+    world.dropQuestions = false;
+    world.manager->removeMachine(1, world.now);
+    world.manager->addMachine(2);
+    EXPECT_TRUE(world.runUntil([&] { return world.workers.running() == 3; }, 500ms));
+}
+
 // Lost and late orders, workers that crash, restart and are cut off, and leaders that change: the stand-ins assert that
 // no task runs twice, no worker holds too much, and the order of the steps; and all jobs end.
 RC_GTEST_PROP(WorkflowManagerRandom, KeepsItsPromisesUnderFaults, ())
--- a/tests/workflow_world.h
+++ b/tests/workflow_world.h
@@ -143,6 +143,9 @@
     void ask(const workflow::EligibilityQuestion &question) override
     {
         ++questions;
+        if (dropQuestions) {
+            return;
+        }
         workflow::EligibilityRows rows(std::in_place);
         for (const std::string &worker : question.workers) {
             if (mayRun(question.step, worker)) {
@@ -171,6 +174,7 @@
     std::unique_ptr<workflow::JobManager> manager;
     std::uint64_t looksSent = 0;
     std::uint64_t questions = 0;
+    bool dropQuestions = false; ///< Questions get no answer.
 
 private:
     static constexpr std::chrono::milliseconds Delay{2};
