--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -153,6 +153,7 @@
     void takeRunning(
         WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
     void takeEnded(WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint now);
+    void learnPace(WorkerNumber number, const TaskRef &task, std::uint32_t run, base::TimePoint now);
     void takeEndedLater(WorkerNumber number, WorkerView &worker, const LookAnswer &answer);
     LiveRun *findRun(WorkerNumber worker, const TaskRef &task, std::uint32_t run);
     bool joins(const WorkerReport &report, base::TimePoint now);
@@ -171,6 +172,7 @@
     std::unordered_set<JobKey> present_; ///< Jobs of which a run was seen to begin.
     std::map<std::string, WorkerReport> joining_; ///< By id: reported, but not in the log yet.
     AskingMachines machines_;
+    PaceBook pace_;
     std::map<std::uint64_t, Question> questions_;
     std::map<std::string, double> goodShare_; ///< By queue: share of the workers that may run a step.
     std::uint64_t nextQuestion_ = 1;
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -126,8 +126,8 @@
     }
     const StepSpec &spec = job.specOf(key.position);
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
-    const StepPlacer::Request request{job, key.position, waiting, eligibility, tasksByWorker(job, key)};
-    const StepPlacer placer(workers_, ledger_, claims, now);
+    const StepPlacer::Request request{job, key.position, waiting, eligibility, tasksByWorker(job, key), hurryOf(job)};
+    const StepPlacer placer(workers_, ledger_, claims, pace_, now);
     const std::vector<Assignment> assignments = placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -49,6 +49,7 @@
         unreserve(task);
     }
     ledger_.setCapacity(number, {});
+    pace_.forget(number);
     base::logInfo("worker_gone").with("worker", found->second.identity.id).with("number", number);
     port_.forget(found->second.identity);
     workers_.erase(found);
@@ -519,6 +520,7 @@
         entry.ends.push_back({*task, ended.run, ended.how, ended.checkpoint});
         if (ended.how == RunEnd::Done) {
             worker.health.succeeded();
+            learnPace(number, *task, ended.run, now);
         } else if (ended.how == RunEnd::Failed) {
             worker.health.failed(task->job, now);
         }
@@ -533,6 +535,17 @@
     }
 }
 
+void JobManager::learnPace(WorkerNumber number, const TaskRef &task, std::uint32_t runNumber, base::TimePoint now)
+{
+    const LiveRun *const run = findRun(number, task, runNumber);
+    const JobRecord *const job = state_->findJob(task.job);
+    if (run != nullptr && job != nullptr && run->stage == LiveRun::Stage::Present) {
+        pace_.learn(number,
+                    job->spec.steps[task.step].estimatedRunTime,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - run->presentSince));
+    }
+}
+
 // Orders to a life that is over may have reached the next one under the same id. What has ended there has run. The
 // numbers are the next life's, and are taken note of once that has joined.
 void JobManager::takeEndedLater(WorkerNumber number, WorkerView &worker, const LookAnswer &answer)
--- a/src/workflow/objective.cpp
+++ b/src/workflow/objective.cpp
@@ -48,6 +48,15 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(chain * job.policy.stretch)) + job.policy.target;
 }
 
+// A slow worker takes about a third longer. Where the objective leaves less than the chain's own length, that is most of
+// what is left after the way there and back.
+Hurry hurryOf(const JobRecord &job)
+{
+    const auto chain = wholeChain(job.spec);
+    const auto spare = objectiveOf(job) - chain;
+    return spare < chain ? Hurry::Much : spare > 2 * chain ? Hurry::None : Hurry::Some;
+}
+
 Rank rankOf(JobKey key, const JobRecord &job, std::size_t position, base::TimePoint arrivedAt, base::TimePoint now)
 {
     const auto objective = objectiveOf(job);
--- a/src/workflow/objective.h
+++ b/src/workflow/objective.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "workflow/pace.h"
 #include "workflow/state.h"
 
 #include <chrono>
@@ -18,6 +19,9 @@
 /// Time within which a job should complete, counted from its arrival.
 std::chrono::milliseconds objectiveOf(const JobRecord &job);
 
+/// Returns how much of a job's objective its work leaves.
+Hurry hurryOf(const JobRecord &job);
+
 /// Order in which waiting steps are given room; lower goes first.
 struct Rank {
     /// What a job can still reach.
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -13,6 +13,8 @@
 
 // From the decision until the order reaches the worker: a commit of the log and a call between zones.
 constexpr std::chrono::milliseconds TicketMargin{100};
+constexpr double Slow = 1.08; ///< Half of the way between workers that differ by a third, where a third are slow.
+constexpr double VerySlow = 2; ///< Far beyond what kinds of workers differ by: something is wrong there.
 
 } // namespace
 
@@ -117,7 +119,18 @@
     return assignments;
 }
 
-// The data's rack first, then the workers with the least room, so that the emptier ones stay whole for gangs. A task
+// Lower goes first. Tasks with time to spare leave the fast workers to those without, but nobody wants a very slow one.
+int StepPlacer::paceClass(const Request &request, WorkerNumber number) const
+{
+    const double slowness = pace_.slowness(number);
+    if (slowness > VerySlow) {
+        return 2;
+    }
+    const bool slow = slowness > Slow;
+    return request.hurry == Hurry::Much ? (slow ? 1 : 0) : request.hurry == Hurry::None ? (slow ? 0 : 1) : 0;
+}
+
+// The data's rack first, then a worker of the speed that the time asks for, then the workers with the least room, so that the emptier ones stay whole for gangs. A task
 // that has failed goes to another worker if there is one.
 std::vector<Assignment> StepPlacer::placeBatch(const Request &request, std::vector<Room> rooms) const
 {
@@ -126,8 +139,8 @@
         const auto far = [&](const Room &room) {
             return !step.dataRack.empty() && !workers_.at(room.worker).identity.hasLabel(step.dataRack);
         };
-        return std::tuple(far(left), left.freeMilliCpu, left.worker)
-            < std::tuple(far(right), right.freeMilliCpu, right.worker);
+        return std::tuple(far(left), paceClass(request, left.worker), left.freeMilliCpu, left.worker)
+            < std::tuple(far(right), paceClass(request, right.worker), right.freeMilliCpu, right.worker);
     });
     std::vector<Assignment> assignments;
     for (const std::uint32_t index : request.waiting) {
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -2,6 +2,7 @@
 
 #include "placement/ledger.h"
 #include "workflow/eligibility.h"
+#include "workflow/pace.h"
 #include "workflow/room_claims.h"
 #include "workflow/state.h"
 #include "workflow/worker_view.h"
@@ -33,10 +34,12 @@
     StepPlacer(const WorkerViews &workers,
                const placement::Ledger &ledger,
                const RoomClaims &claims,
+               const PaceBook &pace,
                base::TimePoint now)
         : workers_(workers)
         , ledger_(ledger)
         , claims_(claims)
+        , pace_(pace)
         , now_(now)
     {
     }
@@ -48,6 +51,7 @@
         const StepEligibility *eligibility = nullptr; ///< Null if any worker of the service may run the step.
         /// Tasks of the step on each worker, those on their way to the log included; only where there is a limit.
         std::map<WorkerNumber, std::uint32_t> there;
+        Hurry hurry = Hurry::Some;
     };
 
     /// Returns as many assignments as there is room for; for a gang all or none.
@@ -73,6 +77,7 @@
         std::int64_t freeMilliCpu = 0;
     };
 
+    int paceClass(const Request &request, WorkerNumber number) const;
     std::vector<Room> roomsOf(const Request &request) const;
     std::vector<Assignment> placeBatch(const Request &request, std::vector<Room> rooms) const;
     std::vector<Assignment> placeGang(const Request &request, const std::vector<Room> &rooms) const;
@@ -81,6 +86,7 @@
     const WorkerViews &workers_;
     const placement::Ledger &ledger_;
     const RoomClaims &claims_;
+    const PaceBook &pace_;
     base::TimePoint now_;
 };
 
