--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -223,21 +223,24 @@
     events.push_back({StateEvent::Kind::TaskReleased, task.job, task, worker, how});
 }
 
-// The members of a gang end as done together, so that one such end stands for all of them.
+// The members of a gang end as done together, so that one such end stands for all, also for one whose worker was given
+// up before the news came.
 void State::finishTask(const TaskRef &task, Place &place, std::vector<StateEvent> &events)
 {
     const std::uint32_t run = place.task->run;
     for (std::uint32_t index = 0; index < place.step->tasks.size(); ++index) {
         TaskRecord &member = place.step->tasks[index];
         const bool covered =
-            index == task.index || (place.spec->gang && member.phase == TaskPhase::Placed && member.run == run);
+            index == task.index || (place.spec->gang && member.phase != TaskPhase::Done && member.run == run);
         if (!covered) {
             continue;
         }
-        TaskRef ref = task;
-        ref.index = index;
-        Place each{place.job, place.step, &member, place.spec};
-        release(ref, each, RunEnd::Done, events);
+        if (member.phase == TaskPhase::Placed) {
+            TaskRef ref = task;
+            ref.index = index;
+            Place each{place.job, place.step, &member, place.spec};
+            release(ref, each, RunEnd::Done, events);
+        }
         member.phase = TaskPhase::Done;
         member.checkpoint.clear();
         ++place.step->done;
--- /dev/null
+++ b/tests/workflow_state_test.cpp
@@ -0,0 +1,195 @@
+#include "workflow/state.h"
+
+#include <gtest/gtest.h>
+
+using namespace yuccawheel;
+using namespace std::chrono_literals;
+using workflow::JobPhase;
+using workflow::RunEnd;
+using workflow::State;
+using workflow::TaskPhase;
+using workflow::TaskRef;
+
+namespace
+{
+
+constexpr workflow::JobKey Key = 7;
+
+class WorkflowState : public testing::Test
+{
+protected:
+    WorkflowState()
+    {
+        for (int number = 1; number <= 3; ++number) {
+            workflow::WorkerIdentity worker;
+            worker.id = "w" + std::to_string(number);
+            worker.born = number;
+            apply(workflow::WorkerJoinedEntry{worker});
+        }
+    }
+
+    void apply(const workflow::LogEntry &entry)
+    {
+        events_.clear();
+        state_.apply(entry, events_);
+    }
+    void accept(std::uint32_t count, bool gang, std::uint32_t attempts = 2)
+    {
+        workflow::AcceptEntry entry;
+        entry.key = Key;
+        entry.policy.attempts = attempts;
+        entry.spec.steps.resize(1);
+        entry.spec.steps[0].count = count;
+        entry.spec.steps[0].gang = gang;
+        apply(entry);
+    }
+    void place(std::uint32_t index, std::uint32_t run, workflow::WorkerNumber worker)
+    {
+        apply(workflow::StartsEntry{{{TaskRef{Key, 0, 0, index}, run, worker}}});
+    }
+    void end(std::uint32_t index, std::uint32_t run, workflow::WorkerNumber worker, RunEnd how)
+    {
+        workflow::EndsEntry entry;
+        entry.worker = worker;
+        entry.lastNumber = ++lastNumber_;
+        entry.ends.push_back({TaskRef{Key, 0, 0, index}, run, how, "saved"});
+        apply(entry);
+    }
+    const workflow::TaskRecord &task(std::uint32_t index) const
+    {
+        return *state_.findTask({Key, 0, 0, index});
+    }
+    JobPhase phase() const
+    {
+        return state_.findJob(Key)->phase;
+    }
+
+    State state_;
+    std::vector<workflow::StateEvent> events_;
+    std::uint64_t lastNumber_ = 0;
+};
+
+} // namespace
+
+TEST_F(WorkflowState, HigherVersionIsInForceAndLowerOneChangesNothing)
+{
+    workflow::ConfigurationEntry entry;
+    entry.configuration.version = 5;
+    entry.configuration.text = "five";
+    apply(entry);
+    entry.configuration.text = "another five";
+    apply(entry);
+    EXPECT_TRUE(events_.empty());
+    entry.configuration.version = 4;
+    apply(entry);
+    EXPECT_EQ(state_.configuration().text, "five");
+    entry.configuration.version = 9;
+    entry.configuration.text = "nine";
+    apply(entry);
+    EXPECT_EQ(state_.configuration().text, "nine");
+}
+
+TEST_F(WorkflowState, JobIsOneHoweverOftenItIsHandedIn)
+{
+    accept(1, false);
+    place(0, 1, 1);
+    accept(5, true);
+    EXPECT_EQ(state_.findJob(Key)->steps[0].tasks.size(), 1U);
+    EXPECT_EQ(task(0).phase, TaskPhase::Placed);
+}
+
+TEST_F(WorkflowState, RunNumbersRise)
+{
+    accept(1, false);
+    place(0, 3, 1);
+    apply(workflow::NotStartedEntry{{{TaskRef{Key, 0, 0, 0}, 3}}});
+    EXPECT_EQ(task(0).phase, TaskPhase::Waiting);
+    place(0, 3, 2);
+    EXPECT_EQ(task(0).phase, TaskPhase::Waiting) << "the number was used";
+    place(0, 4, 2);
+    EXPECT_EQ(task(0).phase, TaskPhase::Placed);
+}
+
+TEST_F(WorkflowState, EndOfAnEarlierRunSaysNothingOfTheLaterOne)
+{
+    accept(1, false);
+    place(0, 1, 1);
+    apply(workflow::WorkerGoneEntry{1, {{TaskRef{Key, 0, 0, 0}, "early"}}});
+    EXPECT_EQ(task(0).checkpoint, "early");
+    place(0, 2, 2);
+    end(0, 1, 2, RunEnd::Done);
+    EXPECT_EQ(task(0).phase, TaskPhase::Placed);
+    end(0, 2, 2, RunEnd::Done);
+    EXPECT_EQ(phase(), JobPhase::Completed);
+}
+
+TEST_F(WorkflowState, OneDoneEndOfAGangStandsForAllItsMembers)
+{
+    accept(3, true);
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        place(index, 1, index + 1);
+    }
+    apply(workflow::WorkerGoneEntry{3, {}});
+    EXPECT_EQ(task(2).phase, TaskPhase::Waiting);
+    end(0, 1, 1, RunEnd::Done);
+    EXPECT_EQ(phase(), JobPhase::Completed);
+    EXPECT_EQ(state_.findJob(Key)->placed, 0U);
+}
+
+TEST_F(WorkflowState, GangsFailureCountsOnceARun)
+{
+    accept(2, true);
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        place(0, run, 1);
+        place(1, run, 2);
+        end(0, run, 1, RunEnd::Failed);
+        EXPECT_EQ(phase() == JobPhase::Failed, run == 2);
+        end(1, run, 2, RunEnd::Broken);
+    }
+}
+
+TEST_F(WorkflowState, MembersOfAGangResumeFromTheSameCheckpoint)
+{
+    accept(2, true);
+    place(0, 1, 1);
+    place(1, 1, 2);
+    end(0, 1, 1, RunEnd::Stopped);
+    EXPECT_EQ(task(0).checkpoint, "saved");
+    EXPECT_EQ(task(1).checkpoint, "saved");
+}
+
+TEST_F(WorkflowState, StartsOfAnEndedJobArePassedOver)
+{
+    accept(2, false);
+    apply(workflow::CancelEntry{Key, 5ms});
+    place(0, 1, 1);
+    EXPECT_EQ(task(0).phase, TaskPhase::Waiting);
+    EXPECT_EQ(phase(), JobPhase::Cancelled);
+}
+
+TEST_F(WorkflowState, SnapshotHoldsEverything)
+{
+    accept(3, true);
+    place(0, 1, 1);
+    apply(workflow::WorkerDrainingEntry{"w2", 2});
+    const auto restored = State::restore(state_.snapshot());
+    ASSERT_TRUE(restored.has_value());
+    EXPECT_EQ(restored->snapshot(), state_.snapshot());
+    EXPECT_EQ(restored->findTask({Key, 0, 0, 0})->phase, TaskPhase::Placed);
+    workflow::WorkerIdentity draining;
+    draining.id = "w2";
+    draining.born = 2;
+    EXPECT_TRUE(restored->isDraining(draining));
+}
+
+TEST_F(WorkflowState, KeysAndTasksHaveOneTextForm)
+{
+    EXPECT_EQ(workflow::toString(workflow::JobKey{0xab}), "00000000000000ab");
+    EXPECT_FALSE(workflow::parseJobKey("00000000000000AB"));
+    EXPECT_FALSE(workflow::parseJobKey("ab"));
+    const TaskRef ref{0xab, 1, 2, 3};
+    EXPECT_EQ(workflow::parseTaskRef(toString(ref)), ref);
+    for (const char *const text : {"", "00000000000000ab.1.2", "00000000000000ab.1.2.3.4", "00000000000000ab.1.x.3"}) {
+        EXPECT_FALSE(workflow::parseTaskRef(text)) << text;
+    }
+}
