Urgent gangs take the room of tasks that are saved; a leader whose entries were refused begins anew

An entry that the log refuses (disk full, handing over) left its reservations and its ends waiting for ever; loads of the asking machines outlived a leadership.

--- /dev/null
+++ b/fakes/called_worker.py
@@ -0,0 +1,158 @@
+"""Stand-ins of the called platform: workers that take orders, report from time to time, and a service that knows which
+workers may run a step. Threads of the test's own process; time is the machine's."""
+
+import http.client
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+LOOK_POLL_S = 0.01
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+
+    def handle_error(self, request, client_address):
+        pass  # A manager that was killed reads no answer.
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self):
+        body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))) or "{}")
+        status, answer = self.server.answer(self.path, body)
+        data = json.dumps(answer).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def log_message(self, *arguments):
+        pass
+
+
+class EligibilityService:
+    """Every worker may run every step."""
+
+    def __init__(self, ip):
+        self.questions = 0
+        self.server = _Server((ip, 0), _Handler)
+        self.server.answer = self._answer
+        self.address = self.server.server_address
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def _answer(self, path, body):
+        self.questions += 1
+        return 200, {"good": [[worker, "ticket"] for worker in body["workers"]], "valid_ms": 2000}
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class CalledWorker:
+    """One worker. `starts` lists each run that began, as (task, run)."""
+
+    def __init__(self, ip, managers, name, run_s=0.3, cpu=16000):
+        self.name = name
+        self.managers = managers
+        self.run_s = run_s
+        self.cpu = cpu
+        self.born = int(time.time() * 1000)
+        self.started_at = time.monotonic()
+        self.lock = threading.Lock()
+        self.runs = {}
+        self.ended = []
+        self.next_end = 1
+        self.over = {}
+        self.starts = []
+        self.sequence = 0
+        self.closed = False
+        self.server = _Server((ip, 0), _Handler)
+        self.server.answer = self._answer
+        self.address = self.server.server_address
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self._report, daemon=True).start()
+
+    def clock(self):
+        return int((time.monotonic() - self.started_at) * 1000)
+
+    def close(self):
+        self.closed = True
+        self.server.shutdown()
+        self.server.server_close()
+
+    def _report(self):
+        while not self.closed:
+            self.sequence += 1
+            body = {
+                "service": "service",
+                "address": "%s:%d" % self.address,
+                "zone": "zone",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpu": 0},
+                "labels": ["kind", "rack"],
+                "clock_ms": self.clock(),
+                "seq": self.sequence,
+                "born": self.born,
+            }
+            for manager in self.managers:
+                try:
+                    connection = http.client.HTTPConnection(*manager, timeout=1)
+                    connection.request("POST", f"/instances/{self.name}/heartbeat", json.dumps(body))
+                    if connection.getresponse().status == 200:
+                        break
+                except (OSError, http.client.HTTPException):
+                    continue
+                finally:
+                    connection.close()
+            time.sleep(0.3)
+
+    def _end_due(self):
+        now = time.monotonic()
+        for task, (run, ends_at) in list(self.runs.items()):
+            if now >= ends_at:
+                self._end(task, run, "done")
+
+    def _end(self, task, run, how):
+        del self.runs[task]
+        self.over[task] = max(run, self.over.get(task, 0))
+        self.ended.append([self.next_end, task, run, how, ""])
+        self.next_end += 1
+
+    def _answer(self, path, body):
+        if path == "/hold":
+            return self._look(body)
+        with self.lock:
+            self._end_due()
+            answer = {"clock_ms": self.clock()}
+            task, run = body["task"], body["run"]
+            if path == "/run-stop":
+                if task in self.runs and self.runs[task][0] <= run:
+                    self._end(task, self.runs[task][0], "stopped")
+                self.over[task] = max(run, self.over.get(task, 0))
+                return 200, answer
+            if run <= self.over.get(task, 0):
+                return 409, dict(answer, reason="old")
+            if task not in self.runs:
+                self.runs[task] = (run, time.monotonic() + self.run_s)
+                self.starts.append((task, run))
+            return 200, answer
+
+    def _look(self, body):
+        end = time.monotonic() + body.get("wait_ms", 0) / 1000
+        while True:
+            with self.lock:
+                self._end_due()
+                self.ended = [row for row in self.ended if row[0] > body["last_seen"]]
+                if self.ended or time.monotonic() >= end:
+                    running = [[task, run, "", 100] for task, (run, _) in self.runs.items()]
+                    return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "ended": self.ended}
+            time.sleep(LOOK_POLL_S)
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds TickInterval{50}; ///< Finest timeout of the job manager.
 constexpr milliseconds DispatchDelay{5}; ///< Events that come together are decided together.
 constexpr milliseconds PassOnTimeout{700}; ///< Callers try the next manager after a second.
+constexpr milliseconds BeginAnewInterval{500}; ///< A full disk refuses every entry for a while.
 constexpr milliseconds RetryDelay{1'000}; ///< An election takes about so long.
 constexpr milliseconds HandoverTimeout{1'500};
 constexpr milliseconds HandoverPoll{5};
@@ -218,6 +219,10 @@
 void ManagerService::onTimer()
 {
     timerDue_ = {};
+    if (beginAnewDue_ && jobs_.leads() && std::chrono::steady_clock::now() >= nextBeginAnew_) {
+        base::logWarning("entries_not_taken").with("term", status_.term);
+        startLeading();
+    }
     jobs_.tick(base::BootClock::now(), wallNow());
     armTimer(TickInterval);
 }
@@ -317,15 +322,8 @@
     if (jobs_.leads() && (!leading || status.term != termBefore)) {
         stopLeading("another term");
     }
-    const base::TimePoint now = base::BootClock::now();
     if (leading && startedTerm_ == status.term && !jobs_.leads()) {
-        jobs_.lead(state_, status.term, now, wallNow());
-        for (const auto &[number, channel] : gateways_) {
-            if (channel->peer().role == protocol::Role::Gateway) {
-                jobs_.addMachine(number);
-            }
-        }
-        armTimer(DispatchDelay);
+        startLeading();
     }
     jobs_.setLeaseEnd(status.leaseEnd.value_or(base::TimePoint{}));
     if (leaderChanged || membersChanged) {
@@ -356,9 +354,25 @@
     return true;
 }
 
+// What the job manager proposed and did not get into the log would be waited for in vain, so it begins anew from the
+// state of the log.
 bool ManagerService::propose(const workflow::LogEntry &entry)
 {
-    return proposeWith(entry, nullptr);
+    return proposeWith(entry, [this](bool committed) { beginAnewDue_ = beginAnewDue_ || !committed; });
+}
+
+void ManagerService::startLeading()
+{
+    jobs_.lead(state_, status_.term, base::BootClock::now(), wallNow());
+    for (const auto &[number, channel] : gateways_) {
+        if (channel->peer().role == protocol::Role::Gateway) {
+            jobs_.addMachine(number);
+        }
+    }
+    jobs_.setLeaseEnd(status_.leaseEnd.value_or(base::TimePoint{}));
+    beginAnewDue_ = false;
+    nextBeginAnew_ = std::chrono::steady_clock::now() + BeginAnewInterval;
+    armTimer(DispatchDelay);
 }
 
 void ManagerService::start(workflow::WorkerNumber worker,
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -76,6 +76,7 @@
     void applyEntry(const coordination::Entry &entry);
     void settle(const coordination::Entry &entry);
     void noteStatus(const LogStatus &status);
+    void startLeading();
     void stopLeading(std::string_view reason);
     bool proposeWith(const workflow::LogEntry &entry, EntryDone done);
     bool leads(base::TimePoint now) const;
@@ -128,6 +129,8 @@
     std::optional<protocol::Listener> listener_;
     std::optional<platform::ControlApi> control_;
     std::size_t inProgress_ = 0;
+    std::chrono::steady_clock::time_point nextBeginAnew_{};
+    bool beginAnewDue_ = false; ///< An entry of the job manager was not taken.
     bool draining_ = false;
 };
 
--- a/src/workflow/eligibility.h
+++ b/src/workflow/eligibility.h
@@ -61,9 +61,12 @@
     std::optional<Machine> choose(std::chrono::microseconds cost, base::TimePoint now) const;
     void started(Machine machine, std::chrono::microseconds cost, base::TimePoint now);
     void finished(Machine machine, std::chrono::microseconds cost, base::TimePoint now);
-    bool empty() const
+    /// Forgets what was asked: its answers will not be heard.
+    void forgetCalls()
     {
-        return machines_.empty();
+        for (auto &[machine, load] : machines_) {
+            load = {};
+        }
     }
 
 private:
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -73,6 +73,7 @@
     joining_.clear();
     questions_.clear();
     present_.clear();
+    machines_.forgetCalls();
 }
 
 void JobManager::applied(const LogEntry &entry,
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -4,6 +4,7 @@
 #include "workflow/eligibility.h"
 #include "workflow/manager_port.h"
 #include "workflow/objective.h"
+#include "workflow/room_maker.h"
 #include "workflow/state.h"
 #include "workflow/step_placer.h"
 #include "workflow/worker_view.h"
@@ -85,6 +86,7 @@
         StepEligibility eligibility;
         bool asking = false;
         base::TimePoint nextQuestion{};
+        base::TimePoint nextPreemption{};
     };
     struct Question {
         StepKey step;
@@ -119,7 +121,7 @@
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
     void
-    placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
+    placeStep(const Rank &rank, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
     placement::Resources claimLimit() const;
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
@@ -131,6 +133,17 @@
                 StepRun &step,
                 base::TimePoint now);
 
+    void ask(const StepPlacer::Request &request,
+             StepKey key,
+             StepRun &step,
+             const std::vector<WorkerNumber> &asked,
+             base::TimePoint now);
+    std::vector<Victim> victimsOn(const WorkerView &worker, std::int32_t priority, base::TimePoint now) const;
+    void preemptFor(const StepPlacer &placer,
+                    const StepPlacer::Request &request,
+                    StepKey key,
+                    StepRun &step,
+                    base::TimePoint now);
     void giveUpQuestions(base::TimePoint now);
 
     // Workers.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -97,7 +97,7 @@
     RoomClaims claims(claimLimit());
     StartsEntry starts;
     for (const auto &[rank, key] : order) {
-        placeStep(key, steps_.at(key), now, claims, starts);
+        placeStep(rank, steps_.at(key), now, claims, starts);
     }
     if (!starts.starts.empty() && !port_.propose(starts)) {
         for (const StartsEntry::Start &start : starts.starts) {
@@ -113,8 +113,9 @@
 }
 
 void JobManager::placeStep(
-    StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
+    const Rank &rank, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
 {
+    const StepKey key{rank.job, rank.position};
     const JobRecord &job = *state_->findJob(key.job);
     const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
     if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
@@ -159,7 +160,9 @@
     if (!waiting.empty() && eligibility != nullptr && !step.asking && now >= step.nextQuestion) {
         askFor(placer, request, key, step, now);
     }
-    if (!waiting.empty() && spec.gang) {
+    // A gang that can no longer be on time waits for what the others leave.
+    if (!waiting.empty() && spec.gang && rank.hope == Rank::Hope::OnTime) {
+        preemptFor(placer, request, key, step, now);
         placer.claimFor(request, claims);
     }
 }
@@ -243,9 +246,17 @@
                         base::TimePoint now)
 {
     const std::vector<WorkerNumber> asked = workersToAsk(placer, request, key, now);
-    if (asked.empty()) {
-        return;
+    if (!asked.empty()) {
+        ask(request, key, step, asked, now);
     }
+}
+
+void JobManager::ask(const StepPlacer::Request &request,
+                     StepKey key,
+                     StepRun &step,
+                     const std::vector<WorkerNumber> &asked,
+                     base::TimePoint now)
+{
     const auto cost = costOf(*request.job.policy.eligibility, asked.size());
     const auto machine = machines_.choose(cost, now);
     if (!machine) {
--- /dev/null
+++ b/tests/platform_format_test.cpp
@@ -0,0 +1,119 @@
+#include "platform/job_format.h"
+#include "platform/json_fields.h"
+
+#include <gtest/gtest.h>
+
+using namespace yuccawheel;
+using namespace std::chrono_literals;
+using platform::FormatError;
+
+namespace
+{
+
+const std::string Route = R"({"name":"r-1","host":"a.example","path_prefix":"/p/","timeout_ms":3000,"slo_ms":250,
+    "priority":1,"service":"s","attempts":3,"stretch":2.2,
+    "advice":{"decision_ms":7.0,"period_ms":0.099,"valid_ms":1500}})";
+
+std::string configuration(const std::string &routes, const std::string &version = "7")
+{
+    return R"({"version":)" + version + R"(,"routes":[)" + routes + R"(],"services":[{"name":"s"}],"limits":{}})";
+}
+
+const std::string Report = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,
+    "state":"ready","capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1-3"],"clock_ms":482113,"seq":4,
+    "born":1700000000000,"cold_remaining_ms":0})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST(PlatformFormat, ReadsAJobWithItsDefaults)
+{
+    const auto job = platform::decodeJob(
+        R"({"task_spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900,"data_rack":"r1-3"},
+            {"count":20,"cpu":2000,"after":[0],"checkpointing":true,"gang":true,"same_rack":true,"may_miss":2}]})");
+    EXPECT_EQ(job.payload, "text");
+    ASSERT_EQ(job.steps.size(), 2U);
+    EXPECT_EQ(job.steps[0].perTask, (placement::Resources{500, 256, 0}));
+    EXPECT_EQ(job.steps[0].estimatedRunTime, 900ms);
+    EXPECT_EQ(job.steps[0].dataRack, "r1-3");
+    EXPECT_FALSE(job.steps[0].gang);
+    EXPECT_EQ(job.steps[1].after, std::vector<std::uint32_t>{0});
+    EXPECT_TRUE(job.steps[1].gang && job.steps[1].sameRack && job.steps[1].checkpointing);
+    EXPECT_EQ(job.steps[1].maxUnavailable, 2U);
+    EXPECT_FALSE(workflow::findFault(job));
+}
+
+TEST(PlatformFormat, RefusesJobsThatCannotBeReadOrRun)
+{
+    for (const char *const body : {"", "[]", "{}", R"({"steps":3})", R"({"steps":[{"count":"4"}]})",
+                                   R"({"steps":[{"count":-1}]})", R"({"steps":[{"after":["x"]}]})"}) {
+        EXPECT_THROW(platform::decodeJob(body), FormatError) << body;
+    }
+    EXPECT_TRUE(workflow::findFault(platform::decodeJob(R"({"steps":[]})")));
+    EXPECT_TRUE(workflow::findFault(platform::decodeJob(R"({"steps":[{"count":1,"after":[0]}]})")));
+    EXPECT_TRUE(workflow::findFault(platform::decodeJob(R"({"steps":[{"count":1,"cpu":-5}]})")));
+    EXPECT_TRUE(workflow::findFault(platform::decodeJob(R"({"steps":[{"count":9000000}]})")));
+}
+
+TEST(PlatformFormat, ReadsAConfiguration)
+{
+    const auto read = platform::decodeConfiguration(configuration(Route));
+    EXPECT_EQ(read.version, 7U);
+    EXPECT_EQ(read.text, configuration(Route));
+    ASSERT_EQ(read.routes.size(), 1U);
+    const workflow::QueuePolicy &policy = read.routes[0].policy;
+    EXPECT_EQ(policy.target, 250ms);
+    EXPECT_EQ(policy.attempts, 3U);
+    EXPECT_EQ(policy.eligibility->perWorker, 99us);
+    EXPECT_EQ(policy.eligibility->validFor, 1500ms);
+    EXPECT_FALSE(workflow::findFault(read));
+}
+
+TEST(PlatformFormat, RefusesInvalidConfigurations)
+{
+    const std::string whole = configuration(Route);
+    EXPECT_THROW(platform::decodeConfiguration(whole.substr(0, whole.size() / 2)), FormatError);
+    EXPECT_THROW(platform::decodeConfiguration(configuration(Route, "1.5")), FormatError);
+    EXPECT_THROW(platform::decodeConfiguration(configuration(Route, "0")), FormatError);
+    EXPECT_THROW(platform::decodeConfiguration(replaced(whole, "3000", "\"3000\"")), FormatError);
+    const auto faulty = [](const std::string &body) {
+        return workflow::findFault(platform::decodeConfiguration(body)).has_value();
+    };
+    EXPECT_TRUE(faulty(configuration(Route + "," + Route))) << "one place twice";
+    EXPECT_TRUE(faulty(replaced(whole, R"("service":"s")", R"("service":"t")"))) << "unknown service";
+    EXPECT_TRUE(faulty(replaced(whole, "3000", "0"))) << "no timeout";
+}
+
+TEST(PlatformFormat, LongestPrefixOfAHostNamesTheQueue)
+{
+    const std::string longer = replaced(replaced(Route, "/p/", "/p/q/"), "r-1", "r-2");
+    const auto read = platform::decodeConfiguration(configuration(Route + "," + longer));
+    EXPECT_EQ(read.findRoute("a.example", "/p/q/1")->policy.queue, "r-2");
+    EXPECT_EQ(read.findRoute("a.example", "/p/1")->policy.queue, "r-1");
+    EXPECT_EQ(read.findRoute("b.example", "/p/1"), nullptr);
+    EXPECT_EQ(read.findRoute("a.example", "/x"), nullptr);
+}
+
+TEST(PlatformFormat, ReadsAReport)
+{
+    const auto report = platform::decodeReport("i-1", Report);
+    EXPECT_EQ(report.worker.id, "i-1");
+    EXPECT_EQ(report.worker.born, 1700000000000);
+    EXPECT_EQ(report.worker.rack(), "r1-3");
+    EXPECT_EQ(report.clock, 482113ms);
+    EXPECT_FALSE(report.draining);
+    EXPECT_TRUE(platform::decodeReport("i-1", replaced(Report, "ready", "draining")).draining);
+}
+
+TEST(PlatformFormat, ReportsOfOtherWritersNameNoWorker)
+{
+    EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "ready", "resting")), FormatError);
+    EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "\"seq\":4", "\"sequel\":4")), FormatError);
+    EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "482113", "\"noon\"")), FormatError);
+    EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "10.0.0.9:8080", "nowhere")), FormatError);
+    EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "[\"a\"", "[1")), FormatError);
+}
--- /dev/null
+++ b/tests/process_called_workers_test.py
@@ -0,0 +1,179 @@
+"""Managers and a gateway as separate processes, with stand-ins of called workers and of the eligibility service."""
+
+import http.client
+import json
+import pathlib
+import shutil
+import signal
+import sys
+import tempfile
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "fakes"))
+from called_worker import CalledWorker, EligibilityService  # noqa: E402
+from cluster import BIN, FAKE_HOST, Process, claim_network, free_addresses, request, wait_until  # noqa: E402
+
+MANAGERS = 3
+GATEWAY_HOST = 9
+
+
+def settings(role, ip, ports, seeds, folder, extra):
+    lines = ["cluster: test", "zone: zone", f"node: {role}-{ip.rsplit('.', 1)[1]}", "listen:"]
+    lines += [f'  {name}: "{ip}:{port}"' for name, port in ports.items()]
+    lines += ["seeds:"] + [f'  - "{seed}"' for seed in seeds] + extra
+    file = folder / f"{role}-{ip}.yaml"
+    file.write_text("\n".join(lines) + "\n", encoding="utf-8")
+    return file
+
+
+class CalledWorkersTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yw-called-"))
+        self.addCleanup(shutil.rmtree, self.folder, True)
+        net, claim = claim_network()
+        self.addCleanup(claim.close)
+        self.ips = [f"{net}.{number}" for number in range(1, MANAGERS + 1)]
+        self.gateway_ip = f"{net}.{GATEWAY_HOST}"
+        inner, control = (address[1] for address in free_addresses(self.ips[0], 2))
+        self.control = [(ip, control) for ip in self.ips]
+        self.caller, self.ready = free_addresses(self.gateway_ip, 2)
+        self.seeds = [f"{ip}:{control}" for ip in self.ips]
+        self.service = EligibilityService(f"{net}.{FAKE_HOST}")
+        self.addCleanup(self.service.close)
+        self.managers = []
+        for ip in self.ips:
+            extra = ["new_cluster: true", f"data_dir: {self.folder / ip}"]
+            file = settings("manager", ip, {"inner": inner, "control": control}, self.seeds, self.folder, extra)
+            self.managers.append(self.daemon("yw-manager", f"manager-{ip}", file))
+        ports = {"inner": inner, "caller": self.caller[1], "health": self.ready[1]}
+        extra = ['eligibility_service: "%s:%d"' % self.service.address, "drain_delay: 0s"]
+        self.gateway_file = settings("gateway", self.gateway_ip, ports, self.seeds, self.folder, extra)
+        self.gateway = self.daemon("yw-gateway", "gateway", self.gateway_file)
+        wait_until(lambda: self.call(self.ready, "GET", "/readyz")[0] == 200, "the gateway is ready")
+        wait_until(lambda: self.put(1) == 200, "the configuration is accepted")
+        self.workers = [CalledWorker(f"{net}.{FAKE_HOST}", self.control, f"i-{number}") for number in range(3)]
+        for worker in self.workers:
+            self.addCleanup(worker.close)
+
+    def daemon(self, program, name, file):
+        process = Process(name, [BIN / program, "--settings", file], self.folder)
+        self.addCleanup(process.kill)
+        return process
+
+    @staticmethod
+    def call(address, method, path, body=None, headers=None):
+        try:
+            status, _, answer = request(address, method, path, body, headers, timeout=5)
+            return status, answer
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+
+    def put(self, version, service="service", attempts=3):
+        route = {"name": "queue", "host": "host.example", "path_prefix": "/jobs/", "route_type": "unsafe",
+                 "timeout_ms": 3000, "slo_ms": 500, "priority": 0, "service": service, "attempts": attempts,
+                 "stretch": 2.0, "advice": {"decision_ms": 5.0, "period_ms": 0.1, "valid_ms": 2000}}
+        body = json.dumps({"version": version, "routes": [route], "services": [{"name": "service"}], "limits": {}})
+        statuses = [self.call(address, "POST", "/config/put", body)[0] for address in self.control]
+        return 200 if 200 in statuses else statuses[0]
+
+    def job(self, method, key, body=None):
+        headers = {"Host": "host.example", "Content-Type": "application/json"}
+        return self.call(self.caller, method, f"/jobs/{key:016x}", body, headers)
+
+    def submit(self, key, steps):
+        body = json.dumps({"task_spec": "work", "steps": steps})
+        wait_until(lambda: self.job("POST", key, body)[0] == 200, f"job {key} is accepted")
+
+    def state(self, key):
+        status, answer = self.job("GET", key)
+        return json.loads(answer)["state"] if status == 200 else status
+
+    def wait_state(self, key, state):
+        wait_until(lambda: self.state(key) == state, f"job {key} is {state}")
+
+    def leader(self):
+        """Returns the manager whose last word is that it leads."""
+        def find():
+            leading = [manager for manager in self.managers if manager.child.poll() is None
+                       and manager.log_text().rfind("event=leading ") > manager.log_text().rfind("event=leading_ended")]
+            return leading[0] if len(leading) == 1 else None
+
+        return wait_until(find, "one manager leads")
+
+    def starts(self):
+        return [start for worker in self.workers for start in worker.starts]
+
+    def test_jobs_run_once_through_a_change_of_leader(self):
+        step = {"count": 4, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}
+        for key in range(1, 11):
+            self.submit(key, [step, dict(step, after=[0], gang=True)])
+        self.leader().kill()
+        for key in range(11, 21):
+            self.submit(key, [step])
+        for key in range(1, 21):
+            self.wait_state(key, "completed")
+        tasks = [task for task, _ in self.starts()]
+        self.assertEqual(len(tasks), 10 * 8 + 10 * 4, "no lost worker, so that nothing runs again")
+        self.assertEqual(len(set(tasks)), len(tasks))
+        self.assertGreater(self.service.questions, 0)
+        self.assertEqual(self.state(99), 410)
+
+    def test_cancelled_job_stops(self):
+        for worker in self.workers:
+            worker.run_s = 60
+        self.submit(1, [{"count": 3, "cpu": 1000, "mem_mb": 100, "estimated_ms": 60000}])
+        wait_until(lambda: len(self.starts()) == 3, "all tasks run")
+        self.assertEqual(self.job("DELETE", 1)[0], 200)
+        wait_until(lambda: not any(worker.runs for worker in self.workers), "all tasks are stopped")
+        self.assertEqual(self.state(1), "cancelled")
+
+    def test_configuration_is_the_newest_everywhere_and_survives_restarts(self):
+        self.assertEqual(self.put(7), 200)
+        self.assertEqual(self.put(5), 200)
+        self.assertEqual(self.put(9, service="unknown"), 400)
+        for manager in self.managers:
+            manager.kill()
+        for manager in self.managers:
+            manager.start()
+        for address in self.control:
+            answer = wait_until(lambda at=address: self.read_configuration(at), "a configuration is read")
+            self.assertEqual(answer["version"], 7)
+
+    def read_configuration(self, address):
+        status, answer = self.call(address, "GET", "/config/get")
+        return json.loads(answer) if status == 200 else None
+
+    def test_settings_are_reloaded_and_a_hangup_ends_nobody(self):
+        text = self.gateway_file.read_text(encoding="utf-8")
+        self.gateway.signal(signal.SIGHUP)
+        self.gateway_file.write_text(text.replace(f'  - "{self.seeds[2]}"\n', ""), encoding="utf-8")
+        wait_until(lambda: "event=settings_reloaded" in self.gateway.log_text(), "settings are reloaded")
+        self.gateway_file.write_text(text + "no_such_key: 1\n", encoding="utf-8")
+        wait_until(lambda: "event=settings_faulty" in self.gateway.log_text(), "faulty settings are told")
+        for manager in self.managers:
+            manager.signal(signal.SIGHUP)
+        self.submit(1, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}])
+        self.wait_state(1, "completed")
+        self.assertEqual([manager.child.poll() for manager in self.managers], [None] * MANAGERS)
+
+    def test_refusals_are_true_and_faulty_requests_refused(self):
+        host = {"Host": "host.example"}
+        self.assertEqual(self.call(self.caller, "GET", "/other/", None, host)[0], 404)
+        self.assertEqual(self.job("POST", 1, "not json")[0], 400)
+        self.assertEqual(self.job("POST", 1, json.dumps({"task_spec": "", "steps": []}))[0], 400)
+        self.assertEqual(self.state(1), 410)
+        for manager in self.managers:
+            manager.kill()
+        status, headers, _ = request(self.caller, "POST", "/jobs/" + "0" * 15 + "2",
+                                     json.dumps({"task_spec": "", "steps": [{"count": 1}]}), host, timeout=10)
+        self.assertIn(status, (503, 504))
+        self.assertGreaterEqual(int(headers["Retry-After"]), 1)
+
+    def test_stopped_processes_end_in_order(self):
+        self.assertEqual(self.gateway.terminate(), 0)
+        for manager in self.managers:
+            self.assertEqual(manager.terminate(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -242,6 +242,47 @@
     EXPECT_TRUE(world.runUntil([&] { return world.workers.running() == 3; }, 500ms));
 }
 
+TEST_F(WorkflowManager, UrgentGangTakesTheRoomOfTasksThatAreSaved)
+{
+    World::Options options;
+    options.workers.runTime = 20s;
+    World world(options);
+    addWorkers(world, 4);
+    workflow::StepSpec saved = step(32, 2'000);
+    saved.checkpointing = true;
+    saved.estimatedRunTime = 20s;
+    workflow::QueuePolicy patient = policy();
+    patient.priority = 2;
+    patient.stretch = 5;
+    world.submit(1, job({saved}), patient);
+    world.run(200ms);
+    ASSERT_EQ(world.workers.running(), 32U) << "all workers are full";
+    workflow::QueuePolicy urgent = policy();
+    urgent.priority = 1;
+    workflow::StepSpec rebuild = gang(3, 10'000);
+    rebuild.estimatedRunTime = 20s;
+    world.submit(Key, job({rebuild}), urgent);
+    EXPECT_TRUE(world.runUntil(
+        [&] { return world.state.findJob(Key) != nullptr && world.state.findJob(Key)->placed == 3; }, 2s));
+    world.run(20ms);
+    EXPECT_LE(32U - (world.workers.running() - 3U), 15U) << "no more is stopped than the gang needs";
+}
+
+TEST_F(WorkflowManager, LeaderBeginsAnewAfterEntriesWereLost)
+{
+    World world({});
+    addWorkers(world, 2);
+    world.submit(1, job({step(2, 2'000)}), policy());
+    world.submit(Key, job({step(4, 2'000)}), policy());
+    world.run(22ms);
+    world.dropProposals(); // The starts among them.
+    world.run(3s);
+    EXPECT_NE(world.phaseOf(Key), JobPhase::Completed);
+    world.leadAgain();
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 5s));
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, 1, JobPhase::Completed); }, 5s));
+}
+
 // Lost and late orders, workers that crash, restart and are cut off, and leaders that change: the stand-ins assert that
 // no task runs twice, no worker holds too much, and the order of the steps; and all jobs end.
 RC_GTEST_PROP(WorkflowManagerRandom, KeepsItsPromisesUnderFaults, ())
--- a/tests/workflow_world.h
+++ b/tests/workflow_world.h
@@ -47,6 +47,16 @@
         manager->addMachine(1);
         leading_ = true;
     }
+    void dropProposals()
+    {
+        log_.clear();
+    }
+    /// The same leader begins anew from the state of the log.
+    void leadAgain()
+    {
+        looks_.clear();
+        manager->lead(state, epoch_, now, wall());
+    }
     /// The leader ends; what it proposed and was not committed is lost, and its orders on their way still arrive.
     void loseLeader()
     {
