--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t LogRingLines = 8192;
 constexpr std::chrono::milliseconds WriterWait{200};
 
-std::atomic<LogLevel> lowestLevel{LogLevel::Info};
+std::atomic<LogLevel> lowestLevel{LogLevel::Warning};
 std::atomic<BoundedRing<std::string> *> activeRing{nullptr};
 std::atomic<std::uint64_t> droppedLines{0};
 
@@ -77,7 +77,8 @@
 
 void writeLine(const std::string &line)
 {
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fwrite(line.data(), 1, line.size(), stdout);
+    std::fflush(stdout);
 }
 
 } // namespace
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -58,7 +58,7 @@
     return LogLine(LogLevel::Error, event);
 }
 
-/// Runs the thread that writes log lines to standard error; lines logged without one are written at once.
+/// Runs the thread that writes log lines to standard output; lines logged without one are written at once.
 /// A full ring drops lines, counts them, and says so in a line of its own.
 class LogWriter
 {
--- a/src/coordination/replicated_log_members.cpp
+++ b/src/coordination/replicated_log_members.cpp
@@ -35,8 +35,8 @@
     }
 }
 
-// Adds one learner with each change. An earlier generation of the same node stays a voter until its successor has caught up;
-// a learner that has fallen silent gives way.
+// Adds one learner with each change. An earlier generation of the same node stays a voter until its successor has
+// caught up; a learner that has fallen silent gives way.
 void ReplicatedLog::onJoinRequest(const Message &message, base::TimePoint now)
 {
     const auto &nodes = settings_.nodes;
@@ -97,8 +97,8 @@
 std::optional<ReplicaId> ReplicatedLog::lostVoter(base::TimePoint now) const
 {
     for (const Member &member : replicaSet().members) {
-        const bool silent = settings_.replaceSilentAfter.count() > 0
-            && !heardSince(member.id, now - settings_.replaceSilentAfter);
+        const bool silent =
+            settings_.replaceSilentAfter.count() > 0 && !heardSince(member.id, now - settings_.replaceSilentAfter);
         if (member.voter && (silent || findOtherGeneration(replicaSet(), member.id) != nullptr)) {
             return member.id;
         }
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -52,7 +52,7 @@
 
     void start();
     void release(const std::shared_ptr<PooledConnection> &connection, bool reusable);
-    void finish(QueuedCall call, tl::expected<ClientResponse, CallError> answer)
+    void finish(const QueuedCall &call, tl::expected<ClientResponse, CallError> answer) const
     {
         if (!stopped) {
             call.done(std::move(answer));
@@ -168,7 +168,7 @@
         call_.reset();
         const auto pool = pool_;
         pool->release(shared_from_this(), reusable);
-        pool->finish(std::move(call), std::move(response));
+        pool->finish(call, std::move(response));
     }
 
     void fail(beast::error_code error)
@@ -185,7 +185,7 @@
             return;
         }
         const std::string text = error ? error.message() : "answer without a length";
-        pool->finish(std::move(call), tl::unexpected(CallError{verdict_, pool->host + ": " + text}));
+        pool->finish(call, tl::unexpected(CallError{verdict_, pool->host + ": " + text}));
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
@@ -206,7 +206,7 @@
         QueuedCall call = std::move(queue.front());
         queue.pop_front();
         if (call.deadline <= std::chrono::steady_clock::now()) {
-            finish(std::move(call), tl::unexpected(CallError{base::Verdict::NotRun, host + ": no connection in time"}));
+            finish(call, tl::unexpected(CallError{base::Verdict::NotRun, host + ": no connection in time"}));
             continue;
         }
         std::shared_ptr<PooledConnection> connection;
@@ -268,15 +268,11 @@
                     Done done,
                     std::optional<std::string> whenNew)
 {
-    QueuedCall call{std::move(request),
-                    std::chrono::steady_clock::now() + timeout,
-                    std::move(done),
-                    std::move(whenNew),
-                    false};
+    QueuedCall call{
+        std::move(request), std::chrono::steady_clock::now() + timeout, std::move(done), std::move(whenNew), false};
     if (impl_->queue.size() >= impl_->options.maxQueued) {
-        asio::post(impl_->io, [impl = impl_, call = std::move(call)]() mutable {
-            impl->finish(std::move(call),
-                         tl::unexpected(CallError{base::Verdict::NotRun, impl->host + ": too many calls wait"}));
+        asio::post(impl_->io, [impl = impl_, call = std::move(call)] {
+            impl->finish(call, tl::unexpected(CallError{base::Verdict::NotRun, impl->host + ": too many calls wait"}));
         });
         return;
     }
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -56,9 +56,13 @@
     try {
         if (request.method == "GET" && request.path == "/config/get") {
             getConfiguration(respond);
-        } else if (request.method != "POST") {
-            respond(plain(404, "unknown path"));
-        } else if (const auto reporting = workerIn(request.path, "/heartbeat")) {
+            return;
+        }
+        if (request.method != "POST") {
+            respond(plain(405, "methods are GET and POST"));
+            return;
+        }
+        if (const auto reporting = workerIn(request.path, "/heartbeat")) {
             report(decodeReport(*reporting, request.body), respond);
         } else if (const auto leaving = workerIn(request.path, "/leave")) {
             workflow::WorkerReport last;
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds HandoverPoll{5};
 constexpr milliseconds ElectionTimeout{700}; ///< Three heartbeats and a half.
 constexpr milliseconds ElectionSpread{500};
-constexpr milliseconds ReplaceVoterAfter{10'000}; ///< Longer than a restart, or a cut that heals by itself.
+constexpr milliseconds ReplaceVoterAfter{3'000}; ///< Beyond a missed heartbeat or two, and what machines count as out of touch.
 constexpr std::size_t MostLearners = 4; ///< Spare managers, and those whose disk was lost.
 constexpr std::uint64_t DiskReserve = 8U << 20U;
 constexpr std::size_t SnapshotEvery = 4U << 20U; ///< Two snapshots and the log between them fit on a small disk.
@@ -85,8 +85,8 @@
     callbacks.opened = [this](const protocol::ChannelPtr &channel) {
         onOpened(channel);
     };
-    callbacks.frame = [this](const protocol::ChannelPtr &channel, protocol::Frame frame) {
-        onFrame(channel, std::move(frame));
+    callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
+        onFrame(channel, frame);
     };
     callbacks.closed = [this](const protocol::ChannelPtr &channel) {
         onClosed(channel);
@@ -574,7 +574,7 @@
 }
 
 // Requests are answered by the leader alone: one that was passed on to a manager that does not lead goes no further.
-void ManagerService::onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame)
+void ManagerService::onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
 {
     using protocol::MessageType;
     if (frame.type == MessageType::Replication) {
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -87,7 +87,7 @@
     // The other processes.
     void onOpened(const protocol::ChannelPtr &channel);
     void onClosed(const protocol::ChannelPtr &channel);
-    void onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame);
+    void onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
     void onQueueRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
     void submitJob(const protocol::ChannelPtr &channel,
                    std::uint64_t correlation,
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -159,7 +159,7 @@
                                      {"error", LogLevel::Error}}),
                {},
                &ProcessSettings::logLevel,
-               "Lowest level of the log lines that are written to standard error."),
+               "Lowest level of the log lines that are written to standard output."),
     };
 }
 
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -4,7 +4,6 @@
 #include "workflow/eligibility.h"
 #include "workflow/manager_port.h"
 #include "workflow/objective.h"
-#include "workflow/room_maker.h"
 #include "workflow/state.h"
 #include "workflow/step_placer.h"
 #include "workflow/worker_view.h"
@@ -86,7 +85,6 @@
         StepEligibility eligibility;
         bool asking = false;
         base::TimePoint nextQuestion{};
-        base::TimePoint nextPreemption{};
     };
     struct Question {
         StepKey step;
@@ -120,30 +118,20 @@
     void dispatch(base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
-    void
-    placeStep(const Rank &rank, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
+    void placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
     placement::Resources claimLimit() const;
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
-    std::vector<WorkerNumber> workersToAsk(
-        const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now);
-    void askFor(const StepPlacer &placer,
-                const StepPlacer::Request &request,
-                StepKey key,
-                StepRun &step,
-                base::TimePoint now);
+    std::vector<WorkerNumber>
+    workersToAsk(const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now);
+    void askFor(
+        const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now);
 
     void ask(const StepPlacer::Request &request,
              StepKey key,
              StepRun &step,
              const std::vector<WorkerNumber> &asked,
              base::TimePoint now);
-    std::vector<Victim> victimsOn(const WorkerView &worker, std::int32_t priority, base::TimePoint now) const;
-    void preemptFor(const StepPlacer &placer,
-                    const StepPlacer::Request &request,
-                    StepKey key,
-                    StepRun &step,
-                    base::TimePoint now);
     void giveUpQuestions(base::TimePoint now);
 
     // Workers.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -97,7 +97,7 @@
     RoomClaims claims(claimLimit());
     StartsEntry starts;
     for (const auto &[rank, key] : order) {
-        placeStep(rank, steps_.at(key), now, claims, starts);
+        placeStep(key, steps_.at(key), now, claims, starts);
     }
     if (!starts.starts.empty() && !port_.propose(starts)) {
         for (const StartsEntry::Start &start : starts.starts) {
@@ -112,10 +112,8 @@
     return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MostClaimed), 0, 0};
 }
 
-void JobManager::placeStep(
-    const Rank &rank, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
+void JobManager::placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
 {
-    const StepKey key{rank.job, rank.position};
     const JobRecord &job = *state_->findJob(key.job);
     const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
     if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
@@ -160,9 +158,7 @@
     if (!waiting.empty() && eligibility != nullptr && !step.asking && now >= step.nextQuestion) {
         askFor(placer, request, key, step, now);
     }
-    // A gang that can no longer be on time waits for what the others leave.
-    if (!waiting.empty() && spec.gang && rank.hope == Rank::Hope::OnTime) {
-        preemptFor(placer, request, key, step, now);
+    if (!waiting.empty() && spec.gang) {
         placer.claimFor(request, claims);
     }
 }
@@ -170,8 +166,8 @@
 // Says which workers to ask about now. Tickets of good workers that have room are renewed together, so that they are
 // valid at the same time. Others are asked about as far as the good ones have not enough room. Before anything is known
 // it does not matter which have room now: which ones may run the step does not change, and room comes and goes.
-std::vector<WorkerNumber> JobManager::workersToAsk(
-    const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now)
+std::vector<WorkerNumber>
+JobManager::workersToAsk(const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now)
 {
     struct Candidate {
         WorkerNumber worker = 0;
@@ -239,11 +235,8 @@
     return asked;
 }
 
-void JobManager::askFor(const StepPlacer &placer,
-                        const StepPlacer::Request &request,
-                        StepKey key,
-                        StepRun &step,
-                        base::TimePoint now)
+void JobManager::askFor(
+    const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, StepRun &step, base::TimePoint now)
 {
     const std::vector<WorkerNumber> asked = workersToAsk(placer, request, key, now);
     if (!asked.empty()) {
@@ -271,14 +264,13 @@
         question.workers.push_back(workers_.at(worker).identity.id);
     }
     question.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(cost) + QuestionSlack;
-    questions_[number] = {
-        key,
-        *machine,
-        asked,
-        cost,
-        request.job.policy.eligibility->validFor,
-        request.job.policy.queue,
-        now + question.timeout + RelaySlack};
+    questions_[number] = {key,
+                          *machine,
+                          asked,
+                          cost,
+                          request.job.policy.eligibility->validFor,
+                          request.job.policy.queue,
+                          now + question.timeout + RelaySlack};
     step.asking = true;
     machines_.started(*machine, cost, now);
     port_.ask(question);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -246,11 +246,14 @@
     const bool quickDue = now >= worker.nextLook;
     if (unsure && quickDue && !worker.hasLook(true)) {
         sendLook(number, worker, true, now);
-    } else if (worker.over || worker.hasLook(false) || endsOnTheirWay) {
         return;
-    } else if (unacknowledged && hasUnconfirmedStart(worker)) {
-        return; // It would list the same ends again at once.
-    } else if (!worker.runs.empty() && (worker.failedCalls == 0 || quickDue)) {
+    }
+    // With a start unconfirmed nothing is acknowledged, and the same ends would be listed again at once.
+    const bool inVain = endsOnTheirWay || (unacknowledged && hasUnconfirmedStart(worker));
+    if (worker.over || worker.hasLook(false) || inVain) {
+        return;
+    }
+    if (!worker.runs.empty() && (worker.failedCalls == 0 || quickDue)) {
         sendLook(number, worker, false, now);
     } else if (unacknowledged && quickDue && !worker.hasLook(true)) {
         sendLook(number, worker, true, now);
--- a/src/workflow/objective.cpp
+++ b/src/workflow/objective.cpp
@@ -48,8 +48,8 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(chain * job.policy.stretch)) + job.policy.target;
 }
 
-// A slow worker takes about a third longer. Where the objective leaves less than the chain's own length, that is most of
-// what is left after the way there and back.
+// A slow worker takes about a third longer. Where the objective leaves less than the chain's own length, that is most
+// of what is left after the way there and back.
 Hurry hurryOf(const JobRecord &job)
 {
     const auto chain = wholeChain(job.spec);
--- a/src/workflow/objective.h
+++ b/src/workflow/objective.h
@@ -36,7 +36,7 @@
     JobKey job = 0;
     std::size_t position = 0;
 
-    auto operator<=>(const Rank &) const = default;
+    auto operator<=>(const Rank &) const = default; // NOLINT(modernize-use-nullptr): false alarm
 };
 
 Rank rankOf(JobKey key, const JobRecord &job, std::size_t position, base::TimePoint arrivedAt, base::TimePoint now);
--- a/src/workflow/room_claims.h
+++ b/src/workflow/room_claims.h
@@ -9,7 +9,8 @@
 {
 
 /// Room that is kept for gangs that wait for more of it, within one round of decisions. Load pattern: under a steady
-/// stream of small tasks, which take each bit of room that comes free, a gang that needs much room at once never starts.
+/// stream of small tasks, which take each bit of room that comes free, a gang that needs much room at once never
+/// starts.
 class RoomClaims
 {
 public:
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -77,8 +77,7 @@
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
     std::vector<Room> rooms;
     for (const auto &[number, worker] : workers_) {
-        if (suits(request, number, worker)
-            && (request.eligibility == nullptr || request.eligibility->isGood(number))) {
+        if (suits(request, number, worker) && (request.eligibility == nullptr || request.eligibility->isGood(number))) {
             const std::int64_t most = amount.timesIn(ledger_.capacity(number));
             rooms.push_back({number,
                              static_cast<std::uint32_t>(std::min<std::int64_t>(most, request.waiting.size())),
@@ -130,8 +129,8 @@
     return request.hurry == Hurry::Much ? (slow ? 1 : 0) : request.hurry == Hurry::None ? (slow ? 0 : 1) : 0;
 }
 
-// The data's rack first, then a worker of the speed that the time asks for, then the workers with the least room, so that the emptier ones stay whole for gangs. A task
-// that has failed goes to another worker if there is one.
+// The data's rack first, then a worker of the speed that the time asks for, then the workers with the least room, so
+// that the emptier ones stay whole for gangs. A task that has failed goes to another worker if there is one.
 std::vector<Assignment> StepPlacer::placeBatch(const Request &request, std::vector<Room> rooms) const
 {
     const StepSpec &step = request.job.specOf(request.position);
