--- a/src/platform/caller_api.cpp
+++ b/src/platform/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "platform/caller_api.h"
 
 #include "base/log.h"
+#include "platform/answers.h"
 #include "platform/job_format.h"
 #include "platform/json_fields.h"
 
@@ -15,17 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds DefaultPatience{3'000}; ///< Of callers that do not say how long they wait.
-constexpr std::size_t MostConnections = 2'048; ///< Below the descriptors of an entry machine.
 constexpr std::size_t MostBodyBytes = 256U << 10U; ///< The configurations' own limit on bodies.
 
-http::ServerOptions serverOptions()
-{
-    http::ServerOptions options;
-    options.maxBodyBytes = MostBodyBytes;
-    options.maxConnections = MostConnections;
-    return options;
-}
-
 milliseconds patienceOf(const http::Request &request)
 {
     const std::string_view text = request.header("yuccawheel-deadline-ms");
@@ -41,11 +33,6 @@
     return std::string(host.substr(0, host.find(':')));
 }
 
-http::Response plain(int status, std::string_view error)
-{
-    return {status, Json{{"error", error}}.dump(), "application/json", {}};
-}
-
 void addRetryAfter(http::Response &response, milliseconds delay)
 {
     const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(delay).count());
@@ -63,15 +50,15 @@
     case QueueOutcome::Pending:
         return {200, Json{{"pending", reply.pending}}.dump(), "application/json", {}};
     case QueueOutcome::NoSuchQueue:
-        return plain(404, "no such queue");
+        return errorAnswer(404, "no such queue");
     case QueueOutcome::NoSuchJob:
-        return plain(410, "no such job");
+        return errorAnswer(410, "no such job");
     case QueueOutcome::Malformed:
-        return plain(400, reply.reason);
+        return errorAnswer(400, reply.reason);
     case QueueOutcome::Refused:
         break;
     }
-    http::Response response = plain(503, reply.reason);
+    http::Response response = errorAnswer(503, reply.reason);
     addRetryAfter(response, reply.retryAfter);
     return response;
 }
@@ -82,9 +69,10 @@
                      const boost::asio::ip::tcp::endpoint &address,
                      workflow::CallerHandler &handler)
     : handler_(handler)
-    , server_(io, address, serverOptions(), [this](const http::Request &request, const http::Responder &respond) {
-        handle(request, respond);
-    })
+    , server_(io,
+              address,
+              serverOptions(MostBodyBytes),
+              [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); })
 {
 }
 
@@ -99,13 +87,13 @@
             queue.job = decodeJob(request.body);
         } catch (const FormatError &error) {
             base::logInfo("job_unreadable").with("path", request.path).with("reason", error.what());
-            respond(plain(400, error.what()));
+            respond(errorAnswer(400, error.what()));
             return;
         }
     } else if (request.method == "DELETE") {
         queue.verb = workflow::QueueVerb::Cancel;
     } else if (request.method != "GET") {
-        respond(plain(405, "methods are GET, POST and DELETE"));
+        respond(errorAnswer(405, "methods are GET, POST and DELETE"));
         return;
     }
     ++inProgress_;
@@ -120,7 +108,8 @@
                         }
                         // 503 would say that the job never runs, which nobody knows of one that was passed on.
                         const bool unknown = reply.error().mayTakeEffect && verb != workflow::QueueVerb::Read;
-                        http::Response response = plain(unknown ? 504 : 503, unknown ? "outcome unknown" : "no leader");
+                        http::Response response =
+                            errorAnswer(unknown ? 504 : 503, unknown ? "outcome unknown" : "no leader");
                         addRetryAfter(response, reply.error().retryAfter);
                         respond(std::move(response));
                     });
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -1,6 +1,7 @@
 #include "platform/control_api.h"
 
 #include "base/log.h"
+#include "platform/answers.h"
 #include "platform/job_format.h"
 #include "platform/json_fields.h"
 
@@ -13,20 +14,6 @@
 {
 
 constexpr std::size_t MostBodyBytes = 4U << 20U; ///< Largest body that the platform sends.
-constexpr std::size_t MostConnections = 2'048; ///< One for each worker, and some more.
-
-http::ServerOptions serverOptions()
-{
-    http::ServerOptions options;
-    options.maxBodyBytes = MostBodyBytes;
-    options.maxConnections = MostConnections;
-    return options;
-}
-
-http::Response plain(int status, std::string_view error)
-{
-    return {status, Json{{"error", error}}.dump(), "application/json", {}};
-}
 
 // The worker's id in `/instances/ID/ACTION`.
 std::optional<std::string> workerIn(std::string_view path, std::string_view action)
@@ -45,9 +32,10 @@
                        const boost::asio::ip::tcp::endpoint &address,
                        workflow::ControlHandler &handler)
     : handler_(handler)
-    , server_(io, address, serverOptions(), [this](const http::Request &request, const http::Responder &respond) {
-        handle(request, respond);
-    })
+    , server_(io,
+              address,
+              serverOptions(MostBodyBytes),
+              [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); })
 {
 }
 
@@ -59,7 +47,7 @@
             return;
         }
         if (request.method != "POST") {
-            respond(plain(405, "methods are GET and POST"));
+            respond(errorAnswer(405, "methods are GET and POST"));
             return;
         }
         if (const auto reporting = workerIn(request.path, "/heartbeat")) {
@@ -74,11 +62,11 @@
         } else if (request.path == "/config/put") {
             putConfiguration(request, respond);
         } else {
-            respond(plain(404, "unknown path"));
+            respond(errorAnswer(404, "unknown path"));
         }
     } catch (const FormatError &error) {
         base::logInfo("request_unreadable").with("path", request.path).with("reason", error.what());
-        respond(plain(400, error.what()));
+        respond(errorAnswer(400, error.what()));
     }
 }
 
@@ -86,7 +74,7 @@
 {
     handler_.report(report, [respond](const tl::expected<workflow::ReportWorkerReply, workflow::Unanswered> &reply) {
         if (!reply) {
-            respond(plain(503, "no leader"));
+            respond(errorAnswer(503, "no leader"));
             return;
         }
         Json body = Json::object();
@@ -102,14 +90,14 @@
     workflow::Configuration configuration = decodeConfiguration(request.body);
     if (const auto fault = workflow::findFault(configuration)) {
         base::logInfo("configuration_invalid").with("version", configuration.version).with("reason", *fault);
-        respond(plain(400, *fault));
+        respond(errorAnswer(400, *fault));
         return;
     }
     handler_.putConfiguration(
         std::move(configuration),
         [respond](const tl::expected<workflow::PutConfigurationReply, workflow::Unanswered> &reply) {
             respond(reply ? http::Response{200, Json{{"version", reply->version}}.dump(), "application/json", {}}
-                          : plain(503, "not known to be stored"));
+                          : errorAnswer(503, "not known to be stored"));
         });
 }
 
@@ -118,7 +106,7 @@
     handler_.getConfiguration(
         [respond](const tl::expected<workflow::GetConfigurationReply, workflow::Unanswered> &reply) {
             if (!reply || reply->version == 0) {
-                respond(plain(503, "the newest configuration is not known here"));
+                respond(errorAnswer(503, "the newest configuration is not known here"));
                 return;
             }
             respond({200, reply->text, "application/json", {}});
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -26,7 +26,8 @@
 constexpr milliseconds HandoverPoll{5};
 constexpr milliseconds ElectionTimeout{700}; ///< Three heartbeats and a half.
 constexpr milliseconds ElectionSpread{500};
-constexpr milliseconds ReplaceVoterAfter{3'000}; ///< Beyond a missed heartbeat or two, and what machines count as out of touch.
+constexpr milliseconds ReplaceVoterAfter{
+    3'000}; ///< Beyond a missed heartbeat or two, and what machines count as out of touch.
 constexpr std::size_t MostLearners = 4; ///< Spare managers, and those whose disk was lost.
 constexpr std::uint64_t DiskReserve = 8U << 20U;
 constexpr std::size_t SnapshotEvery = 4U << 20U; ///< Two snapshots and the log between them fit on a small disk.
@@ -364,7 +365,7 @@
 void ManagerService::startLeading()
 {
     jobs_.lead(state_, status_.term, base::BootClock::now(), wallNow());
-    for (const auto &[number, channel] : gateways_) {
+    for (const auto &[number, channel] : channels_) {
         if (channel->peer().role == protocol::Role::Gateway) {
             jobs_.addMachine(number);
         }
@@ -411,8 +412,8 @@
 
 void ManagerService::ask(const workflow::EligibilityQuestion &question)
 {
-    const auto gateway = gateways_.find(question.machine);
-    const bool sent = gateway != gateways_.end()
+    const auto gateway = channels_.find(question.machine);
+    const bool sent = gateway != channels_.end()
         && gateway->second->notify(
             workflow::AskEligibility{question.number, question.step, question.workers, question.timeout});
     if (!sent) {
@@ -516,7 +517,7 @@
 {
     const std::uint64_t number = nextChannel_++;
     channelNumbers_[channel.get()] = number;
-    gateways_[number] = channel;
+    channels_[number] = channel;
     if (channel->peer().role == protocol::Role::Gateway) {
         jobs_.addMachine(number);
     }
@@ -532,7 +533,7 @@
     const auto found = channelNumbers_.find(channel.get());
     if (found != channelNumbers_.end()) {
         jobs_.removeMachine(found->second, base::BootClock::now());
-        gateways_.erase(found->second);
+        channels_.erase(found->second);
         channelNumbers_.erase(found);
     }
 }
@@ -546,7 +547,7 @@
 {
     const workflow::Topology topology{status_.leader.node, status_.term, status_.members};
     managers_.learn(topology);
-    for (const auto &[number, channel] : gateways_) {
+    for (const auto &[number, channel] : channels_) {
         channel->notify(topology);
     }
 }
@@ -666,17 +667,7 @@
         reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
         return;
     }
-    const bool taken =
-        proposeWith(workflow::AcceptEntry{key, std::move(spec), policy, wallNow()}, [reply](bool committed) {
-            if (committed) {
-                reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
-            } else {
-                reply(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
-            }
-        });
-    if (!taken) {
-        reply(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
-    }
+    acceptWith(workflow::AcceptEntry{key, std::move(spec), policy, wallNow()}, reply);
 }
 
 void ManagerService::cancelJob(const protocol::ChannelPtr &channel, std::uint64_t correlation, workflow::JobKey key)
@@ -686,7 +677,12 @@
         reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
         return;
     }
-    const bool taken = proposeWith(workflow::CancelEntry{key, wallNow()}, [reply](bool committed) {
+    acceptWith(workflow::CancelEntry{key, wallNow()}, reply);
+}
+
+void ManagerService::acceptWith(const workflow::LogEntry &entry, const QueueReplyDone &reply)
+{
+    const bool taken = proposeWith(entry, [reply](bool committed) {
         if (committed) {
             reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
         } else {
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -40,6 +40,7 @@
 
 private:
     using EntryDone = std::function<void(bool committed)>;
+    using QueueReplyDone = std::function<void(tl::expected<workflow::QueueReply, workflow::Unanswered>)>;
     struct PendingEntry {
         coordination::Term term = 0;
         EntryDone done;
@@ -95,6 +96,8 @@
                    const workflow::QueuePolicy &policy,
                    workflow::JobSpec spec);
     void cancelJob(const protocol::ChannelPtr &channel, std::uint64_t correlation, workflow::JobKey key);
+    /// Answers once the log has the entry.
+    void acceptWith(const workflow::LogEntry &entry, const QueueReplyDone &reply);
     void refuse(const protocol::ChannelPtr &channel, std::uint64_t correlation, base::Verdict verdict);
     void onEligibilityAnswer(const protocol::Frame &frame);
     void sendTopology(const protocol::ChannelPtr &channel);
@@ -118,7 +121,7 @@
     std::uint64_t nextProposal_ = 1;
     std::map<std::uint64_t, EntryDone> proposals_; ///< Handed to the log's thread, place not known yet.
     std::map<coordination::Index, PendingEntry> pending_;
-    std::unordered_map<std::uint64_t, protocol::ChannelPtr> gateways_; ///< By the number of their channel.
+    std::unordered_map<std::uint64_t, protocol::ChannelPtr> channels_; ///< Of the other processes, by number.
     std::unordered_map<const protocol::Channel *, std::uint64_t> channelNumbers_;
     coordination::Term startedTerm_ = 0; ///< Newest term whose first entry has been applied.
     std::chrono::steady_clock::time_point timerDue_{};
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -46,7 +46,7 @@
     for (const auto &[key, job] : state.jobs()) {
         const auto age = std::max(wall - job.acceptedAt, WallTime{0});
         arrivals_[key] = now - age;
-        refreshJob(key, now);
+        refreshJob(key);
         if (job.ended()) {
             stopJob(key, now);
         }
@@ -107,7 +107,7 @@
         break;
     case StateEvent::Kind::JobAccepted:
         arrivals_[event.job] = now;
-        refreshJob(event.job, now);
+        refreshJob(event.job);
         base::logInfo("job_accepted")
             .with("job", toString(event.job))
             .with("queue", state_->findJob(event.job)->policy.queue)
@@ -123,7 +123,7 @@
             .with("phase", toString(job.phase))
             .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_[event.job]).count())
             .with("objective_ms", objectiveOf(job).count());
-        refreshJob(event.job, now);
+        refreshJob(event.job);
         stopJob(event.job, now);
         break;
     }
@@ -138,7 +138,7 @@
         if (event.how != RunEnd::Done) {
             stopGang(event.task, now);
         }
-        refreshJob(event.job, now);
+        refreshJob(event.job);
         break;
     }
     case StateEvent::Kind::WorkerJoined: {
@@ -169,7 +169,7 @@
     case StateEvent::Kind::JobForgotten:
         present_.erase(event.job);
         arrivals_.erase(event.job);
-        refreshJob(event.job, now);
+        refreshJob(event.job);
         break;
     }
 }
@@ -184,7 +184,7 @@
         if (!placed) {
             if (reservation != reservations_.end() && reservation->second.worker == start.worker) {
                 unreserve(start.task);
-                refreshJob(start.task.job, now);
+                refreshJob(start.task.job);
             }
             continue;
         }
@@ -200,12 +200,12 @@
         }
         sendStart(start.worker, worker, start.task, run, now);
         reviewLooks(start.worker, worker, now);
-        refreshJob(start.task.job, now);
+        refreshJob(start.task.job);
     }
 }
 
 // Keeps the list of steps with tasks to start up to date with one job.
-void JobManager::refreshJob(JobKey key, base::TimePoint now)
+void JobManager::refreshJob(JobKey key)
 {
     const JobRecord *const job = state_->findJob(key);
     if (job == nullptr || job->ended()) {
@@ -221,26 +221,13 @@
         }
     }
     dispatchDue_ = true;
-    static_cast<void>(now);
 }
 
 void JobManager::stopJob(JobKey key, base::TimePoint now)
 {
-    const JobRecord *const job = state_->findJob(key);
-    for (std::size_t position = 0; job != nullptr && position < job->steps.size(); ++position) {
-        for (std::uint32_t index = 0; index < job->steps[position].tasks.size(); ++index) {
-            const TaskRecord &task = job->steps[position].tasks[index];
-            const auto worker = workers_.find(task.worker);
-            if (task.phase != TaskPhase::Placed || worker == workers_.end()) {
-                continue;
-            }
-            const TaskRef ref = job->refOf(key, position, index);
-            LiveRun *const run = findRun(task.worker, ref, task.run);
-            if (run != nullptr) {
-                stopRun(worker->second, *run, now);
-                reviewRun(worker->first, worker->second, ref, *run, now);
-            }
-        }
+    const std::size_t steps = state_->findJob(key)->steps.size();
+    for (std::size_t position = 0; position < steps; ++position) {
+        stopStep(key, position, now);
     }
 }
 
@@ -248,21 +235,22 @@
 void JobManager::stopGang(const TaskRef &member, base::TimePoint now)
 {
     const JobRecord *const job = state_->findJob(member.job);
-    if (job == nullptr || !job->spec.steps[member.step].gang) {
-        return;
+    if (job != nullptr && job->spec.steps[member.step].gang) {
+        stopStep(member.job, job->positionOf(member.occurrence, member.step), now);
     }
-    const std::size_t position = job->positionOf(member.occurrence, member.step);
-    for (std::uint32_t index = 0; index < job->steps[position].tasks.size(); ++index) {
-        const TaskRecord &task = job->steps[position].tasks[index];
-        const auto worker = workers_.find(task.worker);
-        if (task.phase != TaskPhase::Placed || worker == workers_.end()) {
-            continue;
-        }
-        const TaskRef ref = job->refOf(member.job, position, index);
-        LiveRun *const run = findRun(task.worker, ref, task.run);
+}
+
+void JobManager::stopStep(JobKey key, std::size_t position, base::TimePoint now)
+{
+    const JobRecord &job = *state_->findJob(key);
+    const std::vector<TaskRecord> &tasks = job.steps[position].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const TaskRef task = job.refOf(key, position, index);
+        LiveRun *const run =
+            tasks[index].phase == TaskPhase::Placed ? findRun(tasks[index].worker, task, tasks[index].run) : nullptr;
         if (run != nullptr) {
-            stopRun(worker->second, *run, now);
-            reviewRun(worker->first, worker->second, ref, *run, now);
+            stopRun(*run, now);
+            reviewRun(tasks[index].worker, workers_.at(tasks[index].worker), task, *run, now);
         }
     }
 }
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -109,8 +109,9 @@
     // Jobs.
     void handleEvent(const StateEvent &event, base::TimePoint now);
     void settleStarts(const StartsEntry &entry, base::TimePoint now);
-    void refreshJob(JobKey key, base::TimePoint now);
+    void refreshJob(JobKey key);
     void stopJob(JobKey key, base::TimePoint now);
+    void stopStep(JobKey key, std::size_t position, base::TimePoint now);
     void stopGang(const TaskRef &member, base::TimePoint now);
     void forgetOldJobs(base::TimePoint now);
 
@@ -141,6 +142,7 @@
     void noteNoAnswer(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void onLeaving(const WorkerIdentity &leaving);
     void markOver(WorkerNumber number, WorkerView &worker, base::TimePoint now);
+    void replacedBy(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
     void reviewWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void reviewRun(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
@@ -149,7 +151,7 @@
     void sendStart(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
     void sendStop(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
     void sendLook(WorkerNumber number, WorkerView &worker, bool quick, base::TimePoint now);
-    void stopRun(WorkerView &worker, LiveRun &run, base::TimePoint now);
+    static void stopRun(LiveRun &run, base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
     void takeRunning(
         WorkerNumber number, WorkerView &worker, const LookAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -155,6 +155,15 @@
     }
 }
 
+// A life under another id is at the address, so that nothing meant for this one can reach anybody.
+void JobManager::replacedBy(WorkerNumber number, WorkerView &worker, base::TimePoint now)
+{
+    markOver(number, worker, now);
+    if (!worker.goneProposed) {
+        proposeGone(number, worker, "other_life");
+    }
+}
+
 void JobManager::proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason)
 {
     worker.over = true;
@@ -312,7 +321,7 @@
     port_.stop(number, worker.identity, {task, run.run, epoch_});
 }
 
-void JobManager::stopRun(WorkerView &worker, LiveRun &run, base::TimePoint now)
+void JobManager::stopRun(LiveRun &run, base::TimePoint now)
 {
     if (run.stage == LiveRun::Stage::Stopping || run.stage == LiveRun::Stage::Released
         || run.stage == LiveRun::Stage::Ended) {
@@ -323,7 +332,6 @@
     run.stopAnsweredAt.reset();
     run.callInFlight = false;
     run.nextCall = now;
-    static_cast<void>(worker);
 }
 
 void JobManager::proposeNotStarted(const TaskRef &task, LiveRun &run)
@@ -405,8 +413,7 @@
         }
         return;
     case OrderOutcome::OtherLife:
-        markOver(number, worker, now);
-        proposeGone(number, worker, "other_life");
+        replacedBy(number, worker, now);
         return;
     case OrderOutcome::OldRun:
     case OrderOutcome::StaleEpoch:
@@ -428,7 +435,7 @@
     }
     noteAnswer(worker, answer.clock, now);
     if (run->startUnanswered) {
-        stopRun(worker, *run, now); // An earlier order may still be carried out.
+        stopRun(*run, now); // An earlier order may still be carried out.
     } else {
         proposeNotStarted(task, *run);
     }
@@ -449,8 +456,7 @@
         return;
     }
     if (answer.outcome == OrderOutcome::OtherLife) {
-        markOver(number, worker, now);
-        proposeGone(number, worker, "other_life");
+        replacedBy(number, worker, now);
         return;
     }
     noteAnswer(worker, answer.clock, now);
@@ -478,8 +484,7 @@
         return;
     }
     if (answer.outcome == OrderOutcome::OtherLife) {
-        markOver(number, worker, now);
-        proposeGone(number, worker, "other_life");
+        replacedBy(number, worker, now);
         return;
     }
     if (answer.outcome != OrderOutcome::Done) {
@@ -625,7 +630,7 @@
                 .with("task", toString(task))
                 .with("run", run.run)
                 .with("worker", worker.identity.id);
-            stopRun(worker, run, now);
+            stopRun(run, now);
             reviewRun(number, worker, task, run, now);
         } else if (run.stage == LiveRun::Stage::Stopping && run.stopAnsweredAt && sentAt > *run.stopAnsweredAt) {
             proposeNotStarted(task, run);
