A disk that has room again takes entries again; a leader with a full disk hands over

Cause: free space was looked at after each write only. Ruled out: lost questions, leaks of reservations (the leader began anew every half second, in vain). Test: aDiskThatHasRoomAgainTakesProposalsAgain, seen to fail.

--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -66,6 +66,10 @@
 
 tl::expected<Position, ProposeError> Replica::propose(std::string data)
 {
+    // While nothing is taken nothing is written, so that no write tells when there is room again.
+    if (diskFull_) {
+        noteFreeSpace();
+    }
     if (diskFull_) {
         return tl::unexpected(ProposeError{ProposeFailure::DiskFull, log_.leader()});
     }
@@ -133,9 +137,14 @@
     if (auto done = storage_.save(ready.snapshot ? std::nullopt : ready.hardState, ready.entries); !done) {
         return done;
     }
+    noteFreeSpace();
+    return {};
+}
+
+void Replica::noteFreeSpace()
+{
     const auto free = storage_.freeBytes();
     diskFull_ = free && *free < settings_.diskReserveBytes;
-    return {};
 }
 
 void Replica::collect(Ready ready, ReplicaOutput &output)
--- a/src/coordination/replica.h
+++ b/src/coordination/replica.h
@@ -70,6 +70,7 @@
     Replica(
         ReplicaSettings settings, LogStorage &storage, RecoveredState state, std::string snapshot, base::TimePoint now);
     StorageResult<void> persist(const Ready &ready);
+    void noteFreeSpace();
     void collect(Ready ready, ReplicaOutput &output);
 
     ReplicaSettings settings_;
--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -66,6 +66,9 @@
         const auto position = replica_->propose(std::move(proposal->data));
         if (!position) {
             base::logInfo("proposal_refused").with("failure", static_cast<int>(position.error().failure));
+            if (position.error().failure == coordination::ProposeFailure::DiskFull) {
+                replica_->handOver(now); // Another one's disk may have room.
+            }
         }
         fates_.push_back({proposal->number, position ? std::optional(*position) : std::nullopt});
     } else if (const auto *nodes = std::get_if<LogInput::Nodes>(&input.what)) {
--- a/tests/coordination_disk_test.cpp
+++ b/tests/coordination_disk_test.cpp
@@ -274,6 +274,34 @@
     }
 }
 
+TEST(Replica, aDiskThatHasRoomAgainTakesProposalsAgain)
+{
+    FakeDisk disk(1);
+    FileLogStorage storage(disk);
+    const ReplicaSet set{{{{1, 1}, true}}};
+    ASSERT_TRUE(Replica::formCluster(storage, 7, {1, 1}, set));
+    ReplicaSettings settings;
+    settings.log.self = {1, 1};
+    settings.log.nodes = {1};
+    settings.diskReserveBytes = 1'000;
+    base::TimePoint now{1h};
+    FileLogStorage started(disk);
+    const auto replica = std::move(*Replica::start(settings, started, now));
+    const auto step = [&] {
+        now += 10ms;
+        replica->tick(now);
+        ASSERT_TRUE(replica->flush(now).has_value());
+    };
+    step();
+    ASSERT_TRUE(replica->propose("first").has_value());
+    disk.setCapacity(disk.usedBytes() + 500);
+    step();
+    ASSERT_FALSE(replica->propose("second").has_value());
+    EXPECT_EQ(replica->propose("second").error().failure, ProposeFailure::DiskFull);
+    disk.clearFaults();
+    EXPECT_TRUE(replica->propose("third").has_value());
+}
+
 TEST(PosixFileSystem, aRealFolderKeepsTheLogAndTurnsASecondProcessAway)
 {
     const auto folder = std::filesystem::temp_directory_path() / ("yw-disk-test-" + std::to_string(::getpid()));
