--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -270,12 +270,12 @@
         world.workers.add("w" + std::to_string(number), 16'000, "rack" + std::to_string(number % 2), world.now);
     }
     world.lead();
-    constexpr int Jobs = 25;
-    for (int number = 0; number < Jobs; ++number) {
+    constexpr workflow::JobKey Jobs = 25;
+    for (workflow::JobKey key = 1; key <= Jobs; ++key) {
         const auto width = static_cast<std::uint32_t>(1 + random() % 4);
         workflow::StepSpec second = random() % 2 == 0 ? gang(width, 3'000) : step(width, 2'000);
         second.after = {0};
-        world.submit(static_cast<workflow::JobKey>(number + 1), job({step(width, 2'000), second}), policy());
+        world.submit(key, job({step(width, 2'000), second}), policy());
         world.run(std::chrono::milliseconds(random() % 400));
         const std::string worker = "w" + std::to_string(random() % 5);
         switch (random() % 8) {
@@ -291,7 +291,7 @@
             world.lead();
             break;
         case 3:
-            world.cancel(static_cast<workflow::JobKey>(1 + random() % (static_cast<unsigned>(number) + 1)));
+            world.cancel(1 + random() % key);
             break;
         default:
             break;
