--- a/src/daemon/manager_book.h
+++ b/src/daemon/manager_book.h
@@ -47,14 +47,6 @@
     }
     /// Returns whether any manager can be reached.
     bool connected() const;
-    /// Sends a notice to each manager that is connected.
-    template <typename Message>
-    void notifyAll(const Message &message)
-    {
-        for (const auto &[number, peer] : peers_) {
-            peer->notify(message);
-        }
-    }
 
 private:
     void dropOthers();
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -176,7 +176,6 @@
 // A leader that just ended would leave the system without one for an election timeout.
 void ManagerService::drain(std::function<void()> done)
 {
-    draining_ = true;
     drainDeadline_ = std::chrono::steady_clock::now() + HandoverTimeout;
     log_->tryPush(LogInput{LogInput::HandOver{}});
     awaitHandover(std::move(done));
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -134,7 +134,6 @@
     std::size_t inProgress_ = 0;
     std::chrono::steady_clock::time_point nextBeginAnew_{};
     bool beginAnewDue_ = false; ///< An entry of the job manager was not taken.
-    bool draining_ = false;
 };
 
 } // namespace yuccawheel::manager
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -38,7 +38,6 @@
             LiveRun run;
             run.run = placed->run;
             run.stage = LiveRun::Stage::Uncertain;
-            run.placedAt = now;
             worker.runs[task] = run;
             reserve(task, number, reservationOf(state.findJob(task.job)->spec.steps[task.step]), {});
         }
@@ -192,7 +191,6 @@
         LiveRun &run = worker.runs[start.task];
         run = {};
         run.run = start.run;
-        run.placedAt = now;
         run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
         if (worker.over) {
             proposeNotStarted(start.task, run); // No order has been sent, and none will be.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -4,7 +4,6 @@
 #include <fmt/core.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace yuccawheel::workflow
 {
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -352,7 +352,6 @@
 
 void JobManager::noteAnswer(WorkerView &worker, std::optional<std::chrono::milliseconds> clock, base::TimePoint now)
 {
-    worker.lastAnswer = now;
     if (worker.failedCalls > 0) {
         base::logInfo("worker_answers").with("worker", worker.identity.id).with("failed_calls", worker.failedCalls);
         dispatchDue_ = true;
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -30,7 +30,6 @@
     std::string checkpoint; ///< Last one seen.
     base::TimePoint nextCall{}; ///< Of the order that the stage asks for.
     base::TimePoint presentSince{};
-    base::TimePoint placedAt{};
     std::optional<base::TimePoint> stopAnsweredAt;
     std::uint32_t startCalls = 0;
     bool callInFlight = false;
@@ -52,7 +51,6 @@
     std::uint64_t reportSequence = 0;
     std::uint64_t acknowledged = 0; ///< Last number of an end that the worker was told is taken note of.
     std::uint64_t proposedTo = 0; ///< Ends up to it are in the log or on their way.
-    base::TimePoint lastAnswer{};
     base::TimePoint nextLook{};
     base::TimePoint lastReport{};
     std::map<std::uint64_t, Look> looks; ///< Not answered yet, by number.
