Questions about eligibility wait at the leader until a machine is nearly free

The leader put up to 1.5 s of questions into each machine's line at the service. A new leader, which knows nothing of those lines, put as many on top; then the answers came after their time, the same was asked again, and the service went on with what nobody waited for any more: 420 of 3,800 calls.

Ruled out: lack of room (the new line `load` shows it), refusals by the service (all 420 were timeouts).

Change: a long call is sent only to a machine whose line ends within 20 ms, a short one within 100 ms; the next question is chosen then, in the order of then. The time of an answer counts the machine's own line. A machine that did not answer counts as busy with that call, and is tried less often while it stays silent. A gateway holds two connections to the service.

--- a/src/platform/eligibility_client.cpp
+++ b/src/platform/eligibility_client.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::size_t MostConnections = 8; ///< The service serves one call of a machine at a time; the others wait.
+constexpr std::size_t MostConnections = 2; ///< One call is served while the next one is on its way.
 
 workflow::EligibilityRows decodeRows(const http::ClientResponse &response)
 {
--- a/src/workflow/eligibility.cpp
+++ b/src/workflow/eligibility.cpp
@@ -9,7 +9,10 @@
 {
 
 constexpr std::chrono::milliseconds LongCall{100}; ///< Above the objective's reserve of the shortest jobs.
-constexpr std::chrono::milliseconds MaxBacklog{1'500}; ///< Shortest life of a ticket that was seen.
+constexpr std::chrono::milliseconds LongCallWait{20}; ///< Hides the way there and back between two calls.
+constexpr std::chrono::milliseconds ShortCallWait{100}; ///< A few short calls, or the end of a long one.
+constexpr std::chrono::milliseconds FirstDoubt{500}; ///< About one long call.
+constexpr std::uint32_t MostDoublings = 3; ///< Up to 4 s, the usual length of a cut.
 constexpr double LongCallShare = 0.67; ///< Of the machines, for long calls: their share of the service's time.
 
 } // namespace
@@ -65,12 +68,20 @@
             bestAt = at;
         }
     }
-    if (best && bestAt > now + MaxBacklog) {
+    if (best && bestAt > now + (isLong ? LongCallWait : ShortCallWait)) {
         return std::nullopt;
     }
     return best;
 }
 
+std::chrono::milliseconds AskingMachines::backlog(Machine machine, base::TimePoint now) const
+{
+    const auto found = machines_.find(machine);
+    return found == machines_.end() || found->second.busyUntil <= now
+        ? std::chrono::milliseconds{0}
+        : std::chrono::ceil<std::chrono::milliseconds>(found->second.busyUntil - now);
+}
+
 void AskingMachines::started(Machine machine, std::chrono::microseconds cost, base::TimePoint now)
 {
     const auto found = machines_.find(machine);
@@ -83,20 +94,39 @@
     load.longCalls += cost >= LongCall ? 1 : 0;
 }
 
-void AskingMachines::finished(Machine machine, std::chrono::microseconds cost, base::TimePoint now)
+void AskingMachines::finish(Load &load, std::chrono::microseconds cost)
+{
+    load.calls -= std::min(load.calls, 1U);
+    load.longCalls -= cost >= LongCall ? std::min(load.longCalls, 1U) : 0;
+}
+
+void AskingMachines::answered(Machine machine, std::chrono::microseconds cost, base::TimePoint now)
 {
     const auto found = machines_.find(machine);
     if (found == machines_.end()) {
         return;
     }
     Load &load = found->second;
-    load.calls -= std::min(load.calls, 1U);
-    load.longCalls -= cost >= LongCall ? std::min(load.longCalls, 1U) : 0;
+    finish(load, cost);
+    load.unansweredInRow = 0;
     if (load.calls == 0) {
         load.busyUntil = now;
     }
 }
 
+void AskingMachines::unanswered(Machine machine, std::chrono::microseconds cost, base::TimePoint now)
+{
+    const auto found = machines_.find(machine);
+    if (found == machines_.end()) {
+        return;
+    }
+    Load &load = found->second;
+    finish(load, cost);
+    const auto doubt = FirstDoubt * (1U << std::min(load.unansweredInRow, MostDoublings));
+    ++load.unansweredInRow;
+    load.busyUntil = std::max(load.busyUntil, now) + std::max<std::chrono::microseconds>(cost, doubt);
+}
+
 std::chrono::microseconds costOf(const EligibilityPolicy &policy, std::size_t workers)
 {
     return policy.perCall + policy.perWorker * static_cast<std::int64_t>(workers);
--- a/src/workflow/eligibility.h
+++ b/src/workflow/eligibility.h
@@ -48,8 +48,10 @@
     std::map<WorkerNumber, Ticket> good_;
 };
 
-/// Machines that ask the eligibility service. It serves one call of each machine at a time, so long calls are kept from
-/// some of the machines: short ones would wait behind them.
+/// Machines that ask the eligibility service. It serves one call of each machine at a time, so a call that would stand
+/// in a line there waits here instead, where the most urgent one goes first and a change of leader forgets it.
+/// Load pattern: bursts of steps with long calls, beside many with short ones. Long calls are kept from some of the
+/// machines, as short ones would wait behind them.
 class AskingMachines
 {
 public:
@@ -57,10 +59,14 @@
 
     void add(Machine machine);
     void remove(Machine machine);
-    /// Returns the machine whose answer to a call of this length would come first; nothing if none is free enough.
+    /// Returns the machine whose answer to a call of this length would come first; nothing if none is nearly free.
     std::optional<Machine> choose(std::chrono::microseconds cost, base::TimePoint now) const;
+    /// Returns how long the service will be at work on what a machine has asked.
+    std::chrono::milliseconds backlog(Machine machine, base::TimePoint now) const;
     void started(Machine machine, std::chrono::microseconds cost, base::TimePoint now);
-    void finished(Machine machine, std::chrono::microseconds cost, base::TimePoint now);
+    void answered(Machine machine, std::chrono::microseconds cost, base::TimePoint now);
+    /// No answer has come in time: the service may still be at work on the call, or be out of the machine's reach.
+    void unanswered(Machine machine, std::chrono::microseconds cost, base::TimePoint now);
     /// Forgets what was asked: its answers will not be heard.
     void forgetCalls()
     {
@@ -74,7 +80,10 @@
         base::TimePoint busyUntil{};
         std::uint32_t calls = 0;
         std::uint32_t longCalls = 0;
+        std::uint32_t unansweredInRow = 0;
     };
+    static void finish(Load &load, std::chrono::microseconds cost);
+
     std::map<Machine, Load> machines_;
 };
 
--- a/src/workflow/job.cpp
+++ b/src/workflow/job.cpp
@@ -3,6 +3,7 @@
 #include <fmt/core.h>
 
 #include <charconv>
+#include <numeric>
 
 namespace yuccawheel::workflow
 {
@@ -64,6 +65,13 @@
     return TaskRef{*job, *occurrence, *step, *index};
 }
 
+std::size_t JobSpec::tasks() const
+{
+    return std::accumulate(steps.begin(), steps.end(), std::size_t{0}, [](std::size_t sum, const StepSpec &step) {
+        return sum + step.count;
+    });
+}
+
 std::optional<std::string> findFault(const JobSpec &spec)
 {
     if (spec.steps.empty() || spec.steps.size() > MostSteps) {
--- a/src/workflow/job.h
+++ b/src/workflow/job.h
@@ -90,6 +90,8 @@
     {
         return occurrences == 0 ? 1 : occurrences;
     }
+    /// Returns how many tasks one occurrence has.
+    std::size_t tasks() const;
     MSGPACK_DEFINE(payload, steps, occurrences, startAt, interval)
 };
 
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -104,14 +104,19 @@
     case StateEvent::Kind::ConfigurationChanged:
         base::logInfo("configuration_in_force").with("version", state_->configuration().version);
         break;
-    case StateEvent::Kind::JobAccepted:
+    case StateEvent::Kind::JobAccepted: {
         arrivals_[event.job] = now;
         refreshJob(event.job);
+        const JobRecord &job = *state_->findJob(event.job);
         base::logInfo("job_accepted")
             .with("job", toString(event.job))
-            .with("queue", state_->findJob(event.job)->policy.queue)
-            .with("steps", state_->findJob(event.job)->spec.steps.size());
+            .with("queue", job.policy.queue)
+            .with("steps", job.spec.steps.size())
+            .with("tasks", job.spec.tasks())
+            .with("core_seconds", workOf(job.spec))
+            .with("objective_ms", objectiveOf(job).count());
         break;
+    }
     case StateEvent::Kind::JobKnown:
         break;
     case StateEvent::Kind::JobEnded: {
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -117,6 +117,7 @@
 
     // Placement.
     void dispatch(base::TimePoint now);
+    void reportLoad(const RoomClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
     void placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
@@ -181,6 +182,7 @@
     std::uint64_t nextQuestion_ = 1;
     std::uint64_t nextLook_ = 1;
     base::TimePoint nextReview_{};
+    base::TimePoint nextLoadReport_{};
     base::TimePoint nextForget_{};
     bool dispatchDue_ = false;
 };
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -15,10 +15,11 @@
 constexpr std::size_t WorkersPerQuestion = 30;
 constexpr std::size_t MostWorkersPerQuestion = 100; ///< The service takes no more.
 constexpr std::chrono::milliseconds QuestionRetry{100}; ///< After a question without an answer.
-constexpr std::chrono::milliseconds QuestionSlack{1'500}; ///< Wait for an answer beyond the service's own time.
+constexpr std::chrono::milliseconds QuestionSlack{800}; ///< Beyond the service's time: a call of an earlier leader.
 constexpr std::chrono::milliseconds RelaySlack{500}; ///< Wait for an answer that a machine was to pass on.
 constexpr std::chrono::milliseconds RelayDelay{50}; ///< Longest way of an answer on a calm network, from the service.
 constexpr std::chrono::milliseconds TicketMargin{150}; ///< A ticket that expires sooner is asked for again.
+constexpr std::chrono::milliseconds LoadReportInterval{1'000}; ///< The finest step of the metrics that are collected.
 constexpr double MostClaimed = 0.25; ///< Of all processors: what may lie idle for gangs that wait.
 constexpr double FirstGoodShare = 0.5; ///< Before any answer.
 constexpr double GoodShareWeight = 0.1; ///< Of the newest answer in the average.
@@ -103,6 +104,32 @@
             unreserve(start.task);
         }
     }
+    reportLoad(claims, now);
+}
+
+// What a job that waits is up against: says whether there was no room, or room that it could not use.
+void JobManager::reportLoad(const RoomClaims &claims, base::TimePoint now)
+{
+    if (now < nextLoadReport_) {
+        return;
+    }
+    nextLoadReport_ = now + LoadReportInterval;
+    std::size_t waitingTaskCount = 0;
+    std::size_t waitingGangs = 0;
+    for (const auto &[key, step] : steps_) {
+        const JobRecord &job = *state_->findJob(key.job);
+        const std::size_t waiting = waitingTasks(job, key).size();
+        waitingTaskCount += waiting;
+        waitingGangs += waiting > 0 && job.specOf(key.position).gang ? 1 : 0;
+    }
+    base::logInfo("load")
+        .with("workers", workers_.size())
+        .with("millicores", ledger_.totalCapacity().milliCpu)
+        .with("reserved_millicores", ledger_.totalReserved().milliCpu)
+        .with("kept_millicores", claims.total().milliCpu)
+        .with("waiting_tasks", waitingTaskCount)
+        .with("waiting_gangs", waitingGangs)
+        .with("questions", questions_.size());
 }
 
 placement::Resources JobManager::claimLimit() const
@@ -154,7 +181,8 @@
             return assignment.index == index;
         });
     });
-    if (!waiting.empty() && eligibility != nullptr && !step.asking && now >= step.nextQuestion) {
+    if (!waiting.empty() && eligibility != nullptr && !step.asking && now >= step.nextQuestion
+        && machines_.choose(job.policy.eligibility->perCall, now)) {
         askFor(placer, request, key, step, now);
     }
     if (!waiting.empty() && spec.gang) {
@@ -252,7 +280,7 @@
     const auto cost = costOf(*request.job.policy.eligibility, asked.size());
     const auto machine = machines_.choose(cost, now);
     if (!machine) {
-        return;
+        return; // Tried again in the next round, in the order of then.
     }
     const std::uint64_t number = nextQuestion_++;
     EligibilityQuestion question;
@@ -262,7 +290,8 @@
     for (const WorkerNumber worker : asked) {
         question.workers.push_back(workers_.at(worker).identity.id);
     }
-    question.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(cost) + QuestionSlack;
+    question.timeout =
+        machines_.backlog(*machine, now) + std::chrono::ceil<std::chrono::milliseconds>(cost) + QuestionSlack;
     questions_[number] = {key,
                           *machine,
                           asked,
@@ -310,7 +339,12 @@
         return;
     }
     const Question &question = node.mapped();
-    machines_.finished(question.machine, question.cost, now);
+    if (rows) {
+        machines_.answered(question.machine, question.cost, now);
+    } else {
+        machines_.unanswered(question.machine, question.cost, now);
+    }
+    dispatchDue_ = true; // Other steps may wait for this machine.
     const auto found = steps_.find(question.step);
     if (found == steps_.end()) {
         return;
@@ -342,7 +376,6 @@
         .with("step", question.step.position)
         .with("asked", question.workers.size())
         .with("good", good.size());
-    dispatchDue_ = true;
 }
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/objective.cpp
+++ b/src/workflow/objective.cpp
@@ -48,6 +48,16 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(chain * job.policy.stretch)) + job.policy.target;
 }
 
+double workOf(const JobSpec &spec)
+{
+    double work = 0;
+    for (const StepSpec &step : spec.steps) {
+        const double seconds = std::chrono::duration<double>(step.estimatedRunTime).count();
+        work += step.count * seconds * static_cast<double>(step.perTask.milliCpu) / 1'000;
+    }
+    return work;
+}
+
 // A slow worker takes about a third longer. Where the objective leaves less than the chain's own length, that is most
 // of what is left after the way there and back.
 Hurry hurryOf(const JobRecord &job)
--- a/src/workflow/objective.h
+++ b/src/workflow/objective.h
@@ -19,6 +19,9 @@
 /// Time within which a job should complete, counted from its arrival.
 std::chrono::milliseconds objectiveOf(const JobRecord &job);
 
+/// Processor time of a job's tasks by the caller's estimate, in core-seconds.
+double workOf(const JobSpec &spec);
+
 /// Returns how much of a job's objective its work leaves.
 Hurry hurryOf(const JobRecord &job);
 
--- a/src/workflow/room_claims.h
+++ b/src/workflow/room_claims.h
@@ -23,6 +23,7 @@
     {
         claims_[worker] += amount;
         left_ -= amount;
+        total_ += amount;
     }
     /// Returns what is claimed on a worker.
     placement::Resources on(WorkerNumber worker) const
@@ -36,9 +37,15 @@
         return amount.milliCpu <= left_.milliCpu;
     }
 
+    const placement::Resources &total() const
+    {
+        return total_;
+    }
+
 private:
     std::map<WorkerNumber, placement::Resources> claims_;
     placement::Resources left_;
+    placement::Resources total_;
 };
 
 } // namespace yuccawheel::workflow
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -241,6 +241,35 @@
     EXPECT_TRUE(world.runUntil([&] { return world.workers.running() == 3; }, 500ms));
 }
 
+// Load pattern: a burst of long questions, and a leader that is lost in the middle of it. The service goes on with what
+// the first leader has asked. If the next one adds lines of its own, all answers come too late, those of the questions
+// that are asked once more as well, and so on for good.
+TEST_F(WorkflowManager, BurstOfQuestionsAndANewLeaderLeaveNoAnswerUseless)
+{
+    World::Options options;
+    options.machines = 3;
+    options.serviceTime = 540ms;
+    World world(options);
+    addWorkers(world, 10);
+    workflow::QueuePolicy checked = policy();
+    checked.eligibility = workflow::EligibilityPolicy{500ms, 4ms, 2'000ms};
+    constexpr workflow::JobKey Jobs = 30;
+    for (workflow::JobKey key = 1; key <= Jobs; ++key) {
+        world.submit(key, job({gang(2, 6'000)}), checked);
+    }
+    world.run(900ms);
+    world.loseLeader();
+    world.run(500ms);
+    world.lead();
+    const auto allEnded = [&] {
+        return std::all_of(world.state.jobs().begin(), world.state.jobs().end(), [](const auto &item) {
+            return item.second.phase == JobPhase::Completed;
+        });
+    };
+    EXPECT_TRUE(world.runUntil(allEnded, 30s));
+    EXPECT_EQ(world.uselessAnswers, 0U);
+}
+
 TEST_F(WorkflowManager, LeaderBeginsAnewAfterEntriesWereLost)
 {
     World world({});
--- a/tests/workflow_order_test.cpp
+++ b/tests/workflow_order_test.cpp
@@ -143,3 +143,33 @@
     ASSERT_TRUE(quick.has_value());
     EXPECT_FALSE(busy.contains(*quick));
 }
+
+TEST(AskingMachines, LongCallsAreHeldBackUntilAMachineIsNearlyFree)
+{
+    AskingMachines machines;
+    machines.add(1);
+    machines.started(1, 800ms, Start);
+    EXPECT_FALSE(machines.choose(800ms, Start + 400ms));
+    EXPECT_TRUE(machines.choose(800ms, Start + 790ms));
+    EXPECT_FALSE(machines.choose(10ms, Start + 400ms));
+    EXPECT_TRUE(machines.choose(10ms, Start + 700ms)) << "short ones may wait for a little while";
+}
+
+TEST(AskingMachines, UnansweredCallMayStillBeServed)
+{
+    AskingMachines machines;
+    machines.add(1);
+    machines.add(2);
+    machines.started(1, 800ms, Start);
+    machines.unanswered(1, 800ms, Start + 2s);
+    EXPECT_EQ(machines.choose(800ms, Start + 2s), 2U);
+    machines.started(2, 800ms, Start + 2s);
+    EXPECT_FALSE(machines.choose(800ms, Start + 2s));
+    EXPECT_EQ(machines.choose(800ms, Start + 2'900ms), 2U) << "the other one's line is known";
+    machines.answered(2, 800ms, Start + 2'800ms);
+    machines.started(1, 800ms, Start + 4s);
+    machines.unanswered(1, 800ms, Start + 6s);
+    machines.remove(2);
+    EXPECT_FALSE(machines.choose(10ms, Start + 6'850ms)) << "after a second one it is left alone for longer";
+    EXPECT_TRUE(machines.choose(10ms, Start + 7s));
+}
--- a/tests/workflow_world.h
+++ b/tests/workflow_world.h
@@ -25,6 +25,8 @@
         std::uint64_t seed = 1;
         double answersLost = 0; ///< Share of the orders without an answer.
         double carriedOutLate = 0; ///< Share of the orders without an answer that take effect seconds later.
+        std::uint64_t machines = 1; ///< That ask the eligibility service.
+        std::chrono::milliseconds serviceTime{28}; ///< Of a question, also of one that nobody waits for any more.
         fakes::CalledWorkers::Options workers;
     };
 
@@ -44,7 +46,9 @@
             nextReport_[id] = now;
         }
         manager->lead(state, ++epoch_, now, wall());
-        manager->addMachine(1);
+        for (std::uint64_t machine = 1; machine <= options_.machines; ++machine) {
+            manager->addMachine(machine);
+        }
         leading_ = true;
     }
     void dropProposals()
@@ -162,7 +166,11 @@
                 rows->emplace_back(worker, "ticket");
             }
         }
-        later(now + AdviceDelay, [this, number = question.number, rows] { manager->onEligibility(number, rows, now); });
+        // The service serves the questions of each machine one after the other.
+        base::TimePoint &lineEnd = lineEnds_[question.machine];
+        lineEnd = std::max(lineEnd, now + Delay) + options_.serviceTime;
+        uselessAnswers += lineEnd > now + question.timeout ? 1 : 0;
+        later(lineEnd, [this, number = question.number, rows] { manager->onEligibility(number, rows, now); });
     }
     void forget(const workflow::WorkerIdentity &identity) override
     {
@@ -184,12 +192,12 @@
     std::unique_ptr<workflow::JobManager> manager;
     std::uint64_t looksSent = 0;
     std::uint64_t questions = 0;
+    std::uint64_t uselessAnswers = 0; ///< That came after their question's time.
     bool dropQuestions = false; ///< Questions get no answer.
 
 private:
     static constexpr std::chrono::milliseconds Delay{2};
     static constexpr std::chrono::milliseconds CommitDelay{20};
-    static constexpr std::chrono::milliseconds AdviceDelay{30};
     static constexpr std::chrono::milliseconds OrderTimeout{700};
     static constexpr std::chrono::milliseconds ReportInterval{1'500};
 
@@ -326,6 +334,7 @@
     std::deque<Proposal> log_;
     std::vector<WaitingLook> looks_;
     std::map<std::string, base::TimePoint> nextReport_;
+    std::map<std::uint64_t, base::TimePoint> lineEnds_; ///< When the service is done with a machine's questions.
     std::uint64_t epoch_ = 0;
     std::uint64_t generation_ = 0;
     bool leading_ = false;
