Gangs take the room of less urgent tasks that can be resumed

The gangs' tickets made it worse: a waiting gang renewed them only for workers that had room at that moment, so that it rarely held enough of them when the room was there.

Change: a gang that can still be on time stops tasks of less urgent queues whose work is saved, on workers for which it holds valid tickets, if that makes room for all of it; the room is kept from everybody until it starts. Until then such tasks may use the room that is kept for gangs. Tickets are asked for all workers that can make room.

--- a/src/workflow/job.h
+++ b/src/workflow/job.h
@@ -61,6 +61,11 @@
     std::chrono::milliseconds tailTarget{0}; ///< Of lasting tasks: their users' response times stay below it.
     std::uint32_t maxUnavailable = 0; ///< Of lasting tasks: how many the scheduler may take away at a time.
 
+    /// Returns whether a task can be stopped and resumed elsewhere with nothing lost.
+    bool resumable() const
+    {
+        return checkpointing && !gang && !lasting && !filler;
+    }
     MSGPACK_DEFINE(count,
                    perTask,
                    estimatedRunTime,
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -85,6 +85,8 @@
         StepEligibility eligibility;
         bool asking = false;
         base::TimePoint nextQuestion{};
+        std::map<WorkerNumber, std::uint32_t> roomMade; ///< For a gang: tasks that workers are making room for.
+        base::TimePoint roomMadeUntil{}; ///< Kept for the gang until then.
     };
     struct Question {
         StepKey step;
@@ -120,8 +122,15 @@
     void reportLoad(const RoomClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
-    void placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
+    void placeStep(
+        StepKey key, StepRun &step, Rank::Hope hope, base::TimePoint now, RoomClaims &claims, StartsEntry &starts);
     placement::Resources claimLimit() const;
+    void gatherRoom(const StepPlacer &placer,
+                    const StepPlacer::Request &request,
+                    StepKey key,
+                    StepRun &step,
+                    RoomClaims &claims,
+                    base::TimePoint now);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
     std::vector<WorkerNumber>
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "workflow/job_manager.h"
+#include "workflow/room_maker.h"
 
 #include <fmt/core.h>
 
@@ -21,6 +22,7 @@
 constexpr std::chrono::milliseconds TicketMargin{150}; ///< A ticket that expires sooner is asked for again.
 constexpr std::chrono::milliseconds LoadReportInterval{1'000}; ///< The finest step of the metrics that are collected.
 constexpr double MostClaimed = 0.25; ///< Of all processors: what may lie idle for gangs that wait.
+constexpr std::chrono::milliseconds TimeToMakeRoom{900}; ///< A stop, its end in the log, and a retry of a lost order.
 constexpr double FirstGoodShare = 0.5; ///< Before any answer.
 constexpr double GoodShareWeight = 0.1; ///< Of the newest answer in the average.
 constexpr double SpareWorkers = 1.5; ///< Workers asked about for each that is expected to be needed.
@@ -97,7 +99,7 @@
     RoomClaims claims(claimLimit());
     StartsEntry starts;
     for (const auto &[rank, key] : order) {
-        placeStep(key, steps_.at(key), now, claims, starts);
+        placeStep(key, steps_.at(key), rank.hope, now, claims, starts);
     }
     if (!starts.starts.empty() && !port_.propose(starts)) {
         for (const StartsEntry::Start &start : starts.starts) {
@@ -138,7 +140,8 @@
     return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MostClaimed), 0, 0};
 }
 
-void JobManager::placeStep(StepKey key, StepRun &step, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
+void JobManager::placeStep(
+    StepKey key, StepRun &step, Rank::Hope hope, base::TimePoint now, RoomClaims &claims, StartsEntry &starts)
 {
     const JobRecord &job = *state_->findJob(key.job);
     const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
@@ -151,7 +154,9 @@
     }
     const StepSpec &spec = job.specOf(key.position);
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
-    const StepPlacer::Request request{job, key.position, waiting, eligibility, tasksByWorker(job, key), hurryOf(job)};
+    const bool mayMakeRoom = spec.gang && hope == Rank::Hope::OnTime;
+    const StepPlacer::Request request{
+        job, key.position, waiting, eligibility, tasksByWorker(job, key), hurryOf(job), mayMakeRoom};
     const StepPlacer placer(workers_, ledger_, claims, pace_, now);
     const std::vector<Assignment> assignments = placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
@@ -186,7 +191,44 @@
         askFor(placer, request, key, step, now);
     }
     if (!waiting.empty() && spec.gang) {
-        placer.claimFor(request, claims);
+        gatherRoom(placer, request, key, step, claims, now);
+    }
+}
+
+// While its workers make room for a gang, that room is kept from everybody. Otherwise the room where it is likely to
+// start is kept from all but those that can give way to it.
+void JobManager::gatherRoom(const StepPlacer &placer,
+                            const StepPlacer::Request &request,
+                            StepKey key,
+                            StepRun &step,
+                            RoomClaims &claims,
+                            base::TimePoint now)
+{
+    if (now >= step.roomMadeUntil) {
+        const RoomMaker maker(workers_, *state_, now);
+        const auto plan = request.mayMakeRoom ? maker.plan(placer, request) : std::nullopt;
+        if (!plan) {
+            placer.claimFor(request, claims);
+            return;
+        }
+        for (const RoomMaker::Stop &stop : plan->stops) {
+            WorkerView &worker = workers_.at(stop.worker);
+            LiveRun &run = worker.runs.at(stop.task);
+            base::logInfo("task_yields")
+                .with("task", toString(stop.task))
+                .with("run", run.run)
+                .with("worker", worker.identity.id)
+                .with("to", toString(key.job));
+            stopRun(run, now);
+            reviewRun(stop.worker, worker, stop.task, run, now);
+        }
+        step.roomMade = plan->room;
+        step.roomMadeUntil = now + TimeToMakeRoom;
+    }
+    const placement::Resources amount = reservationOf(request.job.specOf(request.position));
+    for (const auto &[worker, tasks] : step.roomMade) {
+        const placement::Resources kept = placement::smaller(amount * tasks, ledger_.free(worker));
+        claims.hold(worker, kept);
     }
 }
 
@@ -202,6 +244,7 @@
     };
     const StepEligibility &eligibility = *request.eligibility;
     const std::size_t needed = request.waiting.size();
+    const RoomMaker maker(workers_, *state_, now);
     std::vector<WorkerNumber> goodWithRoom;
     std::vector<Candidate> fresh;
     std::size_t roomOnGood = 0;
@@ -211,7 +254,8 @@
         if (!placer.suits(request, number, worker)) {
             continue;
         }
-        const std::uint32_t room = placer.roomFor(request, number);
+        const std::uint32_t room =
+            request.mayMakeRoom ? maker.mostRoom(placer, request, number) : placer.roomFor(request, number);
         if (!eligibility.isKnown(number)) {
             fresh.push_back({number, room});
             continue;
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -42,10 +42,16 @@
         && reservationOf(step).fitsIn(ledger_.capacity(number));
 }
 
-std::uint32_t StepPlacer::roomFor(const Request &request, WorkerNumber number) const
+placement::Resources StepPlacer::freeOn(const Request &request, WorkerNumber number) const
 {
     const StepSpec &step = request.job.specOf(request.position);
-    const std::int64_t times = reservationOf(step).timesIn(freeOn(number));
+    return ledger_.free(number) - claims_.against(number, request.job.policy.priority, step.resumable());
+}
+
+std::uint32_t StepPlacer::roomIn(const Request &request, WorkerNumber number, const placement::Resources &free) const
+{
+    const StepSpec &step = request.job.specOf(request.position);
+    const std::int64_t times = reservationOf(step).timesIn(free);
     auto tasks = static_cast<std::uint32_t>(std::clamp<std::int64_t>(times, 0, step.count));
     if (step.maxPerWorker > 0) {
         const auto found = request.there.find(number);
@@ -66,7 +72,7 @@
         }
         const std::uint32_t tasks = roomFor(request, number);
         if (tasks > 0) {
-            rooms.push_back({number, tasks, freeOn(number).milliCpu});
+            rooms.push_back({number, tasks, freeOn(request, number).milliCpu});
         }
     }
     return rooms;
@@ -81,7 +87,7 @@
             const std::int64_t most = amount.timesIn(ledger_.capacity(number));
             rooms.push_back({number,
                              static_cast<std::uint32_t>(std::min<std::int64_t>(most, request.waiting.size())),
-                             freeOn(number).milliCpu});
+                             freeOn(request, number).milliCpu});
         }
     }
     std::sort(rooms.begin(), rooms.end(), [](const Room &left, const Room &right) {
@@ -93,9 +99,9 @@
             return;
         }
         const std::uint32_t tasks = std::min<std::uint32_t>(room.tasks, static_cast<std::uint32_t>(needed));
-        const placement::Resources kept = placement::smaller(amount * tasks, freeOn(room.worker));
+        const placement::Resources kept = placement::smaller(amount * tasks, freeOn(request, room.worker));
         if (kept.nonNegative() && claims.allows(kept)) {
-            claims.claim(room.worker, kept);
+            claims.claim(room.worker, kept, request.job.policy.priority);
         }
         needed -= tasks;
     }
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -52,6 +52,7 @@
         /// Tasks of the step on each worker, those on their way to the log included; only where there is a limit.
         std::map<WorkerNumber, std::uint32_t> there;
         Hurry hurry = Hurry::Some;
+        bool mayMakeRoom = false; ///< Less urgent tasks that can be resumed give way to it.
     };
 
     /// Returns as many assignments as there is room for; for a gang all or none.
@@ -62,13 +63,15 @@
     /// Claims the room on the workers that a gang without enough room is likely to get: those that may run it and have
     /// the most room now.
     void claimFor(const Request &request, RoomClaims &claims) const;
-    /// Returns what is free on a worker and not kept for others.
-    placement::Resources freeOn(WorkerNumber number) const
+    /// Returns what is free on a worker and not kept from the step.
+    placement::Resources freeOn(const Request &request, WorkerNumber number) const;
+    /// Returns how many of the step's tasks the worker has room for now.
+    std::uint32_t roomFor(const Request &request, WorkerNumber number) const
     {
-        return ledger_.free(number) - claims_.on(number);
+        return roomIn(request, number, freeOn(request, number));
     }
-    /// Returns how many of the step's tasks the worker has room for now.
-    std::uint32_t roomFor(const Request &request, WorkerNumber number) const;
+    /// The same if so much were free there.
+    std::uint32_t roomIn(const Request &request, WorkerNumber number, const placement::Resources &free) const;
 
 private:
     struct Room {
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -59,6 +59,12 @@
         world.lead();
         world.run(100ms);
     }
+    static World::Options longRuns()
+    {
+        World::Options options;
+        options.workers.runTime = 6s;
+        return options;
+    }
     static bool ended(const World &world, workflow::JobKey key, JobPhase phase)
     {
         const workflow::JobRecord *const record = world.state.findJob(key);
@@ -270,6 +276,76 @@
     EXPECT_EQ(world.uselessAnswers, 0U);
 }
 
+// Load pattern: workers full of small tasks of a patient queue when a gang of a more urgent one arrives.
+TEST_F(WorkflowManager, GangTakesTheRoomOfLessUrgentTasksThatCanBeResumed)
+{
+    World world(longRuns());
+    addWorkers(world, 4);
+    workflow::StepSpec patient = step(32, 2'000);
+    patient.checkpointing = true;
+    workflow::QueuePolicy later = policy();
+    later.priority = 2;
+    later.target = 60s;
+    world.submit(1, job({patient}), later);
+    ASSERT_TRUE(world.runUntil([&] { return world.workers.running() == 32; }, 1s));
+    workflow::QueuePolicy sooner = policy();
+    sooner.priority = 1;
+    sooner.eligibility = workflow::EligibilityPolicy{9ms, 100us, 2'000ms};
+    world.mayRun = [](const std::string &, const std::string &worker) {
+        return worker != "w3";
+    };
+    world.submit(Key, job({gang(3, 10'000)}), sooner);
+    EXPECT_TRUE(world.runUntil([&] { return world.state.findJob(Key) && world.state.findJob(Key)->placed == 3; }, 1s));
+    EXPECT_EQ(world.workers.worker("w3").runs.size(), 8U) << "it could not help";
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 8s));
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, 1, JobPhase::Completed); }, 20s));
+}
+
+TEST_F(WorkflowManager, NoTaskGivesWayThatIsAsUrgentOrWouldLoseItsWork)
+{
+    World world(longRuns());
+    addWorkers(world, 2);
+    workflow::StepSpec steady = step(8, 2'000);
+    workflow::StepSpec saved = steady;
+    saved.checkpointing = true;
+    workflow::QueuePolicy later = policy();
+    later.priority = 2;
+    world.submit(1, job({steady}), later);
+    world.submit(2, job({saved}), policy());
+    ASSERT_TRUE(world.runUntil([&] { return world.workers.running() == 16; }, 1s));
+    workflow::QueuePolicy sooner = policy();
+    sooner.target = 60s;
+    world.submit(Key, job({gang(2, 10'000)}), sooner);
+    world.run(2s);
+    EXPECT_EQ(world.workers.running(), 16U);
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 20s));
+}
+
+// Room that is kept for a gang is not left idle: less urgent tasks that can be resumed use it until all of it is there.
+TEST_F(WorkflowManager, ResumableTasksUseTheRoomThatIsKeptForAGang)
+{
+    World world(longRuns());
+    addWorkers(world, 4);
+    workflow::StepSpec unsaved = step(4, 12'000);
+    workflow::QueuePolicy later = policy();
+    later.priority = 2;
+    later.target = 60s;
+    world.submit(1, job({unsaved}), later);
+    ASSERT_TRUE(world.runUntil([&] { return world.workers.running() == 4; }, 1s));
+    workflow::QueuePolicy sooner = policy();
+    sooner.target = 60s;
+    world.submit(Key, job({gang(4, 10'000)}), sooner);
+    world.run(200ms);
+    workflow::StepSpec small = step(2, 4'000);
+    workflow::StepSpec saved = small;
+    saved.checkpointing = true;
+    world.submit(2, job({small}), later);
+    world.submit(3, job({saved}), later);
+    world.run(1s);
+    EXPECT_EQ(world.state.findJob(3)->placed, 2U);
+    EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 20s));
+}
+
 TEST_F(WorkflowManager, LeaderBeginsAnewAfterEntriesWereLost)
 {
     World world({});
@@ -293,6 +369,7 @@
     options.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(1, 1'000'000));
     options.answersLost = 0.05;
     options.carriedOutLate = 0.5;
+    options.workers.runTime = 700ms;
     World world(options);
     std::mt19937_64 random(options.seed);
     for (int number = 0; number < 5; ++number) {
@@ -302,9 +379,14 @@
     constexpr workflow::JobKey Jobs = 25;
     for (workflow::JobKey key = 1; key <= Jobs; ++key) {
         const auto width = static_cast<std::uint32_t>(1 + random() % 4);
-        workflow::StepSpec second = random() % 2 == 0 ? gang(width, 3'000) : step(width, 2'000);
+        workflow::StepSpec first = step(4 * width, 2'000);
+        first.checkpointing = random() % 2 == 0;
+        workflow::StepSpec second = random() % 2 == 0 ? gang(width, 6'000) : step(width, 2'000);
         second.after = {0};
-        world.submit(key, job({step(width, 2'000), second}), policy());
+        workflow::QueuePolicy queue = policy();
+        queue.priority = static_cast<std::int32_t>(random() % 3);
+        queue.target = 20s;
+        world.submit(key, job({first, second}), queue);
         world.run(std::chrono::milliseconds(random() % 400));
         const std::string worker = "w" + std::to_string(random() % 5);
         switch (random() % 8) {
@@ -332,9 +414,10 @@
     for (const std::string &id : world.ids()) {
         world.workers.worker(id).cut = false;
     }
-    world.run(60s);
-    for (const auto &[key, record] : world.state.jobs()) {
-        RC_ASSERT(record.ended());
-        RC_ASSERT(record.placed == 0U);
-    }
+    const auto allOver = [&] {
+        return std::all_of(world.state.jobs().begin(), world.state.jobs().end(), [](const auto &item) {
+            return item.second.ended() && item.second.placed == 0;
+        });
+    };
+    RC_ASSERT(world.runUntil(allOver, 60s));
 }
