yuccactl trace: one job's story from the logs of all processes

`yuccactl trace JOB LOG...` puts the lines that name a job in order of time, with what befell the cluster and the job's workers meanwhile, as text or JSON. The stand-in of a called worker can fail its runs, and is silent once it is closed (it went on answering over open connections).

--- a/fakes/called_worker.py
+++ b/fakes/called_worker.py
@@ -62,6 +62,7 @@
         self.managers = managers
         self.run_s = run_s
         self.cpu = cpu
+        self.how = "done"  # How runs end.
         self.born = int(time.time() * 1000)
         self.started_at = time.monotonic()
         self.lock = threading.Lock()
@@ -119,7 +120,7 @@
         now = time.monotonic()
         for task, (run, ends_at) in list(self.runs.items()):
             if now >= ends_at:
-                self._end(task, run, "done")
+                self._end(task, run, self.how)
 
     def _end(self, task, run, how):
         del self.runs[task]
@@ -128,6 +129,8 @@
         self.next_end += 1
 
     def _answer(self, path, body):
+        if self.closed:
+            raise ConnectionAbortedError("the worker is closed")
         if path == "/hold":
             return self._look(body)
         with self.lock:
@@ -149,6 +152,8 @@
     def _look(self, body):
         end = time.monotonic() + body.get("wait_ms", 0) / 1000
         while True:
+            if self.closed:
+                raise ConnectionAbortedError("the worker is closed")
             with self.lock:
                 self._end_due()
                 self.ended = [row for row in self.ended if row[0] > body["last_seen"]]
--- a/src/programs/yuccactl/commands.cpp
+++ b/src/programs/yuccactl/commands.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr std::size_t MostLogs = 10'000; ///< Far more processes than a cluster has.
+
 std::string jobPath(const Session &session, std::string_view action = "")
 {
     return fmt::format("/v1/jobs/{}{}", escapePath(session.options().arguments.at(0)), action);
@@ -118,6 +120,13 @@
         {"config", "", "show the teams and services in force", 0, true, runConfig},
         {"config status", "", "show which version each daemon has", 0, true, runConfigStatus},
         {"store status", "", "show the replicas of the agreed log", 0, true, runStoreStatus},
+        {"trace",
+         "JOB LOG...",
+         "show the lines about a job from the logs of all processes, in order; * marks what befell the cluster",
+         2,
+         false,
+         runTrace,
+         MostLogs},
         {"report",
          "",
          "show in one place what failed, waits or needs a person; --since says how far back",
--- a/src/programs/yuccactl/commands.h
+++ b/src/programs/yuccactl/commands.h
@@ -27,6 +27,8 @@
 ExitCode runSubmit(const Session &session);
 ExitCode runReport(const Session &session);
 ExitCode runWatch(const Session &session);
+/// Puts the lines about one job from the logs of all processes in order of time.
+ExitCode runTrace(const Session &session);
 /// Waits until every daemon has a version of the configuration.
 ExitCode waitInForce(const Session &session, std::uint64_t version);
 
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -169,6 +170,52 @@
         self.assertIn(status, (503, 504))
         self.assertGreaterEqual(int(headers["Retry-After"]), 1)
 
+    def trace(self, key):
+        """Returns what yuccactl makes of a job's story, from the logs alone: (event, fields) in order of time."""
+        logs = sorted(str(file) for file in self.folder.glob("*.log"))
+        answer = subprocess.run([BIN / "yuccactl", "trace", f"{key:016x}", *logs, "--format", "json"],
+                                capture_output=True, text=True, timeout=30)
+        return [(line["event"], line["fields"]) for line in json.loads(answer.stdout)] if answer.returncode == 0 else []
+
+    def wait_trace(self, key, event, **fields):
+        """Waits for a line of an event with these fields; logs are written a little later than what they tell."""
+        return wait_until(lambda: [place for place, (name, found) in enumerate(self.trace(key))
+                                   if name == event and fields.items() <= found.items()],
+                          f"the trace of {key} has {event} {fields}")
+
+    def test_logs_tell_why_a_job_was_refused(self):
+        for manager in self.managers:
+            manager.kill()
+        body = json.dumps({"task_spec": "work", "steps": [{"count": 1, "cpu": 1000, "mem_mb": 100}]})
+        self.assertIn(self.job("POST", 1, body)[0], (503, 504))
+        self.wait_trace(1, "request_given_up", connected="false")
+        self.assertNotIn("job_accepted", [event for event, _ in self.trace(1)])
+
+    def test_logs_tell_that_a_silent_worker_made_a_job_late(self):
+        for worker in self.workers:
+            worker.run_s = 2
+        self.submit(1, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}])
+        lost = wait_until(lambda: [worker for worker in self.workers if worker.starts], "the task is started")[0]
+        lost.close()
+        self.wait_state(1, "completed")
+        silent = self.wait_trace(1, "worker_does_not_answer", worker=lost.name)[0]
+        given_up = self.wait_trace(1, "worker_given_up", worker=lost.name, reason="lease_over")[0]
+        again = self.wait_trace(1, "task_placed", run="2")[0]
+        end = self.wait_trace(1, "job_ended", phase="completed")[0]
+        self.assertEqual(sorted([silent, given_up, again, end]), [silent, given_up, again, end])
+        fields = self.trace(1)[end][1]
+        self.assertGreater(int(fields["after_ms"]), int(fields["objective_ms"]))
+
+    def test_logs_tell_that_a_job_failed_by_itself(self):
+        for worker in self.workers:
+            worker.how = "failed"
+        self.submit(1, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}])
+        self.wait_state(1, "failed")
+        end = self.wait_trace(1, "job_ended", phase="failed")[0]
+        ends = self.wait_trace(1, "task_ended", how="failed")
+        self.assertEqual(len(ends), 3, "as many as it has attempts")
+        self.assertLess(ends[-1], end)
+
     def test_stopped_processes_end_in_order(self):
         self.assertEqual(self.gateway.terminate(), 0)
         for manager in self.managers:
