A standard output that nobody reads, or that is broken, holds up no process

Cause: the log's thread wrote with a blocking call. With a full pipe the process that was to end waited for that thread for ever; with a pipe that nobody holds any more the write's signal ended the process at once. Both were seen to fail in the new process test.

Change: the thread waits until the output takes something, drops and counts what a broken output does not take, and gives a lagging reader half a second once the process is to end. Lines that have come together are written together.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -4,10 +4,15 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
+#include <climits>
+#include <csignal>
+#include <poll.h>
 #include <thread>
+#include <unistd.h>
 
 namespace yuccawheel::base
 {
@@ -17,6 +22,8 @@
 
 constexpr std::size_t LogRingLines = 8192;
 constexpr std::chrono::milliseconds WriterWait{200};
+constexpr std::chrono::milliseconds LastWait{500}; ///< For a reader that lags, once the process ends.
+constexpr std::size_t MostBatchBytes = PIPE_BUF; ///< A pipe that is ready takes so much without blocking.
 
 std::atomic<LogLevel> lowestLevel{LogLevel::Warning};
 std::atomic<BoundedRing<std::string> *> activeRing{nullptr};
@@ -75,10 +82,44 @@
         "{:%Y-%m-%dT%H:%M:%S}.{:03d}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis.count());
 }
 
-void writeLine(const std::string &line)
+enum class WriteResult : std::uint8_t {
+    Written,
+    Full, ///< Nobody has read for the time given.
+    Broken, ///< There is no reader, or no space.
+};
+
+/// Writes as much of `text` as standard output takes, and removes that from it. Blocks no longer than `patience` for
+/// each part.
+WriteResult writeOut(std::string_view &text, std::chrono::milliseconds patience)
+{
+    while (!text.empty()) {
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        const int ready = ::poll(&out, 1, static_cast<int>(patience.count()));
+        if (ready == 0) {
+            return WriteResult::Full;
+        }
+        if (ready < 0 && errno == EINTR) {
+            continue;
+        }
+        // To write without a reader would raise a signal that ends the process.
+        if (ready < 0 || (out.revents & POLLOUT) == 0 || (out.revents & POLLERR) != 0) {
+            return WriteResult::Broken;
+        }
+        const ssize_t written = ::write(STDOUT_FILENO, text.data(), std::min(text.size(), MostBatchBytes));
+        if (written >= 0) {
+            text.remove_prefix(static_cast<std::size_t>(written));
+        } else if (errno != EINTR && errno != EAGAIN) {
+            return WriteResult::Broken;
+        }
+    }
+    return WriteResult::Written;
+}
+
+void writeNow(std::string_view line)
 {
-    std::fwrite(line.data(), 1, line.size(), stdout);
-    std::fflush(stdout);
+    if (writeOut(line, WriterWait) != WriteResult::Written) {
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
+    }
 }
 
 } // namespace
@@ -115,7 +156,7 @@
     text_ += '\n';
     auto *ring = activeRing.load(std::memory_order_acquire);
     if (ring == nullptr) {
-        writeLine(text_);
+        writeNow(text_);
     } else if (!ring->tryPush(std::move(text_))) {
         droppedLines.fetch_add(1, std::memory_order_relaxed);
     }
@@ -125,13 +166,20 @@
     BoundedRing<std::string> ring{LogRingLines};
     std::thread thread;
     std::uint64_t reportedDrops = 0;
+    std::atomic<bool> closing{false};
+    bool gaveUp = false; ///< Nobody read for the last wait: what is left is dropped.
 
     void run()
     {
+        // The reader may go away between the look at the pipe and the write.
+        sigset_t brokenPipe;
+        sigemptyset(&brokenPipe);
+        sigaddset(&brokenPipe, SIGPIPE);
+        pthread_sigmask(SIG_BLOCK, &brokenPipe, nullptr);
         while (true) {
             auto line = ring.popFor(WriterWait);
             if (line) {
-                writeLine(*line);
+                writeBatch(std::move(*line));
             } else if (ring.closed()) {
                 return;
             }
@@ -139,15 +187,48 @@
         }
     }
 
+    // Lines that have come together are written together.
+    void writeBatch(std::string batch)
+    {
+        std::uint64_t lines = 1;
+        while (batch.size() < MostBatchBytes) {
+            auto next = ring.tryPop();
+            if (!next) {
+                break;
+            }
+            batch += *next;
+            ++lines;
+        }
+        write(batch, lines);
+    }
+
+    // A reader that lags is waited for, while the ring fills and then drops; but not once the process is to end.
+    void write(std::string_view text, std::uint64_t lines)
+    {
+        WriteResult result = WriteResult::Full;
+        while (result == WriteResult::Full && !closing) {
+            result = writeOut(text, WriterWait);
+        }
+        if (result == WriteResult::Full && !gaveUp) {
+            result = writeOut(text, LastWait);
+            gaveUp = result == WriteResult::Full;
+        }
+        if (result != WriteResult::Written) {
+            droppedLines.fetch_add(lines, std::memory_order_relaxed);
+        }
+    }
+
     void reportDrops()
     {
         const auto total = droppedLines.load(std::memory_order_relaxed);
         if (total != reportedDrops) {
-            writeLine(fmt::format("time={} level=warning event=log_lines_dropped count={} total={}\n",
-                                  timestamp(),
-                                  total - reportedDrops,
-                                  total));
+            const auto reported = reportedDrops;
             reportedDrops = total;
+            write(fmt::format("time={} level=warning event=log_lines_dropped count={} total={}\n",
+                              timestamp(),
+                              total - reported,
+                              total),
+                  0);
         }
     }
 };
@@ -162,6 +243,7 @@
 LogWriter::~LogWriter()
 {
     activeRing.store(nullptr, std::memory_order_release);
+    impl_->closing = true;
     impl_->ring.close();
     impl_->thread.join();
     delete impl_;
