One loop for lost questions, one limit of settings files, no dead callback

- The questions of a machine that is gone and those without an answer in time were given up by the same loop written twice.
- How much room a worker can make no longer builds and sorts the list of tasks to stop, which only a plan needs; it is asked for each worker and each gang that waits.
- Nobody took the change of leader from the book of managers.
- The watch of the settings file uses the limit that reads it.
- Two spans had one name, and a count was called `now`.
- Tests of lost questions share their set-up; each keeps its checks.

No functional change.

--- a/src/daemon/manager_book.cpp
+++ b/src/daemon/manager_book.cpp
@@ -21,10 +21,10 @@
     return boost::asio::ip::address_v4(number).to_string();
 }
 
-ManagerBook::ManagerBook(Context &context, std::uint32_t self, Callbacks callbacks)
+ManagerBook::ManagerBook(Context &context, std::uint32_t self, NoticeHandler onNotice)
     : context_(context)
     , self_(self)
-    , callbacks_(std::move(callbacks))
+    , onNotice_(std::move(onNotice))
 {
     setSeeds(context.settings.seeds);
 }
@@ -53,7 +53,7 @@
         protocol::Peer::Callbacks callbacks;
         callbacks.notice = [this, manager](const protocol::ChannelPtr &, protocol::Frame frame) {
             if (frame.type != protocol::MessageType::Topology) {
-                callbacks_.notice(manager, std::move(frame));
+                onNotice_(manager, std::move(frame));
             } else if (const auto topology = protocol::decode<workflow::Topology>(frame.payload)) {
                 learn(*topology);
             }
@@ -81,9 +81,6 @@
             .with("leader", topology_.leader == 0 ? "none" : managerIp(topology_.leader))
             .with("term", topology_.term);
         dropOthers();
-        if (callbacks_.leaderChanged) {
-            callbacks_.leaderChanged();
-        }
     }
 }
 
--- a/src/daemon/manager_book.h
+++ b/src/daemon/manager_book.h
@@ -23,12 +23,9 @@
 class ManagerBook
 {
 public:
-    struct Callbacks {
-        std::function<void(std::uint32_t manager, protocol::Frame)> notice; ///< Other than Topology.
-        std::function<void()> leaderChanged;
-    };
-    /// `self` is left out; 0 for a process that is no manager.
-    ManagerBook(Context &context, std::uint32_t self, Callbacks callbacks);
+    using NoticeHandler = std::function<void(std::uint32_t manager, protocol::Frame)>;
+    /// `self` is left out; 0 for a process that is no manager. `onNotice` takes all notices but Topology.
+    ManagerBook(Context &context, std::uint32_t self, NoticeHandler onNotice);
 
     void setSeeds(const std::vector<settings::Endpoint> &seeds);
     const std::vector<std::uint32_t> &seeds() const
@@ -53,7 +50,7 @@
 
     Context &context_;
     std::uint32_t self_;
-    Callbacks callbacks_;
+    NoticeHandler onNotice_;
     std::vector<std::uint32_t> seeds_;
     workflow::Topology topology_;
     std::map<std::uint32_t, std::unique_ptr<protocol::Peer>> peers_;
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -12,11 +12,10 @@
 {
 
 constexpr std::chrono::milliseconds LookInterval{1'000}; ///< Platforms allow some seconds for a change to be noticed.
-constexpr std::size_t LongestFile = 1U << 20U;
 
 std::string contentOf(const std::string &file)
 {
-    const auto content = settings::readFile(file, LongestFile);
+    const auto content = settings::readFile(file, settings::LongestSettingsFile);
     return content ? *content : std::string();
 }
 
--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -26,9 +26,7 @@
 GatewayService::GatewayService(daemon::Context &context)
     : context_(context)
     , alive_(std::make_shared<GatewayService *>(this))
-    , managers_(context,
-                0,
-                {[this](std::uint32_t manager, const protocol::Frame &frame) { onNotice(manager, frame); }, nullptr})
+    , managers_(context, 0, [this](std::uint32_t manager, const protocol::Frame &frame) { onNotice(manager, frame); })
     , drainTimer_(context.io)
 {
     if (context.settings.eligibilityService) {
--- a/src/settings/client_settings.cpp
+++ b/src/settings/client_settings.cpp
@@ -12,7 +12,6 @@
 using namespace std::chrono_literals;
 using Row = SettingRow<ClientSettings>;
 
-constexpr std::size_t LongestSettingsFile = 1U << 20U;
 constexpr std::size_t MostEntries = 64;
 
 template <typename Value, typename Access>
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr std::size_t LongestSettingsFile = 1U << 20U;
 // A lease must outlive a few lost heartbeats, or a short network fault would stop healthy tasks.
 constexpr int HeartbeatsPerLease = 4;
 // A heartbeat that is a little late on a busy VM must not count as a failure.
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 #include <yaml-cpp/yaml.h>
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,6 +20,9 @@
 /// Parses text that must hold one YAML document at most, and that a mapping; none counts as an empty one. Never throws.
 tl::expected<YAML::Node, Problem> parseYaml(const std::string &text, const std::string &file);
 
+/// Bytes. Far more than any settings need, and little enough to hold in memory.
+inline constexpr std::size_t LongestSettingsFile = 1U << 20U;
+
 /// Reads a whole file of at most `longest` bytes.
 tl::expected<std::string, Problem> readFile(const std::string &file, std::size_t longest);
 
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -287,7 +287,7 @@
         for (auto &[number, worker] : workers_) {
             reviewWorker(number, worker, now);
         }
-        giveUpQuestions(now);
+        giveUpLateQuestions(now);
         forgetOldJobs(now);
         dispatchDue_ = true;
     }
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -143,7 +143,9 @@
              StepRun &step,
              const std::vector<WorkerNumber> &asked,
              base::TimePoint now);
-    void giveUpQuestions(base::TimePoint now);
+    template <typename IsLost>
+    void giveUpQuestions(IsLost isLost, base::TimePoint now);
+    void giveUpLateQuestions(base::TimePoint now);
 
     // Workers.
     WorkerView &addWorker(WorkerNumber number, const WorkerRecord &record, base::TimePoint now);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds TicketMargin{150}; ///< A ticket that expires sooner is asked for again.
 constexpr std::chrono::milliseconds LoadReportInterval{1'000}; ///< The finest step of the metrics that are collected.
 constexpr double MostClaimed = 0.25; ///< Of all processors: what may lie idle for gangs that wait.
-constexpr std::chrono::milliseconds TimeToMakeRoom{900}; ///< A stop, its end in the log, and a retry of a lost order.
+constexpr std::chrono::milliseconds RoomKeptFor{900}; ///< A stop, its end in the log, and a retry of a lost order.
 constexpr double FirstGoodShare = 0.5; ///< Before any answer.
 constexpr double GoodShareWeight = 0.1; ///< Of the newest answer in the average.
 constexpr double SpareWorkers = 1.5; ///< Workers asked about for each that is expected to be needed.
@@ -223,7 +223,7 @@
             reviewRun(stop.worker, worker, stop.task, run, now);
         }
         step.roomMade = plan->room;
-        step.roomMadeUntil = now + TimeToMakeRoom;
+        step.roomMadeUntil = now + RoomKeptFor;
     }
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
     for (const auto &[worker, tasks] : step.roomMade) {
@@ -351,9 +351,15 @@
 void JobManager::removeMachine(AskingMachines::Machine machine, base::TimePoint now)
 {
     machines_.remove(machine);
+    giveUpQuestions([machine](const Question &question) { return question.machine == machine; }, now);
+}
+
+template <typename IsLost>
+void JobManager::giveUpQuestions(IsLost isLost, base::TimePoint now)
+{
     std::vector<std::uint64_t> lost;
     for (const auto &[number, question] : questions_) {
-        if (question.machine == machine) {
+        if (isLost(question)) {
             lost.push_back(number);
         }
     }
@@ -363,17 +369,9 @@
 }
 
 // An answer may get lost on its way through a machine that lives on.
-void JobManager::giveUpQuestions(base::TimePoint now)
+void JobManager::giveUpLateQuestions(base::TimePoint now)
 {
-    std::vector<std::uint64_t> late;
-    for (const auto &[number, question] : questions_) {
-        if (now >= question.deadline) {
-            late.push_back(number);
-        }
-    }
-    for (const std::uint64_t number : late) {
-        onEligibility(number, std::nullopt, now);
-    }
+    giveUpQuestions([now](const Question &question) { return now >= question.deadline; }, now);
 }
 
 void JobManager::onEligibility(std::uint64_t number, const EligibilityRows &rows, base::TimePoint now)
--- a/src/workflow/room_maker.cpp
+++ b/src/workflow/room_maker.cpp
@@ -29,6 +29,24 @@
     return reservationOf(state_.findJob(task.job)->spec.steps[task.step]);
 }
 
+template <typename Visit>
+void RoomMaker::forEachYielding(WorkerNumber number, std::int32_t priority, Visit visit) const
+{
+    for (const auto &[task, run] : workers_.at(number).runs) {
+        if (yields(task, run, priority)) {
+            visit(task);
+        }
+    }
+}
+
+std::uint32_t
+RoomMaker::mostRoom(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const
+{
+    placement::Resources most = placer.freeOn(request, number);
+    forEachYielding(number, request.job.policy.priority, [&](const TaskRef &task) { most += amountOf(task); });
+    return placer.roomIn(request, number, most);
+}
+
 RoomMaker::Candidate
 RoomMaker::candidateOf(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const
 {
@@ -36,14 +54,10 @@
     candidate.worker = number;
     candidate.free = placer.freeOn(request, number);
     candidate.room = placer.roomIn(request, number, candidate.free);
-    placement::Resources most = candidate.free;
-    for (const auto &[task, run] : workers_.at(number).runs) {
-        if (yields(task, run, request.job.policy.priority)) {
-            candidate.yielding.push_back({number, task});
-            most += amountOf(task);
-        }
-    }
-    candidate.mostRoom = placer.roomIn(request, number, most);
+    candidate.mostRoom = mostRoom(placer, request, number);
+    forEachYielding(number, request.job.policy.priority, [&](const TaskRef &task) {
+        candidate.yielding.push_back({number, task});
+    });
     std::sort(candidate.yielding.begin(), candidate.yielding.end(), [this](const Stop &left, const Stop &right) {
         return std::tuple(amountOf(left.task).milliCpu, left.task)
             < std::tuple(amountOf(right.task).milliCpu, right.task);
@@ -82,9 +96,9 @@
                 candidate.free += amountOf(candidate.yielding.back().task);
                 candidate.yielding.pop_back();
             }
-            const std::uint32_t now = placer.roomIn(request, candidate.worker, candidate.free);
-            room += now - candidate.room;
-            candidate.room = now;
+            const std::uint32_t made = placer.roomIn(request, candidate.worker, candidate.free);
+            room += made - candidate.room;
+            candidate.room = made;
         }
     }
     std::size_t left = needed;
--- a/src/workflow/room_maker.h
+++ b/src/workflow/room_maker.h
@@ -35,10 +35,7 @@
     /// Returns which tasks of less urgent jobs to stop, or nothing if that would not make room for the whole gang.
     std::optional<Plan> plan(const StepPlacer &placer, const StepPlacer::Request &request) const;
     /// Returns for how many of the gang's tasks a worker can make room.
-    std::uint32_t mostRoom(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const
-    {
-        return candidateOf(placer, request, number).mostRoom;
-    }
+    std::uint32_t mostRoom(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
 
 private:
     struct Candidate {
@@ -51,6 +48,8 @@
 
     bool yields(const TaskRef &task, const LiveRun &run, std::int32_t priority) const;
     placement::Resources amountOf(const TaskRef &task) const;
+    template <typename Visit>
+    void forEachYielding(WorkerNumber number, std::int32_t priority, Visit visit) const;
     Candidate candidateOf(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
 
     const WorkerViews &workers_;
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -48,6 +48,13 @@
     return result;
 }
 
+workflow::QueuePolicy checkedPolicy(std::chrono::microseconds perCall, std::chrono::microseconds perWorker)
+{
+    workflow::QueuePolicy result = policy();
+    result.eligibility = workflow::EligibilityPolicy{perCall, perWorker, 2'000ms};
+    return result;
+}
+
 class WorkflowManager : public testing::Test
 {
 protected:
@@ -59,6 +66,15 @@
         world.lead();
         world.run(100ms);
     }
+    /// A gang whose question gets no answer, for a while.
+    void submitUnanswered(World &world, std::chrono::milliseconds unanswered)
+    {
+        addWorkers(world, 4);
+        world.dropQuestions = true;
+        world.submit(Key, job({gang(3, 10'000)}), checkedPolicy(500ms, 7ms));
+        world.run(unanswered);
+        world.dropQuestions = false;
+    }
     static World::Options longRuns()
     {
         World::Options options;
@@ -210,9 +226,7 @@
     world.mayRun = [](const std::string &, const std::string &worker) {
         return worker == "w3";
     };
-    workflow::QueuePolicy checked = policy();
-    checked.eligibility = workflow::EligibilityPolicy{9ms, 100us, 2'000ms};
-    world.submit(Key, job({step(3, 1'000)}), checked);
+    world.submit(Key, job({step(3, 1'000)}), checkedPolicy(9ms, 100us));
     EXPECT_TRUE(world.runUntil([&] { return !world.workers.worker("w3").runs.empty(); }, 1s));
     EXPECT_EQ(world.workers.running(), world.workers.worker("w3").runs.size());
     EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 3s));
@@ -221,27 +235,15 @@
 TEST_F(WorkflowManager, QuestionThatIsNeverAnsweredIsAskedAgain)
 {
     World world({});
-    addWorkers(world, 4);
-    workflow::QueuePolicy checked = policy();
-    checked.eligibility = workflow::EligibilityPolicy{500ms, 7ms, 2'000ms};
-    world.dropQuestions = true;
-    world.submit(Key, job({gang(3, 10'000)}), checked);
-    world.run(1s);
+    submitUnanswered(world, 1s);
     ASSERT_EQ(world.questions, 1U);
-    world.dropQuestions = false;
     EXPECT_TRUE(world.runUntil([&] { return ended(world, Key, JobPhase::Completed); }, 6s));
 }
 
 TEST_F(WorkflowManager, QuestionOfAMachineThatIsGoneIsAskedAgainAtOnce)
 {
     World world({});
-    addWorkers(world, 4);
-    workflow::QueuePolicy checked = policy();
-    checked.eligibility = workflow::EligibilityPolicy{500ms, 7ms, 2'000ms};
-    world.dropQuestions = true;
-    world.submit(Key, job({gang(3, 10'000)}), checked);
-    world.run(200ms);
-    world.dropQuestions = false;
+    submitUnanswered(world, 200ms);
     world.manager->removeMachine(1, world.now);
     world.manager->addMachine(2);
     EXPECT_TRUE(world.runUntil([&] { return world.workers.running() == 3; }, 500ms));
@@ -257,8 +259,7 @@
     options.serviceTime = 540ms;
     World world(options);
     addWorkers(world, 10);
-    workflow::QueuePolicy checked = policy();
-    checked.eligibility = workflow::EligibilityPolicy{500ms, 4ms, 2'000ms};
+    const workflow::QueuePolicy checked = checkedPolicy(500ms, 4ms);
     constexpr workflow::JobKey Jobs = 30;
     for (workflow::JobKey key = 1; key <= Jobs; ++key) {
         world.submit(key, job({gang(2, 6'000)}), checked);
@@ -288,9 +289,8 @@
     later.target = 60s;
     world.submit(1, job({patient}), later);
     ASSERT_TRUE(world.runUntil([&] { return world.workers.running() == 32; }, 1s));
-    workflow::QueuePolicy sooner = policy();
+    workflow::QueuePolicy sooner = checkedPolicy(9ms, 100us);
     sooner.priority = 1;
-    sooner.eligibility = workflow::EligibilityPolicy{9ms, 100us, 2'000ms};
     world.mayRun = [](const std::string &, const std::string &worker) {
         return worker != "w3";
     };
