Log what a leader's decisions cost, and why waiting tasks wait

'load' showed claimed room beside waiting tasks, but not whether those lack tickets, how many count as late, or how much work a dispatch is.

Change: 'load' says how many waiting tasks belong to steps without a valid ticket, how many steps are late or too late for use, and how many dispatches examined how many workers; 'decision_time' how long the leader's decisions took; 'task_ended' the run time beside the caller's estimate. No decision changes.

--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds RetryDelay{1'000}; ///< About the duration of an election.
 constexpr milliseconds HandoverTimeout{1'500};
 constexpr milliseconds HandoverPollInterval{5};
+constexpr milliseconds TickReportInterval{1'000}; ///< Finest resolution of the metrics collection.
 constexpr milliseconds ElectionTimeout{700}; ///< 3.5 heartbeat intervals.
 constexpr milliseconds ElectionJitter{500};
 /// Longer than one or two missed heartbeats, and than the time after which a VM counts as disconnected.
@@ -225,10 +226,39 @@
         base::logWarning("entries_not_committed").with("term", status_.term);
         startLeading();
     }
-    jobs_.tick(base::BootClock::now(), wallNow());
+    const base::TimePoint begin = base::BootClock::now();
+    jobs_.tick(begin, wallNow());
+    recordTick(begin, base::BootClock::now());
     armTimer(TickInterval);
 }
 
+// Logs how much of the leader's time its decisions take. Calls, answers and reports wait while a decision is made.
+void ManagerService::recordTick(base::TimePoint begin, base::TimePoint end)
+{
+    if (!jobs_.isLeading()) {
+        tickTimes_ = {};
+        return;
+    }
+    ++tickTimes_.ticks;
+    tickTimes_.total += end - begin;
+    tickTimes_.longest = std::max(tickTimes_.longest, end - begin);
+    if (tickTimes_.since == base::TimePoint{}) {
+        tickTimes_.since = begin;
+    }
+    if (end - tickTimes_.since < TickReportInterval) {
+        return;
+    }
+    const auto toMicroseconds = [](base::BootClock::duration time) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    };
+    base::logInfo("decision_time")
+        .with("ticks", tickTimes_.ticks)
+        .with("total_us", toMicroseconds(tickTimes_.total))
+        .with("longest_us", toMicroseconds(tickTimes_.longest));
+    tickTimes_ = {};
+    tickTimes_.since = end;
+}
+
 void ManagerService::handlePendingOutput()
 {
     while (auto output = log_->tryPopOutput()) {
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -116,6 +116,16 @@
     void forwardToLeader(const Request &request,
                          std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done);
 
+    void recordTick(base::TimePoint begin, base::TimePoint end);
+
+    /// Time that the job manager's ticks took since `since`.
+    struct TickTimes {
+        base::TimePoint since{};
+        std::uint64_t ticks = 0;
+        base::BootClock::duration total{0};
+        base::BootClock::duration longest{0};
+    };
+
     daemon::Context &context_;
     std::shared_ptr<ManagerService *> alive_;
     std::uint32_t self_ = 0;
@@ -141,6 +151,7 @@
     std::optional<platform::ControlApi> control_;
     std::size_t inProgress_ = 0; ///< Requests without a reply yet.
     std::chrono::steady_clock::time_point earliestRestart_{}; ///< Rate limit of job manager restarts.
+    TickTimes tickTimes_;
     bool restartDue_ = false; ///< An entry of the job manager was not committed.
 };
 
--- a/src/workflow/eligibility.cpp
+++ b/src/workflow/eligibility.cpp
@@ -34,6 +34,12 @@
     return found != eligible_.end() && found->second.validUntil >= now + margin ? &found->second : nullptr;
 }
 
+bool StepEligibility::hasTicket(base::TimePoint now) const
+{
+    return std::any_of(
+        eligible_.begin(), eligible_.end(), [now](const auto &item) { return item.second.validUntil >= now; });
+}
+
 void StepEligibility::expireTicket(WorkerNumber worker)
 {
     const auto found = eligible_.find(worker);
--- a/src/workflow/eligibility.h
+++ b/src/workflow/eligibility.h
@@ -29,6 +29,8 @@
     void addAnswer(const std::vector<WorkerNumber> &workers, const std::map<WorkerNumber, Ticket> &eligible);
     /// Returns a ticket that is valid for at least `margin`, or null.
     const Ticket *findTicket(WorkerNumber worker, base::TimePoint now, std::chrono::milliseconds margin) const;
+    /// Returns whether any ticket is valid.
+    bool hasTicket(base::TimePoint now) const;
     bool isKnown(WorkerNumber worker) const
     {
         return known_.contains(worker);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace yuccawheel::workflow
@@ -75,6 +76,11 @@
     {
         return workers_;
     }
+    /// Returns the work done by all dispatches so far.
+    const DispatchCost &dispatchCost() const
+    {
+        return cost_;
+    }
 
 private:
     struct StepKey {
@@ -121,7 +127,8 @@
 
     // Placement.
     void dispatch(base::TimePoint now);
-    void reportLoad(const CapacityClaims &claims, base::TimePoint now);
+    void
+    reportLoad(const std::vector<std::pair<Rank, StepKey>> &order, const CapacityClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
     void placeStep(StepKey key,
@@ -204,6 +211,8 @@
     base::TimePoint nextReview_{};
     base::TimePoint nextLoadReport_{};
     base::TimePoint nextForget_{};
+    DispatchCost cost_;
+    DispatchCost reportedCost_; ///< As of the last load report.
     bool dispatchDue_ = false;
 };
 
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -90,6 +90,7 @@
     if (!canSendOrders(now)) {
         return;
     }
+    ++cost_.dispatches;
     std::vector<std::pair<Rank, StepKey>> order;
     order.reserve(readySteps_.size());
     for (const auto &[key, step] : readySteps_) {
@@ -107,11 +108,14 @@
             unreserve(start.task);
         }
     }
-    reportLoad(claims, now);
+    reportLoad(order, claims, now);
 }
 
-// Logs the cluster load, which shows whether a waiting job lacks free capacity or cannot use the capacity that is free.
-void JobManager::reportLoad(const CapacityClaims &claims, base::TimePoint now)
+// Logs the cluster load, which shows whether waiting jobs lack capacity or tickets or are ranked behind others, and
+// what dispatches cost.
+void JobManager::reportLoad(const std::vector<std::pair<Rank, StepKey>> &order,
+                            const CapacityClaims &claims,
+                            base::TimePoint now)
 {
     if (now < nextLoadReport_) {
         return;
@@ -119,12 +123,21 @@
     nextLoadReport_ = now + LoadReportInterval;
     std::size_t waitingTaskCount = 0;
     std::size_t waitingGangs = 0;
-    for (const auto &[key, step] : readySteps_) {
+    std::size_t tasksWithoutTicket = 0;
+    std::size_t lateSteps = 0;
+    std::size_t uselessSteps = 0;
+    for (const auto &[rank, key] : order) {
         const JobRecord &job = *state_->findJob(key.job);
         const std::size_t waiting = waitingTasks(job, key).size();
         waitingTaskCount += waiting;
         waitingGangs += waiting > 0 && job.specOf(key.position).gang ? 1 : 0;
+        lateSteps += waiting > 0 && rank.lateness == Rank::Lateness::Late ? 1 : 0;
+        uselessSteps += waiting > 0 && rank.lateness == Rank::Lateness::TooLateForUse ? 1 : 0;
+        if (job.policy.eligibility && !readySteps_.at(key).eligibility.hasTicket(now)) {
+            tasksWithoutTicket += waiting;
+        }
     }
+    const DispatchCost before = std::exchange(reportedCost_, cost_);
     base::logInfo("load")
         .with("workers", workers_.size())
         .with("millicores", ledger_.totalCapacity().milliCpu)
@@ -132,7 +145,12 @@
         .with("claimed_millicores", claims.total().milliCpu)
         .with("waiting_tasks", waitingTaskCount)
         .with("waiting_gangs", waitingGangs)
-        .with("pending_queries", pendingQueries_.size());
+        .with("tasks_without_ticket", tasksWithoutTicket)
+        .with("late_steps", lateSteps)
+        .with("useless_steps", uselessSteps)
+        .with("pending_queries", pendingQueries_.size())
+        .with("dispatches", cost_.dispatches - before.dispatches)
+        .with("workers_examined", cost_.workersExamined - before.workersExamined);
 }
 
 placement::Resources JobManager::claimLimit() const
@@ -162,7 +180,7 @@
     const bool mayPreempt = spec.gang && lateness == Rank::Lateness::OnTime;
     const StepPlacer::Request request{
         job, key.position, waiting, eligibility, tasksByWorker(job, key), slackOf(job), mayPreempt};
-    const StepPlacer placer(workers_, ledger_, claims, speeds_, now);
+    const StepPlacer placer(workers_, ledger_, claims, speeds_, cost_, now);
     const std::vector<Assignment> assignments = placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -530,6 +530,10 @@
             continue;
         }
         entry.ends.push_back({*task, ended.run, ended.outcome, ended.checkpoint});
+        const LiveRun *const run = findRun(number, *task, ended.run);
+        const JobRecord *const job = state_->findJob(task->job);
+        const base::TimePoint began = run == nullptr ? base::TimePoint{} : run->runningSince;
+        const bool timed = began != base::TimePoint{};
         if (ended.outcome == RunOutcome::Done) {
             worker.health.recordSuccess();
             recordRunTime(number, *task, ended.run, now);
@@ -540,7 +544,9 @@
             .with("task", ended.task)
             .with("run", ended.run)
             .with("worker", worker.identity.id)
-            .with("how", toString(ended.outcome));
+            .with("how", toString(ended.outcome))
+            .with("ran_ms", timed ? std::chrono::duration_cast<std::chrono::milliseconds>(now - began).count() : -1)
+            .with("estimated_ms", job == nullptr ? -1 : job->spec.steps[task->step].estimatedRunTime.count());
     }
     if (entry.lastEndNumber > worker.proposedEndNumber && port_.propose(entry)) {
         worker.proposedEndNumber = entry.lastEndNumber;
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -37,6 +37,7 @@
 bool StepPlacer::canRun(const Request &request, WorkerNumber number, const WorkerView &worker) const
 {
     const StepSpec &step = request.job.specOf(request.position);
+    ++cost_.workersExamined;
     return worker.isUsable(now_) && worker.identity.service == request.job.policy.service
         && (step.requiredLabel.empty() || worker.identity.hasLabel(step.requiredLabel))
         && reservationOf(step).fitsIn(ledger_.capacity(number));
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -24,6 +24,12 @@
     WorkerNumber worker = 0;
 };
 
+/// Work done by dispatches, which grows with the number of workers and of waiting steps.
+struct DispatchCost {
+    std::uint64_t dispatches = 0;
+    std::uint64_t workersExamined = 0; ///< Checks of one worker for one step.
+};
+
 /// Resources that a task of a step reserves on its worker.
 placement::Resources reservationOf(const StepSpec &step);
 
@@ -35,11 +41,13 @@
                const placement::Ledger &ledger,
                const CapacityClaims &claims,
                const WorkerSpeedTracker &speeds,
+               DispatchCost &cost,
                base::TimePoint now)
         : workers_(workers)
         , ledger_(ledger)
         , claims_(claims)
         , speeds_(speeds)
+        , cost_(cost)
         , now_(now)
     {
     }
@@ -90,6 +98,7 @@
     const placement::Ledger &ledger_;
     const CapacityClaims &claims_;
     const WorkerSpeedTracker &speeds_;
+    DispatchCost &cost_;
     base::TimePoint now_;
 };
 
