--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -48,6 +48,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + worker.clockOffset;
 }
 
+std::chrono::milliseconds CalledWorkers::runTimeOf(const TaskRef &task, const Worker &worker) const
+{
+    return options_.runTimeOf ? options_.runTimeOf(task, worker.identity.id) : options_.runTime;
+}
+
 TaskRef CalledWorkers::representativeOf(const TaskRef &task) const
 {
     TaskRef first = task;
@@ -126,7 +131,9 @@
     run.spec = spec;
     run.presentSince = now;
     run.working = !spec.gang;
-    run.endsAt = now + options_.runTime;
+    run.endsAt = now
+        + (order.checkpoint.empty() ? runTimeOf(order.task, worker)
+                                    : std::chrono::milliseconds(std::stoll(order.checkpoint)));
     worker.runs[order.task] = run;
     ++starts_;
     return {OrderOutcome::Done, clock};
@@ -142,7 +149,11 @@
     worker.epoch = order.epoch;
     const auto there = worker.runs.find(order.task);
     if (there != worker.runs.end() && there->second.run <= order.run) {
-        end(worker, order.task, RunOutcome::Stopped);
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(there->second.endsAt - now).count();
+        end(worker,
+            order.task,
+            RunOutcome::Stopped,
+            there->second.spec.isResumable() ? std::to_string(remaining) : std::string());
     }
     std::uint32_t &endedRun = worker.highestEndedRun[order.task];
     endedRun = std::max(endedRun, order.run);
@@ -193,11 +204,11 @@
 }
 
 // A working gang ends as a whole: once one member ends, so do the others.
-void CalledWorkers::end(Worker &worker, const TaskRef &task, RunOutcome outcome)
+void CalledWorkers::end(Worker &worker, const TaskRef &task, RunOutcome outcome, const std::string &checkpoint)
 {
     const std::uint32_t run = worker.runs.at(task).run;
     const bool gang = worker.runs.at(task).working && worker.runs.at(task).spec.gang;
-    endOne(worker, task, outcome);
+    endOne(worker, task, outcome, checkpoint);
     for (auto &[id, other] : workers_) {
         std::vector<TaskRef> members;
         for (const auto &[member, there] : other.runs) {
@@ -211,7 +222,7 @@
     }
 }
 
-void CalledWorkers::endOne(Worker &worker, const TaskRef &task, RunOutcome outcome)
+void CalledWorkers::endOne(Worker &worker, const TaskRef &task, RunOutcome outcome, const std::string &checkpoint)
 {
     const std::uint32_t run = worker.runs.at(task).run;
     worker.runs.erase(task);
@@ -221,7 +232,7 @@
         done_.insert(representativeOf(task));
         doneEndsByTask_[representativeOf(task)].emplace_back(worker.identity.id, worker.identity.born, worker.nextEnd);
     }
-    worker.ended.push_back({worker.nextEnd++, toString(task), run, outcome, {}});
+    worker.ended.push_back({worker.nextEnd++, toString(task), run, outcome, checkpoint});
     incompleteGangEnds_ += outcome == RunOutcome::GangIncomplete ? 1 : 0;
 }
 
@@ -240,7 +251,7 @@
         if (members.size() == members.front()->spec.count) {
             for (Worker::Run *member : members) {
                 member->working = true;
-                member->endsAt = now + options_.runTime;
+                member->endsAt += now - member->presentSince;
             }
         }
     }
--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -16,7 +17,8 @@
 
 /// Called workers in virtual time. An order that would violate a guarantee ends the process: a task would run in two
 /// places or again after its end was acknowledged, a worker would exceed its capacity or the step's limit of tasks per
-/// worker, or a step would start before the steps that it depends on are done.
+/// worker, or a step would start before the steps that it depends on are done. A resumable task that is stopped
+/// continues where it was; its checkpoint is the remaining run time in milliseconds.
 class CalledWorkers
 {
 public:
@@ -43,6 +45,8 @@
 
     struct Options {
         std::chrono::milliseconds runTime{400};
+        /// Run time of a task on a worker; `runTime` for all tasks if unset.
+        std::function<std::chrono::milliseconds(const workflow::TaskRef &, const std::string &worker)> runTimeOf;
         std::chrono::milliseconds gangTimeout{3'000};
         std::chrono::milliseconds lease{10'000};
     };
@@ -94,8 +98,15 @@
     using EndId = std::tuple<std::string, std::int64_t, std::uint64_t>;
 
     std::chrono::milliseconds readClock(const Worker &worker, base::TimePoint now) const;
-    void end(Worker &worker, const workflow::TaskRef &task, workflow::RunOutcome outcome);
-    void endOne(Worker &worker, const workflow::TaskRef &task, workflow::RunOutcome outcome);
+    std::chrono::milliseconds runTimeOf(const workflow::TaskRef &task, const Worker &worker) const;
+    void end(Worker &worker,
+             const workflow::TaskRef &task,
+             workflow::RunOutcome outcome,
+             const std::string &checkpoint = {});
+    void endOne(Worker &worker,
+                const workflow::TaskRef &task,
+                workflow::RunOutcome outcome,
+                const std::string &checkpoint = {});
     void checkStart(const Worker &worker, const workflow::StartOrder &order, const workflow::StepSpec &spec) const;
     void startGangs(base::TimePoint now);
     workflow::TaskRef representativeOf(const workflow::TaskRef &task) const;
--- /dev/null
+++ b/tests/workflow_load.h
@@ -0,0 +1,297 @@
+#pragma once
+
+#include "workflow_simulation.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace yuccawheel::tests
+{
+
+/// Random load of three unlike queues on many workers: short urgent jobs, large gangs whose run times callers can
+/// hardly estimate, and wide jobs of resumable tasks. Offered load is 0.9 of the workers' capacity, as deployments are
+/// sized.
+class MixedLoad
+{
+public:
+    enum Queue : std::uint8_t { Short, Gangs, Wide };
+
+    struct Result {
+        std::size_t jobs = 0;
+        std::size_t onTime = 0; ///< Completed within the objective that follows from the true run times.
+
+        double share() const
+        {
+            return jobs == 0 ? 1 : static_cast<double>(onTime) / static_cast<double>(jobs);
+        }
+    };
+
+    MixedLoad(std::size_t workers, std::uint64_t seed)
+        : workers_(workers)
+        , random_(seed)
+        , simulation_(makeOptions(workers, seed))
+    {
+        for (std::size_t number = 0; number < workers; ++number) {
+            simulation_.workers.add("w" + std::to_string(number),
+                                    WorkerMilliCpu,
+                                    "rack" + std::to_string(number / WorkersPerRack),
+                                    simulation_.now);
+        }
+        simulation_.mayRun = [this](const std::string &step, const std::string &worker) {
+            const Queue queue = jobs_.at(keyOf(step)).queue;
+            const std::size_t hash = std::hash<std::string>{}(step + worker) * 0x9e3779b97f4a7c15ULL;
+            return static_cast<double>(hash >> 40U) / static_cast<double>(1ULL << 24U) < queues()[queue].eligibleShare;
+        };
+        simulation_.serviceTimeOf = [this](const workflow::EligibilityQuery &query) {
+            const auto &policy = *queues()[jobs_.at(keyOf(query.step)).queue].policy.eligibility;
+            return std::chrono::ceil<std::chrono::milliseconds>(
+                workflow::estimatedServiceTime(policy, query.workers.size()));
+        };
+        simulation_.lead();
+        simulation_.run(std::chrono::milliseconds{100});
+    }
+
+    /// Offers load for this time.
+    void run(std::chrono::milliseconds duration)
+    {
+        const base::TimePoint end = simulation_.now + duration;
+        while (simulation_.now < end) {
+            for (const Queue queue : {Short, Gangs, Wide}) {
+                while (simulation_.now >= nextArrival_[queue]) {
+                    submit(queue);
+                }
+            }
+            simulation_.run(std::chrono::milliseconds{1});
+            recordEnds();
+            reservedSum_ += static_cast<double>(reservedMilliCpu());
+            ++samples_;
+        }
+    }
+    /// Multiplies the arrival rate of a queue from now on.
+    void setRate(Queue queue, double factor)
+    {
+        rateFactors_[queue] = factor;
+    }
+    /// Returns the mean share of capacity in use since the last call.
+    double takeMeanUse()
+    {
+        const double capacity = static_cast<double>(workers_) * WorkerMilliCpu;
+        const double use = reservedSum_ / static_cast<double>(samples_) / capacity;
+        reservedSum_ = 0;
+        samples_ = 0;
+        return use;
+    }
+    /// Returns the results of jobs whose objective has passed or that have ended.
+    Result result(Queue queue) const
+    {
+        Result result;
+        for (const auto &[key, job] : jobs_) {
+            if (job.queue == queue && (job.ended || simulation_.now > job.submittedAt + job.objective)) {
+                ++result.jobs;
+                result.onTime += job.ended && *job.ended <= job.submittedAt + job.objective ? 1 : 0;
+            }
+        }
+        return result;
+    }
+    std::size_t waitingTasks() const
+    {
+        std::size_t waiting = 0;
+        for (const auto &[key, job] : simulation_.state.jobs()) {
+            for (std::size_t position = 0; position < job.steps.size(); ++position) {
+                const workflow::StepRecord &step = job.steps[position];
+                waiting += job.hasFinishedDependencies(position) ? step.tasks.size() - step.done - step.placed : 0;
+            }
+        }
+        return waiting;
+    }
+    ManagerSimulation &simulation()
+    {
+        return simulation_;
+    }
+
+private:
+    static constexpr std::int64_t WorkerMilliCpu = 32'000;
+    static constexpr std::size_t WorkersPerRack = 20;
+    static constexpr std::size_t WorkersPerGateway = 8;
+    static constexpr std::size_t WorkersPerSlowOne = 3;
+    static constexpr double SlowFactor = 1.3;
+    static constexpr double ReferenceWorkers = 350; ///< Number of workers for which the rates are given.
+
+    struct QueueLoad {
+        workflow::QueuePolicy policy;
+        double jobsPerSecond = 0;
+        double meanSteps = 1;
+        double meanTasks = 1;
+        double meanMilliCpu = 0;
+        std::chrono::milliseconds meanRunTime{0};
+        double estimateError = 0; ///< Standard deviation of the logarithm.
+        double eligibleShare = 1;
+        double gangShare = 0;
+        double resumableShare = 0;
+    };
+    struct Job {
+        Queue queue = Short;
+        base::TimePoint submittedAt{};
+        std::vector<std::chrono::milliseconds> runTimes; ///< Of each step.
+        std::chrono::milliseconds objective{0};
+        std::optional<base::TimePoint> ended;
+    };
+
+    static const std::array<QueueLoad, 3> &queues()
+    {
+        static const std::array<QueueLoad, 3> loads = [] {
+            using std::chrono::microseconds;
+            using std::chrono::milliseconds;
+            const auto policy = [](const char *name, std::int32_t priority, double stretch, milliseconds target) {
+                workflow::QueuePolicy result;
+                result.queue = name;
+                result.service = "service";
+                result.priority = priority;
+                result.attempts = 4;
+                result.stretch = stretch;
+                result.target = target;
+                return result;
+            };
+            std::array<QueueLoad, 3> all{{
+                {policy("short", 0, 1.5, milliseconds{250}), 137, 1, 3.2, 5'000, milliseconds{640}, 0.2, 0.7, 0.3, 0},
+                {policy("gangs", 1, 2.2, milliseconds{1'000}),
+                 5.96,
+                 1.2,
+                 20,
+                 9'000,
+                 milliseconds{4'000},
+                 0.9,
+                 0.3,
+                 1,
+                 0},
+                {policy("wide", 2, 4, milliseconds{3'000}),
+                 9.85,
+                 1.5,
+                 25,
+                 3'500,
+                 milliseconds{2'700},
+                 0.5,
+                 0.45,
+                 0,
+                 0.8},
+            }};
+            const milliseconds validFor{1'500};
+            all[Short].policy.eligibility = {microseconds{9'360}, microseconds{130}, validFor};
+            all[Gangs].policy.eligibility = {microseconds{442'000}, microseconds{6'370}, validFor};
+            all[Wide].policy.eligibility = {microseconds{130'000}, microseconds{1'820}, validFor};
+            return all;
+        }();
+        return loads;
+    }
+
+    ManagerSimulation::Options makeOptions(std::size_t workers, std::uint64_t seed)
+    {
+        ManagerSimulation::Options options;
+        options.seed = seed;
+        options.gateways = std::max<std::size_t>(1, workers / WorkersPerGateway);
+        options.workers.runTimeOf = [this](const workflow::TaskRef &task, const std::string &worker) {
+            const Job &job = jobs_.at(task.job);
+            const bool slow = std::stoul(worker.substr(1)) % WorkersPerSlowOne == 0;
+            // The slowest member determines the run time of a gang, which is on a slow worker nearly always.
+            const bool isGang = simulation_.state.findJob(task.job)->spec.steps[task.step].gang;
+            const double factor = slow || isGang ? SlowFactor : 1;
+            return std::chrono::milliseconds(
+                static_cast<std::int64_t>(static_cast<double>(job.runTimes[task.step].count()) * factor));
+        };
+        return options;
+    }
+
+    static workflow::JobKey keyOf(const std::string &step)
+    {
+        return *workflow::parseJobKey(step.substr(0, step.find('.')));
+    }
+    double logNormal(double mean, double deviation)
+    {
+        return mean * std::exp(std::normal_distribution<double>(-deviation * deviation / 2, deviation)(random_));
+    }
+
+    void submit(Queue queue)
+    {
+        const QueueLoad &load = queues()[queue];
+        const double rate = rateFactors_[queue] * load.jobsPerSecond * static_cast<double>(workers_) / ReferenceWorkers;
+        nextArrival_[queue] = std::max(nextArrival_[queue], simulation_.now - std::chrono::milliseconds{1})
+            + std::chrono::microseconds(static_cast<std::int64_t>(std::exponential_distribution<double>(rate)(random_)
+                                                                  * 1'000'000));
+        const workflow::JobKey key = ++lastKey_;
+        Job &job = jobs_[key];
+        job.queue = queue;
+        job.submittedAt = simulation_.now;
+        workflow::JobSpec spec;
+        spec.payload = "payload";
+        const bool gang = std::bernoulli_distribution(load.gangShare)(random_);
+        const bool resumable = std::bernoulli_distribution(load.resumableShare)(random_);
+        const std::size_t steps = std::bernoulli_distribution(load.meanSteps - 1)(random_) ? 2 : 1;
+        std::chrono::milliseconds path{0};
+        for (std::size_t position = 0; position < steps; ++position) {
+            workflow::StepSpec step;
+            step.count =
+                static_cast<std::uint32_t>(std::clamp(logNormal(load.meanTasks, 0.7), 1.0, 6 * load.meanTasks));
+            step.perTask = {static_cast<std::int64_t>(std::min(15'000.0, logNormal(load.meanMilliCpu, 0.4))), 100, 0};
+            const double meanRunTime = static_cast<double>(load.meanRunTime.count());
+            const double runTime = std::min(logNormal(meanRunTime, 0.5), 2.5 * meanRunTime);
+            job.runTimes.emplace_back(static_cast<std::int64_t>(runTime));
+            step.estimatedRunTime =
+                std::chrono::milliseconds(static_cast<std::int64_t>(logNormal(runTime, load.estimateError)) + 1);
+            step.gang = gang;
+            step.checkpointing = resumable;
+            if (position > 0) {
+                step.after = {0};
+            }
+            path += job.runTimes.back();
+            spec.steps.push_back(step);
+        }
+        job.objective = std::chrono::milliseconds(
+                            static_cast<std::int64_t>(static_cast<double>(path.count()) * load.policy.stretch))
+            + load.policy.target;
+        open_.push_back(key);
+        simulation_.submit(key, spec, load.policy);
+    }
+
+    void recordEnds()
+    {
+        std::erase_if(open_, [this](workflow::JobKey key) {
+            const workflow::JobRecord *const record = simulation_.state.findJob(key);
+            if (record == nullptr || !record->hasEnded()) {
+                return false;
+            }
+            jobs_.at(key).ended = simulation_.now;
+            return true;
+        });
+    }
+
+    std::int64_t reservedMilliCpu()
+    {
+        std::int64_t sum = 0;
+        for (const auto &[id, worker] : simulation_.workers.all()) {
+            for (const auto &[task, run] : worker.runs) {
+                sum += run.spec.perTask.milliCpu;
+            }
+        }
+        return sum;
+    }
+
+    std::size_t workers_;
+    std::mt19937_64 random_;
+    std::map<workflow::JobKey, Job> jobs_;
+    std::vector<workflow::JobKey> open_;
+    std::array<base::TimePoint, 3> nextArrival_{};
+    std::array<double, 3> rateFactors_{1, 1, 1};
+    workflow::JobKey lastKey_ = 0;
+    double reservedSum_ = 0;
+    std::uint64_t samples_ = 0;
+    ManagerSimulation simulation_;
+};
+
+} // namespace yuccawheel::tests
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -168,7 +168,7 @@
         }
         // The service processes the queries of each gateway one at a time.
         base::TimePoint &queueEnd = queueEnds_[query.gateway];
-        queueEnd = std::max(queueEnd, now + Delay) + options_.serviceTime;
+        queueEnd = std::max(queueEnd, now + Delay) + (serviceTimeOf ? serviceTimeOf(query) : options_.serviceTime);
         lateAnswers += queueEnd > now + query.timeout ? 1 : 0;
         schedule(queueEnd, [this, number = query.number, rows] { manager->onEligibilityAnswer(number, rows, now); });
     }
@@ -181,6 +181,9 @@
         return true;
     };
 
+    /// Service time of a query; `Options::serviceTime` for all if unset.
+    std::function<std::chrono::milliseconds(const workflow::EligibilityQuery &)> serviceTimeOf;
+
 private:
     Options options_;
     std::mt19937_64 random_;
