Examine only workers with free or eligible capacity in a dispatch

Cause: each waiting step checked each worker in each dispatch, for candidates, claims, preemption and queries. Class of fault: a cost that grows with a product of two sizes, which 48 workers hide.

Change: a step that needs eligibility looks at workers that it knows to be eligible; all others at an index of workers by free capacity, built once a dispatch. Preemptible capacity is summed once for each worker and priority of a dispatch, and a query that finds no gateway is not tried again by later steps.

--- a/src/workflow/eligibility.h
+++ b/src/workflow/eligibility.h
@@ -31,6 +31,10 @@
     const Ticket *findTicket(WorkerNumber worker, base::TimePoint now, std::chrono::milliseconds margin) const;
     /// Returns whether any ticket is valid.
     bool hasTicket(base::TimePoint now) const;
+    bool isAnyKnown() const
+    {
+        return !known_.empty();
+    }
     bool isKnown(WorkerNumber worker) const
     {
         return known_.contains(worker);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -4,6 +4,7 @@
 #include "workflow/eligibility.h"
 #include "workflow/manager_port.h"
 #include "workflow/objective.h"
+#include "workflow/preemption_planner.h"
 #include "workflow/state.h"
 #include "workflow/step_placer.h"
 #include "workflow/worker_view.h"
@@ -111,6 +112,23 @@
         std::string ticket;
     };
 
+    /// What the steps of one dispatch share.
+    struct Pass {
+        Pass(const JobManager &manager, DispatchCost &cost, base::TimePoint time);
+        Pass(const Pass &) = delete;
+        Pass &operator=(const Pass &) = delete;
+        ~Pass() = default;
+
+        base::TimePoint now;
+        CapacityClaims claims;
+        CapacityIndex index;
+        StepPlacer placer;
+        PreemptionPlanner planner;
+        StartsEntry starts;
+        /// Queries of this service time and longer find no gateway any more.
+        std::chrono::microseconds blockedServiceTime = std::chrono::microseconds::max();
+    };
+
     bool canSendOrders(base::TimePoint now) const
     {
         return state_ != nullptr && now < leaseEnd_;
@@ -131,34 +149,20 @@
     reportLoad(const std::vector<std::pair<Rank, StepKey>> &order, const CapacityClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
-    void placeStep(StepKey key,
-                   ReadyStep &step,
-                   Rank::Lateness lateness,
-                   base::TimePoint now,
-                   CapacityClaims &claims,
-                   StartsEntry &starts);
+    void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
     placement::Resources claimLimit() const;
-    void secureGangCapacity(const StepPlacer &placer,
-                            const StepPlacer::Request &request,
-                            StepKey key,
-                            ReadyStep &step,
-                            CapacityClaims &claims,
-                            base::TimePoint now);
+    void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
-    std::vector<WorkerNumber>
-    workersToQuery(const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, base::TimePoint now);
-    void queryEligibility(const StepPlacer &placer,
-                          const StepPlacer::Request &request,
-                          StepKey key,
-                          ReadyStep &step,
-                          base::TimePoint now);
-
+    std::vector<WorkerNumber> workersToQuery(const StepPlacer::Request &request, StepKey key, const Pass &pass);
+    std::optional<EligibilityGateways::GatewayId> chooseGateway(std::chrono::microseconds serviceTime,
+                                                                Pass &pass) const;
+    void queryEligibility(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void sendQuery(const StepPlacer::Request &request,
                    StepKey key,
                    ReadyStep &step,
                    const std::vector<WorkerNumber> &queried,
-                   base::TimePoint now);
+                   Pass &pass);
     template <typename IsLost>
     void failQueries(IsLost isLost, base::TimePoint now);
     void failOverdueQueries(base::TimePoint now);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -1,10 +1,10 @@
 #include "base/log.h"
 #include "workflow/job_manager.h"
-#include "workflow/preemption_planner.h"
 
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccawheel::workflow
 {
@@ -58,6 +58,9 @@
 {
     std::vector<std::uint32_t> waiting;
     const StepRecord &step = job.steps[key.position];
+    if (step.done + step.placed == step.tasks.size()) {
+        return waiting;
+    }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         if (step.tasks[index].phase == TaskPhase::Waiting
             && !reservations_.contains(job.refOf(key.job, key.position, index))) {
@@ -98,17 +101,25 @@
         order.emplace_back(rankOf(key.job, job, key.position, arrivals_.at(key.job), now), key);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
-    CapacityClaims claims(claimLimit());
-    StartsEntry starts;
+    Pass pass(*this, cost_, now);
     for (const auto &[rank, key] : order) {
-        placeStep(key, readySteps_.at(key), rank.lateness, now, claims, starts);
+        placeStep(key, readySteps_.at(key), rank.lateness, pass);
     }
-    if (!starts.starts.empty() && !port_.propose(starts)) {
-        for (const StartsEntry::Start &start : starts.starts) {
+    if (!pass.starts.starts.empty() && !port_.propose(pass.starts)) {
+        for (const StartsEntry::Start &start : pass.starts.starts) {
             unreserve(start.task);
         }
     }
-    reportLoad(order, claims, now);
+    reportLoad(order, pass.claims, now);
+}
+
+JobManager::Pass::Pass(const JobManager &manager, DispatchCost &cost, base::TimePoint time)
+    : now(time)
+    , claims(manager.claimLimit())
+    , index(manager.workers_, manager.ledger_, cost, time, [](WorkerNumber) { return placement::Resources{}; })
+    , placer(manager.workers_, manager.ledger_, claims, index, manager.speeds_, cost, time)
+    , planner(manager.workers_, manager.ledger_, *manager.state_, cost, time)
+{
 }
 
 // Logs the cluster load, which shows whether waiting jobs lack capacity or tickets or are ranked behind others, and
@@ -159,13 +170,9 @@
     return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MaxClaimedShare), 0, 0};
 }
 
-void JobManager::placeStep(StepKey key,
-                           ReadyStep &step,
-                           Rank::Lateness lateness,
-                           base::TimePoint now,
-                           CapacityClaims &claims,
-                           StartsEntry &starts)
+void JobManager::placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass)
 {
+    const base::TimePoint now = pass.now;
     const JobRecord &job = *state_->findJob(key.job);
     const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
     if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
@@ -180,8 +187,7 @@
     const bool mayPreempt = spec.gang && lateness == Rank::Lateness::OnTime;
     const StepPlacer::Request request{
         job, key.position, waiting, eligibility, tasksByWorker(job, key), slackOf(job), mayPreempt};
-    const StepPlacer placer(workers_, ledger_, claims, speeds_, cost_, now);
-    const std::vector<Assignment> assignments = placer.place(request);
+    const std::vector<Assignment> assignments = pass.placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
     for (const TaskRecord &task : tasks) {
@@ -195,7 +201,7 @@
         reserve(task, assignment.worker, reservationOf(spec), ticket == nullptr ? std::string() : ticket->text);
         // All members of a gang share one run number.
         const std::uint32_t run = (spec.gang ? lastRun : tasks[assignment.index].run) + 1;
-        starts.starts.push_back({task, run, assignment.worker});
+        pass.starts.starts.push_back({task, run, assignment.worker});
         base::logInfo("task_placed")
             .with("task", toString(task))
             .with("run", run)
@@ -210,28 +216,23 @@
         });
     });
     if (!waiting.empty() && eligibility != nullptr && !step.queryPending && now >= step.nextQueryAt
-        && gateways_.choose(job.policy.eligibility->perCall, now)) {
-        queryEligibility(placer, request, key, step, now);
+        && chooseGateway(job.policy.eligibility->perCall, pass)) {
+        queryEligibility(request, key, step, pass);
     }
     if (!waiting.empty() && spec.gang) {
-        secureGangCapacity(placer, request, key, step, claims, now);
+        secureGangCapacity(request, key, step, pass);
     }
 }
 
 // Preempts tasks for a gang if that frees enough capacity, and holds the freed capacity against all other tasks.
 // Otherwise claims capacity where the gang is likely to start; only preemptible tasks may use it meanwhile.
-void JobManager::secureGangCapacity(const StepPlacer &placer,
-                                    const StepPlacer::Request &request,
-                                    StepKey key,
-                                    ReadyStep &step,
-                                    CapacityClaims &claims,
-                                    base::TimePoint now)
+void JobManager::secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass)
 {
+    const base::TimePoint now = pass.now;
     if (now >= step.heldUntil) {
-        const PreemptionPlanner planner(workers_, *state_, now);
-        const auto plan = request.mayPreempt ? planner.plan(placer, request) : std::nullopt;
+        const auto plan = request.mayPreempt ? pass.planner.plan(pass.placer, request) : std::nullopt;
         if (!plan) {
-            placer.claimCapacity(request, claims);
+            pass.placer.claimCapacity(request, pass.claims);
             return;
         }
         for (const PreemptionPlanner::Preemption &preemption : plan->preemptions) {
@@ -244,6 +245,7 @@
                 .with("for_job", toString(key.job));
             stopRun(run, now);
             reviewRun(preemption.worker, worker, preemption.task, run, now);
+            pass.planner.forgetWorker(preemption.worker);
         }
         step.heldTasks = plan->tasksByWorker;
         step.heldUntil = now + HoldDuration;
@@ -251,17 +253,14 @@
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
     for (const auto &[worker, tasks] : step.heldTasks) {
         const placement::Resources held = placement::elementwiseMin(amount * tasks, ledger_.free(worker));
-        claims.hold(worker, held);
+        pass.claims.hold(worker, held);
     }
 }
 
 // Returns the workers to include in the next query. Tickets of eligible workers with free capacity are renewed
 // together, so that they are valid at the same time. Unknown workers are added if the eligible ones lack capacity. The
 // first query also includes workers without free capacity, because eligibility is permanent while capacity changes.
-std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer &placer,
-                                                     const StepPlacer::Request &request,
-                                                     StepKey key,
-                                                     base::TimePoint now)
+std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, const Pass &pass)
 {
     struct Candidate {
         WorkerNumber worker = 0;
@@ -269,35 +268,38 @@
     };
     const StepEligibility &eligibility = *request.eligibility;
     const std::size_t needed = request.waiting.size();
-    const PreemptionPlanner planner(workers_, *state_, now);
+    const auto fittingTasksOn = [&](WorkerNumber number) {
+        return request.mayPreempt ? pass.planner.maxFittingTasks(pass.placer, request, number)
+                                  : pass.placer.fittingTasks(request, number);
+    };
     std::vector<WorkerNumber> eligibleWithCapacity;
-    std::vector<Candidate> unknown;
     std::size_t eligibleCapacity = 0;
-    bool nothingKnown = true;
     bool expired = false;
-    for (const auto &[number, worker] : workers_) {
-        if (!placer.canRun(request, number, worker)) {
-            continue;
-        }
-        const std::uint32_t fittingTasks = request.mayPreempt ? planner.maxFittingTasks(placer, request, number)
-                                                              : placer.fittingTasks(request, number);
-        if (!eligibility.isKnown(number)) {
-            unknown.push_back({number, fittingTasks});
-            continue;
-        }
-        nothingKnown = false;
-        if (eligibility.isEligible(number) && fittingTasks > 0) {
+    pass.placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
+        const std::uint32_t fittingTasks = fittingTasksOn(number);
+        if (fittingTasks > 0) {
             eligibleWithCapacity.push_back(number);
             eligibleCapacity += fittingTasks;
-            expired = expired || eligibility.findTicket(number, now, TicketMargin) == nullptr;
+            expired = expired || eligibility.findTicket(number, pass.now, TicketMargin) == nullptr;
         }
-    }
+    });
+    const bool nothingKnown = !eligibility.isAnyKnown();
     const bool mayPlacePartially = !request.job.specOf(request.position).gang;
     std::vector<WorkerNumber> queried;
     if (expired && (eligibleCapacity >= needed || mayPlacePartially)) {
         queried = eligibleWithCapacity;
     }
     if (eligibleCapacity < needed) {
+        std::vector<Candidate> unknown;
+        const auto addUnknown = [&](WorkerNumber number) {
+            if (!eligibility.isKnown(number) && pass.placer.canRun(request, number, workers_.at(number))) {
+                unknown.push_back({number, fittingTasksOn(number)});
+            }
+        };
+        const std::int64_t neededCpu = reservationOf(request.job.specOf(request.position)).milliCpu;
+        const CapacityIndex &index =
+            request.mayPreempt ? pass.planner.indexFor(request.job.policy.priority) : pass.index;
+        index.forEachWithFree(nothingKnown ? std::numeric_limits<std::int64_t>::min() : neededCpu, addUnknown);
         const double share = eligibleShare_.try_emplace(request.job.policy.queue, InitialEligibleShare).first->second;
         // Spreads steps that arrive together over different workers.
         const auto scatterHash = [&key](WorkerNumber worker) {
@@ -332,12 +334,25 @@
     return queried;
 }
 
-void JobManager::queryEligibility(
-    const StepPlacer &placer, const StepPlacer::Request &request, StepKey key, ReadyStep &step, base::TimePoint now)
+// The answer is the same for all longer queries of a dispatch, because queries only make gateways busier.
+std::optional<EligibilityGateways::GatewayId> JobManager::chooseGateway(std::chrono::microseconds serviceTime,
+                                                                        Pass &pass) const
+{
+    if (serviceTime >= pass.blockedServiceTime) {
+        return std::nullopt;
+    }
+    const auto gateway = gateways_.choose(serviceTime, pass.now);
+    if (!gateway) {
+        pass.blockedServiceTime = serviceTime;
+    }
+    return gateway;
+}
+
+void JobManager::queryEligibility(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass)
 {
-    const std::vector<WorkerNumber> queried = workersToQuery(placer, request, key, now);
+    const std::vector<WorkerNumber> queried = workersToQuery(request, key, pass);
     if (!queried.empty()) {
-        sendQuery(request, key, step, queried, now);
+        sendQuery(request, key, step, queried, pass);
     }
 }
 
@@ -345,10 +360,11 @@
                            StepKey key,
                            ReadyStep &step,
                            const std::vector<WorkerNumber> &queried,
-                           base::TimePoint now)
+                           Pass &pass)
 {
+    const base::TimePoint now = pass.now;
     const auto serviceTime = estimatedServiceTime(*request.job.policy.eligibility, queried.size());
-    const auto gateway = gateways_.choose(serviceTime, now);
+    const auto gateway = chooseGateway(serviceTime, pass);
     if (!gateway) {
         return; // All gateways are busy. The next dispatch tries again in the order of rank.
     }
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -43,10 +43,39 @@
                                                  const StepPlacer::Request &request,
                                                  WorkerNumber number) const
 {
-    placement::Resources available = placer.availableOn(request, number);
-    forEachPreemptible(
-        number, request.job.policy.priority, [&](const TaskRef &task) { available += reservationFor(task); });
-    return placer.fittingTasksIn(request, number, available);
+    return placer.fittingTasksIn(request,
+                                 number,
+                                 placer.availableOn(request, number)
+                                     + preemptibleCapacity(number, request.job.policy.priority));
+}
+
+placement::Resources PreemptionPlanner::preemptibleCapacity(WorkerNumber number, std::int32_t priority) const
+{
+    const auto [found, added] = preemptible_[priority].try_emplace(number);
+    if (added) {
+        forEachPreemptible(
+            number, priority, [&, sum = &found->second](const TaskRef &task) { *sum += reservationFor(task); });
+    }
+    return found->second;
+}
+
+const CapacityIndex &PreemptionPlanner::indexFor(std::int32_t priority) const
+{
+    auto found = indexes_.find(priority);
+    if (found == indexes_.end()) {
+        const auto preemptible = [this, priority](WorkerNumber number) {
+            return preemptibleCapacity(number, priority);
+        };
+        found = indexes_.emplace(priority, CapacityIndex(workers_, ledger_, cost_, now_, preemptible)).first;
+    }
+    return found->second;
+}
+
+void PreemptionPlanner::forgetWorker(WorkerNumber number)
+{
+    for (auto &[priority, byWorker] : preemptible_) {
+        byWorker.erase(number);
+    }
 }
 
 PreemptionPlanner::Candidate PreemptionPlanner::makeCandidate(const StepPlacer &placer,
@@ -73,22 +102,25 @@
 std::optional<PreemptionPlanner::Plan> PreemptionPlanner::plan(const StepPlacer &placer,
                                                                const StepPlacer::Request &request) const
 {
-    std::vector<Candidate> candidates;
-    std::size_t fittingTasks = 0;
-    std::size_t maxFittingTasks = 0;
-    for (const auto &[number, worker] : workers_) {
-        if (placer.canRun(request, number, worker)
-            && (request.eligibility == nullptr
-                || request.eligibility->findTicket(number, now_, PreemptionTime) != nullptr)) {
-            candidates.push_back(makeCandidate(placer, request, number));
-            fittingTasks += candidates.back().fittingTasks;
-            maxFittingTasks += candidates.back().maxFittingTasks;
+    std::vector<WorkerNumber> ready;
+    std::size_t reachableTasks = 0;
+    placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
+        if (request.eligibility == nullptr
+            || request.eligibility->findTicket(number, now_, PreemptionTime) != nullptr) {
+            ready.push_back(number);
+            reachableTasks += maxFittingTasks(placer, request, number);
         }
-    }
+    });
     const std::size_t needed = request.waiting.size();
-    if (maxFittingTasks < needed) {
+    if (reachableTasks < needed) {
         return std::nullopt;
     }
+    std::vector<Candidate> candidates;
+    std::size_t fittingTasks = 0;
+    for (const WorkerNumber number : ready) {
+        candidates.push_back(makeCandidate(placer, request, number));
+        fittingTasks += candidates.back().fittingTasks;
+    }
     // Workers with the most free capacity need the fewest preemptions.
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
         return std::tuple(right.free.milliCpu, left.worker) < std::tuple(left.free.milliCpu, right.worker);
--- a/src/workflow/preemption_planner.h
+++ b/src/workflow/preemption_planner.h
@@ -17,9 +17,15 @@
 class PreemptionPlanner
 {
 public:
-    PreemptionPlanner(const WorkerViews &workers, const State &state, base::TimePoint now)
+    PreemptionPlanner(const WorkerViews &workers,
+                      const placement::Ledger &ledger,
+                      const State &state,
+                      DispatchCost &cost,
+                      base::TimePoint now)
         : workers_(workers)
+        , ledger_(ledger)
         , state_(state)
+        , cost_(cost)
         , now_(now)
     {
     }
@@ -38,6 +44,10 @@
     /// Returns how many of the gang's tasks fit on a worker if all its preemptible tasks are stopped.
     std::uint32_t
     maxFittingTasks(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
+    /// Returns the workers by what would be free if all tasks that this priority may preempt were stopped.
+    const CapacityIndex &indexFor(std::int32_t priority) const;
+    /// Forgets what was computed about a worker, after tasks were stopped there.
+    void forgetWorker(WorkerNumber number);
 
 private:
     struct Candidate {
@@ -52,11 +62,16 @@
     placement::Resources reservationFor(const TaskRef &task) const;
     template <typename Visit>
     void forEachPreemptible(WorkerNumber number, std::int32_t priority, Visit visit) const;
+    placement::Resources preemptibleCapacity(WorkerNumber number, std::int32_t priority) const;
     Candidate makeCandidate(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
 
     const WorkerViews &workers_;
+    const placement::Ledger &ledger_;
     const State &state_;
+    DispatchCost &cost_;
     base::TimePoint now_;
+    mutable std::map<std::int32_t, std::map<WorkerNumber, placement::Resources>> preemptible_; ///< By priority.
+    mutable std::map<std::int32_t, CapacityIndex> indexes_; ///< By priority.
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -67,16 +67,27 @@
 std::vector<StepPlacer::Candidate> StepPlacer::candidatesFor(const Request &request) const
 {
     std::vector<Candidate> candidates;
-    for (const auto &[number, worker] : workers_) {
-        if (!canRun(request, number, worker)
-            || (request.eligibility != nullptr
-                && request.eligibility->findTicket(number, now_, TicketMargin) == nullptr)) {
-            continue;
-        }
+    const auto addIfFitting = [&](WorkerNumber number) {
         const std::uint32_t tasks = fittingTasks(request, number);
         if (tasks > 0) {
             candidates.push_back({number, tasks, availableOn(request, number).milliCpu});
         }
+    };
+    if (request.eligibility == nullptr) {
+        const std::int64_t needed = reservationOf(request.job.specOf(request.position)).milliCpu;
+        index_.forEachWithFree(needed, [&](WorkerNumber number) {
+            if (canRun(request, number, workers_.at(number))) {
+                addIfFitting(number);
+            }
+        });
+        return candidates;
+    }
+    for (const auto &[number, ticket] : request.eligibility->eligible()) {
+        const auto worker = workers_.find(number);
+        if (ticket.validUntil >= now_ + TicketMargin && worker != workers_.end()
+            && canRun(request, number, worker->second)) {
+            addIfFitting(number);
+        }
     }
     return candidates;
 }
@@ -84,17 +95,16 @@
 void StepPlacer::claimCapacity(const Request &request, CapacityClaims &claims) const
 {
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
-    std::vector<Candidate> candidates;
-    for (const auto &[number, worker] : workers_) {
-        if (canRun(request, number, worker)
-            && (request.eligibility == nullptr || request.eligibility->isEligible(number))) {
-            const std::int64_t capacityTasks = amount.countFittingIn(ledger_.capacity(number));
-            candidates.push_back(
-                {number,
-                 static_cast<std::uint32_t>(std::min<std::int64_t>(capacityTasks, request.waiting.size())),
-                 availableOn(request, number).milliCpu});
-        }
+    if (!claims.canClaim(amount)) {
+        return;
     }
+    std::vector<Candidate> candidates;
+    forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
+        const std::int64_t capacityTasks = amount.countFittingIn(ledger_.capacity(number));
+        candidates.push_back({number,
+                              static_cast<std::uint32_t>(std::min<std::int64_t>(capacityTasks, request.waiting.size())),
+                              availableOn(request, number).milliCpu});
+    });
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
         return std::tuple(right.freeMilliCpu, left.worker) < std::tuple(left.freeMilliCpu, right.worker);
     });
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -2,6 +2,8 @@
 
 #include "placement/ledger.h"
 #include "workflow/capacity_claims.h"
+#include "workflow/capacity_index.h"
+#include "workflow/dispatch_cost.h"
 #include "workflow/eligibility.h"
 #include "workflow/state.h"
 #include "workflow/worker_speed.h"
@@ -16,20 +18,12 @@
 namespace yuccawheel::workflow
 {
 
-using WorkerViews = std::map<WorkerNumber, WorkerView>;
-
 /// Assignment of the task `index` of a step to a worker.
 struct Assignment {
     std::uint32_t index = 0;
     WorkerNumber worker = 0;
 };
 
-/// Work done by dispatches, which grows with the number of workers and of waiting steps.
-struct DispatchCost {
-    std::uint64_t dispatches = 0;
-    std::uint64_t workersExamined = 0; ///< Checks of one worker for one step.
-};
-
 /// Resources that a task of a step reserves on its worker.
 placement::Resources reservationOf(const StepSpec &step);
 
@@ -40,12 +34,14 @@
     StepPlacer(const WorkerViews &workers,
                const placement::Ledger &ledger,
                const CapacityClaims &claims,
+               const CapacityIndex &index,
                const WorkerSpeedTracker &speeds,
                DispatchCost &cost,
                base::TimePoint now)
         : workers_(workers)
         , ledger_(ledger)
         , claims_(claims)
+        , index_(index)
         , speeds_(speeds)
         , cost_(cost)
         , now_(now)
@@ -80,6 +76,27 @@
     /// Returns how many of the step's tasks would fit on the worker with this free capacity.
     std::uint32_t fittingTasksIn(const Request &request, WorkerNumber number, const placement::Resources &free) const;
 
+    /// Calls `visit(WorkerNumber, const WorkerView &)` for each worker known to be eligible that could run the step;
+    /// for all that could run it if the step needs no eligibility.
+    template <typename Visit>
+    void forEachEligible(const Request &request, Visit visit) const
+    {
+        if (request.eligibility == nullptr) {
+            for (const auto &[number, worker] : workers_) {
+                if (canRun(request, number, worker)) {
+                    visit(number, worker);
+                }
+            }
+            return;
+        }
+        for (const auto &[number, ticket] : request.eligibility->eligible()) {
+            const auto worker = workers_.find(number);
+            if (worker != workers_.end() && canRun(request, number, worker->second)) {
+                visit(number, worker->second);
+            }
+        }
+    }
+
 private:
     struct Candidate {
         WorkerNumber worker = 0;
@@ -97,6 +114,7 @@
     const WorkerViews &workers_;
     const placement::Ledger &ledger_;
     const CapacityClaims &claims_;
+    const CapacityIndex &index_;
     const WorkerSpeedTracker &speeds_;
     DispatchCost &cost_;
     base::TimePoint now_;
