Skip waiting steps that can neither start tasks nor send queries

Cause: a backlog of thousands of tasks was walked in each dispatch, though steps without a ticket and without a gateway for a query can do nothing.

Change: such steps are skipped before their tasks are looked at.

--- a/src/workflow/eligibility.cpp
+++ b/src/workflow/eligibility.cpp
@@ -24,6 +24,7 @@
     known_.insert(workers.begin(), workers.end());
     for (const auto &[worker, ticket] : eligible) {
         eligible_[worker] = ticket;
+        lastExpiry_ = std::max(lastExpiry_, ticket.validUntil);
     }
 }
 
@@ -34,12 +35,6 @@
     return found != eligible_.end() && found->second.validUntil >= now + margin ? &found->second : nullptr;
 }
 
-bool StepEligibility::hasTicket(base::TimePoint now) const
-{
-    return std::any_of(
-        eligible_.begin(), eligible_.end(), [now](const auto &item) { return item.second.validUntil >= now; });
-}
-
 void StepEligibility::expireTicket(WorkerNumber worker)
 {
     const auto found = eligible_.find(worker);
--- a/src/workflow/eligibility.h
+++ b/src/workflow/eligibility.h
@@ -29,8 +29,11 @@
     void addAnswer(const std::vector<WorkerNumber> &workers, const std::map<WorkerNumber, Ticket> &eligible);
     /// Returns a ticket that is valid for at least `margin`, or null.
     const Ticket *findTicket(WorkerNumber worker, base::TimePoint now, std::chrono::milliseconds margin) const;
-    /// Returns whether any ticket is valid.
-    bool hasTicket(base::TimePoint now) const;
+    /// Returns whether a ticket may be valid.
+    bool hasTicket(base::TimePoint now) const
+    {
+        return now <= lastExpiry_;
+    }
     bool isAnyKnown() const
     {
         return !known_.empty();
@@ -52,6 +55,7 @@
 private:
     std::set<WorkerNumber> known_;
     std::map<WorkerNumber, Ticket> eligible_;
+    base::TimePoint lastExpiry_{}; ///< Latest expiry of all tickets so far.
 };
 
 /// Balances queries over the gateways that call the eligibility service. The service handles one query of each gateway
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -149,6 +149,7 @@
     reportLoad(const std::vector<std::pair<Rank, StepKey>> &order, const CapacityClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
+    bool canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const;
     void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
     placement::Resources claimLimit() const;
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -170,10 +170,27 @@
     return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MaxClaimedShare), 0, 0};
 }
 
+// Skips steps that can neither start tasks nor ask for tickets in this pass, without looking at their tasks. In a
+// backlog these are nearly all.
+bool JobManager::canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const
+{
+    if (!job.policy.eligibility || step.eligibility.hasTicket(pass.now) || pass.now < step.heldUntil) {
+        return true;
+    }
+    if (job.specOf(key.position).gang && pass.claims.canClaim(reservationOf(job.specOf(key.position)))) {
+        return true;
+    }
+    return !step.queryPending && pass.now >= step.nextQueryAt
+        && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
+}
+
 void JobManager::placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass)
 {
     const base::TimePoint now = pass.now;
     const JobRecord &job = *state_->findJob(key.job);
+    if (!canProgress(job, key, step, pass)) {
+        return;
+    }
     const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
     if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
         return;
