Let gangs claim capacity whole, and query eligibility only if they could start

Cause: each waiting gang claimed whatever part of its need was free, until a quarter of all processors idled in parts of which no gang could start, and renewed its tickets every 0.6 s counting on preemptible tasks that all other gangs counted on as well. These queries took the gateways for long queries, so the tasks that may use claimed capacity got no tickets for it. Capacity freed by preemption was also taken by more urgent small tasks before the gang's turn in the next dispatch. Class of fault: partial allocation by many, with none complete.

Change: a gang's whole need counts against the limit, in order of rank, and it claims only if all of it fits on eligible workers; preemptible capacity is claimed once. Queries after the first one are sent only if the gang could start after the answer, and name as many unknown workers as that takes. Holds exist from the start of a dispatch.

--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -14,11 +14,12 @@
 /// Capacity that is kept free for waiting gangs, within one dispatch. Resumable tasks of lower urgency may use claimed
 /// capacity meanwhile, because the gang can preempt them later.
 /// Load pattern: under a steady stream of small tasks, which take any capacity as soon as it is free, a gang that needs
-/// much capacity at once would never start.
+/// much capacity at once would never start. Many gangs that each collect a part would not start either, so only as many
+/// collect at a time as the limit holds whole.
 class CapacityClaims
 {
 public:
-    /// `limit` is the maximum of all claims together; only CPU is limited.
+    /// `limit` is the maximum that all gangs which claim capacity need together; only CPU is limited.
     explicit CapacityClaims(const placement::Resources &limit) : available_(limit)
     {
     }
@@ -28,14 +29,28 @@
         Claim &claim = claims_[worker];
         claim.amount += amount;
         claim.priority = std::max(claim.priority, priority);
-        available_ -= amount;
         total_ += amount;
     }
+    /// Counts a gang's whole need against the limit. Returns whether the gang may claim. A gang that exceeds the limit
+    /// by itself may claim if it is the first.
+    bool admit(const placement::Resources &need)
+    {
+        if (need.milliCpu > available_.milliCpu && admitted_) {
+            return false;
+        }
+        available_ -= need;
+        admitted_ = true;
+        return true;
+    }
     /// Holds capacity freed by preemption against all other tasks. It does not count against the limit.
     void hold(WorkerNumber worker, const placement::Resources &amount)
     {
         claims_[worker].held += amount;
     }
+    void releaseHold(WorkerNumber worker, const placement::Resources &amount)
+    {
+        claims_[worker].held -= amount;
+    }
     /// Returns the capacity of a worker that tasks of this priority must leave free.
     placement::Resources withheldCapacity(WorkerNumber worker, std::int32_t priority, bool resumable) const
     {
@@ -46,9 +61,10 @@
         const Claim &claim = found->second;
         return resumable && priority > claim.priority ? claim.held : claim.held + claim.amount;
     }
-    bool canClaim(const placement::Resources &amount) const
+    /// Returns whether a gang that needs this much may still claim.
+    bool canAdmit(const placement::Resources &need) const
     {
-        return amount.milliCpu <= available_.milliCpu;
+        return need.milliCpu <= available_.milliCpu || !admitted_;
     }
 
     const placement::Resources &total() const
@@ -65,6 +81,7 @@
     std::map<WorkerNumber, Claim> claims_;
     placement::Resources available_;
     placement::Resources total_;
+    bool admitted_ = false;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -96,6 +96,7 @@
         base::TimePoint nextQueryAt{};
         std::map<WorkerNumber, std::uint32_t> heldTasks; ///< For a gang: tasks whose capacity each worker is freeing.
         base::TimePoint heldUntil{}; ///< End of the hold on that capacity.
+        std::map<WorkerNumber, placement::Resources> heldCapacity; ///< What the current dispatch holds.
     };
     struct PendingQuery {
         StepKey step;
@@ -152,6 +153,8 @@
     bool canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const;
     void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
     placement::Resources claimLimit() const;
+    void holdCapacity(StepKey key, ReadyStep &step, Pass &pass);
+    static void releaseHold(ReadyStep &step, Pass &pass);
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -102,6 +102,9 @@
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     Pass pass(*this, cost_, now);
+    for (const auto &[rank, key] : order) {
+        holdCapacity(key, readySteps_.at(key), pass);
+    }
     for (const auto &[rank, key] : order) {
         placeStep(key, readySteps_.at(key), rank.lateness, pass);
     }
@@ -177,7 +180,8 @@
     if (!job.policy.eligibility || step.eligibility.hasTicket(pass.now) || pass.now < step.heldUntil) {
         return true;
     }
-    if (job.specOf(key.position).gang && pass.claims.canClaim(reservationOf(job.specOf(key.position)))) {
+    if (job.specOf(key.position).gang
+        && pass.claims.canAdmit(reservationOf(job.specOf(key.position)) * job.specOf(key.position).count)) {
         return true;
     }
     return !step.queryPending && pass.now >= step.nextQueryAt
@@ -195,6 +199,7 @@
     if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
         return;
     }
+    releaseHold(step, pass);
     std::vector<std::uint32_t> waiting = waitingTasks(job, key);
     if (waiting.empty()) {
         return;
@@ -249,7 +254,7 @@
     if (now >= step.heldUntil) {
         const auto plan = request.mayPreempt ? pass.planner.plan(pass.placer, request) : std::nullopt;
         if (!plan) {
-            pass.placer.claimCapacity(request, pass.claims);
+            pass.planner.claimCapacity(pass.placer, request, pass.claims);
             return;
         }
         for (const PreemptionPlanner::Preemption &preemption : plan->preemptions) {
@@ -267,16 +272,40 @@
         step.heldTasks = plan->tasksByWorker;
         step.heldUntil = now + HoldDuration;
     }
-    const placement::Resources amount = reservationOf(request.job.specOf(request.position));
+    holdCapacity(key, step, pass);
+}
+
+// Holds exist from the start of a dispatch, as more urgent small tasks would take the capacity piece by piece and make
+// the preemption useless.
+void JobManager::holdCapacity(StepKey key, ReadyStep &step, Pass &pass)
+{
+    if (pass.now >= step.heldUntil) {
+        step.heldCapacity.clear();
+        return;
+    }
+    const placement::Resources amount = reservationOf(state_->findJob(key.job)->specOf(key.position));
     for (const auto &[worker, tasks] : step.heldTasks) {
-        const placement::Resources held = placement::elementwiseMin(amount * tasks, ledger_.free(worker));
-        pass.claims.hold(worker, held);
+        if (workers_.contains(worker)) {
+            const placement::Resources held = placement::elementwiseMin(amount * tasks, ledger_.free(worker));
+            pass.claims.hold(worker, held);
+            step.heldCapacity[worker] = held;
+        }
+    }
+}
+
+void JobManager::releaseHold(ReadyStep &step, Pass &pass)
+{
+    for (const auto &[worker, amount] : step.heldCapacity) {
+        pass.claims.releaseHold(worker, amount);
     }
+    step.heldCapacity.clear();
 }
 
 // Returns the workers to include in the next query. Tickets of eligible workers with free capacity are renewed
 // together, so that they are valid at the same time. Unknown workers are added if the eligible ones lack capacity. The
 // first query also includes workers without free capacity, because eligibility is permanent while capacity changes.
+// Later queries for a gang are sent only if it could start after the answer: queries in vain keep gateways busy that
+// other steps need for their first tickets.
 std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, const Pass &pass)
 {
     struct Candidate {
@@ -306,6 +335,9 @@
     if (expired && (eligibleCapacity >= needed || mayPlacePartially)) {
         queried = eligibleWithCapacity;
     }
+    const auto isEnough = [needed](double tasks) {
+        return tasks >= static_cast<double>(needed) * QueryOversampling;
+    };
     if (eligibleCapacity < needed) {
         std::vector<Candidate> unknown;
         const auto addUnknown = [&](WorkerNumber number) {
@@ -331,16 +363,19 @@
         });
         std::vector<WorkerNumber> chosen;
         double expected = static_cast<double>(eligibleCapacity);
+        // The fixed cost of a query dominates, so the first one includes many workers, and more for a large gang.
+        const std::size_t maxChosen =
+            mayPlacePartially ? TypicalQueryWorkers : MaxQueryWorkers - std::min(MaxQueryWorkers, queried.size());
         for (const Candidate &candidate : unknown) {
-            // The fixed cost of a query dominates, so the first one includes many workers.
-            const bool enough = !nothingKnown && expected >= static_cast<double>(needed) * QueryOversampling;
-            if (chosen.size() >= TypicalQueryWorkers || (!nothingKnown && candidate.fittingTasks == 0) || enough) {
+            const bool first = nothingKnown && chosen.size() < TypicalQueryWorkers;
+            if (chosen.size() >= maxChosen || (!first && (candidate.fittingTasks == 0 || isEnough(expected)))) {
                 break;
             }
             chosen.push_back(candidate.worker);
             expected += share * candidate.fittingTasks;
         }
-        if (!chosen.empty()) {
+        const bool mayStart = mayPlacePartially || expected >= static_cast<double>(needed);
+        if (!chosen.empty() && (nothingKnown || mayStart)) {
             queried = eligibleWithCapacity;
             queried.insert(queried.end(), chosen.begin(), chosen.end());
         }
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -56,7 +56,69 @@
         forEachPreemptible(
             number, priority, [&, sum = &found->second](const TaskRef &task) { *sum += reservationFor(task); });
     }
-    return found->second;
+    const auto claimed = claimedPreemptible_.find(number);
+    if (claimed == claimedPreemptible_.end()) {
+        return found->second;
+    }
+    return found->second - placement::elementwiseMin(found->second, claimed->second);
+}
+
+void PreemptionPlanner::claimCapacity(const StepPlacer &placer,
+                                      const StepPlacer::Request &request,
+                                      CapacityClaims &claims) const
+{
+    struct Collector {
+        WorkerNumber worker = 0;
+        std::uint32_t tasks = 0; ///< Tasks of the gang that the whole worker could hold.
+        std::uint32_t reachableTasks = 0; ///< Tasks that fit now, after preemption if the gang may preempt.
+        std::int64_t freeMilliCpu = 0;
+    };
+    const placement::Resources amount = reservationOf(request.job.specOf(request.position));
+    const auto needed = static_cast<std::uint32_t>(request.waiting.size());
+    if (!claims.canAdmit(amount * needed)) {
+        return;
+    }
+    std::vector<Collector> candidates;
+    std::uint32_t possible = 0;
+    placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
+        const std::uint32_t tasks = placer.fittingTasksIn(request, number, ledger_.capacity(number));
+        const std::uint32_t reachable =
+            request.mayPreempt ? maxFittingTasks(placer, request, number) : placer.fittingTasks(request, number);
+        candidates.push_back({number, tasks, reachable, placer.availableOn(request, number).milliCpu});
+        possible += tasks;
+    });
+    if (possible < needed || !claims.admit(amount * needed)) {
+        return;
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Collector &left, const Collector &right) {
+        return std::tuple(right.reachableTasks, right.freeMilliCpu, left.worker)
+            < std::tuple(left.reachableTasks, left.freeMilliCpu, right.worker);
+    });
+    // Capacity within reach goes first; what is missing is collected on the same workers as their tasks end.
+    std::uint32_t remaining = needed;
+    const auto claim = [&](const Collector &candidate, std::uint32_t tasks) {
+        const placement::Resources wanted = amount * tasks;
+        const placement::Resources claimed =
+            placement::elementwiseMin(wanted, placer.availableOn(request, candidate.worker));
+        if (claimed.isNonNegative()) {
+            claims.claim(candidate.worker, claimed, request.job.policy.priority);
+            claimedPreemptible_[candidate.worker] += wanted - claimed;
+        }
+        remaining -= tasks;
+    };
+    for (Collector &candidate : candidates) {
+        const std::uint32_t tasks = std::min(candidate.reachableTasks, remaining);
+        if (tasks > 0) {
+            claim(candidate, tasks);
+            candidate.tasks -= tasks;
+        }
+    }
+    for (const Collector &candidate : candidates) {
+        const std::uint32_t tasks = std::min(candidate.tasks, remaining);
+        if (tasks > 0) {
+            claim(candidate, tasks);
+        }
+    }
 }
 
 const CapacityIndex &PreemptionPlanner::indexFor(std::int32_t priority) const
--- a/src/workflow/preemption_planner.h
+++ b/src/workflow/preemption_planner.h
@@ -10,7 +10,8 @@
 namespace yuccawheel::workflow
 {
 
-/// Selects resumable tasks of less urgent jobs to stop, to free capacity for a gang.
+/// Selects resumable tasks of less urgent jobs to stop, to free capacity for a gang, and the workers on which a gang
+/// collects capacity.
 /// Load pattern: workers full of small tasks that end at different times. Capacity collected for a gang as they end
 /// would idle until the last part is free. Instead, preemptible tasks keep using it until all of it can be freed at
 /// once.
@@ -44,6 +45,9 @@
     /// Returns how many of the gang's tasks fit on a worker if all its preemptible tasks are stopped.
     std::uint32_t
     maxFittingTasks(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
+    /// Claims capacity for a gang that can't start yet, if all of it fits on eligible workers and within the limit.
+    /// What the claim covers by preemptible tasks counts as preemptible for no other gang.
+    void claimCapacity(const StepPlacer &placer, const StepPlacer::Request &request, CapacityClaims &claims) const;
     /// Returns the workers by what would be free if all tasks that this priority may preempt were stopped.
     const CapacityIndex &indexFor(std::int32_t priority) const;
     /// Forgets what was computed about a worker, after tasks were stopped there.
@@ -72,6 +76,7 @@
     base::TimePoint now_;
     mutable std::map<std::int32_t, std::map<WorkerNumber, placement::Resources>> preemptible_; ///< By priority.
     mutable std::map<std::int32_t, CapacityIndex> indexes_; ///< By priority.
+    mutable std::map<WorkerNumber, placement::Resources> claimedPreemptible_;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -92,37 +92,6 @@
     return candidates;
 }
 
-void StepPlacer::claimCapacity(const Request &request, CapacityClaims &claims) const
-{
-    const placement::Resources amount = reservationOf(request.job.specOf(request.position));
-    if (!claims.canClaim(amount)) {
-        return;
-    }
-    std::vector<Candidate> candidates;
-    forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
-        const std::int64_t capacityTasks = amount.countFittingIn(ledger_.capacity(number));
-        candidates.push_back({number,
-                              static_cast<std::uint32_t>(std::min<std::int64_t>(capacityTasks, request.waiting.size())),
-                              availableOn(request, number).milliCpu});
-    });
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tuple(right.freeMilliCpu, left.worker) < std::tuple(left.freeMilliCpu, right.worker);
-    });
-    std::size_t needed = request.waiting.size();
-    for (const Candidate &candidate : candidates) {
-        if (needed == 0) {
-            return;
-        }
-        const std::uint32_t tasks = std::min<std::uint32_t>(candidate.tasks, static_cast<std::uint32_t>(needed));
-        const placement::Resources claimed =
-            placement::elementwiseMin(amount * tasks, availableOn(request, candidate.worker));
-        if (claimed.isNonNegative() && claims.canClaim(claimed)) {
-            claims.claim(candidate.worker, claimed, request.job.policy.priority);
-        }
-        needed -= tasks;
-    }
-}
-
 std::vector<Assignment> StepPlacer::assignInOrder(std::vector<Candidate> candidates,
                                                   const std::vector<std::uint32_t> &waiting)
 {
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -64,8 +64,6 @@
 
     /// Returns whether the worker could run the step if it had free capacity, regardless of tickets.
     bool canRun(const Request &request, WorkerNumber number, const WorkerView &worker) const;
-    /// Claims capacity for a gang that does not fit yet, on the eligible workers with the most free capacity.
-    void claimCapacity(const Request &request, CapacityClaims &claims) const;
     /// Returns the free capacity of a worker minus what the step must leave to claims.
     placement::Resources availableOn(const Request &request, WorkerNumber number) const;
     /// Returns how many of the step's tasks fit on the worker now.
