Send a gang's queries only while it may claim capacity

Cause: gangs beyond the limit of claims still sent queries, as each of them saw the capacity that no admitted gang had claimed. At 1.8 times the rate of gangs and wide jobs the wide ones got no tickets at all.

Change: a gang that may not claim sends no query, and its tasks aren't looked at.

--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -180,9 +180,9 @@
     if (!job.policy.eligibility || step.eligibility.hasTicket(pass.now) || pass.now < step.heldUntil) {
         return true;
     }
-    if (job.specOf(key.position).gang
-        && pass.claims.canAdmit(reservationOf(job.specOf(key.position)) * job.specOf(key.position).count)) {
-        return true;
+    const StepSpec &spec = job.specOf(key.position);
+    if (spec.gang) {
+        return pass.claims.canAdmit(reservationOf(spec) * spec.count);
     }
     return !step.queryPending && pass.now >= step.nextQueryAt
         && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
@@ -304,8 +304,8 @@
 // Returns the workers to include in the next query. Tickets of eligible workers with free capacity are renewed
 // together, so that they are valid at the same time. Unknown workers are added if the eligible ones lack capacity. The
 // first query also includes workers without free capacity, because eligibility is permanent while capacity changes.
-// Later queries for a gang are sent only if it could start after the answer: queries in vain keep gateways busy that
-// other steps need for their first tickets.
+// Queries for a gang are sent only while it may claim capacity, and after the first one only if it could start after
+// the answer: queries in vain keep gateways busy that other steps need for their first tickets.
 std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, const Pass &pass)
 {
     struct Candidate {
@@ -313,7 +313,11 @@
         std::uint32_t fittingTasks = 0;
     };
     const StepEligibility &eligibility = *request.eligibility;
+    const StepSpec &spec = request.job.specOf(request.position);
     const std::size_t needed = request.waiting.size();
+    if (spec.gang && !pass.claims.canAdmit(reservationOf(spec) * static_cast<std::int64_t>(needed))) {
+        return {};
+    }
     const auto fittingTasksOn = [&](WorkerNumber number) {
         return request.mayPreempt ? pass.planner.maxFittingTasks(pass.placer, request, number)
                                   : pass.placer.fittingTasks(request, number);
@@ -330,7 +334,7 @@
         }
     });
     const bool nothingKnown = !eligibility.isAnyKnown();
-    const bool mayPlacePartially = !request.job.specOf(request.position).gang;
+    const bool mayPlacePartially = !spec.gang;
     std::vector<WorkerNumber> queried;
     if (expired && (eligibleCapacity >= needed || mayPlacePartially)) {
         queried = eligibleWithCapacity;
@@ -345,7 +349,7 @@
                 unknown.push_back({number, fittingTasksOn(number)});
             }
         };
-        const std::int64_t neededCpu = reservationOf(request.job.specOf(request.position)).milliCpu;
+        const std::int64_t neededCpu = reservationOf(spec).milliCpu;
         const CapacityIndex &index =
             request.mayPreempt ? pass.planner.indexFor(request.job.policy.priority) : pass.index;
         index.forEachWithFree(nothingKnown ? std::numeric_limits<std::int64_t>::min() : neededCpu, addUnknown);
