Weigh callers' estimates by how well their queue's have predicted run times

Cause: objectives, ranks and slack were computed from the caller's estimate. Those of one queue are off by a factor of 2.5 (standard deviation of the logarithm 0.91), while its tasks differ by 0.50 only, so jobs counted as too late for use at random. Class of fault: a decision on unchecked input.

Change: RunTimeModel regresses the logarithm of run times on that of estimates, for each queue; ranks, objectives and slack use what it expects.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -114,7 +114,7 @@
             .with("steps", job.spec.steps.size())
             .with("tasks", job.spec.tasksPerOccurrence())
             .with("core_seconds", estimatedCoreSeconds(job.spec))
-            .with("objective_ms", objectiveOf(job).count());
+            .with("objective_ms", objectiveOf(job, runTimes_).count());
         break;
     }
     case StateEvent::Kind::JobKnown:
@@ -126,7 +126,7 @@
             .with("queue", job.policy.queue)
             .with("phase", toString(job.phase))
             .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_[event.job]).count())
-            .with("objective_ms", objectiveOf(job).count());
+            .with("objective_ms", objectiveOf(job, runTimes_).count());
         updateReadySteps(event.job);
         stopJob(event.job, now);
         break;
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -212,6 +212,7 @@
     std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
     EligibilityGateways gateways_;
     WorkerSpeedTracker speeds_;
+    RunTimeModel runTimes_;
     std::map<std::uint64_t, PendingQuery> pendingQueries_;
     std::map<std::string, double> eligibleShare_; ///< By queue: moving average of the share of eligible workers.
     std::uint64_t nextQueryNumber_ = 1;
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -98,7 +98,7 @@
     order.reserve(readySteps_.size());
     for (const auto &[key, step] : readySteps_) {
         const JobRecord &job = *state_->findJob(key.job);
-        order.emplace_back(rankOf(key.job, job, key.position, arrivals_.at(key.job), now), key);
+        order.emplace_back(rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now), key);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     Pass pass(*this, cost_, now);
@@ -208,7 +208,7 @@
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
     const bool mayPreempt = spec.gang && lateness == Rank::Lateness::OnTime;
     const StepPlacer::Request request{
-        job, key.position, waiting, eligibility, tasksByWorker(job, key), slackOf(job), mayPreempt};
+        job, key.position, waiting, eligibility, tasksByWorker(job, key), slackOf(job, runTimes_), mayPreempt};
     const std::vector<Assignment> assignments = pass.placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -557,10 +557,15 @@
 {
     const LiveRun *const run = findRun(number, task, runNumber);
     const JobRecord *const job = state_->findJob(task.job);
-    if (run != nullptr && job != nullptr && run->stage == LiveRun::Stage::Running) {
-        speeds_.recordRunTime(number,
-                              job->spec.steps[task.step].estimatedRunTime,
-                              std::chrono::duration_cast<std::chrono::milliseconds>(now - run->runningSince));
+    if (run == nullptr || job == nullptr || run->stage != LiveRun::Stage::Running) {
+        return;
+    }
+    const auto estimated = job->spec.steps[task.step].estimatedRunTime;
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(now - run->runningSince);
+    speeds_.recordRunTime(number, estimated, taken);
+    // A resumed run does only a part of the task's work.
+    if (state_->findTask(task)->checkpoint.empty()) {
+        runTimes_.record(job->policy.queue, estimated, taken);
     }
 }
 
--- a/src/workflow/objective.cpp
+++ b/src/workflow/objective.cpp
@@ -30,21 +30,25 @@
 
 } // namespace
 
-std::chrono::milliseconds criticalPath(const JobSpec &spec)
+std::chrono::milliseconds criticalPath(const JobRecord &job, const RunTimeModel &runTimes)
 {
-    return longestPath(spec.steps, [&spec](std::size_t step) { return spec.steps[step].estimatedRunTime; });
+    return longestPath(job.spec.steps, [&](std::size_t step) {
+        return runTimes.expectedRunTime(job.policy.queue, job.spec.steps[step].estimatedRunTime);
+    });
 }
 
-std::chrono::milliseconds remainingCriticalPath(const JobRecord &job)
+std::chrono::milliseconds remainingCriticalPath(const JobRecord &job, const RunTimeModel &runTimes)
 {
-    return longestPath(job.spec.steps, [&job](std::size_t step) {
-        return job.steps[step].isFinished() ? std::chrono::milliseconds{0} : job.spec.steps[step].estimatedRunTime;
+    return longestPath(job.spec.steps, [&](std::size_t step) {
+        return job.steps[step].isFinished()
+            ? std::chrono::milliseconds{0}
+            : runTimes.expectedRunTime(job.policy.queue, job.spec.steps[step].estimatedRunTime);
     });
 }
 
-std::chrono::milliseconds objectiveOf(const JobRecord &job)
+std::chrono::milliseconds objectiveOf(const JobRecord &job, const RunTimeModel &runTimes)
 {
-    const auto pathLength = static_cast<double>(criticalPath(job.spec).count());
+    const auto pathLength = static_cast<double>(criticalPath(job, runTimes).count());
     return std::chrono::milliseconds(static_cast<std::int64_t>(pathLength * job.policy.stretch)) + job.policy.target;
 }
 
@@ -60,17 +64,22 @@
 
 // A slow worker takes about a third longer. If the objective leaves less than the critical path itself, that third uses
 // up most of the time that remains after communication delays.
-Slack slackOf(const JobRecord &job)
+Slack slackOf(const JobRecord &job, const RunTimeModel &runTimes)
 {
-    const auto pathLength = criticalPath(job.spec);
-    const auto spare = objectiveOf(job) - pathLength;
+    const auto pathLength = criticalPath(job, runTimes);
+    const auto spare = objectiveOf(job, runTimes) - pathLength;
     return spare < pathLength ? Slack::Tight : spare > 2 * pathLength ? Slack::Ample : Slack::Moderate;
 }
 
-Rank rankOf(JobKey key, const JobRecord &job, std::size_t position, base::TimePoint arrivedAt, base::TimePoint now)
+Rank rankOf(JobKey key,
+            const JobRecord &job,
+            std::size_t position,
+            const RunTimeModel &runTimes,
+            base::TimePoint arrivedAt,
+            base::TimePoint now)
 {
-    const auto objective = objectiveOf(job);
-    const auto remaining = remainingCriticalPath(job);
+    const auto objective = objectiveOf(job, runTimes);
+    const auto remaining = remainingCriticalPath(job, runTimes);
     Rank rank;
     rank.priority = job.policy.priority;
     rank.startBy = arrivedAt + objective - remaining;
--- a/src/workflow/objective.h
+++ b/src/workflow/objective.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "workflow/run_time_model.h"
 #include "workflow/state.h"
 #include "workflow/worker_speed.h"
 
@@ -11,19 +12,19 @@
 namespace yuccawheel::workflow
 {
 
-/// Estimated run time of the longest chain of unfinished steps.
-std::chrono::milliseconds remainingCriticalPath(const JobRecord &job);
-/// Estimated run time of the longest chain of steps in one occurrence.
-std::chrono::milliseconds criticalPath(const JobSpec &spec);
+/// Expected run time of the longest chain of unfinished steps.
+std::chrono::milliseconds remainingCriticalPath(const JobRecord &job, const RunTimeModel &runTimes);
+/// Expected run time of the longest chain of steps in one occurrence.
+std::chrono::milliseconds criticalPath(const JobRecord &job, const RunTimeModel &runTimes);
 
 /// Time from arrival within which a job should complete.
-std::chrono::milliseconds objectiveOf(const JobRecord &job);
+std::chrono::milliseconds objectiveOf(const JobRecord &job, const RunTimeModel &runTimes);
 
 /// CPU time of one occurrence by the caller's estimate, in core-seconds.
 double estimatedCoreSeconds(const JobSpec &spec);
 
 /// Returns how much time a job's objective leaves beyond its critical path.
-Slack slackOf(const JobRecord &job);
+Slack slackOf(const JobRecord &job, const RunTimeModel &runTimes);
 
 /// Order in which ready steps are placed; lower ranks go first.
 struct Rank {
@@ -42,6 +43,11 @@
     auto operator<=>(const Rank &) const = default; // NOLINT(modernize-use-nullptr): false alarm
 };
 
-Rank rankOf(JobKey key, const JobRecord &job, std::size_t position, base::TimePoint arrivedAt, base::TimePoint now);
+Rank rankOf(JobKey key,
+            const JobRecord &job,
+            std::size_t position,
+            const RunTimeModel &runTimes,
+            base::TimePoint arrivedAt,
+            base::TimePoint now);
 
 } // namespace yuccawheel::workflow
--- a/tests/workflow_order_test.cpp
+++ b/tests/workflow_order_test.cpp
@@ -35,11 +35,11 @@
 TEST(Objective, UsesTheCriticalPath)
 {
     JobRecord job = record(1s, 2, 500ms);
-    EXPECT_EQ(objectiveOf(job), 4'500ms);
-    EXPECT_EQ(remainingCriticalPath(job), 2s);
+    EXPECT_EQ(objectiveOf(job, RunTimeModel()), 4'500ms);
+    EXPECT_EQ(remainingCriticalPath(job, RunTimeModel()), 2s);
     job.steps[0].tasks[0].phase = TaskPhase::Done;
     job.steps[0].done = 1;
-    EXPECT_EQ(remainingCriticalPath(job), 1s);
+    EXPECT_EQ(remainingCriticalPath(job, RunTimeModel()), 1s);
 }
 
 TEST(Objective, RanksByLatenessThenPriorityThenLatestStart)
@@ -48,11 +48,11 @@
     JobRecord schedule = record(1s, 3, 500ms);
     JobRecord patient = record(1s, 4, 500ms);
     patient.policy.priority = 2;
-    const Rank first = rankOf(1, urgent, 0, Start, Start);
-    const Rank second = rankOf(2, schedule, 0, Start, Start);
-    const Rank third = rankOf(3, patient, 0, Start, Start);
-    const Rank late = rankOf(1, urgent, 0, Start, Start + 3s);
-    const Rank tooLate = rankOf(1, urgent, 0, Start, Start + 15s);
+    const Rank first = rankOf(1, urgent, 0, RunTimeModel(), Start, Start);
+    const Rank second = rankOf(2, schedule, 0, RunTimeModel(), Start, Start);
+    const Rank third = rankOf(3, patient, 0, RunTimeModel(), Start, Start);
+    const Rank late = rankOf(1, urgent, 0, RunTimeModel(), Start, Start + 3s);
+    const Rank tooLate = rankOf(1, urgent, 0, RunTimeModel(), Start, Start + 15s);
     EXPECT_EQ(late.lateness, Rank::Lateness::Late);
     EXPECT_EQ(tooLate.lateness, Rank::Lateness::TooLateForUse);
     EXPECT_LT(first, second);
@@ -63,9 +63,24 @@
 
 TEST(Objective, SlackDependsOnTimeBeyondTheCriticalPath)
 {
-    EXPECT_EQ(slackOf(record(400ms, 1.5, 250ms)), Slack::Tight);
-    EXPECT_EQ(slackOf(record(3s, 2.2, 1s)), Slack::Moderate);
-    EXPECT_EQ(slackOf(record(2s, 4, 3s)), Slack::Ample);
+    EXPECT_EQ(slackOf(record(400ms, 1.5, 250ms), RunTimeModel()), Slack::Tight);
+    EXPECT_EQ(slackOf(record(3s, 2.2, 1s), RunTimeModel()), Slack::Moderate);
+    EXPECT_EQ(slackOf(record(2s, 4, 3s), RunTimeModel()), Slack::Ample);
+}
+
+TEST(RunTimeModel, WeighsEstimatesByHowWellTheyPredict)
+{
+    RunTimeModel model;
+    EXPECT_EQ(model.expectedRunTime("rough", 100ms), 100ms) << "nothing is known yet";
+    for (int round = 0; round < 200; ++round) {
+        model.record("rough", std::chrono::milliseconds(round % 2 == 0 ? 100 : 4'000), 2'000ms);
+        const auto runTime = std::chrono::milliseconds(round % 2 == 0 ? 1'000 : 3'000);
+        model.record("exact", runTime / 2, runTime);
+    }
+    EXPECT_NEAR(static_cast<double>(model.expectedRunTime("rough", 100ms).count()), 2'000, 20);
+    EXPECT_NEAR(static_cast<double>(model.expectedRunTime("exact", 500ms).count()), 1'000, 20);
+    EXPECT_NEAR(static_cast<double>(model.expectedRunTime("exact", 1'500ms).count()), 3'000, 60);
+    EXPECT_EQ(model.expectedRunTime("other", 100ms), 100ms);
 }
 
 TEST(WorkerSpeedTracker, FindsSlowWorkersDespiteRoughEstimates)
