Place urgent steps between full dispatches

Cause: each job, answer and end led to a dispatch over the whole backlog, so the most urgent jobs waited for thousands of tasks to be looked at.

Change: full dispatches keep 25 ms between them; steps of the most urgent queue that become ready or learn eligibility are placed at once, as they go first in any case.

--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -228,8 +228,10 @@
     }
     const base::TimePoint begin = base::BootClock::now();
     jobs_.tick(begin, wallNow());
-    recordTick(begin, base::BootClock::now());
-    armTimer(TickInterval);
+    const base::TimePoint end = base::BootClock::now();
+    recordTick(begin, end);
+    const auto wait = std::chrono::ceil<milliseconds>(jobs_.nextTick(end) - end);
+    armTimer(std::clamp(wait, DispatchDelay, TickInterval));
 }
 
 // Logs how much of the leader's time its decisions take. Calls, answers and reports wait while a decision is made.
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::chrono::milliseconds ReviewInterval{50}; ///< Half of the shortest timeout checked, 100 ms.
+// Bounds the share of time that dispatches take when a backlog makes them long.
+constexpr std::chrono::milliseconds MinDispatchInterval{25};
 constexpr std::chrono::milliseconds JobRetention{150'000}; ///< Callers may read states for 120 s; plus a margin.
 constexpr std::chrono::milliseconds ForgetInterval{5'000};
 constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
@@ -68,6 +70,7 @@
     ledger_ = {};
     reservations_.clear();
     readySteps_.clear();
+    changedSteps_.clear();
     arrivals_.clear();
     joining_.clear();
     pendingQueries_.clear();
@@ -218,7 +221,9 @@
     for (std::size_t position = 0; position < job->steps.size(); ++position) {
         const StepRecord &step = job->steps[position];
         if (!step.isFinished() && job->hasFinishedDependencies(position)) {
-            readySteps_.try_emplace({key, position});
+            if (readySteps_.try_emplace({key, position}).second) {
+                changedSteps_.insert({key, position});
+            }
         } else {
             readySteps_.erase({key, position});
         }
@@ -291,11 +296,21 @@
         forgetOldJobs(now);
         dispatchDue_ = true;
     }
-    if (std::exchange(dispatchDue_, false)) {
+    if (dispatchDue_ && now >= nextFullDispatch_) {
+        dispatchDue_ = false;
+        nextFullDispatch_ = now + MinDispatchInterval;
+        changedSteps_.clear();
         dispatch(now);
+    } else if (!changedSteps_.empty()) {
+        dispatchUrgent(now);
     }
 }
 
+base::TimePoint JobManager::nextTick(base::TimePoint now) const
+{
+    return dispatchDue_ ? std::max(now, nextFullDispatch_) : std::max(now, nextReview_);
+}
+
 std::size_t JobManager::pendingJobs(const std::string &queue) const
 {
     YW_INVARIANT(isLeading(), "only a leader counts jobs");
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -12,7 +12,9 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -73,6 +75,8 @@
 
     /// Returns the number of accepted jobs of a queue of which no run is known to have started.
     std::size_t pendingJobs(const std::string &queue) const;
+    /// Returns when tick() should be called next if nothing happens before.
+    base::TimePoint nextTick(base::TimePoint now) const;
     const WorkerViews &workers() const
     {
         return workers_;
@@ -146,6 +150,8 @@
 
     // Placement.
     void dispatch(base::TimePoint now);
+    void dispatchUrgent(base::TimePoint now);
+    void placeSteps(const std::vector<std::pair<Rank, StepKey>> &order, Pass &pass);
     void
     reportLoad(const std::vector<std::pair<Rank, StepKey>> &order, const CapacityClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
@@ -223,6 +229,9 @@
     DispatchCost cost_;
     DispatchCost reportedCost_; ///< As of the last load report.
     bool dispatchDue_ = false;
+    base::TimePoint nextFullDispatch_{};
+    std::set<StepKey> changedSteps_; ///< Became ready or learned eligibility since the last full dispatch.
+    std::int32_t urgentPriority_ = std::numeric_limits<std::int32_t>::max(); ///< Of the first step in the last one.
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -101,9 +101,43 @@
         order.emplace_back(rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now), key);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    urgentPriority_ = order.empty() ? std::numeric_limits<std::int32_t>::max() : order.front().first.priority;
     Pass pass(*this, cost_, now);
-    for (const auto &[rank, key] : order) {
-        holdCapacity(key, readySteps_.at(key), pass);
+    placeSteps(order, pass);
+    reportLoad(order, pass.claims, now);
+}
+
+// Places changed steps of the most urgent queue between full dispatches. They go before all others in any case, so that
+// their order needs no look at the backlog.
+void JobManager::dispatchUrgent(base::TimePoint now)
+{
+    if (!canSendOrders(now)) {
+        return;
+    }
+    std::vector<std::pair<Rank, StepKey>> order;
+    for (const StepKey &key : std::exchange(changedSteps_, {})) {
+        if (!readySteps_.contains(key)) {
+            continue;
+        }
+        const JobRecord &job = *state_->findJob(key.job);
+        const Rank rank = rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now);
+        if (rank.lateness == Rank::Lateness::OnTime && rank.priority <= urgentPriority_) {
+            order.emplace_back(rank, key);
+        }
+    }
+    if (order.empty()) {
+        return;
+    }
+    ++cost_.dispatches;
+    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    Pass pass(*this, cost_, now);
+    placeSteps(order, pass);
+}
+
+void JobManager::placeSteps(const std::vector<std::pair<Rank, StepKey>> &order, Pass &pass)
+{
+    for (auto &[key, step] : readySteps_) {
+        holdCapacity(key, step, pass);
     }
     for (const auto &[rank, key] : order) {
         placeStep(key, readySteps_.at(key), rank.lateness, pass);
@@ -113,7 +147,6 @@
             unreserve(start.task);
         }
     }
-    reportLoad(order, pass.claims, now);
 }
 
 JobManager::Pass::Pass(const JobManager &manager, DispatchCost &cost, base::TimePoint time)
@@ -491,6 +524,7 @@
     }
     ReadyStep &step = found->second;
     step.queryPending = false;
+    changedSteps_.insert(query.step);
     if (!rows) {
         step.nextQueryAt = now + QueryRetryDelay;
         base::logWarning("eligibility_unanswered")
