Let no small gang overtake a large one that waits to claim capacity

Cause: a gang that did not fit into what was left of the limit was passed over, and smaller ones of lower rank filled it again. Large gangs also stopped asking once no single query could make them start, with too few eligible workers known.

Change: gangs ask for admission in order of rank, and none after the first that is refused. A gang queries unknown workers until those it knows to be eligible would hold it twice.

--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -31,16 +31,19 @@
         claim.priority = std::max(claim.priority, priority);
         total_ += amount;
     }
-    /// Counts a gang's whole need against the limit. Returns whether the gang may claim. A gang that exceeds the limit
-    /// by itself may claim if it is the first.
-    bool admit(const placement::Resources &need)
+    /// Returns whether a gang that needs this much may claim capacity. Gangs have to ask in order of rank: once one may
+    /// not, no later one may either, because small gangs would overtake a large one for ever. A gang that exceeds the
+    /// limit by itself may claim if it is the first.
+    bool canAdmit(const placement::Resources &need)
+    {
+        full_ = full_ || (admitted_ && need.milliCpu > available_.milliCpu);
+        return !full_;
+    }
+    /// Counts a gang's whole need against the limit.
+    void admit(const placement::Resources &need)
     {
-        if (need.milliCpu > available_.milliCpu && admitted_) {
-            return false;
-        }
         available_ -= need;
         admitted_ = true;
-        return true;
     }
     /// Holds capacity freed by preemption against all other tasks. It does not count against the limit.
     void hold(WorkerNumber worker, const placement::Resources &amount)
@@ -61,12 +64,6 @@
         const Claim &claim = found->second;
         return resumable && priority > claim.priority ? claim.held : claim.held + claim.amount;
     }
-    /// Returns whether a gang that needs this much may still claim.
-    bool canAdmit(const placement::Resources &need) const
-    {
-        return need.milliCpu <= available_.milliCpu || !admitted_;
-    }
-
     const placement::Resources &total() const
     {
         return total_;
@@ -82,6 +79,7 @@
     placement::Resources available_;
     placement::Resources total_;
     bool admitted_ = false;
+    bool full_ = false;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -164,7 +164,7 @@
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
-    std::vector<WorkerNumber> workersToQuery(const StepPlacer::Request &request, StepKey key, const Pass &pass);
+    std::vector<WorkerNumber> workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass);
     std::optional<EligibilityGateways::GatewayId> chooseGateway(std::chrono::microseconds serviceTime,
                                                                 Pass &pass) const;
     void queryEligibility(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds HoldDuration{900};
 constexpr double InitialEligibleShare = 0.5; ///< Assumed until the first answer.
 constexpr double EligibleShareWeight = 0.1; ///< Weight of the newest answer in the moving average.
+// Tasks that the eligible workers known to a gang would hold, per task. With less, nearly all would have to be empty.
+constexpr std::size_t MinEligibleSize = 2;
 constexpr double QueryOversampling = 1.5; ///< Expected eligible capacity per required task.
 
 std::string stepName(JobKey key, const JobRecord &job, std::size_t position)
@@ -337,9 +339,9 @@
 // Returns the workers to include in the next query. Tickets of eligible workers with free capacity are renewed
 // together, so that they are valid at the same time. Unknown workers are added if the eligible ones lack capacity. The
 // first query also includes workers without free capacity, because eligibility is permanent while capacity changes.
-// Queries for a gang are sent only while it may claim capacity, and after the first one only if it could start after
-// the answer: queries in vain keep gateways busy that other steps need for their first tickets.
-std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, const Pass &pass)
+// Queries for a gang are sent only while it may claim capacity, and only if it knows too few eligible workers or could
+// start after the answer: queries in vain keep gateways busy that other steps need for their first tickets.
+std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass)
 {
     struct Candidate {
         WorkerNumber worker = 0;
@@ -357,9 +359,11 @@
     };
     std::vector<WorkerNumber> eligibleWithCapacity;
     std::size_t eligibleCapacity = 0;
+    std::size_t eligibleSize = 0; // Tasks that the eligible workers would hold if they were empty.
     bool expired = false;
     pass.placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
         const std::uint32_t fittingTasks = fittingTasksOn(number);
+        eligibleSize += pass.placer.fittingTasksIn(request, number, ledger_.capacity(number));
         if (fittingTasks > 0) {
             eligibleWithCapacity.push_back(number);
             eligibleCapacity += fittingTasks;
@@ -412,7 +416,8 @@
             expected += share * candidate.fittingTasks;
         }
         const bool mayStart = mayPlacePartially || expected >= static_cast<double>(needed);
-        if (!chosen.empty() && (nothingKnown || mayStart)) {
+        const bool knowsTooFew = eligibleSize < needed * MinEligibleSize;
+        if (!chosen.empty() && (mayStart || knowsTooFew)) {
             queried = eligibleWithCapacity;
             queried.insert(queried.end(), chosen.begin(), chosen.end());
         }
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -87,9 +87,10 @@
         candidates.push_back({number, tasks, reachable, placer.availableOn(request, number).milliCpu});
         possible += tasks;
     });
-    if (possible < needed || !claims.admit(amount * needed)) {
+    if (possible < needed) {
         return;
     }
+    claims.admit(amount * needed);
     std::sort(candidates.begin(), candidates.end(), [](const Collector &left, const Collector &right) {
         return std::tuple(right.reachableTasks, right.freeMilliCpu, left.worker)
             < std::tuple(left.reachableTasks, left.freeMilliCpu, right.worker);
