Count only gangs that wait as asking for admission, and end holds with the start

A running gang asked for admission in each dispatch once its tickets had expired and closed it to those behind it; capacity held for a gang stayed held for up to 0.9 s after the gang had started.

Change: steps with nothing to place are skipped first; a started gang gives up its hold.

--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -208,16 +208,23 @@
     return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MaxClaimedShare), 0, 0};
 }
 
-// Skips steps that can neither start tasks nor ask for tickets in this pass, without looking at their tasks. In a
-// backlog these are nearly all.
+// Skips steps that can neither start tasks nor ask for tickets in this pass, without looking at all their tasks. In a
+// backlog these are nearly all. A gang that runs or isn't due yet must not count as one that asks for admission.
 bool JobManager::canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const
 {
+    const StepRecord &record = job.steps[key.position];
+    const auto occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
+    if (record.done + record.placed == record.tasks.size()
+        || (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence)) {
+        return false;
+    }
     if (!job.policy.eligibility || step.eligibility.hasTicket(pass.now) || pass.now < step.heldUntil) {
         return true;
     }
     const StepSpec &spec = job.specOf(key.position);
     if (spec.gang) {
-        return pass.claims.canAdmit(reservationOf(spec) * spec.count);
+        const bool waits = record.placed == 0 && !reservations_.contains(job.refOf(key.job, key.position, 0));
+        return waits && pass.claims.canAdmit(reservationOf(spec) * spec.count);
     }
     return !step.queryPending && pass.now >= step.nextQueryAt
         && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
@@ -230,10 +237,6 @@
     if (!canProgress(job, key, step, pass)) {
         return;
     }
-    const std::uint32_t occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
-    if (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence) {
-        return;
-    }
     releaseHold(step, pass);
     std::vector<std::uint32_t> waiting = waitingTasks(job, key);
     if (waiting.empty()) {
@@ -267,6 +270,9 @@
             .with("waited_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_.at(key.job)).count());
     }
+    if (spec.gang && !assignments.empty()) {
+        step.heldUntil = {}; // The gang has taken what was held for it.
+    }
     std::erase_if(waiting, [&assignments](std::uint32_t index) {
         return std::any_of(assignments.begin(), assignments.end(), [index](const Assignment &assignment) {
             return assignment.index == index;
