--- a/src/workflow/capacity_index.h
+++ b/src/workflow/capacity_index.h
@@ -7,18 +7,15 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <tuple>
 #include <vector>
 
 namespace yuccawheel::workflow
 {
 
-using WorkerViews = std::map<WorkerNumber, WorkerView>;
-
 /// Usable workers by decreasing free CPU, within one dispatch. A step examines only workers that may have capacity for
-/// it, so that the cost of a dispatch does not grow with the product of workers and waiting steps. Load pattern: many
-/// waiting steps and many workers, nearly all of them full.
+/// it, so that the cost of a dispatch does not grow with the product of workers and waiting steps.
+/// Load pattern: many waiting steps and many workers, nearly all of them full.
 class CapacityIndex
 {
 public:
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -102,7 +102,7 @@
         const JobRecord &job = *state_->findJob(key.job);
         order.emplace_back(rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now), key);
     }
-    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::sort(order.begin(), order.end());
     urgentPriority_ = order.empty() ? std::numeric_limits<std::int32_t>::max() : order.front().first.priority;
     Pass pass(*this, cost_, now);
     placeSteps(order, pass);
@@ -131,7 +131,7 @@
         return;
     }
     ++cost_.dispatches;
-    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::sort(order.begin(), order.end());
     Pass pass(*this, cost_, now);
     placeSteps(order, pass);
 }
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -71,4 +71,6 @@
     }
 };
 
+using WorkerViews = std::map<WorkerNumber, WorkerView>;
+
 } // namespace yuccawheel::workflow
