--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace yuccawheel::fakes
@@ -51,7 +52,7 @@
         std::chrono::milliseconds lease{10'000};
     };
 
-    explicit CalledWorkers(Options options) : options_(options)
+    explicit CalledWorkers(Options options) : options_(std::move(options))
     {
     }
 
