--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -30,7 +30,10 @@
         fakes::CalledWorkers::Options workers;
     };
 
-    explicit ManagerSimulation(const Options &options) : options_(options), random_(options.seed), workers(options.workers)
+    explicit ManagerSimulation(const Options &options)
+        : options_(options)
+        , random_(options.seed)
+        , workers(options.workers)
     {
         manager = std::make_unique<workflow::JobManager>(*this, limits());
     }
