Simplify the placement of gangs after a second reading

One loop finds eligible workers with or without a ticket, instead of three; the test for waiting tasks stands once, in StepRecord; a completed run is looked up once for its line and its run time. askAdmission() says by its name that it changes the claims. Results of jobs that no test reads leave the mixed load, and holds of workers that are gone don't outlive a dispatch.

--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -31,13 +31,13 @@
         claim.priority = std::max(claim.priority, priority);
         total_ += amount;
     }
-    /// Returns whether a gang that needs this much may claim capacity. Gangs have to ask in order of rank: once one may
-    /// not, no later one may either, because small gangs would overtake a large one for ever. A gang that exceeds the
-    /// limit by itself may claim if it is the first.
-    bool canAdmit(const placement::Resources &need)
+    /// Returns whether a gang that needs this much may claim capacity, and closes admission if it may not: small gangs
+    /// of lower rank would overtake a large one for ever. Waiting gangs have to ask in order of rank. One that exceeds
+    /// the limit by itself may claim if it is the first.
+    bool askAdmission(const placement::Resources &need)
     {
-        full_ = full_ || (admitted_ && need.milliCpu > available_.milliCpu);
-        return !full_;
+        closed_ = closed_ || (admitted_ && need.milliCpu > available_.milliCpu);
+        return !closed_;
     }
     /// Counts a gang's whole need against the limit.
     void admit(const placement::Resources &need)
@@ -79,7 +79,7 @@
     placement::Resources available_;
     placement::Resources total_;
     bool admitted_ = false;
-    bool full_ = false;
+    bool closed_ = false;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -198,7 +198,7 @@
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
     void processEndedTasks(WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint now);
-    void recordRunTime(WorkerNumber number, const TaskRef &task, std::uint32_t run, base::TimePoint now);
+    void recordRunTime(WorkerNumber number, const TaskRef &task, const JobRecord &job, std::chrono::milliseconds taken);
     void processEndedInSuccessor(WorkerNumber number, WorkerView &worker, const PollAnswer &answer);
     LiveRun *findRun(WorkerNumber worker, const TaskRef &task, std::uint32_t run);
     bool retireReplacedWorkers(const WorkerReport &report, base::TimePoint now);
@@ -231,7 +231,8 @@
     bool dispatchDue_ = false;
     base::TimePoint nextFullDispatch_{};
     std::set<StepKey> changedSteps_; ///< Became ready or learned eligibility since the last full dispatch.
-    std::int32_t urgentPriority_ = std::numeric_limits<std::int32_t>::max(); ///< Of the first step in the last one.
+    std::int32_t urgentPriority_ =
+        std::numeric_limits<std::int32_t>::max(); ///< Of the first step of the last full dispatch.
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -60,7 +60,7 @@
 {
     std::vector<std::uint32_t> waiting;
     const StepRecord &step = job.steps[key.position];
-    if (step.done + step.placed == step.tasks.size()) {
+    if (!step.hasWaitingTasks()) {
         return waiting;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -214,7 +214,7 @@
 {
     const StepRecord &record = job.steps[key.position];
     const auto occurrence = static_cast<std::uint32_t>(key.position / job.spec.steps.size());
-    if (record.done + record.placed == record.tasks.size()
+    if (!record.hasWaitingTasks()
         || (job.spec.occurrences > 0 && wall_ < job.spec.startAt + job.spec.interval * occurrence)) {
         return false;
     }
@@ -224,7 +224,7 @@
     const StepSpec &spec = job.specOf(key.position);
     if (spec.gang) {
         const bool waits = record.placed == 0 && !reservations_.contains(job.refOf(key.job, key.position, 0));
-        return waits && pass.claims.canAdmit(reservationOf(spec) * spec.count);
+        return waits && pass.claims.askAdmission(reservationOf(spec) * spec.count);
     }
     return !step.queryPending && pass.now >= step.nextQueryAt
         && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
@@ -320,8 +320,8 @@
 // the preemption useless.
 void JobManager::holdCapacity(StepKey key, ReadyStep &step, Pass &pass)
 {
+    step.heldCapacity.clear();
     if (pass.now >= step.heldUntil) {
-        step.heldCapacity.clear();
         return;
     }
     const placement::Resources amount = reservationOf(state_->findJob(key.job)->specOf(key.position));
@@ -356,7 +356,7 @@
     const StepEligibility &eligibility = *request.eligibility;
     const StepSpec &spec = request.job.specOf(request.position);
     const std::size_t needed = request.waiting.size();
-    if (spec.gang && !pass.claims.canAdmit(reservationOf(spec) * static_cast<std::int64_t>(needed))) {
+    if (spec.gang && !pass.claims.askAdmission(reservationOf(spec) * static_cast<std::int64_t>(needed))) {
         return {};
     }
     const auto fittingTasksOn = [&](WorkerNumber number) {
@@ -367,7 +367,7 @@
     std::size_t eligibleCapacity = 0;
     std::size_t eligibleSize = 0; // Tasks that the eligible workers would hold if they were empty.
     bool expired = false;
-    pass.placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
+    pass.placer.forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
         const std::uint32_t fittingTasks = fittingTasksOn(number);
         eligibleSize += pass.placer.fittingTasksIn(request, number, ledger_.capacity(number));
         if (fittingTasks > 0) {
@@ -382,9 +382,6 @@
     if (expired && (eligibleCapacity >= needed || mayPlacePartially)) {
         queried = eligibleWithCapacity;
     }
-    const auto isEnough = [needed](double tasks) {
-        return tasks >= static_cast<double>(needed) * QueryOversampling;
-    };
     if (eligibleCapacity < needed) {
         std::vector<Candidate> unknown;
         const auto addUnknown = [&](WorkerNumber number) {
@@ -415,7 +412,8 @@
             mayPlacePartially ? TypicalQueryWorkers : MaxQueryWorkers - std::min(MaxQueryWorkers, queried.size());
         for (const Candidate &candidate : unknown) {
             const bool first = nothingKnown && chosen.size() < TypicalQueryWorkers;
-            if (chosen.size() >= maxChosen || (!first && (candidate.fittingTasks == 0 || isEnough(expected)))) {
+            const bool enough = expected >= static_cast<double>(needed) * QueryOversampling;
+            if (chosen.size() >= maxChosen || (!first && (candidate.fittingTasks == 0 || enough))) {
                 break;
             }
             chosen.push_back(candidate.worker);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -532,11 +532,14 @@
         entry.ends.push_back({*task, ended.run, ended.outcome, ended.checkpoint});
         const LiveRun *const run = findRun(number, *task, ended.run);
         const JobRecord *const job = state_->findJob(task->job);
-        const base::TimePoint began = run == nullptr ? base::TimePoint{} : run->runningSince;
-        const bool timed = began != base::TimePoint{};
+        const bool timed = run != nullptr && run->runningSince != base::TimePoint{};
+        const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(timed ? now - run->runningSince
+                                                                                     : base::BootClock::duration{0});
         if (ended.outcome == RunOutcome::Done) {
             worker.health.recordSuccess();
-            recordRunTime(number, *task, ended.run, now);
+            if (run != nullptr && job != nullptr && run->stage == LiveRun::Stage::Running) {
+                recordRunTime(number, *task, *job, ran);
+            }
         } else if (ended.outcome == RunOutcome::Failed) {
             worker.health.recordFailure(task->job, now);
         }
@@ -545,7 +548,7 @@
             .with("run", ended.run)
             .with("worker", worker.identity.id)
             .with("how", toString(ended.outcome))
-            .with("ran_ms", timed ? std::chrono::duration_cast<std::chrono::milliseconds>(now - began).count() : -1)
+            .with("ran_ms", timed ? ran.count() : -1)
             .with("estimated_ms", job == nullptr ? -1 : job->spec.steps[task->step].estimatedRunTime.count());
     }
     if (entry.lastEndNumber > worker.proposedEndNumber && port_.propose(entry)) {
@@ -553,19 +556,16 @@
     }
 }
 
-void JobManager::recordRunTime(WorkerNumber number, const TaskRef &task, std::uint32_t runNumber, base::TimePoint now)
+void JobManager::recordRunTime(WorkerNumber number,
+                               const TaskRef &task,
+                               const JobRecord &job,
+                               std::chrono::milliseconds taken)
 {
-    const LiveRun *const run = findRun(number, task, runNumber);
-    const JobRecord *const job = state_->findJob(task.job);
-    if (run == nullptr || job == nullptr || run->stage != LiveRun::Stage::Running) {
-        return;
-    }
-    const auto estimated = job->spec.steps[task.step].estimatedRunTime;
-    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(now - run->runningSince);
+    const auto estimated = job.spec.steps[task.step].estimatedRunTime;
     speeds_.recordRunTime(number, estimated, taken);
     // A resumed run does only a part of the task's work.
     if (state_->findTask(task)->checkpoint.empty()) {
-        runTimes_.record(job->policy.queue, estimated, taken);
+        runTimes_.record(job.policy.queue, estimated, taken);
     }
 }
 
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -65,7 +65,7 @@
 
 void PreemptionPlanner::claimCapacity(const StepPlacer &placer,
                                       const StepPlacer::Request &request,
-                                      CapacityClaims &claims) const
+                                      CapacityClaims &claims)
 {
     struct Collector {
         WorkerNumber worker = 0;
@@ -75,12 +75,12 @@
     };
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
     const auto needed = static_cast<std::uint32_t>(request.waiting.size());
-    if (!claims.canAdmit(amount * needed)) {
+    if (!claims.askAdmission(amount * needed)) {
         return;
     }
     std::vector<Collector> candidates;
     std::uint32_t possible = 0;
-    placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
+    placer.forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
         const std::uint32_t tasks = placer.fittingTasksIn(request, number, ledger_.capacity(number));
         const std::uint32_t reachable =
             request.mayPreempt ? maxFittingTasks(placer, request, number) : placer.fittingTasks(request, number);
@@ -167,12 +167,9 @@
 {
     std::vector<WorkerNumber> ready;
     std::size_t reachableTasks = 0;
-    placer.forEachEligible(request, [&](WorkerNumber number, const WorkerView &) {
-        if (request.eligibility == nullptr
-            || request.eligibility->findTicket(number, now_, PreemptionTime) != nullptr) {
-            ready.push_back(number);
-            reachableTasks += maxFittingTasks(placer, request, number);
-        }
+    placer.forEachEligible(request, PreemptionTime, [&](WorkerNumber number) {
+        ready.push_back(number);
+        reachableTasks += maxFittingTasks(placer, request, number);
     });
     const std::size_t needed = request.waiting.size();
     if (reachableTasks < needed) {
--- a/src/workflow/preemption_planner.h
+++ b/src/workflow/preemption_planner.h
@@ -47,7 +47,7 @@
     maxFittingTasks(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
     /// Claims capacity for a gang that can't start yet, if all of it fits on eligible workers and within the limit.
     /// What the claim covers by preemptible tasks counts as preemptible for no other gang.
-    void claimCapacity(const StepPlacer &placer, const StepPlacer::Request &request, CapacityClaims &claims) const;
+    void claimCapacity(const StepPlacer &placer, const StepPlacer::Request &request, CapacityClaims &claims);
     /// Returns the workers by what would be free if all tasks that this priority may preempt were stopped.
     const CapacityIndex &indexFor(std::int32_t priority) const;
     /// Forgets what was computed about a worker, after tasks were stopped there.
@@ -76,7 +76,7 @@
     base::TimePoint now_;
     mutable std::map<std::int32_t, std::map<WorkerNumber, placement::Resources>> preemptible_; ///< By priority.
     mutable std::map<std::int32_t, CapacityIndex> indexes_; ///< By priority.
-    mutable std::map<WorkerNumber, placement::Resources> claimedPreemptible_;
+    std::map<WorkerNumber, placement::Resources> claimedPreemptible_; ///< Counts as preemptible for no other gang.
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/run_time_model.cpp
+++ b/src/workflow/run_time_model.cpp
@@ -10,8 +10,7 @@
 {
 
 constexpr std::uint32_t MinSamples = 30; ///< A few steps; tasks of one step are alike.
-constexpr double SampleWeight =
-    0.005; ///< About ten steps of twenty tasks, so that a few odd jobs don't shift the model.
+constexpr double SampleWeight = 0.005; ///< About ten steps of twenty tasks; a few odd jobs change little.
 
 } // namespace
 
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -41,6 +41,10 @@
     {
         return done == tasks.size();
     }
+    bool hasWaitingTasks() const
+    {
+        return done + placed < tasks.size();
+    }
     MSGPACK_DEFINE(tasks, done, placed, failures, lastFailedRun)
 };
 
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -82,13 +82,7 @@
         });
         return candidates;
     }
-    for (const auto &[number, ticket] : request.eligibility->eligible()) {
-        const auto worker = workers_.find(number);
-        if (ticket.validUntil >= now_ + TicketMargin && worker != workers_.end()
-            && canRun(request, number, worker->second)) {
-            addIfFitting(number);
-        }
-    }
+    forEachEligible(request, TicketMargin, addIfFitting);
     return candidates;
 }
 
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -74,23 +74,27 @@
     /// Returns how many of the step's tasks would fit on the worker with this free capacity.
     std::uint32_t fittingTasksIn(const Request &request, WorkerNumber number, const placement::Resources &free) const;
 
-    /// Calls `visit(WorkerNumber, const WorkerView &)` for each worker known to be eligible that could run the step;
-    /// for all that could run it if the step needs no eligibility.
+    /// Calls `visit(WorkerNumber)` for each worker known to be eligible that could run the step; for all that could run
+    /// it if the step needs no eligibility. With a margin, only workers whose ticket is valid for that long count.
     template <typename Visit>
-    void forEachEligible(const Request &request, Visit visit) const
+    void
+    forEachEligible(const Request &request, std::optional<std::chrono::milliseconds> ticketMargin, Visit visit) const
     {
         if (request.eligibility == nullptr) {
             for (const auto &[number, worker] : workers_) {
                 if (canRun(request, number, worker)) {
-                    visit(number, worker);
+                    visit(number);
                 }
             }
             return;
         }
         for (const auto &[number, ticket] : request.eligibility->eligible()) {
+            if (ticketMargin && ticket.validUntil < now_ + *ticketMargin) {
+                continue;
+            }
             const auto worker = workers_.find(number);
             if (worker != workers_.end() && canRun(request, number, worker->second)) {
-                visit(number, worker->second);
+                visit(number);
             }
         }
     }
--- a/tests/workflow_load.h
+++ b/tests/workflow_load.h
@@ -23,16 +23,6 @@
 public:
     enum Queue : std::uint8_t { Short, Gangs, Wide };
 
-    struct Result {
-        std::size_t jobs = 0;
-        std::size_t onTime = 0; ///< Completed within the objective that follows from the true run times.
-
-        double share() const
-        {
-            return jobs == 0 ? 1 : static_cast<double>(onTime) / static_cast<double>(jobs);
-        }
-    };
-
     MixedLoad(std::size_t workers, std::uint64_t seed)
         : workers_(workers)
         , random_(seed)
@@ -69,7 +59,6 @@
                 }
             }
             simulation_.run(std::chrono::milliseconds{1});
-            recordEnds();
             reservedSum_ += static_cast<double>(reservedMilliCpu());
             ++samples_;
         }
@@ -88,18 +77,6 @@
         samples_ = 0;
         return use;
     }
-    /// Returns the results of jobs whose objective has passed or that have ended.
-    Result result(Queue queue) const
-    {
-        Result result;
-        for (const auto &[key, job] : jobs_) {
-            if (job.queue == queue && (job.ended || simulation_.now > job.submittedAt + job.objective)) {
-                ++result.jobs;
-                result.onTime += job.ended && *job.ended <= job.submittedAt + job.objective ? 1 : 0;
-            }
-        }
-        return result;
-    }
     std::size_t waitingTasks() const
     {
         std::size_t waiting = 0;
@@ -111,10 +88,6 @@
         }
         return waiting;
     }
-    ManagerSimulation &simulation()
-    {
-        return simulation_;
-    }
 
 private:
     static constexpr std::int64_t WorkerMilliCpu = 32'000;
@@ -138,10 +111,7 @@
     };
     struct Job {
         Queue queue = Short;
-        base::TimePoint submittedAt{};
         std::vector<std::chrono::milliseconds> runTimes; ///< Of each step.
-        std::chrono::milliseconds objective{0};
-        std::optional<base::TimePoint> ended;
     };
 
     static const std::array<QueueLoad, 3> &queues()
@@ -227,13 +197,11 @@
         const workflow::JobKey key = ++lastKey_;
         Job &job = jobs_[key];
         job.queue = queue;
-        job.submittedAt = simulation_.now;
         workflow::JobSpec spec;
         spec.payload = "payload";
         const bool gang = std::bernoulli_distribution(load.gangShare)(random_);
         const bool resumable = std::bernoulli_distribution(load.resumableShare)(random_);
         const std::size_t steps = std::bernoulli_distribution(load.meanSteps - 1)(random_) ? 2 : 1;
-        std::chrono::milliseconds path{0};
         for (std::size_t position = 0; position < steps; ++position) {
             workflow::StepSpec step;
             step.count =
@@ -249,28 +217,11 @@
             if (position > 0) {
                 step.after = {0};
             }
-            path += job.runTimes.back();
             spec.steps.push_back(step);
         }
-        job.objective = std::chrono::milliseconds(
-                            static_cast<std::int64_t>(static_cast<double>(path.count()) * load.policy.stretch))
-            + load.policy.target;
-        open_.push_back(key);
         simulation_.submit(key, spec, load.policy);
     }
 
-    void recordEnds()
-    {
-        std::erase_if(open_, [this](workflow::JobKey key) {
-            const workflow::JobRecord *const record = simulation_.state.findJob(key);
-            if (record == nullptr || !record->hasEnded()) {
-                return false;
-            }
-            jobs_.at(key).ended = simulation_.now;
-            return true;
-        });
-    }
-
     std::int64_t reservedMilliCpu()
     {
         std::int64_t sum = 0;
@@ -285,7 +236,6 @@
     std::size_t workers_;
     std::mt19937_64 random_;
     std::map<workflow::JobKey, Job> jobs_;
-    std::vector<workflow::JobKey> open_;
     std::array<base::TimePoint, 3> nextArrival_{};
     std::array<double, 3> rateFactors_{1, 1, 1};
     workflow::JobKey lastKey_ = 0;
