--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -176,7 +176,8 @@
         sigaddset(&brokenPipe, SIGPIPE);
         pthread_sigmask(SIG_BLOCK, &brokenPipe, nullptr);
         while (true) {
-            auto line = queue.popFor(WriteTimeout);
+            auto line = waitForLine();
+            const DutyScope duty(Duty::LogOutput);
             if (line) {
                 writeBatch(std::move(*line));
             } else if (queue.isClosed()) {
@@ -186,6 +187,12 @@
         }
     }
 
+    std::optional<std::string> waitForLine()
+    {
+        const DutyScope duty(Duty::Waiting);
+        return queue.popFor(WriteTimeout);
+    }
+
     // Combines the queued lines into writes of about MaxBatchBytes.
     void writeBatch(std::string batch)
     {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/processor_time.h"
+
 #include <fmt/core.h>
 
 #include <cstdint>
@@ -36,6 +38,7 @@
     }
 
 private:
+    DutyScope duty_{Duty::LogLines};
     bool enabled_;
     std::string text_;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "base/log.h"
+#include "base/processor_time.h"
 #include "daemon/health_server.h"
 #include "daemon/settings_watch.h"
 
@@ -161,6 +162,17 @@
     ExitCode exitCode_ = ExitCode::Ok;
 };
 
+// Runs due handlers first and waits only if there are none, so that waiting is charged apart from them.
+void runEventLoop(asio::io_context &io)
+{
+    while (!io.stopped()) {
+        if (io.poll() == 0) {
+            const base::DutyScope duty(base::Duty::Waiting);
+            io.run_one();
+        }
+    }
+}
+
 int serve(const settings::ProcessSettings &settings,
           const std::string &settingsFile,
           settings::Program program,
@@ -185,7 +197,7 @@
     const HealthServer health(context, [&]() -> std::optional<std::string> {
         return shutdown.isDraining() ? "draining" : service->notReadyReason();
     });
-    io.run();
+    runEventLoop(io);
     base::logInfo("stopped").with("exit_code", static_cast<int>(shutdown.exitCode()));
     return static_cast<int>(shutdown.exitCode());
 }
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -1,5 +1,6 @@
 #include "http/call_pool.h"
 
+#include "base/processor_time.h"
 #include "base/traffic.h"
 
 #include <boost/asio/post.hpp>
@@ -90,6 +91,7 @@
         }
         verdict_ = base::Verdict::NotRun;
         stream_.async_connect(pool_->endpoint, [self = shared_from_this()](beast::error_code error) {
+            const base::DutyScope duty(base::Duty::Calls);
             if (error) {
                 self->fail(error);
                 return;
@@ -127,6 +129,7 @@
         verdict_ = base::Verdict::MayHaveRun;
         beast::http::async_write(
             stream_, message_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+                const base::DutyScope duty(base::Duty::Calls);
                 base::controlTraffic().addSent(base::ControlTraffic::HttpKind, bytes);
                 if (error) {
                     self->fail(error);
@@ -142,6 +145,7 @@
         parser_->body_limit(pool_->options.maxAnswerBytes);
         beast::http::async_read(
             stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+                const base::DutyScope duty(base::Duty::Calls);
                 base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
                 self->anyByteRead_ = bytes > 0;
                 if (error || self->parser_->need_eof()) {
@@ -269,6 +273,7 @@
                     Done done,
                     std::optional<std::string> bodyOnNewConnection)
 {
+    const base::DutyScope duty(base::Duty::Calls);
     QueuedCall call{std::move(request),
                     std::chrono::steady_clock::now() + timeout,
                     std::move(done),
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "base/processor_time.h"
 #include "base/traffic.h"
 
 #include <boost/beast/core.hpp>
@@ -104,6 +105,7 @@
         stream_.expires_after(server_->options.idleTimeout);
         stream_.async_read_some(buffer_.prepare(ReadChunkBytes),
                                 [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                    const base::DutyScope duty(base::Duty::Reports);
                                     if (error) {
                                         return;
                                     }
@@ -122,6 +124,7 @@
                           buffer_,
                           *parser_,
                           [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                              const base::DutyScope duty(base::Duty::Reports);
                               base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
                               self->onRead(error);
                           });
@@ -218,6 +221,7 @@
         bhttp::async_write(stream_,
                            *response_,
                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                               const base::DutyScope duty(base::Duty::Reports);
                                base::controlTraffic().addSent(base::ControlTraffic::HttpKind, bytes);
                                self->response_.reset();
                                if (error || self->server_->stopped) {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,6 +1,7 @@
 #include "platform/worker_client.h"
 
 #include "base/log.h"
+#include "base/processor_time.h"
 #include "platform/json_fields.h"
 
 namespace yuccawheel::platform
@@ -175,6 +176,7 @@
                          const workflow::StartOrder &order,
                          std::function<void(const workflow::OrderAnswer &)> done)
 {
+    const base::DutyScope duty(base::Duty::Calls);
     Json body{{"task", toString(order.task)},
               {"run", order.run},
               {"task_spec", order.payload},
@@ -196,6 +198,7 @@
                         const workflow::StopOrder &order,
                         std::function<void(const workflow::OrderAnswer &)> done)
 {
+    const base::DutyScope duty(base::Duty::Calls);
     const Json body{{"task", toString(order.task)}, {"run", order.run}, {"fencing_token", order.epoch}};
     poolFor(worker.address)
         .call(makeRequest(worker, "/run-stop", body),
@@ -207,6 +210,7 @@
                         const workflow::PollOrder &order,
                         std::function<void(const workflow::PollAnswer &)> done)
 {
+    const base::DutyScope duty(base::Duty::Calls);
     Json body{{"fencing_token", order.epoch}, {"last_seen", order.acknowledged}};
     if (order.leaseUntil) {
         body["until_ms"] = order.leaseUntil->count();
--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -1,6 +1,7 @@
 #include "log_thread.h"
 
 #include "base/log.h"
+#include "base/processor_time.h"
 
 #include <utility>
 
@@ -45,7 +46,8 @@
 void LogThread::run()
 {
     while (!stopping_) {
-        auto input = input_.popFor(TickInterval);
+        auto input = waitForInput();
+        const base::DutyScope duty(base::Duty::Disk);
         for (std::size_t taken = 0; input; ++taken) {
             handle(*input);
             input = taken < MaxInputsPerFlush ? input_.tryPop() : std::nullopt;
@@ -57,6 +59,12 @@
     }
 }
 
+std::optional<LogInput> LogThread::waitForInput()
+{
+    const base::DutyScope duty(base::Duty::Waiting);
+    return input_.popFor(TickInterval);
+}
+
 void LogThread::handle(LogInput &input)
 {
     const base::TimePoint now = base::BootClock::now();
--- a/src/programs/yw_manager/log_thread.h
+++ b/src/programs/yw_manager/log_thread.h
@@ -86,6 +86,7 @@
 
 private:
     void run();
+    std::optional<LogInput> waitForInput();
     void handle(LogInput &input);
     bool flush();
     bool publish(LogOutput output);
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -1,9 +1,11 @@
 #include "manager_service.h"
 
 #include "base/log.h"
+#include "base/processor_time.h"
 #include "store/replication_codec.h"
 
 #include <boost/asio/post.hpp>
+#include <fmt/core.h>
 
 #include <random>
 #include <stdexcept>
@@ -25,6 +27,7 @@
 constexpr milliseconds HandoverTimeout{1'500};
 constexpr milliseconds HandoverPollInterval{5};
 constexpr milliseconds TickReportInterval{1'000}; ///< Finest resolution of the metrics collection.
+constexpr milliseconds ProcessorReportInterval{1'000};
 constexpr milliseconds ElectionTimeout{700}; ///< 3.5 heartbeat intervals.
 constexpr milliseconds ElectionJitter{500};
 /// Longer than one or two missed heartbeats, and than the time after which a VM counts as disconnected.
@@ -221,6 +224,7 @@
 
 void ManagerService::onTimer()
 {
+    const base::DutyScope duty(base::Duty::Decisions);
     timerDue_ = {};
     if (restartDue_ && jobs_.isLeading() && std::chrono::steady_clock::now() >= earliestRestart_) {
         base::logWarning("entries_not_committed").with("term", status_.term);
@@ -230,6 +234,7 @@
     jobs_.tick(begin, wallNow());
     const base::TimePoint end = base::BootClock::now();
     recordTick(begin, end);
+    reportProcessorTime(end);
     const auto wait = std::chrono::ceil<milliseconds>(jobs_.nextTick(end) - end);
     armTimer(std::clamp(wait, DispatchDelay, TickInterval));
 }
@@ -261,8 +266,26 @@
     tickTimes_.since = end;
 }
 
+// Logs what this process spent processor time on. What is left of the total was not charged to a duty.
+void ManagerService::reportProcessorTime(base::TimePoint now)
+{
+    if (now < nextProcessorReport_) {
+        return;
+    }
+    nextProcessorReport_ = now + ProcessorReportInterval;
+    const ProcessorTimes times{base::processorTime(), base::processorTimeByDuty()};
+    base::LogLine line = base::logInfo("processor_time");
+    line.with("total_us", (times.total - reportedTimes_.total).count());
+    for (std::size_t duty = 0; duty < base::DutyCount; ++duty) {
+        line.with(fmt::format("{}_us", base::toString(static_cast<base::Duty>(duty))),
+                  (times.byDuty[duty] - reportedTimes_.byDuty[duty]).count());
+    }
+    reportedTimes_ = times;
+}
+
 void ManagerService::handlePendingOutput()
 {
+    const base::DutyScope duty(base::Duty::State);
     while (auto output = log_->tryPopOutput()) {
         handleOutput(*output);
     }
@@ -274,6 +297,7 @@
         handleProposalResult(result);
     }
     for (const coordination::Message &message : output.messages) {
+        const base::DutyScope duty(base::Duty::Replication);
         if (message.to.node != self_) {
             managers_.peer(message.to.node)
                 .notifyFrame({protocol::MessageType::Replication,
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/processor_time.h"
 #include "daemon/daemon.h"
 #include "daemon/manager_connections.h"
 #include "log_thread.h"
@@ -11,6 +12,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -117,6 +119,7 @@
                          std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done);
 
     void recordTick(base::TimePoint begin, base::TimePoint end);
+    void reportProcessorTime(base::TimePoint now);
 
     /// Time that the job manager's ticks took since `since`.
     struct TickTimes {
@@ -126,6 +129,11 @@
         base::BootClock::duration longest{0};
     };
 
+    struct ProcessorTimes {
+        std::chrono::microseconds total{0};
+        std::array<std::chrono::microseconds, base::DutyCount> byDuty{};
+    };
+
     daemon::Context &context_;
     std::shared_ptr<ManagerService *> alive_;
     std::uint32_t self_ = 0;
@@ -152,6 +160,8 @@
     std::size_t inProgress_ = 0; ///< Requests without a reply yet.
     std::chrono::steady_clock::time_point earliestRestart_{}; ///< Rate limit of job manager restarts.
     TickTimes tickTimes_;
+    ProcessorTimes reportedTimes_; ///< As of the last report.
+    base::TimePoint nextProcessorReport_{};
     bool restartDue_ = false; ///< An entry of the job manager was not committed.
 };
 
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -1,5 +1,6 @@
 #include "protocol/channel.h"
 
+#include "base/processor_time.h"
 #include "base/traffic.h"
 #include "protocol/members.h"
 
@@ -26,6 +27,11 @@
     return kind < base::ControlTraffic::KindCount ? kind : static_cast<std::size_t>(MessageType::Heartbeat);
 }
 
+base::Duty dutyOf(const Identity &peer)
+{
+    return peer.role == Role::Manager || peer.role == Role::Store ? base::Duty::Replication : base::Duty::Requests;
+}
+
 } // namespace
 
 Channel::Channel(asio::ip::tcp::socket socket, Identity peer, Members &members)
@@ -52,6 +58,7 @@
 
 bool Channel::send(const Frame &frame)
 {
+    const base::DutyScope duty(dutyOf(peer_));
     const std::size_t bytes = FrameHeaderBytes + frame.payload.size();
     if (!open_ || frame.payload.size() > MaxPayloadBytes || queuedBytes_ + bytes > MaxQueuedBytes) {
         return false;
@@ -93,6 +100,7 @@
     asio::async_read(socket_,
                      asio::buffer(readBuffer_),
                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                         const base::DutyScope duty(dutyOf(self->peer_));
                          if (error) {
                              self->close(error.message());
                              return;
@@ -114,6 +122,7 @@
     asio::async_read(socket_,
                      asio::buffer(pending->payload),
                      [self = shared_from_this(), pending](const boost::system::error_code &error, std::size_t) {
+                         const base::DutyScope duty(dutyOf(self->peer_));
                          if (error || !self->open_) {
                              self->close(error ? error.message() : "closed");
                              return;
@@ -144,6 +153,7 @@
     asio::async_write(socket_,
                       asio::buffer(queue_.front()),
                       [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                          const base::DutyScope duty(dutyOf(self->peer_));
                           if (error || !self->open_) {
                               self->close(error ? error.message() : "closed");
                               return;
