Bound the workers examined for an eligibility query

Callers saw urgent jobs wait for the leader, whose main thread never idles on 350 workers. Cause: each step that asks looked at every worker to choose 30 of them, half of the time that decisions take.

The candidates are now at most three for each worker that a query may include, those with the most free capacity; they are scattered as before, so that steps that ask together ask about different workers.

--- a/src/workflow/capacity_index.h
+++ b/src/workflow/capacity_index.h
@@ -40,16 +40,16 @@
         });
     }
 
-    /// Calls `visit(WorkerNumber)` for each worker that had at least this much free CPU when the dispatch began. Free
-    /// capacity only shrinks within a dispatch, so the visitor has to check what is left.
+    /// Calls `visit(WorkerNumber)` for the workers that had at least this much free CPU when the dispatch began, those
+    /// with the most first, until it returns false. Free capacity only shrinks within a dispatch, so the visitor has to
+    /// check what is left.
     template <typename Visit>
-    void forEachWithFree(std::int64_t milliCpu, Visit visit) const
+    void visitWithFree(std::int64_t milliCpu, Visit visit) const
     {
         for (const Entry &entry : entries_) {
-            if (entry.milliCpu < milliCpu) {
+            if (entry.milliCpu < milliCpu || !visit(entry.worker)) {
                 return;
             }
-            visit(entry.worker);
         }
     }
 
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -15,6 +15,8 @@
 // The objective of a job includes one query about this many workers for each step.
 constexpr std::size_t TypicalQueryWorkers = 30;
 constexpr std::size_t MaxQueryWorkers = 100; ///< Limit of the eligibility service.
+// Candidates examined for each worker that a query may include. Steps that query together choose different ones.
+constexpr std::size_t CandidatesPerQueryWorker = 3;
 constexpr std::chrono::milliseconds QueryRetryDelay{100}; ///< After a failed query.
 constexpr std::chrono::milliseconds QueryTimeoutSlack{800}; ///< Covers a pending query of the previous leader.
 constexpr std::chrono::milliseconds RelayTimeoutSlack{500}; ///< Added to the query timeout for the gateway's reply.
@@ -383,16 +385,20 @@
         queried = eligibleWithCapacity;
     }
     if (eligibleCapacity < needed) {
+        // The fixed cost of a query dominates, so the first one includes many workers, and more for a large gang.
+        const std::size_t maxChosen =
+            mayPlacePartially ? TypicalQueryWorkers : MaxQueryWorkers - std::min(MaxQueryWorkers, queried.size());
         std::vector<Candidate> unknown;
         const auto addUnknown = [&](WorkerNumber number) {
             if (!eligibility.isKnown(number) && pass.placer.canRun(request, number, workers_.at(number))) {
                 unknown.push_back({number, fittingTasksOn(number)});
             }
+            return unknown.size() < maxChosen * CandidatesPerQueryWorker;
         };
         const std::int64_t neededCpu = reservationOf(spec).milliCpu;
         const CapacityIndex &index =
             request.mayPreempt ? pass.planner.indexFor(request.job.policy.priority) : pass.index;
-        index.forEachWithFree(nothingKnown ? std::numeric_limits<std::int64_t>::min() : neededCpu, addUnknown);
+        index.visitWithFree(nothingKnown ? std::numeric_limits<std::int64_t>::min() : neededCpu, addUnknown);
         const double share = eligibleShare_.try_emplace(request.job.policy.queue, InitialEligibleShare).first->second;
         // Spreads steps that arrive together over different workers.
         const auto scatterHash = [&key](WorkerNumber worker) {
@@ -407,9 +413,6 @@
         });
         std::vector<WorkerNumber> chosen;
         double expected = static_cast<double>(eligibleCapacity);
-        // The fixed cost of a query dominates, so the first one includes many workers, and more for a large gang.
-        const std::size_t maxChosen =
-            mayPlacePartially ? TypicalQueryWorkers : MaxQueryWorkers - std::min(MaxQueryWorkers, queried.size());
         for (const Candidate &candidate : unknown) {
             const bool first = nothingKnown && chosen.size() < TypicalQueryWorkers;
             const bool enough = expected >= static_cast<double>(needed) * QueryOversampling;
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -75,10 +75,11 @@
     };
     if (request.eligibility == nullptr) {
         const std::int64_t needed = reservationOf(request.job.specOf(request.position)).milliCpu;
-        index_.forEachWithFree(needed, [&](WorkerNumber number) {
+        index_.visitWithFree(needed, [&](WorkerNumber number) {
             if (canRun(request, number, workers_.at(number))) {
                 addIfFitting(number);
             }
+            return true;
         });
         return candidates;
     }
--- a/tests/workflow_load_test.cpp
+++ b/tests/workflow_load_test.cpp
@@ -69,6 +69,31 @@
         / static_cast<double>(after.dispatches - before.dispatches);
 }
 
+/// Returns how many checks of a worker it takes to choose the workers of a query, without those that each dispatch
+/// does.
+double workersExaminedPerQuery(std::size_t workers)
+{
+    constexpr workflow::JobKey Jobs = 200;
+    ManagerSimulation::Options options;
+    options.gateways = Jobs;
+    options.workers.runTime = 1h;
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, workers);
+    // Half of each worker is in use, so that none has free capacity to spare.
+    simulation.submit(1, job(static_cast<std::uint32_t>(workers), WorkerMilliCpu / 2, 1h), policy("running", 0));
+    simulation.run(1s);
+    workflow::QueuePolicy queried = policy("queried", 1);
+    queried.eligibility = workflow::EligibilityPolicy{10ms, 1ms, 1'500ms};
+    const workflow::DispatchCost before = simulation.manager->dispatchCost();
+    for (workflow::JobKey key = 2; key < 2 + Jobs; ++key) {
+        simulation.submit(key, job(1, 10, 400ms), queried);
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.queries >= Jobs; }, 1s));
+    const workflow::DispatchCost &after = simulation.manager->dispatchCost();
+    const std::uint64_t indexed = (after.dispatches - before.dispatches) * workers;
+    return static_cast<double>(after.workersExamined - before.workersExamined - indexed) / Jobs;
+}
+
 } // namespace
 
 // Guards against a leader that spends its whole processor on dispatches: at 350 workers, urgent jobs waited for it.
@@ -80,6 +105,14 @@
     EXPECT_LE(large, Growth * small);
 }
 
+// Guards against queries that look at every worker: at 350 workers, choosing whom to ask about took half of the time
+// that decisions took.
+TEST(WorkflowLoad, ChoosingWorkersForAQueryCostsNoMoreOnALargerDeployment)
+{
+    constexpr std::size_t Workers = 150;
+    EXPECT_LE(workersExaminedPerQuery(3 * Workers), 1.2 * workersExaminedPerQuery(Workers));
+}
+
 // Guards against capacity that idles for gangs that can't start yet while their queries keep others from tickets.
 TEST(WorkflowLoad, GangBurstLeavesNoCapacityIdleBesideWaitingTasks)
 {
