Preempt by what a run records, and rank only steps that wait

Cause: adding up what a gang could preempt looked up the job of each run in the cluster, and each full dispatch ranked running steps too, whose objectives take several logarithms.

A run now carries its reservation, the priority of its queue and whether it is resumable; steps without waiting tasks are not ranked.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -37,11 +37,9 @@
         for (const TaskRef &task : record.placed) {
             const TaskRecord *const placed = state.findTask(task);
             YW_INVARIANT(placed != nullptr, "a placed task exists");
-            LiveRun run;
-            run.run = placed->run;
+            LiveRun &run = worker.runs[task] = makeRun(task, placed->run);
             run.stage = LiveRun::Stage::Uncertain;
-            worker.runs[task] = run;
-            reserve(task, number, reservationOf(state.findJob(task.job)->spec.steps[task.step]), {});
+            reserve(task, number, run.reserved, {});
         }
     }
     for (const auto &[key, job] : state.jobs()) {
@@ -181,6 +179,18 @@
     }
 }
 
+LiveRun JobManager::makeRun(const TaskRef &task, std::uint32_t number) const
+{
+    const JobRecord &job = *state_->findJob(task.job);
+    const StepSpec &step = job.spec.steps[task.step];
+    LiveRun run;
+    run.run = number;
+    run.reserved = reservationOf(step);
+    run.priority = job.policy.priority;
+    run.resumable = step.isResumable();
+    return run;
+}
+
 // Sends the start orders of committed placements and releases the reservations of rejected ones.
 void JobManager::orderCommittedStarts(const StartsEntry &entry, base::TimePoint now)
 {
@@ -196,9 +206,7 @@
             continue;
         }
         WorkerView &worker = workers_.at(start.worker);
-        LiveRun &run = worker.runs[start.task];
-        run = {};
-        run.run = start.run;
+        LiveRun &run = worker.runs[start.task] = makeRun(start.task, start.run);
         run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
         if (worker.retired) {
             proposeNotStarted(start.task, run); // No start order has been or will be sent.
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -141,6 +141,7 @@
 
     // Jobs.
     void handleEvent(const StateEvent &event, base::TimePoint now);
+    LiveRun makeRun(const TaskRef &task, std::uint32_t number) const;
     void orderCommittedStarts(const StartsEntry &entry, base::TimePoint now);
     void updateReadySteps(JobKey key);
     void stopJob(JobKey key, base::TimePoint now);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -102,6 +102,9 @@
     order.reserve(readySteps_.size());
     for (const auto &[key, step] : readySteps_) {
         const JobRecord &job = *state_->findJob(key.job);
+        if (!job.steps[key.position].hasWaitingTasks()) {
+            continue;
+        }
         order.emplace_back(rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now), key);
     }
     std::sort(order.begin(), order.end());
@@ -158,7 +161,7 @@
     , claims(manager.claimLimit())
     , index(manager.workers_, manager.ledger_, cost, time, [](WorkerNumber) { return placement::Resources{}; })
     , placer(manager.workers_, manager.ledger_, claims, index, manager.speeds_, cost, time)
-    , planner(manager.workers_, manager.ledger_, *manager.state_, cost, time)
+    , planner(manager.workers_, manager.ledger_, cost, time)
 {
 }
 
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -14,27 +14,17 @@
 
 } // namespace
 
-bool PreemptionPlanner::isPreemptible(const TaskRef &task, const LiveRun &run, std::int32_t priority) const
+bool PreemptionPlanner::isPreemptible(const LiveRun &run, std::int32_t priority)
 {
-    const JobRecord *const job = state_.findJob(task.job);
-    if (job == nullptr || run.stage != LiveRun::Stage::Running || job->policy.priority <= priority
-        || !job->spec.steps[task.step].isResumable()) {
-        return false;
-    }
-    return run.run < MaxRuns;
-}
-
-placement::Resources PreemptionPlanner::reservationFor(const TaskRef &task) const
-{
-    return reservationOf(state_.findJob(task.job)->spec.steps[task.step]);
+    return run.stage == LiveRun::Stage::Running && run.resumable && run.priority > priority && run.run < MaxRuns;
 }
 
 template <typename Visit>
 void PreemptionPlanner::forEachPreemptible(WorkerNumber number, std::int32_t priority, Visit visit) const
 {
     for (const auto &[task, run] : workers_.at(number).runs) {
-        if (isPreemptible(task, run, priority)) {
-            visit(task);
+        if (isPreemptible(run, priority)) {
+            visit(task, run);
         }
     }
 }
@@ -54,7 +44,7 @@
     const auto [found, added] = preemptible_[priority].try_emplace(number);
     if (added) {
         forEachPreemptible(
-            number, priority, [&, sum = &found->second](const TaskRef &task) { *sum += reservationFor(task); });
+            number, priority, [sum = &found->second](const TaskRef &, const LiveRun &run) { *sum += run.reserved; });
     }
     const auto claimed = claimedPreemptible_.find(number);
     if (claimed == claimedPreemptible_.end()) {
@@ -150,14 +140,13 @@
     candidate.free = placer.availableOn(request, number);
     candidate.fittingTasks = placer.fittingTasksIn(request, number, candidate.free);
     candidate.maxFittingTasks = maxFittingTasks(placer, request, number);
-    forEachPreemptible(number, request.job.policy.priority, [&](const TaskRef &task) {
-        candidate.preemptible.push_back({number, task});
+    forEachPreemptible(number, request.job.policy.priority, [&](const TaskRef &task, const LiveRun &run) {
+        candidate.preemptible.push_back({number, task, run.reserved});
     });
     std::sort(candidate.preemptible.begin(),
               candidate.preemptible.end(),
-              [this](const Preemption &left, const Preemption &right) {
-                  return std::tuple(reservationFor(left.task).milliCpu, left.task)
-                      < std::tuple(reservationFor(right.task).milliCpu, right.task);
+              [](const Preemption &left, const Preemption &right) {
+                  return std::tie(left.freed.milliCpu, left.task) < std::tie(right.freed.milliCpu, right.task);
               });
     return candidate;
 }
@@ -191,7 +180,7 @@
             while (candidate.fittingTasks < candidate.maxFittingTasks
                    && placer.fittingTasksIn(request, candidate.worker, candidate.free) <= candidate.fittingTasks) {
                 plan.preemptions.push_back(candidate.preemptible.back());
-                candidate.free += reservationFor(candidate.preemptible.back().task);
+                candidate.free += candidate.preemptible.back().freed;
                 candidate.preemptible.pop_back();
             }
             const std::uint32_t fitting = placer.fittingTasksIn(request, candidate.worker, candidate.free);
--- a/src/workflow/preemption_planner.h
+++ b/src/workflow/preemption_planner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace yuccawheel::workflow
@@ -20,12 +21,10 @@
 public:
     PreemptionPlanner(const WorkerViews &workers,
                       const placement::Ledger &ledger,
-                      const State &state,
                       DispatchCost &cost,
                       base::TimePoint now)
         : workers_(workers)
         , ledger_(ledger)
-        , state_(state)
         , cost_(cost)
         , now_(now)
     {
@@ -34,6 +33,7 @@
     struct Preemption {
         WorkerNumber worker = 0;
         TaskRef task;
+        placement::Resources freed;
     };
     struct Plan {
         std::vector<Preemption> preemptions;
@@ -62,8 +62,7 @@
         std::vector<Preemption> preemptible; ///< Not selected yet; the largest last.
     };
 
-    bool isPreemptible(const TaskRef &task, const LiveRun &run, std::int32_t priority) const;
-    placement::Resources reservationFor(const TaskRef &task) const;
+    static bool isPreemptible(const LiveRun &run, std::int32_t priority);
     template <typename Visit>
     void forEachPreemptible(WorkerNumber number, std::int32_t priority, Visit visit) const;
     placement::Resources preemptibleCapacity(WorkerNumber number, std::int32_t priority) const;
@@ -71,10 +70,10 @@
 
     const WorkerViews &workers_;
     const placement::Ledger &ledger_;
-    const State &state_;
     DispatchCost &cost_;
     base::TimePoint now_;
-    mutable std::map<std::int32_t, std::map<WorkerNumber, placement::Resources>> preemptible_; ///< By priority.
+    mutable std::map<std::int32_t, std::unordered_map<WorkerNumber, placement::Resources>>
+        preemptible_; ///< By priority.
     mutable std::map<std::int32_t, CapacityIndex> indexes_; ///< By priority.
     std::map<WorkerNumber, placement::Resources> claimedPreemptible_; ///< Counts as preemptible for no other gang.
 };
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -26,6 +26,9 @@
     };
     std::uint32_t run = 0;
     Stage stage = Stage::Starting;
+    placement::Resources reserved; ///< Reservation of the task on its worker.
+    std::int32_t priority = 0; ///< Of the job's queue.
+    bool resumable = false; ///< Can be stopped and resumed on another worker without losing work.
     std::string ticket; ///< Sent with the start order.
     std::string checkpoint; ///< Last known checkpoint.
     base::TimePoint nextCall{}; ///< Earliest time of the next order that the stage requires.
