--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -1,7 +1,6 @@
-#include "manager_service.h"
-
 #include "base/log.h"
 #include "base/processor_time.h"
+#include "manager_service.h"
 #include "store/replication_codec.h"
 
 #include <boost/asio/post.hpp>
@@ -691,8 +690,10 @@
     }
     const std::string rest = request->path.substr(route->pathPrefix.size());
     if (rest.empty() && request->verb == workflow::QueueVerb::Read) {
-        channel->reply(frame.correlation,
-                       workflow::QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue), {}, {}});
+        channel->reply(
+            frame.correlation,
+            workflow::QueueReply{
+                QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, base::BootClock::now()), {}, {}});
         return;
     }
     const auto key = workflow::parseJobKey(rest);
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds MinDispatchInterval{25};
 constexpr std::chrono::milliseconds JobRetention{150'000}; ///< Callers may read states for 120 s; plus a margin.
 constexpr std::chrono::milliseconds ForgetInterval{5'000};
+constexpr std::chrono::milliseconds PendingCountInterval{500}; ///< A quarter of the age that readers accept.
 constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
 
 } // namespace
@@ -73,6 +74,7 @@
     joining_.clear();
     pendingQueries_.clear();
     startedJobs_.clear();
+    nextPendingCount_ = {};
     gateways_.forgetQueries();
 }
 
@@ -319,14 +321,26 @@
     return dispatchDue_ ? std::max(now, nextFullDispatch_) : std::max(now, nextReview_);
 }
 
-std::size_t JobManager::pendingJobs(const std::string &queue) const
+// Counts the jobs of all queues at once: thousands of them are too many to look at for each reader.
+std::size_t JobManager::pendingJobs(const std::string &queue, base::TimePoint now)
 {
     YW_INVARIANT(isLeading(), "only a leader counts jobs");
-    const auto &jobs = state_->jobs();
-    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [&](const auto &item) {
-        const JobRecord &job = item.second;
-        return job.policy.queue == queue && !job.hasEnded() && !job.begun && !startedJobs_.contains(item.first);
-    }));
+    if (now >= nextPendingCount_) {
+        nextPendingCount_ = now + PendingCountInterval;
+        countPendingJobs();
+    }
+    const auto found = pendingJobs_.find(queue);
+    return found == pendingJobs_.end() ? 0 : found->second;
+}
+
+void JobManager::countPendingJobs()
+{
+    pendingJobs_.clear();
+    for (const auto &[key, job] : state_->jobs()) {
+        if (!job.hasEnded() && !job.begun && !startedJobs_.contains(key)) {
+            ++pendingJobs_[job.policy.queue];
+        }
+    }
 }
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -73,8 +73,9 @@
     /// Removes a disconnected gateway. Its pending queries are repeated through other gateways.
     void removeGateway(EligibilityGateways::GatewayId gateway, base::TimePoint now);
 
-    /// Returns the number of accepted jobs of a queue of which no run is known to have started.
-    std::size_t pendingJobs(const std::string &queue) const;
+    /// Returns the number of accepted jobs of a queue of which no run is known to have started. The number may be half
+    /// a second old.
+    std::size_t pendingJobs(const std::string &queue, base::TimePoint now);
     /// Returns when tick() should be called next if nothing happens before.
     base::TimePoint nextTick(base::TimePoint now) const;
     const WorkerViews &workers() const
@@ -148,6 +149,7 @@
     void stopStep(JobKey key, std::size_t position, base::TimePoint now);
     void stopGang(const TaskRef &member, base::TimePoint now);
     void forgetOldJobs(base::TimePoint now);
+    void countPendingJobs();
 
     // Placement.
     void dispatch(base::TimePoint now);
@@ -215,6 +217,8 @@
     std::map<TaskRef, Reservation> reservations_; ///< Of placed tasks and of proposed placements.
     std::map<StepKey, ReadyStep> readySteps_;
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
+    std::map<std::string, std::size_t> pendingJobs_; ///< By queue, as of the last count.
+    base::TimePoint nextPendingCount_{};
     std::unordered_set<JobKey> startedJobs_; ///< Jobs of which a run has been confirmed by a worker.
     std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
     EligibilityGateways gateways_;
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -192,7 +192,7 @@
     simulation.submit(Key, job({step(1, 1'000)}), policy());
     simulation.run(500ms);
     EXPECT_EQ(simulation.phaseOf(Key), JobPhase::Running) << "a run has been placed";
-    EXPECT_EQ(simulation.manager->pendingJobs("queue"), 1U) << "but the worker can't have started it";
+    EXPECT_EQ(simulation.manager->pendingJobs("queue", simulation.now), 1U) << "but the worker can't have started it";
 }
 
 TEST_F(WorkflowManager, TasksOfSilentWorkerMoveAfterItsLeaseExpires)
