Measure duties by elapsed time

Cause: a clock of processor time is a system call; with several readings a message it took a tenth of the time of a call to a worker.

Duties are now measured with the steady clock, which needs none. Time in which a thread is ready but gets no processor counts too, as it delays whatever waits for the thread. The event is duty_time, the metric yw_duty_microseconds; the processor time of the process stays beside it.

--- a/src/base/processor_time.cpp
+++ b/src/base/duty_time.cpp
@@ -1,4 +1,4 @@
-#include "base/processor_time.h"
+#include "base/duty_time.h"
 
 #include <atomic>
 #include <ctime>
@@ -11,26 +11,15 @@
 
 std::array<std::atomic<std::int64_t>, DutyCount> chargedNanoseconds;
 thread_local const DutyScope *current = nullptr;
-thread_local std::int64_t lastReading = 0; ///< Processor time of this thread that has been charged, in nanoseconds.
-
-std::int64_t readClock(clockid_t clock)
-{
-    constexpr std::int64_t NanosecondsPerSecond = 1'000'000'000;
-    timespec time{};
-    ::clock_gettime(clock, &time);
-    return time.tv_sec * NanosecondsPerSecond + time.tv_nsec;
-}
+thread_local std::chrono::steady_clock::time_point chargedUntil = std::chrono::steady_clock::now();
 
+// Reading a clock of processor time would be a system call, several for each message.
 void chargeTo(Duty duty)
 {
-    const std::int64_t reading = readClock(CLOCK_THREAD_CPUTIME_ID);
-    chargedNanoseconds[static_cast<std::size_t>(duty)].fetch_add(reading - lastReading, std::memory_order_relaxed);
-    lastReading = reading;
-}
-
-std::chrono::microseconds toMicroseconds(std::int64_t nanoseconds)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::nanoseconds(nanoseconds));
+    const auto now = std::chrono::steady_clock::now();
+    const std::int64_t nanoseconds = std::chrono::nanoseconds(now - chargedUntil).count();
+    chargedNanoseconds[static_cast<std::size_t>(duty)].fetch_add(nanoseconds, std::memory_order_relaxed);
+    chargedUntil = now;
 }
 
 } // namespace
@@ -63,18 +52,22 @@
     current = outer_;
 }
 
-std::array<std::chrono::microseconds, DutyCount> processorTimeByDuty()
+std::array<std::chrono::microseconds, DutyCount> timeByDuty()
 {
     std::array<std::chrono::microseconds, DutyCount> times{};
     for (std::size_t duty = 0; duty < DutyCount; ++duty) {
-        times[duty] = toMicroseconds(chargedNanoseconds[duty].load(std::memory_order_relaxed));
+        const std::chrono::nanoseconds charged(chargedNanoseconds[duty].load(std::memory_order_relaxed));
+        times[duty] = std::chrono::duration_cast<std::chrono::microseconds>(charged);
     }
     return times;
 }
 
 std::chrono::microseconds processorTime()
 {
-    return toMicroseconds(readClock(CLOCK_PROCESS_CPUTIME_ID));
+    timespec time{};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::seconds(time.tv_sec)
+                                                                 + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 } // namespace yuccawheel::base
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/processor_time.h"
+#include "base/duty_time.h"
 
 #include <fmt/core.h>
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,7 @@
 #include "daemon/daemon.h"
 
+#include "base/duty_time.h"
 #include "base/log.h"
-#include "base/processor_time.h"
 #include "daemon/health_server.h"
 #include "daemon/settings_watch.h"
 
--- a/src/daemon/health_server.cpp
+++ b/src/daemon/health_server.cpp
@@ -1,7 +1,7 @@
 #include "daemon/health_server.h"
 
+#include "base/duty_time.h"
 #include "base/log.h"
-#include "base/processor_time.h"
 #include "base/traffic.h"
 #include "daemon/json_api.h"
 
@@ -46,11 +46,10 @@
                 context_.metrics.gauge("yw_control_kind_received_bytes" + label).set(received);
             }
         }
-        const auto processorTimes = base::processorTimeByDuty();
+        const auto times = base::timeByDuty();
         for (std::size_t duty = 0; duty < base::DutyCount; ++duty) {
             const auto name = base::toString(static_cast<base::Duty>(duty));
-            context_.metrics.gauge(fmt::format("yw_processor_microseconds{{duty=\"{}\"}}", name))
-                .set(processorTimes[duty].count());
+            context_.metrics.gauge(fmt::format("yw_duty_microseconds{{duty=\"{}\"}}", name)).set(times[duty].count());
         }
         respond({200, context_.metrics.render(), "text/plain; version=0.0.4", {}});
     } else {
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -1,6 +1,6 @@
 #include "http/call_pool.h"
 
-#include "base/processor_time.h"
+#include "base/duty_time.h"
 #include "base/traffic.h"
 
 #include <boost/asio/post.hpp>
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,7 +1,7 @@
 #include "platform/worker_client.h"
 
 #include "base/log.h"
-#include "base/processor_time.h"
+#include "base/duty_time.h"
 #include "platform/json_fields.h"
 
 namespace yuccawheel::platform
--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -1,7 +1,7 @@
 #include "log_thread.h"
 
+#include "base/duty_time.h"
 #include "base/log.h"
-#include "base/processor_time.h"
 
 #include <utility>
 
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -1,6 +1,7 @@
-#include "base/log.h"
-#include "base/processor_time.h"
 #include "manager_service.h"
+
+#include "base/duty_time.h"
+#include "base/log.h"
 #include "store/replication_codec.h"
 
 #include <boost/asio/post.hpp>
@@ -26,7 +27,7 @@
 constexpr milliseconds HandoverTimeout{1'500};
 constexpr milliseconds HandoverPollInterval{5};
 constexpr milliseconds TickReportInterval{1'000}; ///< Finest resolution of the metrics collection.
-constexpr milliseconds ProcessorReportInterval{1'000};
+constexpr milliseconds DutyReportInterval{1'000};
 constexpr milliseconds ElectionTimeout{700}; ///< 3.5 heartbeat intervals.
 constexpr milliseconds ElectionJitter{500};
 /// Longer than one or two missed heartbeats, and than the time after which a VM counts as disconnected.
@@ -233,7 +234,7 @@
     jobs_.tick(begin, wallNow());
     const base::TimePoint end = base::BootClock::now();
     recordTick(begin, end);
-    reportProcessorTime(end);
+    reportDutyTime(end);
     const auto wait = std::chrono::ceil<milliseconds>(jobs_.nextTick(end) - end);
     armTimer(std::clamp(wait, DispatchDelay, TickInterval));
 }
@@ -265,16 +266,16 @@
     tickTimes_.since = end;
 }
 
-// Logs what this process spent processor time on. What is left of the total was not charged to a duty.
-void ManagerService::reportProcessorTime(base::TimePoint now)
+// Logs what the threads of this process spent their time on, and its processor time.
+void ManagerService::reportDutyTime(base::TimePoint now)
 {
-    if (now < nextProcessorReport_) {
+    if (now < nextDutyReport_) {
         return;
     }
-    nextProcessorReport_ = now + ProcessorReportInterval;
-    const ProcessorTimes times{base::processorTime(), base::processorTimeByDuty()};
-    base::LogLine line = base::logInfo("processor_time");
-    line.with("total_us", (times.total - reportedTimes_.total).count());
+    nextDutyReport_ = now + DutyReportInterval;
+    const DutyTimes times{base::processorTime(), base::timeByDuty()};
+    base::LogLine line = base::logInfo("duty_time");
+    line.with("processor_us", (times.processor - reportedTimes_.processor).count());
     for (std::size_t duty = 0; duty < base::DutyCount; ++duty) {
         line.with(fmt::format("{}_us", base::toString(static_cast<base::Duty>(duty))),
                   (times.byDuty[duty] - reportedTimes_.byDuty[duty]).count());
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/processor_time.h"
+#include "base/duty_time.h"
 #include "daemon/daemon.h"
 #include "daemon/manager_connections.h"
 #include "log_thread.h"
@@ -119,7 +119,7 @@
                          std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done);
 
     void recordTick(base::TimePoint begin, base::TimePoint end);
-    void reportProcessorTime(base::TimePoint now);
+    void reportDutyTime(base::TimePoint now);
 
     /// Time that the job manager's ticks took since `since`.
     struct TickTimes {
@@ -129,8 +129,8 @@
         base::BootClock::duration longest{0};
     };
 
-    struct ProcessorTimes {
-        std::chrono::microseconds total{0};
+    struct DutyTimes {
+        std::chrono::microseconds processor{0};
         std::array<std::chrono::microseconds, base::DutyCount> byDuty{};
     };
 
@@ -160,8 +160,8 @@
     std::size_t inProgress_ = 0; ///< Requests without a reply yet.
     std::chrono::steady_clock::time_point earliestRestart_{}; ///< Rate limit of job manager restarts.
     TickTimes tickTimes_;
-    ProcessorTimes reportedTimes_; ///< As of the last report.
-    base::TimePoint nextProcessorReport_{};
+    DutyTimes reportedTimes_; ///< As of the last report.
+    base::TimePoint nextDutyReport_{};
     bool restartDue_ = false; ///< An entry of the job manager was not committed.
 };
 
--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -1,6 +1,6 @@
 #include "protocol/channel.h"
 
-#include "base/processor_time.h"
+#include "base/duty_time.h"
 #include "base/traffic.h"
 #include "protocol/members.h"
 
