--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -3,13 +3,16 @@
 #include "base/duty_time.h"
 #include "base/traffic.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <deque>
@@ -28,14 +31,33 @@
 
 constexpr unsigned HttpVersion11 = 11;
 
+using Executor = asio::io_context::executor_type;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
+using Timer =
+    asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
+
 struct QueuedCall {
     ClientRequest request;
     std::chrono::steady_clock::time_point deadline;
     CallPool::Done done;
-    std::optional<std::string> bodyOnNewConnection;
+    CallPool::MakeBody bodyOnNewConnection;
     bool retried = false;
 };
 
+// Writes the message as a whole into the buffer, so that one buffer has to be sent.
+void serialize(beast::http::request<beast::http::string_body> &message, beast::flat_buffer &buffer)
+{
+    beast::http::request_serializer<beast::http::string_body> serializer(message);
+    beast::error_code error;
+    while (!serializer.is_done() && !error) {
+        serializer.next(error, [&](beast::error_code &, const auto &parts) {
+            const std::size_t bytes = asio::buffer_copy(buffer.prepare(beast::buffer_bytes(parts)), parts);
+            buffer.commit(bytes);
+            serializer.consume(bytes);
+        });
+    }
+}
+
 } // namespace
 
 class PooledConnection;
@@ -75,14 +97,19 @@
 class PooledConnection : public std::enable_shared_from_this<PooledConnection>
 {
 public:
-    explicit PooledConnection(std::shared_ptr<CallPool::Impl> pool) : pool_(std::move(pool)), stream_(pool_->io)
+    explicit PooledConnection(std::shared_ptr<CallPool::Impl> pool)
+        : pool_(std::move(pool))
+        , socket_(pool_->io)
+        , timer_(pool_->io)
     {
     }
 
     void run(QueuedCall call)
     {
         call_.emplace(std::move(call));
-        stream_.expires_at(call_->deadline);
+        if (!timerArmed_) {
+            armTimer();
+        }
         prepareMessage();
         if (connected_) {
             reused_ = true;
@@ -90,7 +117,7 @@
             return;
         }
         verdict_ = base::Verdict::NotRun;
-        stream_.async_connect(pool_->endpoint, [self = shared_from_this()](beast::error_code error) {
+        socket_.async_connect(pool_->endpoint, [self = shared_from_this()](beast::error_code error) {
             const base::DutyScope duty(base::Duty::Calls);
             if (error) {
                 self->fail(error);
@@ -98,7 +125,7 @@
             }
             self->connected_ = true;
             beast::error_code ignored;
-            self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
             self->write();
         });
     }
@@ -106,29 +133,57 @@
     void close()
     {
         beast::error_code ignored;
-        stream_.socket().close(ignored);
+        socket_.close(ignored);
+        timer_.cancel();
     }
 
 private:
+    // Arming and cancelling a timer for each call would cost more than a wait that outlives its call: when it ends, the
+    // deadline of the call in progress decides.
+    void armTimer()
+    {
+        timerArmed_ = true;
+        timer_.expires_at(call_->deadline);
+        timer_.async_wait([weak = weak_from_this()](beast::error_code error) {
+            const auto self = weak.lock();
+            if (!self || error) {
+                return;
+            }
+            self->timerArmed_ = false;
+            if (!self->call_) {
+                return;
+            }
+            if (self->call_->deadline > std::chrono::steady_clock::now()) {
+                self->armTimer();
+                return;
+            }
+            self->timedOut_ = true;
+            beast::error_code ignored;
+            self->socket_.close(ignored);
+        });
+    }
+
     void prepareMessage()
     {
-        message_ = {};
-        message_.method_string(call_->request.method);
-        message_.target(call_->request.target);
-        message_.version(HttpVersion11);
-        message_.set(beast::http::field::host, pool_->host);
+        beast::http::request<beast::http::string_body> message;
+        message.method_string(call_->request.method);
+        message.target(call_->request.target);
+        message.version(HttpVersion11);
+        message.set(beast::http::field::host, pool_->host);
         for (const Header &header : call_->request.headers) {
-            message_.set(header.name, header.value);
+            message.set(header.name, header.value);
         }
-        message_.body() = !connected_ && call_->bodyOnNewConnection ? *call_->bodyOnNewConnection : call_->request.body;
-        message_.prepare_payload();
+        message.body() = !connected_ && call_->bodyOnNewConnection ? call_->bodyOnNewConnection() : call_->request.body;
+        message.prepare_payload();
+        output_.clear();
+        serialize(message, output_);
     }
 
     void write()
     {
         verdict_ = base::Verdict::MayHaveRun;
-        beast::http::async_write(
-            stream_, message_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+        asio::async_write(
+            socket_, output_.data(), [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
                 const base::DutyScope duty(base::Duty::Calls);
                 base::controlTraffic().addSent(base::ControlTraffic::HttpKind, bytes);
                 if (error) {
@@ -144,7 +199,7 @@
         parser_.emplace();
         parser_->body_limit(pool_->options.maxAnswerBytes);
         beast::http::async_read(
-            stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+            socket_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
                 const base::DutyScope duty(base::Duty::Calls);
                 base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
                 self->anyByteRead_ = bytes > 0;
@@ -167,7 +222,6 @@
         const bool reusable = parser_->get().keep_alive();
         response.body = std::move(parser_->get().body());
         parser_.reset();
-        stream_.expires_never();
         QueuedCall call = std::move(*call_);
         call_.reset();
         const auto pool = pool_;
@@ -177,6 +231,9 @@
 
     void fail(beast::error_code error)
     {
+        if (timedOut_) {
+            error = beast::error::timeout;
+        }
         QueuedCall call = std::move(*call_);
         call_.reset();
         const auto pool = pool_;
@@ -193,12 +250,15 @@
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
-    beast::tcp_stream stream_;
+    Socket socket_;
+    Timer timer_;
+    beast::flat_buffer output_; ///< The request.
     beast::flat_buffer buffer_;
-    beast::http::request<beast::http::string_body> message_;
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
     std::optional<QueuedCall> call_;
     base::Verdict verdict_ = base::Verdict::NotRun;
+    bool timerArmed_ = false;
+    bool timedOut_ = false;
     bool connected_ = false;
     bool reused_ = false;
     bool anyByteRead_ = false;
@@ -268,10 +328,7 @@
     return impl_->busy.empty() && impl_->queue.empty();
 }
 
-void CallPool::call(ClientRequest request,
-                    std::chrono::milliseconds timeout,
-                    Done done,
-                    std::optional<std::string> bodyOnNewConnection)
+void CallPool::call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody bodyOnNewConnection)
 {
     const base::DutyScope duty(base::Duty::Calls);
     QueuedCall call{std::move(request),
--- a/src/http/call_pool.h
+++ b/src/http/call_pool.h
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace yuccawheel::http
@@ -28,6 +27,7 @@
 {
 public:
     using Done = std::function<void(tl::expected<ClientResponse, CallError>)>;
+    using MakeBody = std::function<std::string()>;
 
     CallPool(boost::asio::io_context &io, const settings::Endpoint &server, CallPoolOptions options = {});
     ~CallPool();
@@ -35,12 +35,9 @@
     CallPool &operator=(const CallPool &) = delete;
 
     /// Sends a request and calls `done` exactly once, never from within this call, unless the pool is destroyed first.
-    /// If the request goes out on a new connection, `bodyOnNewConnection`, if given, replaces its body: the server may
+    /// If the request goes out on a new connection, `bodyOnNewConnection`, if given, makes another body: the server may
     /// be another process than the one that sent earlier answers.
-    void call(ClientRequest request,
-              std::chrono::milliseconds timeout,
-              Done done,
-              std::optional<std::string> bodyOnNewConnection = std::nullopt);
+    void call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody bodyOnNewConnection = {});
 
     /// Closes all connections. Calls in progress end with an error.
     void closeConnections();
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,7 +1,7 @@
 #include "platform/worker_client.h"
 
-#include "base/log.h"
 #include "base/duty_time.h"
+#include "base/log.h"
 #include "platform/json_fields.h"
 
 namespace yuccawheel::platform
@@ -24,6 +24,18 @@
             body.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
 
+Json encodePoll(const workflow::PollOrder &order, std::uint64_t acknowledged)
+{
+    Json body{{"fencing_token", order.epoch}, {"last_seen", acknowledged}};
+    if (order.leaseUntil) {
+        body["until_ms"] = order.leaseUntil->count();
+    }
+    if (order.wait.count() > 0) {
+        body["wait_ms"] = order.wait.count();
+    }
+    return body;
+}
+
 OrderOutcome parseOutcome(int status, const Json &body)
 {
     switch (status) {
@@ -61,18 +73,18 @@
 }
 
 // An unreadable answer leaves the outcome of the order unknown: the default outcome is `NoAnswer`.
-workflow::OrderAnswer parseOrderAnswer(const workflow::WorkerIdentity &worker,
+workflow::OrderAnswer parseOrderAnswer(const std::string &worker,
                                        const tl::expected<http::ClientResponse, http::CallError> &answer)
 {
     if (!answer) {
-        base::logInfo("order_unanswered").with("worker", worker.id).with("reason", answer.error().text);
+        base::logInfo("order_unanswered").with("worker", worker).with("reason", answer.error().text);
         return {};
     }
     try {
         const Json body = parseBody(*answer);
         return {parseOutcome(answer->status, body), parseClock(body)};
     } catch (const FormatError &error) {
-        base::logWarning("order_answer_unreadable").with("worker", worker.id).with("reason", error.what());
+        base::logWarning("order_answer_unreadable").with("worker", worker).with("reason", error.what());
         return {};
     }
 }
@@ -128,14 +140,14 @@
     }
 }
 
-workflow::PollAnswer parsePollAnswer(const workflow::WorkerIdentity &worker,
+workflow::PollAnswer parsePollAnswer(const std::string &worker,
                                      std::uint64_t number,
                                      const tl::expected<http::ClientResponse, http::CallError> &answer)
 {
     workflow::PollAnswer pollAnswer;
     pollAnswer.number = number;
     if (!answer) {
-        base::logInfo("worker_poll_unanswered").with("worker", worker.id).with("reason", answer.error().text);
+        base::logInfo("worker_poll_unanswered").with("worker", worker).with("reason", answer.error().text);
         return pollAnswer;
     }
     try {
@@ -147,7 +159,7 @@
         }
         pollAnswer.outcome = outcome;
     } catch (const FormatError &error) {
-        base::logWarning("worker_poll_unreadable").with("worker", worker.id).with("reason", error.what());
+        base::logWarning("worker_poll_unreadable").with("worker", worker).with("reason", error.what());
         pollAnswer = {};
         pollAnswer.number = number;
     }
@@ -191,7 +203,7 @@
     poolFor(worker.address)
         .call(makeRequest(worker, "/run-start", body),
               OrderTimeout,
-              [worker, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(worker, answer)); });
+              [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
 }
 
 void WorkerClient::stop(const workflow::WorkerIdentity &worker,
@@ -203,7 +215,7 @@
     poolFor(worker.address)
         .call(makeRequest(worker, "/run-stop", body),
               OrderTimeout,
-              [worker, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(worker, answer)); });
+              [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
 }
 
 void WorkerClient::poll(const workflow::WorkerIdentity &worker,
@@ -211,27 +223,18 @@
                         std::function<void(const workflow::PollAnswer &)> done)
 {
     const base::DutyScope duty(base::Duty::Calls);
-    Json body{{"fencing_token", order.epoch}, {"last_seen", order.acknowledged}};
-    if (order.leaseUntil) {
-        body["until_ms"] = order.leaseUntil->count();
-    }
-    if (order.wait.count() > 0) {
-        body["wait_ms"] = order.wait.count();
-    }
-    const http::ClientRequest request = makeRequest(worker, "/hold", body);
     // On a new connection the worker may be a restarted process, so `last_seen` is sent as 0. A reused connection leads
     // to the same process as before, since connections don't outlive a process.
-    body["last_seen"] = 0;
     poolFor(worker.address)
         .call(
-            request,
+            makeRequest(worker, "/hold", encodePoll(order, order.acknowledged)),
             order.wait + OrderTimeout,
-            [worker, order, done = std::move(done)](const auto &answer) {
-                workflow::PollAnswer pollAnswer = parsePollAnswer(worker, order.number, answer);
+            [id = worker.id, order, done = std::move(done)](const auto &answer) {
+                workflow::PollAnswer pollAnswer = parsePollAnswer(id, order.number, answer);
                 pollAnswer.acknowledged = answer && !answer->onNewConnection ? order.acknowledged : 0;
                 done(pollAnswer);
             },
-            body.dump());
+            [order] { return encodePoll(order, 0).dump(); });
 }
 
 // Keeps a pool with calls in progress: a restarted worker may already use the same address.
