Read whole frames from a channel at once

Cause: requests of gateways and replication take a quarter of the leader's main thread; each frame took two reads, one for its header and one for its payload.

A channel now reads what has arrived and handles all whole frames in it.

--- a/src/protocol/channel.cpp
+++ b/src/protocol/channel.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr std::string_view SilentReason = "silent";
+constexpr std::size_t MinReadBytes = 4096; ///< Holds several messages of the usual size.
+constexpr std::size_t MaxRetainedBytes = 64U << 10U; ///< Buffer that a channel keeps after a large message.
 
 // Counts message types that this version doesn't know as heartbeats.
 std::size_t trafficKind(MessageType type)
@@ -52,7 +54,7 @@
 {
     callbacks_ = std::move(callbacks);
     members_.addChannel(shared_from_this());
-    readHeader();
+    read();
     onTimer();
 }
 
@@ -95,52 +97,65 @@
     }
 }
 
-void Channel::readHeader()
-{
-    asio::async_read(socket_,
-                     asio::buffer(readBuffer_),
-                     [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                         const base::DutyScope duty(dutyOf(self->peer_));
-                         if (error) {
-                             self->close(error.message());
-                             return;
-                         }
-                         self->onReceived();
-                         const auto header = decodeHeader(self->readBuffer_);
-                         if (!header || header->payloadBytes > MaxPayloadBytes) {
-                             self->close("malformed frame header");
-                             return;
-                         }
-                         self->readPayload(header->frame, header->payloadBytes);
-                     });
+void Channel::read()
+{
+    input_.resize(std::max(input_.size(), inputBytes_ + std::max(MinReadBytes, missingBytes_)));
+    socket_.async_read_some(asio::buffer(input_.data() + inputBytes_, input_.size() - inputBytes_),
+                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                const base::DutyScope duty(dutyOf(self->peer_));
+                                if (error || !self->open_) {
+                                    self->close(error ? error.message() : "closed");
+                                    return;
+                                }
+                                self->inputBytes_ += bytes;
+                                self->onReceived();
+                                self->handleInput();
+                                if (self->open_) {
+                                    self->read();
+                                }
+                            });
+}
+
+// Handles all whole frames that have been read and keeps the rest.
+void Channel::handleInput()
+{
+    std::size_t handled = 0;
+    missingBytes_ = 0;
+    while (open_ && inputBytes_ - handled >= FrameHeaderBytes) {
+        FrameHeader bytes{};
+        std::copy_n(input_.begin() + static_cast<std::ptrdiff_t>(handled), FrameHeaderBytes, bytes.begin());
+        auto header = decodeHeader(bytes);
+        if (!header || header->payloadBytes > MaxPayloadBytes) {
+            close("malformed frame header");
+            return;
+        }
+        const std::size_t frameBytes = FrameHeaderBytes + header->payloadBytes;
+        if (inputBytes_ - handled < frameBytes) {
+            missingBytes_ = frameBytes - (inputBytes_ - handled);
+            break;
+        }
+        header->frame.payload.assign(input_.data() + handled + FrameHeaderBytes, header->payloadBytes);
+        handled += frameBytes;
+        handleFrame(std::move(header->frame));
+    }
+    inputBytes_ -= handled;
+    std::copy_n(input_.begin() + static_cast<std::ptrdiff_t>(handled), inputBytes_, input_.begin());
+    if (input_.size() > MaxRetainedBytes && inputBytes_ + missingBytes_ < MaxRetainedBytes) {
+        input_.resize(MaxRetainedBytes);
+        input_.shrink_to_fit();
+    }
 }
 
-void Channel::readPayload(Frame frame, std::size_t bytes)
-{
-    auto pending = std::make_shared<Frame>(std::move(frame));
-    pending->payload.resize(bytes);
-    asio::async_read(socket_,
-                     asio::buffer(pending->payload),
-                     [self = shared_from_this(), pending](const boost::system::error_code &error, std::size_t) {
-                         const base::DutyScope duty(dutyOf(self->peer_));
-                         if (error || !self->open_) {
-                             self->close(error ? error.message() : "closed");
-                             return;
-                         }
-                         self->onReceived();
-                         base::controlTraffic().addReceived(trafficKind(pending->type),
-                                                            FrameHeaderBytes + pending->payload.size());
-                         if (pending->type == MessageType::Leave) {
-                             self->members_.markLeft(self->peer_);
-                             self->close("left");
-                         } else if (pending->type != MessageType::Heartbeat && self->callbacks_.frame) {
-                             const auto handler = self->callbacks_.frame;
-                             handler(self, std::move(*pending));
-                         }
-                         if (self->open_) {
-                             self->readHeader();
-                         }
-                     });
+void Channel::handleFrame(Frame frame)
+{
+    base::controlTraffic().addReceived(trafficKind(frame.type), FrameHeaderBytes + frame.payload.size());
+    if (frame.type == MessageType::Leave) {
+        members_.markLeft(peer_);
+        close("left");
+    } else if (frame.type != MessageType::Heartbeat && callbacks_.frame) {
+        const auto handler = callbacks_.frame;
+        handler(shared_from_this(), std::move(frame));
+    }
 }
 
 void Channel::writeNext()
--- a/src/protocol/channel.h
+++ b/src/protocol/channel.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace yuccawheel::protocol
@@ -70,8 +71,9 @@
     }
 
 private:
-    void readHeader();
-    void readPayload(Frame frame, std::size_t bytes);
+    void read();
+    void handleInput();
+    void handleFrame(Frame frame);
     void writeNext();
     void onReceived();
     void onTimer();
@@ -83,7 +85,9 @@
     Identity peer_;
     Members &members_;
     Callbacks callbacks_;
-    FrameHeader readBuffer_{};
+    std::string input_; ///< Read buffer; its first `inputBytes_` bytes have not been handled yet.
+    std::size_t inputBytes_ = 0;
+    std::size_t missingBytes_ = 0; ///< Of the frame at the start of the input; 0 if unknown.
     std::deque<std::string> queue_;
     std::size_t queuedBytes_ = 0;
     coordination::HeartbeatTimeoutEstimator timeoutEstimator_;
