Give up tasks that crash their workers, and keep suspects apart

Callers saw one task crash worker after worker (BUDGET): a run that ends with its worker did not count against its task, only ends reported as failed did, so the task was started again for as long as its job lasted.

The class of the fault: an end that nobody reports is no end to the accounting. A crash is now an entry of the log: the runs that may have been there count it, once for each worker, whichever leader records it. Nobody knows which of them is to blame, so none is given up for having been there. After one crash a task goes where a crash costs least; after two it runs alone. A job fails after three crashes of one of its tasks if at least one of them found nothing else on the worker; a gang counts as one. A worker that drains or is merely silent has not crashed.

Fields are appended to stored records, so older data folders load.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -67,6 +67,7 @@
     state_ = nullptr;
     workers_.clear();
     ledger_ = {};
+    isolation_ = {};
     reservations_.clear();
     readySteps_.clear();
     changedSteps_.clear();
@@ -128,6 +129,7 @@
             .with("job", toString(event.job))
             .with("queue", job.policy.queue)
             .with("phase", toString(job.phase))
+            .with("reason", job.phase == JobPhase::Failed ? job.failureReason(event.job).value_or("none") : "none")
             .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_[event.job]).count())
             .with("objective_ms", objectiveOf(job, runTimes_).count());
         updateReadySteps(event.job);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -116,6 +116,8 @@
         WorkerNumber worker = 0;
         placement::Resources amount;
         std::string ticket;
+        TaskRef unit; ///< For isolation.
+        Suspicion suspicion = Suspicion::None;
     };
 
     /// What the steps of one dispatch share.
@@ -161,6 +163,8 @@
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
     bool canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const;
     void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
+    std::size_t placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass);
+    std::size_t placeSuspects(const StepPlacer::Request &request, StepKey key, Pass &pass);
     placement::Resources claimLimit() const;
     void holdCapacity(StepKey key, ReadyStep &step, Pass &pass);
     static void releaseHold(ReadyStep &step, Pass &pass);
@@ -186,6 +190,8 @@
     void recordAnswer(WorkerView &worker, std::optional<std::chrono::milliseconds> clock, base::TimePoint now);
     void recordTimeout(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void onLeaving(const WorkerIdentity &leaving);
+    void noteCrash(WorkerNumber number, WorkerView &worker);
+    bool proposeCrash(WorkerNumber number, WorkerView &worker);
     void retireWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void handleOtherIncarnation(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
@@ -214,6 +220,7 @@
     WallTime wall_{0};
     WorkerViews workers_;
     placement::Ledger ledger_;
+    SuspectIsolation isolation_;
     std::map<TaskRef, Reservation> reservations_; ///< Of placed tasks and of proposed placements.
     std::map<StepKey, ReadyStep> readySteps_;
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -45,15 +45,21 @@
                          const placement::Resources &amount,
                          std::string ticket)
 {
+    const JobRecord &job = *state_->findJob(task.job);
+    const TaskRef unit = job.crashUnitOf(task);
+    const Suspicion suspicion = job.crashesOf(job.positionOf(task.occurrence, task.step), task.index).suspicion();
     ledger_.reserve(worker, amount);
-    reservations_[task] = {worker, amount, std::move(ticket)};
+    isolation_.add(worker, unit, suspicion);
+    reservations_[task] = {worker, amount, std::move(ticket), unit, suspicion};
 }
 
 void JobManager::unreserve(const TaskRef &task)
 {
     const auto found = reservations_.find(task);
     if (found != reservations_.end()) {
-        ledger_.release(found->second.worker, found->second.amount);
+        const Reservation &reservation = found->second;
+        ledger_.release(reservation.worker, reservation.amount);
+        isolation_.remove(reservation.worker, reservation.unit, reservation.suspicion);
         reservations_.erase(found);
     }
 }
@@ -160,7 +166,7 @@
     : now(time)
     , claims(manager.claimLimit())
     , index(manager.workers_, manager.ledger_, cost, time, [](WorkerNumber) { return placement::Resources{}; })
-    , placer(manager.workers_, manager.ledger_, claims, index, manager.speeds_, cost, time)
+    , placer(manager.workers_, manager.ledger_, claims, index, manager.isolation_, manager.speeds_, cost, time)
     , planner(manager.workers_, manager.ledger_, cost, time)
 {
 }
@@ -250,8 +256,68 @@
     const StepSpec &spec = job.specOf(key.position);
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
     const bool mayPreempt = spec.gang && lateness == Rank::Lateness::OnTime;
-    const StepPlacer::Request request{
-        job, key.position, waiting, eligibility, tasksByWorker(job, key), slackOf(job, runTimes_), mayPreempt};
+    StepPlacer::Request request{job,
+                                key.position,
+                                waiting,
+                                eligibility,
+                                tasksByWorker(job, key),
+                                slackOf(job, runTimes_),
+                                mayPreempt,
+                                job.refOf(key.job, key.position, 0),
+                                spec.gang ? job.crashesOf(key.position, 0).suspicion() : Suspicion::None};
+    std::size_t placed = 0;
+    if (!spec.gang && job.hasSuspects(key.position)) {
+        placed = placeSuspects(request, key, pass);
+        request.tasksByWorker = tasksByWorker(job, key);
+        waiting = waitingTasks(job, key);
+        std::erase_if(waiting, [&](std::uint32_t index) {
+            return job.crashesOf(key.position, index).suspicion() != Suspicion::None;
+        });
+    }
+    placed += placeTasks(request, key, pass);
+    if (spec.gang && placed > 0) {
+        step.heldUntil = {}; // The gang has taken what was held for it.
+    }
+    waiting = waitingTasks(job, key);
+    if (!waiting.empty() && eligibility != nullptr && !step.queryPending && now >= step.nextQueryAt
+        && chooseGateway(job.policy.eligibility->perCall, pass)) {
+        queryEligibility(request, key, step, pass);
+    }
+    if (!waiting.empty() && spec.gang) {
+        secureGangCapacity(request, key, step, pass);
+    }
+}
+
+// Places each task under which a worker has crashed by itself. Returns how many were placed.
+std::size_t JobManager::placeSuspects(const StepPlacer::Request &request, StepKey key, Pass &pass)
+{
+    std::size_t placed = 0;
+    for (const std::uint32_t index : request.waiting) {
+        const Suspicion suspicion = request.job.crashesOf(key.position, index).suspicion();
+        if (suspicion == Suspicion::None) {
+            continue;
+        }
+        const std::vector<std::uint32_t> waiting{index};
+        const StepPlacer::Request suspect{request.job,
+                                          key.position,
+                                          waiting,
+                                          request.eligibility,
+                                          tasksByWorker(request.job, key),
+                                          request.slack,
+                                          false,
+                                          request.job.refOf(key.job, key.position, index),
+                                          suspicion};
+        placed += placeTasks(suspect, key, pass);
+    }
+    return placed;
+}
+
+// Reserves capacity for the tasks that fit and adds their starts to the pass. Returns how many were placed.
+std::size_t JobManager::placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass)
+{
+    const base::TimePoint now = pass.now;
+    const JobRecord &job = request.job;
+    const StepSpec &spec = job.specOf(key.position);
     const std::vector<Assignment> assignments = pass.placer.place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
@@ -260,9 +326,9 @@
     }
     for (const Assignment &assignment : assignments) {
         const TaskRef task = job.refOf(key.job, key.position, assignment.index);
-        const Ticket *const ticket = eligibility == nullptr
+        const Ticket *const ticket = request.eligibility == nullptr
             ? nullptr
-            : eligibility->findTicket(assignment.worker, now, std::chrono::milliseconds{0});
+            : request.eligibility->findTicket(assignment.worker, now, std::chrono::milliseconds{0});
         reserve(task, assignment.worker, reservationOf(spec), ticket == nullptr ? std::string() : ticket->text);
         // All members of a gang share one run number.
         const std::uint32_t run = (spec.gang ? lastRun : tasks[assignment.index].run) + 1;
@@ -275,21 +341,7 @@
             .with("waited_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_.at(key.job)).count());
     }
-    if (spec.gang && !assignments.empty()) {
-        step.heldUntil = {}; // The gang has taken what was held for it.
-    }
-    std::erase_if(waiting, [&assignments](std::uint32_t index) {
-        return std::any_of(assignments.begin(), assignments.end(), [index](const Assignment &assignment) {
-            return assignment.index == index;
-        });
-    });
-    if (!waiting.empty() && eligibility != nullptr && !step.queryPending && now >= step.nextQueryAt
-        && chooseGateway(job.policy.eligibility->perCall, pass)) {
-        queryEligibility(request, key, step, pass);
-    }
-    if (!waiting.empty() && spec.gang) {
-        secureGangCapacity(request, key, step, pass);
-    }
+    return assignments.size();
 }
 
 // Preempts tasks for a gang if that frees enough capacity, and holds the freed capacity against all other tasks.
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -134,6 +134,46 @@
     }
 }
 
+// Counts a crash against the runs that were there: the incarnation has ended without leaving. The end of a worker that
+// was draining is planned, and of one that is merely silent it isn't known whether it has ended.
+void JobManager::noteCrash(WorkerNumber number, WorkerView &worker)
+{
+    const auto record = state_->workers().find(number);
+    if (worker.draining || record == state_->workers().end() || record->second.crashed) {
+        return;
+    }
+    for (const auto &[task, run] : worker.runs) {
+        const bool neverSent = run.stage == LiveRun::Stage::Starting && run.startCalls == 0;
+        const bool hasEnded = run.stage == LiveRun::Stage::ReleaseProposed || run.stage == LiveRun::Stage::EndProposed;
+        if (!neverSent && !hasEnded) {
+            worker.crashedRuns.push_back({task, run.run});
+        }
+    }
+    proposeCrash(number, worker);
+}
+
+// Returns false if the log accepts no entries at the moment.
+bool JobManager::proposeCrash(WorkerNumber number, WorkerView &worker)
+{
+    if (worker.crashedRuns.empty()) {
+        return true;
+    }
+    EndsEntry entry;
+    entry.worker = number;
+    entry.at = wall_;
+    entry.crashed = worker.crashedRuns;
+    if (!port_.propose(entry)) {
+        return false;
+    }
+    base::logWarning("worker_crashed")
+        .with("worker", worker.identity.id)
+        .with("number", number)
+        .with("runs", worker.crashedRuns.size())
+        .with("first_task", toString(worker.crashedRuns.front().task));
+    worker.crashedRuns.clear();
+    return true;
+}
+
 // Marks a worker as replaced by a new incarnation. Orders in flight may still reach the new one if it has the same id,
 // so each placed run is stopped there before its placement is released.
 void JobManager::retireWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now)
@@ -142,6 +182,7 @@
         return;
     }
     base::logInfo("worker_replaced").with("worker", worker.identity.id).with("number", number);
+    noteCrash(number, worker);
     worker.pendingPolls.clear();
     for (auto &[task, run] : worker.runs) {
         if (run.stage != LiveRun::Stage::ReleaseProposed && run.stage != LiveRun::Stage::EndProposed) {
@@ -168,6 +209,9 @@
 void JobManager::proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason)
 {
     worker.retired = true;
+    if (!proposeCrash(number, worker)) {
+        return; // The next review tries again; the runs must be placed while the crash is counted.
+    }
     WorkerGoneEntry entry;
     entry.worker = number;
     for (const auto &[task, run] : worker.runs) {
@@ -185,7 +229,7 @@
 
 void JobManager::reviewWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now)
 {
-    if (!canSendOrders(now) || worker.goneProposed) {
+    if (!canSendOrders(now) || worker.goneProposed || !proposeCrash(number, worker)) {
         return;
     }
     if (worker.retired && worker.runs.empty()) {
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -71,19 +71,21 @@
     MSGPACK_DEFINE(starts)
 };
 
+/// One run of a task.
+struct RunRef {
+    TaskRef task;
+    std::uint32_t run = 0;
+    MSGPACK_DEFINE(task, run)
+};
+
 /// Releases runs that never began and never will.
 struct NotStartedEntry {
-    struct Run {
-        TaskRef task;
-        std::uint32_t run = 0;
-        MSGPACK_DEFINE(task, run)
-    };
-    std::vector<Run> runs;
+    std::vector<RunRef> runs;
 
     MSGPACK_DEFINE(runs)
 };
 
-/// Records runs that a worker has listed as ended.
+/// Records runs that a worker has listed as ended, and those during which it crashed.
 struct EndsEntry {
     struct End {
         TaskRef task;
@@ -96,8 +98,10 @@
     std::uint64_t lastEndNumber = 0; ///< All ends of this worker up to this number are recorded.
     std::vector<End> ends;
     WallTime at{0};
+    /// Runs that may have been there when the worker crashed. They stay placed: their release is recorded separately.
+    std::vector<RunRef> crashed;
 
-    MSGPACK_DEFINE(worker, lastEndNumber, ends, at)
+    MSGPACK_DEFINE(worker, lastEndNumber, ends, at, crashed)
 };
 
 /// Deletes the records of jobs that ended long ago.
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -2,6 +2,8 @@
 
 #include "base/invariant.h"
 
+#include <fmt/core.h>
+
 #include <algorithm>
 
 namespace yuccawheel::workflow
@@ -21,6 +23,29 @@
         after.begin(), after.end(), [&](std::uint32_t earlier) { return steps[first + earlier].isFinished(); });
 }
 
+std::optional<std::string> JobRecord::failureReason(JobKey key) const
+{
+    for (std::size_t position = 0; position < steps.size(); ++position) {
+        const StepRecord &step = steps[position];
+        const StepSpec &stepSpec = specOf(position);
+        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+            const CrashCount &crashes = crashesOf(position, index);
+            const std::uint32_t failures = std::max(step.failures, step.tasks[index].failures);
+            if (crashes.isFinal()) {
+                return fmt::format("{} {} crashed {} workers, {} of them while nothing else ran there",
+                                   stepSpec.gang ? "the gang of" : "task",
+                                   toString(refOf(key, position, index)),
+                                   crashes.total,
+                                   crashes.alone);
+            }
+            if (failures >= policy.attempts && !stepSpec.longRunning) {
+                return fmt::format("task {} failed {} times", toString(refOf(key, position, index)), failures);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 void State::apply(const LogEntry &entry, std::vector<StateEvent> &events)
 {
     std::visit([&](const auto &body) { applyBody(body, events); }, entry);
@@ -153,7 +178,7 @@
 
 void State::applyBody(const NotStartedEntry &entry, std::vector<StateEvent> &events)
 {
-    for (const NotStartedEntry::Run &run : entry.runs) {
+    for (const RunRef &run : entry.runs) {
         TaskLocation location = locate(run.task);
         if (location.task != nullptr && location.task->phase == TaskPhase::Placed && location.task->run == run.run) {
             releaseTask(run.task, location, std::nullopt, events);
@@ -190,6 +215,30 @@
         }
         updateJobPhase(end.task.job, *location.job, entry.at, events);
     }
+    recordCrash(entry, worker->second, events);
+}
+
+// A crash is counted once, however many leaders record it.
+void State::recordCrash(const EndsEntry &entry, WorkerRecord &worker, std::vector<StateEvent> &events)
+{
+    if (entry.crashed.empty() || worker.crashed) {
+        return;
+    }
+    worker.crashed = true;
+    std::map<TaskRef, TaskLocation> units; // By the unit that the crash is counted against.
+    for (const RunRef &run : entry.crashed) {
+        const TaskLocation location = locate(run.task);
+        if (location.task != nullptr && location.task->phase == TaskPhase::Placed && location.task->run == run.run
+            && location.task->worker == entry.worker) {
+            units[location.job->crashUnitOf(run.task)] = location;
+        }
+    }
+    for (auto &[task, location] : units) {
+        CrashCount &crashes = location.spec->gang ? location.step->crashes : location.task->crashes;
+        ++crashes.total;
+        crashes.alone += units.size() == 1 ? 1 : 0;
+        updateJobPhase(task.job, *location.job, entry.at, events);
+    }
 }
 
 void State::applyBody(const ForgetEntry &entry, std::vector<StateEvent> &events)
@@ -287,23 +336,10 @@
     if (job.hasEnded()) {
         return;
     }
-    bool allDone = true;
-    for (std::size_t position = 0; position < job.steps.size(); ++position) {
-        const StepRecord &step = job.steps[position];
-        allDone = allDone && step.isFinished();
-        if (job.specOf(position).longRunning) {
-            continue;
-        }
-        const bool failed = step.failures >= job.policy.attempts
-            || std::any_of(step.tasks.begin(), step.tasks.end(), [&job](const TaskRecord &task) {
-                                return task.failures >= job.policy.attempts;
-                            });
-        if (failed) {
-            endJob(key, job, JobPhase::Failed, at, events);
-            return;
-        }
-    }
-    if (allDone) {
+    if (job.failureReason(key)) {
+        endJob(key, job, JobPhase::Failed, at, events);
+    } else if (std::all_of(
+                   job.steps.begin(), job.steps.end(), [](const StepRecord &step) { return step.isFinished(); })) {
         endJob(key, job, JobPhase::Completed, at, events);
     }
 }
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "workflow/crash_count.h"
 #include "workflow/log_entry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -25,8 +27,9 @@
     WorkerNumber worker = 0; ///< Worker of the latest run; current while placed.
     std::uint32_t failures = 0; ///< Number of failed runs.
     std::string checkpoint; ///< Checkpoint to resume from; empty if none.
+    CrashCount crashes; ///< Not used for members of a gang.
 
-    MSGPACK_DEFINE(phase, run, worker, failures, checkpoint)
+    MSGPACK_DEFINE(phase, run, worker, failures, checkpoint, crashes)
 };
 
 /// State of a step in one occurrence.
@@ -36,6 +39,7 @@
     std::uint32_t placed = 0;
     std::uint32_t failures = 0; ///< For a gang: number of runs in which a member failed.
     std::uint32_t lastFailedRun = 0; ///< For a gang: latest run counted in `failures`.
+    CrashCount crashes; ///< For a gang: of all its members.
 
     bool isFinished() const
     {
@@ -45,7 +49,7 @@
     {
         return done + placed < tasks.size();
     }
-    MSGPACK_DEFINE(tasks, done, placed, failures, lastFailedRun)
+    MSGPACK_DEFINE(tasks, done, placed, failures, lastFailedRun, crashes)
 };
 
 enum class JobPhase : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
@@ -82,6 +86,25 @@
     }
     /// Returns whether all steps that the step at `position` depends on are finished.
     bool hasFinishedDependencies(std::size_t position) const;
+    /// Returns the crashes counted against a task, or against the gang that it belongs to.
+    const CrashCount &crashesOf(std::size_t position, std::uint32_t index) const
+    {
+        return specOf(position).gang ? steps[position].crashes : steps[position].tasks[index].crashes;
+    }
+    /// Returns whether a worker has crashed under a task of the step.
+    bool hasSuspects(std::size_t position) const
+    {
+        const StepRecord &step = steps[position];
+        return std::any_of(
+            step.tasks.begin(), step.tasks.end(), [](const TaskRecord &task) { return task.crashes.total > 0; });
+    }
+    /// Returns the unit that crashes are counted against: the task, or the first member of its gang.
+    TaskRef crashUnitOf(const TaskRef &task) const
+    {
+        return {task.job, task.occurrence, task.step, spec.steps[task.step].gang ? 0 : task.index};
+    }
+    /// Returns why the job must fail, or nothing if it may go on.
+    std::optional<std::string> failureReason(JobKey key) const;
     MSGPACK_DEFINE(spec, policy, acceptedAt, phase, endedAt, steps, placed, begun)
 };
 
@@ -90,8 +113,9 @@
     std::uint64_t lastEndNumber = 0; ///< Ends up to this number are recorded.
     std::vector<TaskRef> placed;
     bool draining = false;
+    bool crashed = false; ///< Its crash is counted.
 
-    MSGPACK_DEFINE(identity, lastEndNumber, placed, draining)
+    MSGPACK_DEFINE(identity, lastEndNumber, placed, draining, crashed)
 };
 
 /// Change made by a log entry, for observers of the state.
@@ -171,6 +195,7 @@
                      std::vector<StateEvent> &events);
     void finishTask(const TaskRef &task, TaskLocation &location, std::vector<StateEvent> &events);
     void recordFailure(TaskLocation &location, std::uint32_t run);
+    void recordCrash(const EndsEntry &entry, WorkerRecord &worker, std::vector<StateEvent> &events);
     void recordCheckpoint(TaskLocation &location, const std::string &checkpoint);
     void endJob(JobKey key, JobRecord &job, JobPhase phase, WallTime at, std::vector<StateEvent> &events);
     void updateJobPhase(JobKey key, JobRecord &job, WallTime at, std::vector<StateEvent> &events);
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -52,6 +52,9 @@
 std::uint32_t
 StepPlacer::fittingTasksIn(const Request &request, WorkerNumber number, const placement::Resources &free) const
 {
+    if (!isolation_.admits(number, request.unit, request.suspicion)) {
+        return 0;
+    }
     const StepSpec &step = request.job.specOf(request.position);
     const std::int64_t times = reservationOf(step).countFittingIn(free);
     auto tasks = static_cast<std::uint32_t>(std::clamp<std::int64_t>(times, 0, step.count));
@@ -118,7 +121,8 @@
 }
 
 // Prefers the data's rack, then workers of suitable speed, then those with the least free CPU, which leaves emptier
-// workers for gangs. A failed task is retried on another worker if possible.
+// workers for gangs. A failed task is retried on another worker if possible, and a suspect on the emptiest, where a
+// crash costs least.
 std::vector<Assignment> StepPlacer::placeBatch(const Request &request, std::vector<Candidate> candidates) const
 {
     const StepSpec &step = request.job.specOf(request.position);
@@ -126,6 +130,10 @@
         const auto isOffDataRack = [&](const Candidate &candidate) {
             return !step.dataRack.empty() && !workers_.at(candidate.worker).identity.hasLabel(step.dataRack);
         };
+        if (request.suspicion != Suspicion::None) {
+            return std::tuple(isolation_.hasSuspects(left.worker), right.freeMilliCpu, left.worker)
+                < std::tuple(isolation_.hasSuspects(right.worker), left.freeMilliCpu, right.worker);
+        }
         return std::tuple(isOffDataRack(left), speedRank(request, left.worker), left.freeMilliCpu, left.worker)
             < std::tuple(isOffDataRack(right), speedRank(request, right.worker), right.freeMilliCpu, right.worker);
     });
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -6,6 +6,7 @@
 #include "workflow/dispatch_cost.h"
 #include "workflow/eligibility.h"
 #include "workflow/state.h"
+#include "workflow/suspect_isolation.h"
 #include "workflow/worker_speed.h"
 #include "workflow/worker_view.h"
 
@@ -35,6 +36,7 @@
                const placement::Ledger &ledger,
                const CapacityClaims &claims,
                const CapacityIndex &index,
+               const SuspectIsolation &isolation,
                const WorkerSpeedTracker &speeds,
                DispatchCost &cost,
                base::TimePoint now)
@@ -42,6 +44,7 @@
         , ledger_(ledger)
         , claims_(claims)
         , index_(index)
+        , isolation_(isolation)
         , speeds_(speeds)
         , cost_(cost)
         , now_(now)
@@ -57,6 +60,8 @@
         std::map<WorkerNumber, std::uint32_t> tasksByWorker;
         Slack slack = Slack::Moderate;
         bool mayPreempt = false; ///< Resumable tasks of less urgent jobs may be preempted.
+        TaskRef unit; ///< For isolation: the only task to place, or the first member of the gang.
+        Suspicion suspicion = Suspicion::None;
     };
 
     /// Returns as many assignments as fit; for a gang all or none.
@@ -117,6 +122,7 @@
     const placement::Ledger &ledger_;
     const CapacityClaims &claims_;
     const CapacityIndex &index_;
+    const SuspectIsolation &isolation_;
     const WorkerSpeedTracker &speeds_;
     DispatchCost &cost_;
     base::TimePoint now_;
--- /dev/null
+++ b/src/workflow/suspect_isolation.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "workflow/crash_count.h"
+#include "workflow/job.h"
+#include "workflow/worker.h"
+
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+
+namespace yuccawheel::workflow
+{
+
+/// Keeps tasks that may crash their worker apart, so that a crash costs little and shows which one is to blame.
+/// A unit is a task, or a gang: its members end together anyway and may share workers.
+class SuspectIsolation
+{
+public:
+    void add(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion)
+    {
+        Tenants &tenants = workers_[worker];
+        ++tenants.tasksByUnit[unit];
+        ++tenants.tasks;
+        if (suspicion != Suspicion::None) {
+            ++tenants.suspects;
+            ++suspects_;
+        }
+        tenants.isolated += suspicion == Suspicion::High ? 1 : 0;
+    }
+    /// Undoes an `add` with the same arguments.
+    void remove(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion);
+    /// Returns whether a task of this unit may be placed beside those on the worker.
+    bool admits(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion) const;
+    bool hasSuspects(WorkerNumber worker) const
+    {
+        const auto found = workers_.find(worker);
+        return found != workers_.end() && found->second.suspects > 0;
+    }
+
+private:
+    struct Tenants {
+        std::map<TaskRef, std::size_t> tasksByUnit;
+        std::size_t tasks = 0;
+        std::size_t suspects = 0; ///< Tasks under any suspicion.
+        std::size_t isolated = 0; ///< Tasks under high suspicion.
+    };
+    std::unordered_map<WorkerNumber, Tenants> workers_;
+    std::size_t suspects_ = 0; ///< On all workers.
+};
+
+} // namespace yuccawheel::workflow
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "workflow/log_entry.h"
 #include "workflow/worker.h"
 #include "workflow/worker_health.h"
 #include "workflow/worker_lease.h"
@@ -10,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace yuccawheel::workflow
 {
@@ -61,6 +63,7 @@
     bool draining = false;
     bool retired = false; ///< The incarnation has ended or was replaced by another worker at its id or address.
     bool goneProposed = false;
+    std::vector<RunRef> crashedRuns; ///< Runs that were there when it crashed, until that is proposed to the log.
 
     bool hasPendingPoll(bool quick) const
     {
--- /dev/null
+++ b/tests/workflow_crash_test.cpp
@@ -0,0 +1,201 @@
+#include "workflow_simulation.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+using namespace yuccawheel;
+using namespace std::chrono_literals;
+using tests::ManagerSimulation;
+using workflow::JobPhase;
+
+namespace
+{
+
+constexpr std::int64_t WorkerMilliCpu = 16'000;
+
+workflow::JobSpec job(std::uint32_t count, std::int64_t milliCpu, bool gang = false)
+{
+    workflow::StepSpec step;
+    step.count = count;
+    step.perTask = {milliCpu, 100, 0};
+    step.estimatedRunTime = 400ms;
+    step.gang = gang;
+    workflow::JobSpec spec;
+    spec.payload = "payload";
+    spec.steps = {step};
+    return spec;
+}
+
+workflow::QueuePolicy policy()
+{
+    workflow::QueuePolicy result;
+    result.queue = "queue";
+    result.service = "service";
+    result.attempts = 3;
+    result.stretch = 2;
+    result.target = 1s;
+    return result;
+}
+
+/// Jobs on workers, some of which crash under every task of a crashing job. The fake workers end the process if such a
+/// task starts too often.
+class CrashSimulation
+{
+public:
+    explicit CrashSimulation(std::size_t workers, std::uint64_t seed = 1) : simulation(makeOptions(seed))
+    {
+        for (std::size_t number = 0; number < workers; ++number) {
+            simulation.workers.add("w" + std::to_string(number), WorkerMilliCpu, "rack", simulation.now);
+        }
+        simulation.lead();
+        simulation.run(100ms);
+    }
+    void submit(const workflow::JobSpec &spec, bool crashes)
+    {
+        const workflow::JobKey key = ++lastKey_;
+        if (crashes) {
+            crashing_.insert(key);
+        }
+        simulation.submit(key, spec, policy());
+    }
+    bool allEnded() const
+    {
+        for (workflow::JobKey key = 1; key <= lastKey_; ++key) {
+            const workflow::JobRecord *const record = simulation.state.findJob(key);
+            if (record == nullptr || !record->hasEnded() || record->placed > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+    /// Expects that the jobs whose tasks crash their workers have failed, and all others completed.
+    void expectOnlyCrashingJobsFailed() const
+    {
+        for (workflow::JobKey key = 1; key <= lastKey_; ++key) {
+            EXPECT_EQ(simulation.phaseOf(key), crashing_.contains(key) ? JobPhase::Failed : JobPhase::Completed) << key;
+        }
+    }
+
+private:
+    ManagerSimulation::Options makeOptions(std::uint64_t seed)
+    {
+        ManagerSimulation::Options options;
+        options.seed = seed;
+        options.workers.crashes = [this](const workflow::TaskRef &task) {
+            return crashing_.contains(task.job);
+        };
+        return options;
+    }
+
+    std::set<workflow::JobKey> crashing_;
+    workflow::JobKey lastKey_ = 0;
+
+public:
+    ManagerSimulation simulation;
+};
+
+} // namespace
+
+// Guards against a task that crashes one worker after the other for as long as its job lasts.
+TEST(WorkflowCrash, TaskThatCrashesItsWorkersIsGivenUpAndThoseBesideItComplete)
+{
+    CrashSimulation crashes(6);
+    for (int number = 0; number < 30; ++number) {
+        crashes.submit(job(2, 2'000), number == 3);
+    }
+    EXPECT_TRUE(crashes.simulation.runUntil([&] { return crashes.allEnded(); }, 40s));
+    crashes.expectOnlyCrashingJobsFailed();
+    const auto reason = crashes.simulation.state.findJob(4)->failureReason(4);
+    ASSERT_TRUE(reason.has_value());
+    EXPECT_NE(reason->find("crashed 3 workers"), std::string::npos) << *reason;
+}
+
+// Guards against gangs that are tried for ever because a member crashes its worker.
+TEST(WorkflowCrash, GangThatCrashesWorkersIsGivenUp)
+{
+    CrashSimulation crashes(6);
+    crashes.submit(job(4, 4'000, true), true);
+    for (int number = 0; number < 10; ++number) {
+        crashes.submit(job(3, 2'000, number % 2 == 0), false);
+    }
+    EXPECT_TRUE(crashes.simulation.runUntil([&] { return crashes.allEnded(); }, 60s));
+    crashes.expectOnlyCrashingJobsFailed();
+}
+
+// Guards against counts that end with the leader: a new one would start a crashing task as often again.
+TEST(WorkflowCrash, CountOutlivesLeadersAndSnapshots)
+{
+    CrashSimulation crashes(4);
+    crashes.submit(job(1, 2'000), true);
+    for (int number = 0; number < 8; ++number) {
+        crashes.submit(job(2, 2'000), false);
+    }
+    for (int change = 0; change < 30 && !crashes.allEnded(); ++change) {
+        crashes.simulation.run(700ms);
+        crashes.simulation.loseLeader();
+        auto restored = workflow::State::restore(crashes.simulation.state.snapshot());
+        ASSERT_TRUE(restored.has_value());
+        crashes.simulation.state = std::move(*restored);
+        crashes.simulation.lead();
+    }
+    EXPECT_TRUE(crashes.simulation.runUntil([&] { return crashes.allEnded(); }, 60s));
+    crashes.expectOnlyCrashingJobsFailed();
+}
+
+// Guards against jobs that are given up because the network or an operator took their workers away.
+TEST(WorkflowCrash, CutsAndDrainsAreNoCrashes)
+{
+    CrashSimulation crashes(3);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(3, 8'000), false);
+    const auto crashesOfTasks = [&] {
+        std::uint32_t total = 0;
+        for (std::uint32_t index = 0; index < 3; ++index) {
+            total += simulation.state.findTask({1, 0, 0, index})->crashes.total;
+        }
+        return total;
+    };
+    for (int round = 0; round < 4; ++round) {
+        simulation.run(100ms);
+        simulation.workers.worker("w0").cut = true;
+        simulation.run(11s); // The lease expires.
+        simulation.workers.worker("w0").cut = false;
+        workflow::WorkerReport draining = simulation.workers.report("w1", simulation.now);
+        draining.draining = true;
+        simulation.manager->onReport(draining, simulation.now);
+        simulation.workers.restart("w1", simulation.now);
+        simulation.run(2s);
+        crashes.submit(job(3, 8'000), false);
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 30s));
+    EXPECT_EQ(crashesOfTasks(), 0U);
+    crashes.expectOnlyCrashingJobsFailed();
+}
+
+// Guards against innocent jobs that are given up, and crashing ones that aren't, when many crash at once and leaders
+// change.
+RC_GTEST_PROP(WorkflowCrash, OnlyCrashingJobsFailWhateverElseHappens, ())
+{
+    const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+    std::mt19937_64 random(seed);
+    const auto pick = [&random](std::size_t count) {
+        return random() % count;
+    };
+    CrashSimulation crashes(8 + pick(6), seed);
+    for (int step = 0; step < 40; ++step) {
+        crashes.submit(job(1 + static_cast<std::uint32_t>(pick(3)),
+                           1'000 + 1'000 * static_cast<std::int64_t>(pick(6)),
+                           pick(4) == 0),
+                       pick(10) == 0);
+        crashes.simulation.run(std::chrono::milliseconds(20 + pick(200)));
+        if (pick(12) == 0) {
+            crashes.simulation.loseLeader();
+            crashes.simulation.run(std::chrono::milliseconds(pick(400)));
+            crashes.simulation.lead();
+        }
+    }
+    RC_ASSERT(crashes.simulation.runUntil([&] { return crashes.allEnded(); }, 2min));
+    crashes.expectOnlyCrashingJobsFailed();
+}
--- a/tests/workflow_state_test.cpp
+++ b/tests/workflow_state_test.cpp
@@ -15,6 +15,46 @@
 
 constexpr workflow::JobKey Key = 7;
 
+/// Stored forms of the version before crashes were counted.
+struct EarlierTaskRecord {
+    TaskPhase phase = TaskPhase::Placed;
+    std::uint32_t run = 3;
+    workflow::WorkerNumber worker = 2;
+    std::uint32_t failures = 1;
+    std::string checkpoint = "saved";
+    MSGPACK_DEFINE(phase, run, worker, failures, checkpoint)
+};
+struct EarlierStepRecord {
+    std::vector<EarlierTaskRecord> tasks{1};
+    std::uint32_t done = 0;
+    std::uint32_t placed = 1;
+    std::uint32_t failures = 1;
+    std::uint32_t lastFailedRun = 2;
+    MSGPACK_DEFINE(tasks, done, placed, failures, lastFailedRun)
+};
+struct EarlierWorkerRecord {
+    workflow::WorkerIdentity identity;
+    std::uint64_t lastEndNumber = 9;
+    std::vector<TaskRef> placed;
+    bool draining = true;
+    MSGPACK_DEFINE(identity, lastEndNumber, placed, draining)
+};
+struct EarlierEndsEntry {
+    workflow::WorkerNumber worker = 4;
+    std::uint64_t lastEndNumber = 9;
+    std::vector<workflow::EndsEntry::End> ends;
+    workflow::WallTime at{5};
+    MSGPACK_DEFINE(worker, lastEndNumber, ends, at)
+};
+
+template <typename Record, typename Earlier>
+Record decodeEarlier(const Earlier &earlier)
+{
+    const auto decoded = protocol::decode<Record>(protocol::encode(earlier), protocol::Origin::OwnDisk);
+    EXPECT_TRUE(decoded.has_value());
+    return decoded.value_or(Record{});
+}
+
 class WorkflowState : public testing::Test
 {
 protected:
@@ -193,3 +233,67 @@
         EXPECT_FALSE(workflow::parseTaskRef(text)) << text;
     }
 }
+
+// Guards against data folders that a new version can't read.
+TEST(WorkflowStoredForm, RecordsWithoutCrashesStillLoad)
+{
+    const auto step = decodeEarlier<workflow::StepRecord>(EarlierStepRecord{});
+    ASSERT_EQ(step.tasks.size(), 1U);
+    EXPECT_EQ(step.tasks[0].run, 3U);
+    EXPECT_EQ(step.tasks[0].crashes.total, 0U);
+    EXPECT_EQ(step.lastFailedRun, 2U);
+    EXPECT_EQ(step.crashes.total, 0U);
+    const auto worker = decodeEarlier<workflow::WorkerRecord>(EarlierWorkerRecord{});
+    EXPECT_TRUE(worker.draining);
+    EXPECT_FALSE(worker.crashed);
+    const auto ends = decodeEarlier<workflow::EndsEntry>(EarlierEndsEntry{});
+    EXPECT_EQ(ends.at.count(), 5);
+    EXPECT_TRUE(ends.crashed.empty());
+}
+
+// Guards against a crash that two leaders record, and against runs that have ended before it.
+TEST_F(WorkflowState, CrashCountsOnceAndOnlyAgainstRunsThatWereThere)
+{
+    accept(3, false);
+    place(0, 1, 1);
+    place(1, 1, 1);
+    place(2, 1, 2);
+    workflow::EndsEntry crash;
+    crash.worker = 1;
+    crash.crashed = {{{Key, 0, 0, 0}, 1}, {{Key, 0, 0, 1}, 1}, {{Key, 0, 0, 2}, 1}};
+    apply(crash);
+    apply(crash);
+    EXPECT_EQ(task(0).crashes.total, 1U);
+    EXPECT_EQ(task(1).crashes.total, 1U);
+    EXPECT_EQ(task(1).crashes.alone, 0U);
+    EXPECT_EQ(task(2).crashes.total, 0U) << "it runs on another worker";
+    EXPECT_EQ(task(0).phase, TaskPhase::Placed) << "its release is recorded separately";
+}
+
+TEST_F(WorkflowState, JobFailsAfterThreeCrashesOnlyIfItsTaskWasAlone)
+{
+    accept(2, false);
+    const auto crash = [&](std::uint32_t run, workflow::WorkerNumber worker, bool alone) {
+        place(0, run, worker);
+        workflow::EndsEntry entry;
+        entry.worker = worker;
+        entry.crashed = {{{Key, 0, 0, 0}, run}};
+        if (!alone) {
+            place(1, run, worker);
+            entry.crashed.push_back({{Key, 0, 0, 1}, run});
+        }
+        apply(entry);
+        apply(workflow::WorkerGoneEntry{worker, {}});
+        workflow::WorkerIdentity next;
+        next.id = "next" + std::to_string(run);
+        apply(workflow::WorkerJoinedEntry{next});
+    };
+    crash(1, 1, false);
+    crash(2, 2, false);
+    crash(3, 3, false);
+    EXPECT_EQ(task(0).crashes.total, 3U);
+    EXPECT_FALSE(state_.findJob(Key)->hasEnded()) << "the other task may be to blame";
+    crash(4, 4, true);
+    EXPECT_EQ(state_.findJob(Key)->phase, JobPhase::Failed);
+    EXPECT_NE(state_.findJob(Key)->failureReason(Key)->find("crashed 4 workers"), std::string::npos);
+}
