Follow the capacity that a worker reports

A worker whose capacity has shrunk since it joined was overfilled (LIMIT): reports of a known incarnation updated everything but its capacity, and the ledger kept that of the join. The class of the fault: an input that may change was read once.

The leader takes the capacity of each report into its ledger, where less than what is reserved means that nothing more fits until tasks end, those being stopped included. The log gets it as well, as the next leader may place tasks before the worker reports to it; it accepts what earlier leaders placed. A start that was proposed before the shrinking isn't sent.

Elsewhere: labels, zone and service of an incarnation don't change; the planner of src/placement handles changed capacities already.

Tests: ShrunkenWorkerGetsNothingUntilWhatItRunsFits ended the fake worker ("the runs on a worker must fit in its capacity") before; NewLeaderAcceptsWhatExceedsAShrunkenWorker.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -40,7 +40,7 @@
             YW_INVARIANT(placed != nullptr, "a placed task exists");
             LiveRun &run = worker.runs[task] = makeRun(task, placed->run);
             run.stage = LiveRun::Stage::Uncertain;
-            reserve(task, number, run.reserved, {});
+            adoptReservation(task, number, run.reserved);
         }
     }
     for (const auto &[key, job] : state.jobs()) {
@@ -212,7 +212,8 @@
         WorkerView &worker = workers_.at(start.worker);
         LiveRun &run = worker.runs[start.task] = makeRun(start.task, start.run);
         run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
-        if (worker.retired) {
+        // The worker may have ended or shrunk between proposal and commit.
+        if (worker.retired || ledger_.isExceeded(start.worker)) {
             proposeNotStarted(start.task, run); // No start order has been or will be sent.
             continue;
         }
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -170,6 +170,9 @@
     static void releaseHold(ReadyStep &step, Pass &pass);
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
+    void adoptReservation(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount);
+    void
+    recordReservation(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
     std::vector<WorkerNumber> workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass);
     std::optional<EligibilityGateways::GatewayId> chooseGateway(std::chrono::microseconds serviceTime,
@@ -190,6 +193,7 @@
     void recordAnswer(WorkerView &worker, std::optional<std::chrono::milliseconds> clock, base::TimePoint now);
     void recordTimeout(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void onLeaving(const WorkerIdentity &leaving);
+    void updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported);
     void noteCrash(WorkerNumber number, WorkerView &worker);
     bool proposeCrash(WorkerNumber number, WorkerView &worker);
     void retireWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -44,11 +44,26 @@
                          WorkerNumber worker,
                          const placement::Resources &amount,
                          std::string ticket)
+{
+    ledger_.reserve(worker, amount);
+    recordReservation(task, worker, amount, std::move(ticket));
+}
+
+// An earlier leader placed the task. The worker may have shrunk since.
+void JobManager::adoptReservation(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount)
+{
+    ledger_.adopt(worker, amount);
+    recordReservation(task, worker, amount, {});
+}
+
+void JobManager::recordReservation(const TaskRef &task,
+                                   WorkerNumber worker,
+                                   const placement::Resources &amount,
+                                   std::string ticket)
 {
     const JobRecord &job = *state_->findJob(task.job);
     const TaskRef unit = job.crashUnitOf(task);
     const Suspicion suspicion = job.crashesOf(job.positionOf(task.occurrence, task.step), task.index).suspicion();
-    ledger_.reserve(worker, amount);
     isolation_.add(worker, unit, suspicion);
     reservations_[task] = {worker, amount, std::move(ticket), unit, suspicion};
 }
@@ -384,7 +399,8 @@
     const placement::Resources amount = reservationOf(state_->findJob(key.job)->specOf(key.position));
     for (const auto &[worker, tasks] : step.heldTasks) {
         if (workers_.contains(worker)) {
-            const placement::Resources held = placement::elementwiseMin(amount * tasks, ledger_.free(worker));
+            const placement::Resources free = placement::elementwiseMax(ledger_.free(worker), {});
+            const placement::Resources held = placement::elementwiseMin(amount * tasks, free);
             pass.claims.hold(worker, held);
             step.heldCapacity[worker] = held;
         }
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -28,7 +28,7 @@
     worker.lastReport = now;
     worker.draining = record.draining;
     ledger_.grow(number + 1);
-    ledger_.setCapacity(number, record.identity.capacity);
+    ledger_.setReportedCapacity(number, record.identity.capacity);
     dispatchDue_ = true;
     return worker;
 }
@@ -48,7 +48,7 @@
     for (const TaskRef &task : reserved) {
         unreserve(task);
     }
-    ledger_.setCapacity(number, {});
+    ledger_.setReportedCapacity(number, {});
     speeds_.removeWorker(number);
     base::logInfo("worker_gone").with("worker", found->second.identity.id).with("number", number);
     port_.forget(found->second.identity);
@@ -113,6 +113,7 @@
             worker.draining = report.draining || state_->isDraining(worker.identity);
             dispatchDue_ = true;
         }
+        updateCapacity(number, worker, report.worker.capacity);
         return;
     }
     if (isNew && !report.draining && canSendOrders(now)) {
@@ -122,6 +123,27 @@
     }
 }
 
+// The log gets the new capacity too, because the next leader may place tasks before the worker reports to it.
+void JobManager::updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported)
+{
+    if (reported != worker.identity.capacity) {
+        base::logInfo("worker_capacity_changed")
+            .with("worker", worker.identity.id)
+            .with("millicores", reported.milliCpu)
+            .with("memory_mib", reported.memoryMib)
+            .with("accelerators", reported.accelerators)
+            .with("millicores_before", worker.identity.capacity.milliCpu)
+            .with("reserved_millicores", ledger_.reserved(number).milliCpu);
+        worker.identity.capacity = reported;
+        ledger_.setReportedCapacity(number, reported);
+        dispatchDue_ = true;
+    }
+    const auto record = state_->workers().find(number);
+    if (record != state_->workers().end() && record->second.identity.capacity != reported) {
+        port_.propose(WorkerJoinedEntry{worker.identity});
+    }
+}
+
 // A leaving report without an incarnation counts only for a draining worker, because it may be a delayed report of an
 // earlier incarnation.
 void JobManager::onLeaving(const WorkerIdentity &leaving)
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -38,7 +38,7 @@
     MSGPACK_DEFINE(key, cancelledAt)
 };
 
-/// Adds a worker, which may be given tasks from now on.
+/// Adds a worker, which may be given tasks from now on, or changes the capacity of a known incarnation.
 struct WorkerJoinedEntry {
     WorkerIdentity worker;
 
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -122,8 +122,11 @@
 
 void State::applyBody(const WorkerJoinedEntry &entry, std::vector<StateEvent> &events)
 {
-    for (const auto &[number, worker] : workers_) {
+    for (auto &[number, worker] : workers_) {
         if (worker.identity.id == entry.worker.id && worker.identity.born >= entry.worker.born) {
+            if (worker.identity.born == entry.worker.born) {
+                worker.identity.capacity = entry.worker.capacity;
+            }
             return;
         }
     }
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -424,3 +424,47 @@
     };
     RC_ASSERT(simulation.runUntil(allEnded, 60s));
 }
+
+// Guards against a worker that is overfilled because its capacity has shrunk since it joined.
+TEST_F(WorkflowManager, ShrunkenWorkerGetsNothingUntilWhatItRunsFits)
+{
+    constexpr std::int64_t Shrunken = 8'000;
+    ManagerSimulation::Options options;
+    options.workers.runTime = 3s;
+    options.workers.stopTime = 400ms;
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 1);
+    simulation.submit(Key, job({step(4, 4'000)}), policy());
+    simulation.run(500ms);
+    ASSERT_EQ(simulation.workers.running(), 4U);
+    const auto setCapacity = [&](std::int64_t milliCpu) {
+        constexpr auto Notice = 1'700ms; // One report and a little more.
+        simulation.workers.setCapacity("w0", {milliCpu, 1'000'000, 0}, Notice, simulation.now);
+        simulation.run(Notice);
+    };
+    setCapacity(Shrunken);
+    // What is being stopped still counts, so none of these may start before the others have ended.
+    simulation.submit(Key + 1, job({step(6, 4'000)}), policy());
+    simulation.cancel(Key);
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 2; }, 3s));
+    simulation.loseLeader();
+    simulation.lead();
+    EXPECT_EQ(simulation.state.workers().begin()->second.identity.capacity.milliCpu, Shrunken);
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.starts() == 8; }, 8s));
+    setCapacity(16'000);
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 1, JobPhase::Completed); }, 8s));
+}
+
+// Guards against a leader that ends because an earlier one used capacity that has shrunk since.
+TEST_F(WorkflowManager, NewLeaderAcceptsWhatExceedsAShrunkenWorker)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1);
+    simulation.submit(Key, job({step(4, 4'000)}), policy());
+    simulation.run(500ms);
+    simulation.workers.setCapacity("w0", {4'000, 1'000'000, 0}, 2s, simulation.now);
+    simulation.run(2s);
+    simulation.loseLeader();
+    simulation.lead();
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
+}
