Set workers aside for suspects, and blame no run that never started

A start order now says whether any of it was sent; only runs that may have started count a crash. Queries for a suspect ask about empty workers. While there are none, those with the least on them get no new tasks, a tenth of all at most, so that a suspect runs alone under steady load too.

--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -78,11 +78,11 @@
 {
     if (!answer) {
         base::logInfo("order_unanswered").with("worker", worker).with("reason", answer.error().text);
-        return {};
+        return {OrderOutcome::NoAnswer, std::nullopt, answer.error().verdict != base::Verdict::NotRun};
     }
     try {
         const Json body = parseBody(*answer);
-        return {parseOutcome(answer->status, body), parseClock(body)};
+        return {parseOutcome(answer->status, body), parseClock(body), true};
     } catch (const FormatError &error) {
         base::logWarning("order_answer_unreadable").with("worker", worker).with("reason", error.what());
         return {};
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -40,6 +40,7 @@
             YW_INVARIANT(placed != nullptr, "a placed task exists");
             LiveRun &run = worker.runs[task] = makeRun(task, placed->run);
             run.stage = LiveRun::Stage::Uncertain;
+            run.mayHaveStarted = true;
             adoptReservation(task, number, run.reserved);
         }
     }
@@ -313,6 +314,7 @@
         dispatchDue_ = false;
         nextFullDispatch_ = now + MinDispatchInterval;
         changedSteps_.clear();
+        isolation_.endSetAside(now);
         dispatch(now);
     } else if (!changedSteps_.empty()) {
         dispatchUrgent(now);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -164,7 +164,9 @@
     bool canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const;
     void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
     std::size_t placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass);
-    std::size_t placeSuspects(const StepPlacer::Request &request, StepKey key, Pass &pass);
+    void placeSuspects(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
+    void queryIfDue(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
+    void setWorkersAside(const StepPlacer::Request &request, const Pass &pass);
     placement::Resources claimLimit() const;
     void holdCapacity(StepKey key, ReadyStep &step, Pass &pass);
     static void releaseHold(ReadyStep &step, Pass &pass);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -26,6 +26,8 @@
 constexpr double MaxClaimedShare = 0.25; ///< Maximum share of CPU capacity held idle for waiting gangs.
 // Covers a stop, the commit of its end and a retry of a lost order.
 constexpr std::chrono::milliseconds HoldDuration{900};
+constexpr std::chrono::milliseconds SetAsideDuration{1'000}; ///< Extended by each dispatch that still needs the worker.
+constexpr double MaxSetAsideShare = 0.1; ///< Of all workers, for suspects that have to run alone.
 constexpr double InitialEligibleShare = 0.5; ///< Assumed until the first answer.
 constexpr double EligibleShareWeight = 0.1; ///< Weight of the newest answer in the moving average.
 // Tasks that the eligible workers known to a gang would hold, per task. With less, nearly all would have to be empty.
@@ -258,7 +260,6 @@
 
 void JobManager::placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass)
 {
-    const base::TimePoint now = pass.now;
     const JobRecord &job = *state_->findJob(key.job);
     if (!canProgress(job, key, step, pass)) {
         return;
@@ -280,33 +281,79 @@
                                 mayPreempt,
                                 job.refOf(key.job, key.position, 0),
                                 spec.gang ? job.crashesOf(key.position, 0).suspicion() : Suspicion::None};
-    std::size_t placed = 0;
     if (!spec.gang && job.hasSuspects(key.position)) {
-        placed = placeSuspects(request, key, pass);
+        placeSuspects(request, key, step, pass);
         request.tasksByWorker = tasksByWorker(job, key);
         waiting = waitingTasks(job, key);
         std::erase_if(waiting, [&](std::uint32_t index) {
             return job.crashesOf(key.position, index).suspicion() != Suspicion::None;
         });
     }
-    placed += placeTasks(request, key, pass);
-    if (spec.gang && placed > 0) {
+    if (!waiting.empty() && placeTasks(request, key, pass) > 0) {
         step.heldUntil = {}; // The gang has taken what was held for it.
+        std::erase_if(waiting, [&](std::uint32_t index) {
+            return reservations_.contains(job.refOf(key.job, key.position, index));
+        });
     }
-    waiting = waitingTasks(job, key);
-    if (!waiting.empty() && eligibility != nullptr && !step.queryPending && now >= step.nextQueryAt
-        && chooseGateway(job.policy.eligibility->perCall, pass)) {
-        queryEligibility(request, key, step, pass);
+    if (waiting.empty()) {
+        return;
     }
-    if (!waiting.empty() && spec.gang) {
+    queryIfDue(request, key, step, pass);
+    if (request.suspicion == Suspicion::High) {
+        setWorkersAside(request, pass);
+    } else if (spec.gang) {
         secureGangCapacity(request, key, step, pass);
     }
 }
 
-// Places each task under which a worker has crashed by itself. Returns how many were placed.
-std::size_t JobManager::placeSuspects(const StepPlacer::Request &request, StepKey key, Pass &pass)
+void JobManager::queryIfDue(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass)
+{
+    if (request.eligibility != nullptr && !step.queryPending && pass.now >= step.nextQueryAt
+        && chooseGateway(request.job.policy.eligibility->perCall, pass)) {
+        queryEligibility(request, key, step, pass);
+    }
+}
+
+// Keeps the workers with the least on them free of other tasks, so that a suspect gets to run alone under load too.
+void JobManager::setWorkersAside(const StepPlacer::Request &request, const Pass &pass)
+{
+    const base::TimePoint until = pass.now + SetAsideDuration;
+    const auto canRun = [&](WorkerNumber number) {
+        const auto worker = workers_.find(number);
+        return worker != workers_.end() && pass.placer.canRun(request, number, worker->second);
+    };
+    if (isolation_.extendSetAside(request.unit, until, canRun)) {
+        return;
+    }
+    std::vector<std::pair<std::int64_t, WorkerNumber>> candidates;
+    pass.placer.forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
+        if (!isolation_.isSetAside(number)) {
+            candidates.emplace_back(ledger_.reserved(number).milliCpu, number);
+        }
+    });
+    std::sort(candidates.begin(), candidates.end());
+    const std::int64_t needed = static_cast<std::int64_t>(request.waiting.size());
+    const placement::Resources amount = reservationOf(request.job.specOf(request.position));
+    const auto limit = static_cast<std::size_t>(static_cast<double>(workers_.size()) * MaxSetAsideShare) + 1;
+    std::vector<WorkerNumber> chosen;
+    std::int64_t fitting = 0;
+    for (const auto &[reserved, number] : candidates) {
+        if (fitting < needed) {
+            chosen.push_back(number);
+            fitting += amount.countFittingIn(ledger_.capacity(number));
+        }
+    }
+    if (fitting < needed || isolation_.setAsideWorkers() + chosen.size() > limit) {
+        return;
+    }
+    for (const WorkerNumber number : chosen) {
+        isolation_.setAside(number, request.unit, until);
+    }
+}
+
+// Places each task under which a worker has crashed by itself.
+void JobManager::placeSuspects(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass)
 {
-    std::size_t placed = 0;
     for (const std::uint32_t index : request.waiting) {
         const Suspicion suspicion = request.job.crashesOf(key.position, index).suspicion();
         if (suspicion == Suspicion::None) {
@@ -322,9 +369,14 @@
                                           false,
                                           request.job.refOf(key.job, key.position, index),
                                           suspicion};
-        placed += placeTasks(suspect, key, pass);
+        if (placeTasks(suspect, key, pass) > 0) {
+            continue;
+        }
+        queryIfDue(suspect, key, step, pass);
+        if (suspicion == Suspicion::High) {
+            setWorkersAside(suspect, pass);
+        }
     }
-    return placed;
 }
 
 // Reserves capacity for the tasks that fit and adds their starts to the pass. Returns how many were placed.
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -165,9 +165,9 @@
         return;
     }
     for (const auto &[task, run] : worker.runs) {
-        const bool neverSent = run.stage == LiveRun::Stage::Starting && run.startCalls == 0;
+        const bool mayBeStarting = run.stage == LiveRun::Stage::Starting && run.callInFlight;
         const bool hasEnded = run.stage == LiveRun::Stage::ReleaseProposed || run.stage == LiveRun::Stage::EndProposed;
-        if (!neverSent && !hasEnded) {
+        if ((run.mayHaveStarted || mayBeStarting) && !hasEnded) {
             worker.crashedRuns.push_back({task, run.run});
         }
     }
@@ -395,7 +395,9 @@
         || run.stage == LiveRun::Stage::EndProposed) {
         return;
     }
-    run.startUnanswered = run.startUnanswered || (run.stage == LiveRun::Stage::Starting && run.callInFlight);
+    const bool startInFlight = run.stage == LiveRun::Stage::Starting && run.callInFlight;
+    run.startUnanswered = run.startUnanswered || startInFlight;
+    run.mayHaveStarted = run.mayHaveStarted || startInFlight;
     run.stage = LiveRun::Stage::Stopping;
     run.stopAnsweredAt.reset();
     run.callInFlight = false;
@@ -459,6 +461,7 @@
         }
         recordAnswer(worker, answer.clock, now);
         run->stage = LiveRun::Stage::Running;
+        run->mayHaveStarted = true;
         run->runningSince = now;
         startedJobs_.insert(task.job);
         reviewPolls(number, worker, now);
@@ -474,6 +477,7 @@
     case OrderOutcome::NoAnswer:
         recordTimeout(number, worker, now);
         run->startUnanswered = true;
+        run->mayHaveStarted = run->mayHaveStarted || answer.mayHaveArrived;
         run->nextCall = now;
         if (run->startCalls >= MaxStartCalls) {
             run->stage = LiveRun::Stage::Uncertain;
@@ -689,6 +693,7 @@
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
             run->stage = LiveRun::Stage::Running;
+            run->mayHaveStarted = true;
             run->runningSince = now;
             run->callInFlight = false;
             startedJobs_.insert(task->job);
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -56,6 +56,7 @@
 struct OrderAnswer {
     OrderOutcome outcome = OrderOutcome::NoAnswer;
     std::optional<std::chrono::milliseconds> clock; ///< Reading of the worker's clock.
+    bool mayHaveArrived = true; ///< False if no part of the order was sent, so that it can't take effect.
 };
 
 struct PollAnswer {
--- a/src/workflow/suspect_isolation.cpp
+++ b/src/workflow/suspect_isolation.cpp
@@ -25,9 +25,13 @@
 
 bool SuspectIsolation::admits(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion) const
 {
-    if (suspicion == Suspicion::None && suspects_ == 0) {
+    if (suspicion == Suspicion::None && suspects_ == 0 && setAside_.empty()) {
         return true;
     }
+    const auto aside = setAside_.find(worker);
+    if (aside != setAside_.end() && !(aside->second.unit == unit)) {
+        return false;
+    }
     const auto found = workers_.find(worker);
     if (found == workers_.end()) {
         return true;
--- a/src/workflow/suspect_isolation.h
+++ b/src/workflow/suspect_isolation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "workflow/crash_count.h"
 #include "workflow/job.h"
 #include "workflow/worker.h"
@@ -29,6 +30,39 @@
     }
     /// Undoes an `add` with the same arguments.
     void remove(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion);
+    /// Keeps a worker free of new tasks of other units until `until`, so that it becomes empty.
+    void setAside(WorkerNumber worker, const TaskRef &unit, base::TimePoint until)
+    {
+        setAside_[worker] = {unit, until};
+    }
+    bool isSetAside(WorkerNumber worker) const
+    {
+        return setAside_.contains(worker);
+    }
+    std::size_t setAsideWorkers() const
+    {
+        return setAside_.size();
+    }
+    /// Keeps the workers that are set aside for this unit so until `until`, except those that can't run it any more.
+    /// Returns whether there are any and all can.
+    template <typename CanRun>
+    bool extendSetAside(const TaskRef &unit, base::TimePoint until, CanRun canRun)
+    {
+        bool extended = false;
+        for (auto &[worker, aside] : setAside_) {
+            if (aside.unit == unit) {
+                aside.until = until;
+                extended = true;
+            }
+        }
+        const std::size_t lost =
+            std::erase_if(setAside_, [&](const auto &item) { return item.second.unit == unit && !canRun(item.first); });
+        return extended && lost == 0;
+    }
+    void endSetAside(base::TimePoint now)
+    {
+        std::erase_if(setAside_, [now](const auto &item) { return item.second.until <= now; });
+    }
     /// Returns whether a task of this unit may be placed beside those on the worker.
     bool admits(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion) const;
     bool hasSuspects(WorkerNumber worker) const
@@ -44,7 +78,12 @@
         std::size_t suspects = 0; ///< Tasks under any suspicion.
         std::size_t isolated = 0; ///< Tasks under high suspicion.
     };
+    struct SetAside {
+        TaskRef unit;
+        base::TimePoint until{};
+    };
     std::unordered_map<WorkerNumber, Tenants> workers_;
+    std::map<WorkerNumber, SetAside> setAside_;
     std::size_t suspects_ = 0; ///< On all workers.
 };
 
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -39,6 +39,7 @@
     std::uint32_t startCalls = 0;
     bool callInFlight = false;
     bool startUnanswered = false; ///< An unanswered start order may still take effect.
+    bool mayHaveStarted = false; ///< The worker has confirmed the run, or may have without an answer.
 };
 
 /// A poll that has not been answered yet.
--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -144,6 +144,51 @@
     crashes.expectOnlyCrashingJobsFailed();
 }
 
+// Guards against innocent tasks that wait for an empty worker for as long as there is other work.
+TEST(WorkflowCrash, SuspectGetsAWorkerOfItsOwnUnderSteadyLoad)
+{
+    CrashSimulation crashes(4);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(1, 2'000), false);
+    simulation.run(30ms); // Until it is committed.
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        const auto isPlaced = [&] {
+            const workflow::TaskRecord &task = *simulation.state.findTask({1, 0, 0, 0});
+            return task.phase == workflow::TaskPhase::Placed && task.run == run;
+        };
+        ASSERT_TRUE(simulation.runUntil(isPlaced, 5s));
+        const workflow::WorkerNumber worker = simulation.state.findTask({1, 0, 0, 0})->worker;
+        crashes.submit(job(8, 4'000), false); // Some of these run beside it.
+        simulation.run(100ms);
+        simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+    }
+    const auto hasEnded = [&] {
+        return simulation.state.findJob(1)->hasEnded();
+    };
+    for (int tick = 0; tick < 200 && !hasEnded(); ++tick) {
+        crashes.submit(job(4, 4'000), false); // As much as the workers can do.
+        simulation.run(100ms);
+    }
+    EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
+}
+
+// Guards against counting a crash against a run whose start order never arrived.
+TEST(WorkflowCrash, RunThatWasNeverStartedIsNotToBlame)
+{
+    CrashSimulation crashes(1);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(1, 2'000), false);
+    const auto isPlaced = [&] {
+        const workflow::TaskRecord *const task = simulation.state.findTask({1, 0, 0, 0});
+        return task != nullptr && task->phase == workflow::TaskPhase::Placed;
+    };
+    ASSERT_TRUE(simulation.runUntil(isPlaced, 1s));
+    simulation.workers.crash("w0", simulation.now); // Its start has been ordered, but hasn't arrived.
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 20s));
+    EXPECT_EQ(simulation.state.findTask({1, 0, 0, 0})->crashes.total, 0U);
+    EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
+}
+
 // Guards against jobs that are given up because the network or an operator took their workers away.
 TEST(WorkflowCrash, CutsAndDrainsAreNoCrashes)
 {
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -261,6 +261,14 @@
         scheduleEffect(now + Delay,
                        [=, this, generation = generation_, sent = now, born = workers.worker(id).identity.born] {
                            fakes::CalledWorkers::Worker &worker = workers.worker(id);
+                           if (now < worker.downUntil) {
+                               scheduleEffect(now + Delay, [this, done, generation] {
+                                   if (generation == generation_) {
+                                       done(workflow::OrderAnswer{workflow::OrderOutcome::NoAnswer, {}, false});
+                                   }
+                               });
+                               return;
+                           }
                            // A connection to an earlier incarnation does not reach the next one.
                            if (!workers.isReachable(id, now) || worker.identity.born != born) {
                                scheduleEffect(sent + OrderTimeout, [this, done, generation] {
