Stay up while the disk is full

Cause: every error of the storage was fatal, and opening a log rewrites its end, which needs space too.

A full disk is no error of a replica any more. What could not be saved waits and is tried again; meanwhile the replica sends and takes no messages and refuses proposals, so that a leader steps down and the others elect another one. What is stored stays readable: a write that fits only in part is cut off before it is repeated. A manager that starts on a full disk waits until its log can be opened. A proposal that the log refused is answered as not run instead of unknown.

Not changed: yw-store ends if its disk is full when it starts.

--- a/fakes/fake_disk.cpp
+++ b/fakes/fake_disk.cpp
@@ -20,6 +20,10 @@
     {
         return disk_.append(*inode_, data);
     }
+    StorageResult<void> truncate(std::uint64_t size) override
+    {
+        return disk_.truncate(*inode_, size);
+    }
     StorageResult<void> sync() override
     {
         return disk_.sync(*inode_);
@@ -167,6 +171,16 @@
     return {};
 }
 
+coordination::StorageResult<void> FakeDisk::truncate(Inode &inode, std::uint64_t size)
+{
+    if (countOperation()) {
+        throw ProcessKilled{};
+    }
+    inode.content.resize(std::min<std::size_t>(inode.content.size(), size));
+    inode.synced = std::min(inode.synced, inode.content.size());
+    return {};
+}
+
 coordination::StorageResult<void> FakeDisk::sync(Inode &inode)
 {
     if (countOperation()) {
--- a/fakes/fake_disk.h
+++ b/fakes/fake_disk.h
@@ -88,6 +88,7 @@
     /// Counts one operation. Returns whether the process is killed during it.
     bool countOperation();
     StorageResult<void> append(Inode &inode, std::string_view data);
+    StorageResult<void> truncate(Inode &inode, std::uint64_t size);
     StorageResult<void> sync(Inode &inode);
     /// Returns a random number in [0, bound), or 0 if `bound` is 0.
     std::uint64_t randomBelow(std::uint64_t bound);
--- a/src/coordination/file_log_storage.cpp
+++ b/src/coordination/file_log_storage.cpp
@@ -337,7 +337,10 @@
 {
     const std::string batch = std::exchange(staged_, {});
     if (auto done = current_->append(batch); !done) {
-        return done;
+        // What was written of the batch would follow the last whole record when the call is repeated.
+        const bool repeatable = done.error().failure == StorageFailure::NoSpace;
+        const auto cut = repeatable ? current_->truncate(currentSize_) : StorageResult<void>();
+        return cut ? done : cut;
     }
     if (auto done = current_->sync(); !done) {
         return done;
@@ -362,6 +365,9 @@
     stageRecord(RecordType::SegmentStart, payload);
     stageRecord(RecordType::HardState, encodeHardState(hardState_));
     if (auto done = writeAndSync(); !done) {
+        current_.reset();
+        segments_.pop_back();
+        static_cast<void>(files_.remove(segmentName(sequence))); // Replaced by the next try in any case.
         return done;
     }
     return files_.syncFolder();
@@ -384,7 +390,8 @@
             return done;
         }
     }
-    if (auto done = writeSnapshotFile(snapshot.meta, snapshot.bytes); !done) {
+    const bool written = snapshotIndex() == snapshot.meta.index; // By an earlier try.
+    if (auto done = written ? StorageResult<void>() : writeSnapshotFile(snapshot.meta, snapshot.bytes); !done) {
         return done;
     }
     std::string payload;
--- a/src/coordination/file_system.cpp
+++ b/src/coordination/file_system.cpp
@@ -94,6 +94,16 @@
         return {};
     }
 
+    StorageResult<void> truncate(std::uint64_t size) override
+    {
+        while (::ftruncate(fd_.get(), static_cast<off_t>(size)) != 0) {
+            if (errno != EINTR) {
+                return errnoError(path_);
+            }
+        }
+        return {};
+    }
+
     StorageResult<void> sync() override
     {
         return syncDescriptor(fd_.get(), path_);
--- a/src/coordination/file_system.h
+++ b/src/coordination/file_system.h
@@ -19,6 +19,8 @@
     virtual ~AppendFile() = default;
     /// Writes all of the data. After an error, the file may hold part of it.
     virtual StorageResult<void> append(std::string_view data) = 0;
+    /// Removes all data after the first `size` bytes.
+    virtual StorageResult<void> truncate(std::uint64_t size) = 0;
     /// Returns once all appended data is on disk.
     virtual StorageResult<void> sync() = 0;
 };
--- a/src/coordination/log_storage.h
+++ b/src/coordination/log_storage.h
@@ -12,8 +12,8 @@
 namespace yuccawheel::coordination
 {
 
-/// Stores the state of a replica on disk. After any error except NoSpace from `saveSnapshot`, the storage must not be
-/// used again.
+/// Stores the state of a replica on disk. After NoSpace, from any function but `recover`, what was stored before stays
+/// in force and the call may be repeated. After any other error the storage must not be used again.
 class LogStorage : public SnapshotSource
 {
 public:
@@ -25,7 +25,7 @@
     /// Saves and syncs. The entries replace all stored ones from the index of the first on.
     virtual StorageResult<void> save(const std::optional<HardState> &hardState, const std::vector<Entry> &entries) = 0;
     /// Saves and syncs a snapshot of this replica's application, fills in the size and checksum of `meta`, and removes
-    /// the segments and snapshots that are no longer needed. After NoSpace the earlier snapshot remains in force.
+    /// the segments and snapshots that are no longer needed.
     virtual StorageResult<void> saveSnapshot(SnapshotMeta &meta, std::string_view bytes) = 0;
     /// Saves and syncs a snapshot received from the leader, which replaces the whole log.
     virtual StorageResult<void> installSnapshot(const Snapshot &snapshot) = 0;
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::size_t MaxFlushBytes = std::size_t{1024} * 1024; // Committed entries handed out by one flush.
+constexpr std::chrono::milliseconds SaveRetryInterval{100}; // While the disk is full.
 
 } // namespace
 
@@ -56,21 +57,25 @@
 
 void Replica::tick(base::TimePoint now)
 {
-    log_.tick(now);
+    if (!isDiskFull()) {
+        log_.tick(now);
+    }
 }
 
 void Replica::receive(const Message &message, base::TimePoint now)
 {
-    log_.receive(message, now);
+    if (!isDiskFull()) {
+        log_.receive(message, now);
+    }
 }
 
 tl::expected<Position, ProposeError> Replica::propose(std::string data)
 {
     // Free space is otherwise checked after writes, and a full disk gets none while proposals are refused.
-    if (diskFull_) {
-        updateDiskFull();
+    if (lowSpace_) {
+        updateLowSpace();
     }
-    if (diskFull_) {
+    if (lowSpace_ || isDiskFull()) {
         return tl::unexpected(ProposeError{ProposeFailure::DiskFull, log_.leader()});
     }
     return log_.propose(std::move(data));
@@ -78,17 +83,23 @@
 
 tl::expected<void, ProposeError> Replica::requestRead(std::uint64_t readId)
 {
+    if (isDiskFull()) {
+        return tl::unexpected(ProposeError{ProposeFailure::DiskFull, log_.leader()});
+    }
     return log_.requestRead(readId);
 }
 
 tl::expected<Position, ProposeError> Replica::removeReplica(ReplicaId id, base::TimePoint now)
 {
+    if (isDiskFull()) {
+        return tl::unexpected(ProposeError{ProposeFailure::DiskFull, log_.leader()});
+    }
     return log_.removeReplica(id, now);
 }
 
 bool Replica::handOverLeadership(base::TimePoint now)
 {
-    return log_.handOverLeadership(now);
+    return !isDiskFull() && log_.handOverLeadership(now);
 }
 
 // Each Ready is persisted before its messages are collected, so that no message leaves before the state that it
@@ -99,12 +110,21 @@
     ReplicaOutput output;
     output.snapshot = std::exchange(loadedSnapshot_, std::nullopt);
     const std::size_t appliedBefore = appliedBytes_;
+    if (isDiskFull() && now < nextSave_) {
+        return output;
+    }
     while (true) {
-        Ready ready = log_.takeReady(now);
+        Ready ready = unsaved_ ? std::move(*unsaved_) : log_.takeReady(now);
+        unsaved_.reset();
         if (ready.empty()) {
             return output;
         }
         if (auto done = persist(ready); !done) {
+            if (done.error().failure == StorageFailure::NoSpace) {
+                unsaved_ = std::move(ready);
+                nextSave_ = now + SaveRetryInterval;
+                return output;
+            }
             failed_ = true;
             return tl::unexpected(done.error());
         }
@@ -138,14 +158,14 @@
     if (auto done = storage_.save(ready.snapshot ? std::nullopt : ready.hardState, ready.entries); !done) {
         return done;
     }
-    updateDiskFull();
+    updateLowSpace();
     return {};
 }
 
-void Replica::updateDiskFull()
+void Replica::updateLowSpace()
 {
     const auto free = storage_.freeBytes();
-    diskFull_ = free && *free < settings_.diskReserveBytes;
+    lowSpace_ = free && *free < settings_.diskReserveBytes;
 }
 
 void Replica::collectOutput(Ready ready, ReplicaOutput &output)
@@ -171,7 +191,7 @@
 
 bool Replica::isSnapshotDue() const
 {
-    return appliedBytes_ >= settings_.snapshotThresholdBytes;
+    return appliedBytes_ >= settings_.snapshotThresholdBytes && !isDiskFull();
 }
 
 StorageResult<void> Replica::saveSnapshot(Index index, std::string_view bytes)
--- a/src/coordination/replica.h
+++ b/src/coordination/replica.h
@@ -31,11 +31,13 @@
 };
 
 /// One replica: a replicated log with its storage. Not thread-safe; the time is passed in as an argument.
-/// Every StorageError it returns is fatal: the program must report it and end the process.
+/// Every StorageError it returns is fatal: the program must report it and end the process. A full disk is no error: the
+/// replica takes no part in the log until there is space, and its stored state stays as it is.
 class Replica
 {
 public:
     /// Starts a replica from its storage, which must outlive it.
+    /// NoSpace means that the stored state is whole but can't be prepared for use without space.
     static StorageResult<std::unique_ptr<Replica>>
     start(ReplicaSettings settings, LogStorage &storage, base::TimePoint now);
     /// Forms a new cluster by writing its initial state to an empty disk. Must be called once, on one replica, before
@@ -57,6 +59,12 @@
     /// Saves and syncs pending state and returns what the program must do next. Call it after each batch of the calls
     /// above.
     StorageResult<ReplicaOutput> flush(base::TimePoint now);
+    /// Returns whether state waits for space on a full disk. The replica promises nothing meanwhile: it sends and takes
+    /// no messages, so that a leader's lease runs out and the others elect another one.
+    bool isDiskFull() const
+    {
+        return unsaved_.has_value();
+    }
 
     /// Returns whether enough entries have been applied since the last snapshot to save the next one.
     bool isSnapshotDue() const;
@@ -73,16 +81,18 @@
     Replica(
         ReplicaSettings settings, LogStorage &storage, RecoveredState state, std::string snapshot, base::TimePoint now);
     StorageResult<void> persist(const Ready &ready);
-    void updateDiskFull();
+    void updateLowSpace();
     void collectOutput(Ready ready, ReplicaOutput &output);
 
     ReplicaSettings settings_;
     LogStorage &storage_;
     ReplicatedLog log_;
     std::optional<std::string> loadedSnapshot_; ///< Snapshot read at start, until `flush` returns it.
+    std::optional<Ready> unsaved_; ///< Could not be saved for want of space.
+    base::TimePoint nextSave_{}; ///< When to try again.
     std::vector<ReadReady> waitingReads_; ///< Confirmed, but waiting for earlier entries to be applied.
     std::size_t appliedBytes_ = 0;
-    bool diskFull_ = false;
+    bool lowSpace_ = false; ///< Less than the reserve is free.
     bool failed_ = false;
 };
 
--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -17,17 +17,12 @@
 constexpr std::chrono::milliseconds TickInterval{50}; ///< A quarter of the heartbeat interval.
 constexpr std::chrono::milliseconds FullQueueWait{1};
 constexpr std::chrono::milliseconds StateWaitInterval{20};
+constexpr std::chrono::milliseconds OpenRetryInterval{200}; ///< While the disk is full.
 
 } // namespace
 
-LogThread::LogThread(std::unique_ptr<coordination::FileSystem> files,
-                     std::unique_ptr<coordination::FileLogStorage> storage,
-                     std::unique_ptr<coordination::Replica> replica,
-                     std::function<void()> onOutput,
-                     std::function<void(std::string)> onFailure)
-    : files_(std::move(files))
-    , storage_(std::move(storage))
-    , replica_(std::move(replica))
+LogThread::LogThread(Open open, std::function<void()> onOutput, std::function<void(std::string)> onFailure)
+    : open_(std::move(open))
     , onOutput_(std::move(onOutput))
     , onFailure_(std::move(onFailure))
     , input_(InputQueueCapacity)
@@ -45,6 +40,9 @@
 
 void LogThread::run()
 {
+    if (!openLog()) {
+        return;
+    }
     while (!stopping_) {
         auto input = waitForInput();
         const base::DutyScope duty(base::Duty::Disk);
@@ -52,13 +50,42 @@
             handle(*input);
             input = taken < MaxInputsPerFlush ? input_.tryPop() : std::nullopt;
         }
-        replica_->tick(base::BootClock::now());
+        log_.replica->tick(base::BootClock::now());
         if (!flush()) {
             return;
         }
     }
 }
 
+// Opening rewrites the end of the log, which needs space. Other replicas send again what is dropped here.
+bool LogThread::openLog()
+{
+    while (!stopping_) {
+        auto opened = open_();
+        noteDiskFull(!opened && opened.error().failure == coordination::StorageFailure::NoSpace);
+        if (opened) {
+            log_ = std::move(*opened);
+            return true;
+        }
+        if (!diskFull_) {
+            onFailure_(std::string(coordination::toString(opened.error().failure)) + ": " + opened.error().detail);
+            return false;
+        }
+        const base::TimePoint retryAt = base::BootClock::now() + OpenRetryInterval;
+        while (!stopping_ && base::BootClock::now() < retryAt) {
+            waitForInput();
+        }
+    }
+    return false;
+}
+
+void LogThread::noteDiskFull(bool full)
+{
+    if (full != std::exchange(diskFull_, full)) {
+        base::logWarning(full ? "disk_full" : "disk_has_space");
+    }
+}
+
 std::optional<LogInput> LogThread::waitForInput()
 {
     const base::DutyScope duty(base::Duty::Waiting);
@@ -69,27 +96,33 @@
 {
     const base::TimePoint now = base::BootClock::now();
     if (const auto *message = std::get_if<coordination::Message>(&input.payload)) {
-        replica_->receive(*message, now);
+        log_.replica->receive(*message, now);
     } else if (auto *proposal = std::get_if<LogInput::Proposal>(&input.payload)) {
-        const auto position = replica_->propose(std::move(proposal->data));
+        const auto position = log_.replica->propose(std::move(proposal->data));
         if (!position) {
             base::logInfo("proposal_refused").with("failure", static_cast<int>(position.error().failure));
             if (position.error().failure == coordination::ProposeFailure::DiskFull) {
-                replica_->handOverLeadership(now); // Another replica's disk may have free space.
+                log_.replica->handOverLeadership(now); // Another replica's disk may have free space.
             }
         }
         results_.push_back({proposal->id, position ? std::optional(*position) : std::nullopt});
     } else if (const auto *nodes = std::get_if<LogInput::SetNodes>(&input.payload)) {
-        replica_->setNodes(nodes->nodes);
+        log_.replica->setNodes(nodes->nodes);
     } else {
-        replica_->handOverLeadership(now);
+        log_.replica->handOverLeadership(now);
     }
 }
 
+// With a full disk the replica neither leads nor follows, whatever its role was.
 LogStatus LogThread::status() const
 {
-    const coordination::ReplicatedLog &log = replica_->log();
+    const coordination::ReplicatedLog &log = log_.replica->log();
     LogStatus status{log.role(), log.term(), log.leader(), log.leaseEnd(), {}};
+    if (log_.replica->isDiskFull()) {
+        status.role = coordination::Role::Follower;
+        status.leader = {};
+        status.leaseEnd.reset();
+    }
     for (const coordination::Member &member : log.replicaSet().members) {
         status.members.push_back(member.id.node);
     }
@@ -100,11 +133,12 @@
 {
     bool more = true;
     while (more && !stopping_) {
-        auto result = replica_->flush(base::BootClock::now());
+        auto result = log_.replica->flush(base::BootClock::now());
         if (!result) {
             onFailure_(std::string(coordination::toString(result.error().failure)) + ": " + result.error().detail);
             return false;
         }
+        noteDiskFull(log_.replica->isDiskFull());
         more = result->hasMore;
         LogOutput output;
         output.results = std::exchange(results_, {});
@@ -114,7 +148,7 @@
         output.status = status();
         std::future<std::string> state;
         coordination::Index index = 0;
-        if (replica_->isSnapshotDue() && !output.committed.empty()) {
+        if (log_.replica->isSnapshotDue() && !output.committed.empty()) {
             index = output.committed.back().index;
             output.stateRequest = std::make_shared<std::promise<std::string>>();
             state = output.stateRequest->get_future();
@@ -133,7 +167,7 @@
             if (state.wait_for(StateWaitInterval) != std::future_status::ready) {
                 continue;
             }
-            const auto saved = replica_->saveSnapshot(index, state.get());
+            const auto saved = log_.replica->saveSnapshot(index, state.get());
             if (!saved) {
                 onFailure_("cannot save a snapshot: " + saved.error().detail);
                 return false;
--- a/src/programs/yw_manager/log_thread.h
+++ b/src/programs/yw_manager/log_thread.h
@@ -59,17 +59,22 @@
     std::shared_ptr<std::promise<std::string>> stateRequest;
 };
 
-/// Runs one replica of the log on its own thread, the only one that accesses the disk.
+/// A replica with its storage.
+struct OpenLog {
+    std::unique_ptr<coordination::FileLogStorage> storage;
+    std::unique_ptr<coordination::Replica> replica;
+};
+
+/// Runs one replica of the log on its own thread, the only one that accesses the disk. While the disk is full, the
+/// replica takes no part in the log.
 class LogThread
 {
 public:
-    /// Both callbacks run on the log thread: `onOutput` when there is output, `onFailure` when the disk has failed,
-    /// after which the thread ends.
-    LogThread(std::unique_ptr<coordination::FileSystem> files,
-              std::unique_ptr<coordination::FileLogStorage> storage,
-              std::unique_ptr<coordination::Replica> replica,
-              std::function<void()> onOutput,
-              std::function<void(std::string)> onFailure);
+    using Open = std::function<coordination::StorageResult<OpenLog>()>;
+
+    /// All callbacks run on the log thread: `open` at the start, again while it returns NoSpace, `onOutput` when there
+    /// is output, and `onFailure` when the disk has failed, after which the thread ends.
+    LogThread(Open open, std::function<void()> onOutput, std::function<void(std::string)> onFailure);
     ~LogThread();
     LogThread(const LogThread &) = delete;
     LogThread &operator=(const LogThread &) = delete;
@@ -86,21 +91,23 @@
 
 private:
     void run();
+    bool openLog();
     std::optional<LogInput> waitForInput();
+    void noteDiskFull(bool full);
     void handle(LogInput &input);
     bool flush();
     bool publish(LogOutput output);
     LogStatus status() const;
 
-    std::unique_ptr<coordination::FileSystem> files_;
-    std::unique_ptr<coordination::FileLogStorage> storage_;
-    std::unique_ptr<coordination::Replica> replica_;
+    Open open_;
+    OpenLog log_;
     std::function<void()> onOutput_;
     std::function<void(std::string)> onFailure_;
     base::BoundedQueue<LogInput> input_;
     base::BoundedQueue<LogOutput> output_;
     std::vector<ProposalResult> results_;
     LogStatus published_; ///< Status of the last published output.
+    bool diskFull_ = false; ///< As logged last.
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -74,6 +74,33 @@
     return coordination::ReplicatedLog::bootstrap(cluster == 0 ? 1 : cluster, {self, FirstGeneration}, set);
 }
 
+// Opens the log of a folder; with `first`, forms a cluster of that state before, unless the folder holds a log already.
+coordination::StorageResult<OpenLog> openLog(coordination::FileSystem &files,
+                                             const coordination::ReplicaSettings &settings,
+                                             const std::optional<coordination::RecoveredState> &first)
+{
+    using coordination::StorageFailure;
+    if (first) {
+        coordination::FileLogStorage storage(files);
+        const auto set = coordination::decodeReplicaSet(first->entries.front().data);
+        const auto formed =
+            coordination::Replica::formCluster(storage, first->hardState.cluster, first->hardState.self, *set);
+        // The folder holds a log already after a restart.
+        base::logInfo("log_formed").with("formed", formed.has_value()).with("seeds", set->members.size());
+        if (!formed && formed.error().failure == StorageFailure::NoSpace) {
+            return tl::unexpected(formed.error());
+        }
+    }
+    OpenLog log;
+    log.storage = std::make_unique<coordination::FileLogStorage>(files);
+    auto started = coordination::Replica::start(settings, *log.storage, base::BootClock::now());
+    if (!started) {
+        return tl::unexpected(started.error());
+    }
+    log.replica = std::move(*started);
+    return log;
+}
+
 } // namespace
 
 ManagerService::ManagerService(daemon::Context &context)
@@ -111,6 +138,11 @@
     listener_.reset();
 }
 
+workflow::Unanswered ManagerService::unanswered(ProposalOutcome outcome)
+{
+    return {outcome == ProposalOutcome::Unknown, RetryDelay};
+}
+
 std::unique_ptr<LogThread> ManagerService::startLog()
 {
     const settings::ProcessSettings &settings = context_.settings;
@@ -118,18 +150,8 @@
     if (!files) {
         throw std::runtime_error(describe(files.error()));
     }
-    auto storage = std::make_unique<coordination::FileLogStorage>(**files);
-    const std::vector<std::uint32_t> &seeds = managers_.seeds();
+    const std::vector<std::uint32_t> seeds = managers_.seeds();
     const bool isSeed = std::find(seeds.begin(), seeds.end(), self_) != seeds.end();
-    if (settings.newCluster && isSeed) {
-        const coordination::RecoveredState first = bootstrapState(self_, seeds);
-        const auto set = coordination::decodeReplicaSet(first.entries.front().data);
-        const auto formed =
-            coordination::Replica::formCluster(*storage, first.hardState.cluster, first.hardState.self, *set);
-        // Forming fails if the disk holds a log already, which is the case after a restart.
-        base::logInfo("log_formed").with("formed", formed.has_value()).with("seeds", seeds.size());
-        storage = std::make_unique<coordination::FileLogStorage>(**files);
-    }
     coordination::ReplicaSettings replica;
     std::random_device device;
     replica.log.self = {self_, std::uniform_int_distribution<std::uint32_t>(2)(device)};
@@ -144,10 +166,10 @@
     replica.log.electionJitter = ElectionJitter;
     replica.diskReserveBytes = DiskReserveBytes;
     replica.snapshotThresholdBytes = SnapshotThresholdBytes;
-    auto started = coordination::Replica::start(replica, *storage, base::BootClock::now());
-    if (!started) {
-        throw std::runtime_error(describe(started.error()));
-    }
+    const auto formed = settings.newCluster && isSeed ? std::optional(bootstrapState(self_, seeds)) : std::nullopt;
+    auto open = [files = std::shared_ptr<coordination::FileSystem>(std::move(*files)), replica, formed] {
+        return openLog(*files, replica, formed);
+    };
     const auto onOutput = [this, alive = alive_] {
         boost::asio::post(context_.io, [this, alive] {
             if (*alive != nullptr) {
@@ -159,7 +181,7 @@
         base::logError("disk_failed").with("reason", reason);
         boost::asio::post(context_.io, [reason] { throw std::runtime_error(reason); });
     };
-    return std::make_unique<LogThread>(std::move(*files), std::move(storage), std::move(*started), onOutput, onFailure);
+    return std::make_unique<LogThread>(std::move(open), onOutput, onFailure);
 }
 
 std::optional<std::string> ManagerService::notReadyReason() const
@@ -331,7 +353,7 @@
     if (result.position) {
         pending_[result.position->index] = {result.position->term, std::move(node.mapped())};
     } else if (node.mapped()) {
-        node.mapped()(false);
+        node.mapped()(ProposalOutcome::Refused);
     }
 }
 
@@ -358,7 +380,8 @@
     while (!pending_.empty() && pending_.begin()->first <= entry.index) {
         auto node = pending_.extract(pending_.begin());
         if (node.mapped().done) {
-            node.mapped().done(node.key() == entry.index && node.mapped().term == entry.term);
+            const bool committed = node.key() == entry.index && node.mapped().term == entry.term;
+            node.mapped().done(committed ? ProposalOutcome::Committed : ProposalOutcome::Unknown);
         }
     }
 }
@@ -396,7 +419,7 @@
     // The next leader decides whether these entries are committed, so their callers get no confirmation.
     for (auto &[index, entry] : std::exchange(pending_, {})) {
         if (entry.done) {
-            entry.done(false);
+            entry.done(ProposalOutcome::Unknown);
         }
     }
 }
@@ -416,7 +439,8 @@
 // when a proposed entry fails.
 bool ManagerService::propose(const workflow::LogEntry &entry)
 {
-    return proposeEntry(entry, [this](bool committed) { restartDue_ = restartDue_ || !committed; });
+    return proposeEntry(
+        entry, [this](ProposalOutcome outcome) { restartDue_ = restartDue_ || outcome != ProposalOutcome::Committed; });
 }
 
 void ManagerService::startLeading()
@@ -494,11 +518,11 @@
             return;
         }
         // Commits that the worker drains before acknowledging it, so that no later leader starts a task on the worker.
-        auto onResult = [reply, done](bool committed) {
-            if (committed) {
+        auto onResult = [reply, done](ProposalOutcome outcome) {
+            if (outcome == ProposalOutcome::Committed) {
                 done(reply);
             } else {
-                done(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+                done(tl::make_unexpected(unanswered(outcome)));
             }
         };
         if (!proposeEntry(workflow::WorkerDrainingEntry{report.worker.id, report.worker.born}, std::move(onResult))) {
@@ -525,11 +549,11 @@
         done(workflow::PutConfigurationReply{state_.configuration().version});
         return;
     }
-    auto onResult = [this, done](bool committed) {
-        if (committed) {
+    auto onResult = [this, done](ProposalOutcome outcome) {
+        if (outcome == ProposalOutcome::Committed) {
             done(workflow::PutConfigurationReply{state_.configuration().version});
         } else {
-            done(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+            done(tl::make_unexpected(unanswered(outcome)));
         }
     };
     if (!proposeEntry(workflow::ConfigurationEntry{std::move(configuration)}, std::move(onResult))) {
@@ -745,11 +769,11 @@
 
 void ManagerService::proposeAndReply(const workflow::LogEntry &entry, const QueueReplyCallback &reply)
 {
-    const bool taken = proposeEntry(entry, [reply](bool committed) {
-        if (committed) {
+    const bool taken = proposeEntry(entry, [reply](ProposalOutcome outcome) {
+        if (outcome == ProposalOutcome::Committed) {
             reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
         } else {
-            reply(tl::make_unexpected(workflow::Unanswered{true, RetryDelay}));
+            reply(tl::make_unexpected(unanswered(outcome)));
         }
     });
     if (!taken) {
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -41,7 +41,12 @@
     void reload(const settings::ProcessSettings &settings) override;
 
 private:
-    using CommitCallback = std::function<void(bool committed)>;
+    enum class ProposalOutcome : std::uint8_t {
+        Committed,
+        Refused, ///< The log did not take the entry, which will have no effect.
+        Unknown, ///< The entry may be committed later, by this leader or the next.
+    };
+    using CommitCallback = std::function<void(ProposalOutcome)>;
     using QueueReplyCallback = std::function<void(tl::expected<workflow::QueueReply, workflow::Unanswered>)>;
     /// A proposed entry that has a position in the log but is not committed yet.
     struct PendingEntry {
@@ -74,6 +79,7 @@
 
     // Replicated log and leadership.
     std::unique_ptr<LogThread> startLog();
+    static workflow::Unanswered unanswered(ProposalOutcome outcome);
     void handlePendingOutput();
     void handleOutput(LogOutput &output);
     void handleProposalResult(const ProposalResult &result);
