--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -16,8 +16,8 @@
     void grow(std::size_t count);
     /// Sets a worker's capacity, which must hold what is reserved.
     void setCapacity(WorkerId worker, const Resources &capacity);
-    /// Sets the capacity that a worker reports for itself, which may have shrunk below what is reserved. Nothing more can
-    /// be reserved there then.
+    /// Sets the capacity that a worker reports for itself, which may have shrunk below what is reserved. Nothing more
+    /// can be reserved there then.
     void setReportedCapacity(WorkerId worker, const Resources &capacity);
     void reserve(WorkerId worker, const Resources &amount);
     /// Records what was reserved earlier, by another leader, even if the capacity has shrunk since.
