--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -62,12 +62,13 @@
 {
     while (!stopping_) {
         auto opened = open_();
-        noteDiskFull(!opened && opened.error().failure == coordination::StorageFailure::NoSpace);
+        const bool full = !opened && opened.error().failure == coordination::StorageFailure::NoSpace;
+        diskFullLog_.update(full);
         if (opened) {
             log_ = std::move(*opened);
             return true;
         }
-        if (!diskFull_) {
+        if (!full) {
             onFailure_(std::string(coordination::toString(opened.error().failure)) + ": " + opened.error().detail);
             return false;
         }
@@ -79,13 +80,6 @@
     return false;
 }
 
-void LogThread::noteDiskFull(bool full)
-{
-    if (full != std::exchange(diskFull_, full)) {
-        base::logWarning(full ? "disk_full" : "disk_has_space");
-    }
-}
-
 std::optional<LogInput> LogThread::waitForInput()
 {
     const base::DutyScope duty(base::Duty::Waiting);
@@ -138,7 +132,7 @@
             onFailure_(std::string(coordination::toString(result.error().failure)) + ": " + result.error().detail);
             return false;
         }
-        noteDiskFull(log_.replica->isDiskFull());
+        diskFullLog_.update(log_.replica->isDiskFull());
         more = result->hasMore;
         LogOutput output;
         output.results = std::exchange(results_, {});
--- a/src/programs/yw_manager/log_thread.h
+++ b/src/programs/yw_manager/log_thread.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "coordination/file_log_storage.h"
 #include "coordination/replica.h"
+#include "store/disk_full_log.h"
 
 #include <atomic>
 #include <functional>
@@ -93,7 +94,6 @@
     void run();
     bool openLog();
     std::optional<LogInput> waitForInput();
-    void noteDiskFull(bool full);
     void handle(LogInput &input);
     bool flush();
     bool publish(LogOutput output);
@@ -107,7 +107,7 @@
     base::BoundedQueue<LogOutput> output_;
     std::vector<ProposalResult> results_;
     LogStatus published_; ///< Status of the last published output.
-    bool diskFull_ = false; ///< As logged last.
+    store::DiskFullLog diskFullLog_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
--- a/src/programs/yw_store/store_thread.cpp
+++ b/src/programs/yw_store/store_thread.cpp
@@ -97,8 +97,10 @@
             wake_();
         }
     }
-    status_.isLeader = core_.isLeader();
-    status_.ready = core_.log().leader().node != 0
+    const bool full = replica_->isDiskFull();
+    diskFullLog_.update(full);
+    status_.isLeader = !full && core_.isLeader();
+    status_.ready = !full && core_.log().leader().node != 0
         && (core_.log().role() == coordination::Role::Leader || core_.log().role() == coordination::Role::Follower);
     status_.appliedIndex = core_.state().index();
     return true;
--- a/src/programs/yw_store/store_thread.h
+++ b/src/programs/yw_store/store_thread.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "coordination/file_log_storage.h"
 #include "coordination/replica.h"
+#include "store/disk_full_log.h"
 #include "store/store_core.h"
 
 #include <atomic>
@@ -79,6 +80,7 @@
     StoreStatus status_;
     base::BoundedQueue<StoreInput> input_;
     base::BoundedQueue<StoreOutput> output_;
+    DiskFullLog diskFullLog_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
