Keep a call's deadline when its connection waits for a later one

A call on a connection whose timer was armed for a long poll timed out only with the poll's deadline, up to 2 s late. Found by reading: the timer that outlives its calls was armed again only after it had fired.

Test CallAfterOneWithALaterDeadlineTimesOutAtItsOwn: no time-out within 30 s before, 100 ms now.

--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -107,7 +107,7 @@
     void run(QueuedCall call)
     {
         call_.emplace(std::move(call));
-        if (!timerArmed_) {
+        if (!timerArmed_ || timer_.expiry() > call_->deadline) {
             armTimer();
         }
         prepareMessage();
