--- a/tests/log_record_test.cpp
+++ b/tests/log_record_test.cpp
@@ -34,7 +34,7 @@
     testing::internal::CaptureStdout();
     logError("event").with("first", first).with("second", second);
     std::string line = testing::internal::GetCapturedStdout();
-    RC_ASSERT(!line.empty() && line.back() == '\n');
+    RC_ASSERT((!line.empty() && line.back() == '\n'));
     line.pop_back();
     const auto record = parseLogRecord(line);
     RC_ASSERT(record.has_value());
--- a/tests/routing_keys_test.cpp
+++ b/tests/routing_keys_test.cpp
@@ -149,7 +149,8 @@
         if (decision.reply.status == KeyStatus::Duplicate) {
             RC_ASSERT(decision.reply.verdict != base::Verdict::NotRun);
             RC_ASSERT(decision.reply.verdict != base::Verdict::Ran || ended_.contains(key));
-            RC_ASSERT(!decision.reply.answer || decision.reply.answer->body == key);
+            // Without the inner parentheses, RC_ASSERT evaluates both sides.
+            RC_ASSERT((!decision.reply.answer || decision.reply.answer->body == key));
         }
     }
 
@@ -276,5 +277,5 @@
     keys.parse(text);
     keys.parse("z1-a:" + text);
     const auto key = keys.parse("z1-a:1:" + text + ":1");
-    RC_ASSERT(!key || key->incarnation == 1);
+    RC_ASSERT((!key || key->incarnation == 1));
 }
