Keep what is known of run times in the replicated state

After each change of leader, and after all managers had restarted, ranks rested on callers' estimates alone until 30 gangs of a queue had ended, some 8 s. Jobs with low estimates counted as late meanwhile and went last.

Cause: the model of run times belonged to the leader. Its class: what one leader has learned is lost with it; crash counts had the same fault.

Tests, each seen to fail before: LowEstimateDoesNotMakeAJobTooLateAfter- AChangeOfLeader (objective missed), RunsOfAnEarlierLeaderAreNotTimed (798 ms expected instead of 400).

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -119,7 +119,7 @@
             .with("steps", job.spec.steps.size())
             .with("tasks", job.spec.tasksPerOccurrence())
             .with("core_seconds", estimatedCoreSeconds(job.spec))
-            .with("objective_ms", objectiveOf(job, runTimes_).count());
+            .with("objective_ms", objectiveOf(job, state_->runTimes()).count());
         break;
     }
     case StateEvent::Kind::JobKnown:
@@ -132,7 +132,7 @@
             .with("phase", toString(job.phase))
             .with("reason", job.phase == JobPhase::Failed ? job.failureReason(event.job).value_or("none") : "none")
             .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrivals_[event.job]).count())
-            .with("objective_ms", objectiveOf(job, runTimes_).count());
+            .with("objective_ms", objectiveOf(job, state_->runTimes()).count());
         updateReadySteps(event.job);
         stopJob(event.job, now);
         break;
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -213,7 +213,6 @@
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
     void processEndedTasks(WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint now);
-    void recordRunTime(WorkerNumber number, const TaskRef &task, const JobRecord &job, std::chrono::milliseconds taken);
     void processEndedInSuccessor(WorkerNumber number, WorkerView &worker, const PollAnswer &answer);
     LiveRun *findRun(WorkerNumber worker, const TaskRef &task, std::uint32_t run);
     bool retireReplacedWorkers(const WorkerReport &report, base::TimePoint now);
@@ -236,7 +235,6 @@
     std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
     EligibilityGateways gateways_;
     WorkerSpeedTracker speeds_;
-    RunTimeModel runTimes_;
     std::map<std::uint64_t, PendingQuery> pendingQueries_;
     std::map<std::string, double> eligibleShare_; ///< By queue: moving average of the share of eligible workers.
     std::uint64_t nextQueryNumber_ = 1;
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -128,7 +128,7 @@
         if (!job.steps[key.position].hasWaitingTasks()) {
             continue;
         }
-        order.emplace_back(rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now), key);
+        order.emplace_back(rankOf(key.job, job, key.position, state_->runTimes(), arrivals_.at(key.job), now), key);
     }
     std::sort(order.begin(), order.end());
     urgentPriority_ = order.empty() ? std::numeric_limits<std::int32_t>::max() : order.front().first.priority;
@@ -150,7 +150,7 @@
             continue;
         }
         const JobRecord &job = *state_->findJob(key.job);
-        const Rank rank = rankOf(key.job, job, key.position, runTimes_, arrivals_.at(key.job), now);
+        const Rank rank = rankOf(key.job, job, key.position, state_->runTimes(), arrivals_.at(key.job), now);
         if (rank.lateness == Rank::Lateness::OnTime && rank.priority <= urgentPriority_) {
             order.emplace_back(rank, key);
         }
@@ -277,7 +277,7 @@
                                 waiting,
                                 eligibility,
                                 tasksByWorker(job, key),
-                                slackOf(job, runTimes_),
+                                slackOf(job, state_->runTimes()),
                                 mayPreempt,
                                 job.refOf(key.job, key.position, 0),
                                 spec.gang ? job.crashesOf(key.position, 0).suspicion() : Suspicion::None};
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -463,6 +463,7 @@
         run->stage = LiveRun::Stage::Running;
         run->mayHaveStarted = true;
         run->runningSince = now;
+        run->isTimed = true;
         startedJobs_.insert(task.job);
         reviewPolls(number, worker, now);
         return;
@@ -599,16 +600,24 @@
             base::logWarning("ended_task_unreadable").with("worker", worker.identity.id).with("task", ended.task);
             continue;
         }
-        entry.ends.push_back({*task, ended.run, ended.outcome, ended.checkpoint});
+        EndsEntry::End &end = entry.ends.emplace_back();
+        end.task = *task;
+        end.run = ended.run;
+        end.outcome = ended.outcome;
+        end.checkpoint = ended.checkpoint;
         const LiveRun *const run = findRun(number, *task, ended.run);
         const JobRecord *const job = state_->findJob(task->job);
-        const bool timed = run != nullptr && run->runningSince != base::TimePoint{};
+        const bool timed = run != nullptr && run->isTimed;
         const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(timed ? now - run->runningSince
                                                                                      : base::BootClock::duration{0});
         if (ended.outcome == RunOutcome::Done) {
             worker.health.recordSuccess();
-            if (run != nullptr && job != nullptr && run->stage == LiveRun::Stage::Running) {
-                recordRunTime(number, *task, *job, ran);
+            if (timed && job != nullptr && run->stage == LiveRun::Stage::Running) {
+                speeds_.recordRunTime(number, job->spec.steps[task->step].estimatedRunTime, ran);
+                // A resumed run does only a part of the task's work.
+                if (state_->findTask(*task)->checkpoint.empty()) {
+                    end.runTime = ran;
+                }
             }
         } else if (ended.outcome == RunOutcome::Failed) {
             worker.health.recordFailure(task->job, now);
@@ -626,19 +635,6 @@
     }
 }
 
-void JobManager::recordRunTime(WorkerNumber number,
-                               const TaskRef &task,
-                               const JobRecord &job,
-                               std::chrono::milliseconds taken)
-{
-    const auto estimated = job.spec.steps[task.step].estimatedRunTime;
-    speeds_.recordRunTime(number, estimated, taken);
-    // A resumed run does only a part of the task's work.
-    if (state_->findTask(task)->checkpoint.empty()) {
-        runTimes_.record(job.policy.queue, estimated, taken);
-    }
-}
-
 // Orders to a retired incarnation may have reached the next one with the same id. Records the runs that ended there,
 // but acknowledges none: the end numbers belong to the next incarnation, which acknowledges them after it has joined.
 void JobManager::processEndedInSuccessor(WorkerNumber number, WorkerView &worker, const PollAnswer &answer)
@@ -653,7 +649,7 @@
         LiveRun *const run = task ? findRun(number, *task, ended.run) : nullptr;
         if (run != nullptr && run->stage != LiveRun::Stage::ReleaseProposed
             && run->stage != LiveRun::Stage::EndProposed) {
-            entry.ends.push_back({*task, ended.run, ended.outcome, ended.checkpoint});
+            entry.ends.push_back({*task, ended.run, ended.outcome, ended.checkpoint, {}});
             runs.push_back(run);
         }
     }
@@ -692,6 +688,7 @@
             run->checkpoint = running.checkpoint;
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
+            run->isTimed = run->stage == LiveRun::Stage::Starting;
             run->stage = LiveRun::Stage::Running;
             run->mayHaveStarted = true;
             run->runningSince = now;
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -92,7 +92,8 @@
         std::uint32_t run = 0;
         RunOutcome outcome = RunOutcome::Failed;
         std::string checkpoint;
-        MSGPACK_DEFINE(task, run, outcome, checkpoint)
+        std::chrono::milliseconds runTime{0}; ///< If the run did all of the task's work and was timed; else zero.
+        MSGPACK_DEFINE(task, run, outcome, checkpoint, runTime)
     };
     WorkerNumber worker = 0;
     std::uint64_t lastEndNumber = 0; ///< All ends of this worker up to this number are recorded.
--- a/src/workflow/run_time_model.h
+++ b/src/workflow/run_time_model.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <msgpack.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -26,8 +28,13 @@
         double meanRunTime = 0;
         double variance = 0; ///< Of the estimates.
         double covariance = 0;
+
+        MSGPACK_DEFINE(count, meanEstimate, meanRunTime, variance, covariance)
     };
     std::map<std::string, Samples> queues_;
+
+public:
+    MSGPACK_DEFINE(queues_)
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -208,6 +208,7 @@
         }
         location.job->begun = true;
         if (end.outcome == RunOutcome::Done && !location.spec->longRunning) {
+            runTimes_.record(location.job->policy.queue, location.spec->estimatedRunTime, end.runTime);
             finishTask(end.task, location, events);
         } else {
             recordCheckpoint(location, end.checkpoint);
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -2,6 +2,7 @@
 
 #include "workflow/crash_count.h"
 #include "workflow/log_entry.h"
+#include "workflow/run_time_model.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -162,13 +163,18 @@
     }
     /// Returns whether this worker incarnation is marked as draining.
     bool isDraining(const WorkerIdentity &worker) const;
+    /// Returns what the ends so far tell about run times.
+    const RunTimeModel &runTimes() const
+    {
+        return runTimes_;
+    }
     /// Returns the record of a task, or null if the task does not exist.
     const TaskRecord *findTask(const TaskRef &task) const;
 
     std::string snapshot() const;
     static tl::expected<State, protocol::DecodeError> restore(std::string_view bytes);
 
-    MSGPACK_DEFINE(configuration_, jobs_, workers_, nextWorker_)
+    MSGPACK_DEFINE(configuration_, jobs_, workers_, nextWorker_, runTimes_)
 
 private:
     void applyBody(const ConfigurationEntry &entry, std::vector<StateEvent> &events);
@@ -204,6 +210,7 @@
     std::unordered_map<JobKey, JobRecord> jobs_;
     std::map<WorkerNumber, WorkerRecord> workers_;
     WorkerNumber nextWorker_ = 1;
+    RunTimeModel runTimes_;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -34,7 +34,8 @@
     std::string ticket; ///< Sent with the start order.
     std::string checkpoint; ///< Last known checkpoint.
     base::TimePoint nextCall{}; ///< Earliest time of the next order that the stage requires.
-    base::TimePoint runningSince{};
+    base::TimePoint runningSince{}; ///< When the worker first confirmed the run to this leader.
+    bool isTimed = false; ///< `runningSince` is when the run started.
     std::optional<base::TimePoint> stopAnsweredAt;
     std::uint32_t startCalls = 0;
     bool callInFlight = false;
--- a/tests/workflow_load_test.cpp
+++ b/tests/workflow_load_test.cpp
@@ -94,6 +94,47 @@
     return static_cast<double>(after.workersExamined - before.workersExamined - indexed) / Jobs;
 }
 
+/// Returns whether a job whose estimate is far too low meets its objective, in a queue whose estimates say nothing.
+bool meetsObjectiveInSpiteOfEstimate(bool leaderChanges)
+{
+    constexpr auto RunTime = 2s;
+    ManagerSimulation::Options options;
+    options.workers.runTime = RunTime;
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 4);
+    workflow::JobKey key = 0;
+    const auto submitAll = [&](std::size_t jobs, std::chrono::milliseconds estimate, const auto &queue) {
+        for (std::size_t number = 0; number < jobs; ++number) {
+            simulation.submit(++key, job(1, WorkerMilliCpu, estimate), queue);
+        }
+    };
+    // Estimates of this queue say nothing about its run times.
+    const workflow::QueuePolicy rough = policy("rough", 1);
+    for (int round = 0; round < 16; ++round) {
+        submitAll(4, round % 2 == 0 ? 100ms : 4'000ms, rough);
+        simulation.run(RunTime + 200ms);
+    }
+    const auto isCompleted = [&](workflow::JobKey each) {
+        const workflow::JobRecord *const record = simulation.state.findJob(each);
+        return record != nullptr && record->phase == workflow::JobPhase::Completed;
+    };
+    if (leaderChanges) {
+        simulation.loseLeader();
+        simulation.run(1s);
+        simulation.lead();
+        simulation.run(200ms);
+    }
+    submitAll(4, RunTime, rough);
+    simulation.run(100ms);
+    const workflow::JobKey underestimated = key + 1;
+    submitAll(1, 100ms, rough);
+    workflow::QueuePolicy patient = policy("patient", 2);
+    patient.target = 1min;
+    submitAll(12, RunTime, patient);
+    // The objective is twice the run time and a second more.
+    return simulation.runUntil([&] { return isCompleted(underestimated); }, 2 * RunTime + 1s);
+}
+
 } // namespace
 
 // Guards against a leader that spends its whole processor on dispatches: at 350 workers, urgent jobs waited for it.
@@ -151,34 +192,11 @@
 // Guards against jobs that count as too late for use, and go last, because their caller's estimate is far too low.
 TEST(WorkflowLoad, LowEstimateDoesNotMakeAJobTooLate)
 {
-    constexpr auto RunTime = 2s;
-    ManagerSimulation::Options options;
-    options.workers.runTime = RunTime;
-    ManagerSimulation simulation(options);
-    addWorkers(simulation, 4);
-    workflow::JobKey key = 0;
-    const auto submitAll = [&](std::size_t jobs, std::chrono::milliseconds estimate, const auto &queue) {
-        for (std::size_t number = 0; number < jobs; ++number) {
-            simulation.submit(++key, job(1, WorkerMilliCpu, estimate), queue);
-        }
-    };
-    // Estimates of this queue say nothing about its run times.
-    const workflow::QueuePolicy rough = policy("rough", 1);
-    for (int round = 0; round < 16; ++round) {
-        submitAll(4, round % 2 == 0 ? 100ms : 4'000ms, rough);
-        simulation.run(RunTime + 200ms);
-    }
-    const auto isCompleted = [&](workflow::JobKey each) {
-        const workflow::JobRecord *const record = simulation.state.findJob(each);
-        return record != nullptr && record->phase == workflow::JobPhase::Completed;
-    };
-    submitAll(4, RunTime, rough);
-    simulation.run(100ms);
-    const workflow::JobKey underestimated = key + 1;
-    submitAll(1, 100ms, rough);
-    workflow::QueuePolicy patient = policy("patient", 2);
-    patient.target = 1min;
-    submitAll(12, RunTime, patient);
-    EXPECT_TRUE(simulation.runUntil([&] { return isCompleted(underestimated); }, 2 * RunTime + 1s))
-        << "the objective is twice the run time and a second more";
+    EXPECT_TRUE(meetsObjectiveInSpiteOfEstimate(false));
+}
+
+// Guards against a leader that has to learn how far estimates can be relied on.
+TEST(WorkflowLoad, LowEstimateDoesNotMakeAJobTooLateAfterAChangeOfLeader)
+{
+    EXPECT_TRUE(meetsObjectiveInSpiteOfEstimate(true));
 }
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -117,6 +117,24 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against run times that count from a change of leader: the queue's jobs would seem shorter than they are.
+TEST_F(WorkflowManager, RunsOfAnEarlierLeaderAreNotTimed)
+{
+    constexpr std::uint32_t Tasks = 40;
+    ManagerSimulation::Options options;
+    options.workers.runTime = 3s;
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 4);
+    simulation.submit(Key, job({step(Tasks, 1'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == Tasks; }, 1s));
+    simulation.run(2s);
+    simulation.loseLeader();
+    simulation.run(200ms);
+    simulation.lead();
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.phaseOf(Key) == JobPhase::Completed; }, 5s));
+    EXPECT_EQ(simulation.state.runTimes().expectedRunTime(policy().queue, 400ms), 400ms) << "nothing was learned";
+}
+
 TEST_F(WorkflowManager, FailsJobAfterAllAttempts)
 {
     ManagerSimulation simulation({});
--- a/tests/workflow_state_test.cpp
+++ b/tests/workflow_state_test.cpp
@@ -39,6 +39,21 @@
     bool draining = true;
     MSGPACK_DEFINE(identity, lastEndNumber, placed, draining)
 };
+/// Stored forms of the version before run times were recorded.
+struct EarlierEnd {
+    TaskRef task{Key, 0, 0, 1};
+    std::uint32_t run = 2;
+    workflow::RunOutcome outcome = workflow::RunOutcome::Stopped;
+    std::string checkpoint = "saved";
+    MSGPACK_DEFINE(task, run, outcome, checkpoint)
+};
+struct EarlierState {
+    workflow::Configuration configuration;
+    std::map<workflow::JobKey, workflow::JobRecord> jobs;
+    std::map<workflow::WorkerNumber, workflow::WorkerRecord> workers{{3, {}}};
+    workflow::WorkerNumber nextWorker = 4;
+    MSGPACK_DEFINE(configuration, jobs, workers, nextWorker)
+};
 struct EarlierEndsEntry {
     workflow::WorkerNumber worker = 4;
     std::uint64_t lastEndNumber = 9;
@@ -81,6 +96,7 @@
         entry.spec.steps.resize(1);
         entry.spec.steps[0].count = count;
         entry.spec.steps[0].gang = gang;
+        entry.spec.steps[0].estimatedRunTime = 100ms;
         apply(entry);
     }
     void place(std::uint32_t index, std::uint32_t run, workflow::WorkerNumber worker)
@@ -251,6 +267,36 @@
     EXPECT_TRUE(ends.crashed.empty());
 }
 
+TEST(WorkflowStoredForm, EndsAndSnapshotsWithoutRunTimesStillLoad)
+{
+    const auto end = decodeEarlier<workflow::EndsEntry::End>(EarlierEnd{});
+    EXPECT_EQ(end.task.index, 1U);
+    EXPECT_EQ(end.checkpoint, "saved");
+    EXPECT_EQ(end.runTime, 0ms);
+    const auto state = decodeEarlier<workflow::State>(EarlierState{});
+    EXPECT_EQ(state.workers().size(), 1U);
+    EXPECT_EQ(state.runTimes().expectedRunTime("queue", 100ms), 100ms);
+}
+
+// Guards against a new leader that takes callers' estimates as they are.
+TEST_F(WorkflowState, RunTimesOutliveSnapshots)
+{
+    constexpr std::uint32_t Tasks = 40;
+    accept(Tasks, false);
+    workflow::EndsEntry ends;
+    ends.worker = 1;
+    for (std::uint32_t index = 0; index < Tasks; ++index) {
+        place(index, 1, 1);
+        ends.ends.push_back({{Key, 0, 0, index}, 1, workflow::RunOutcome::Done, {}, 700ms});
+    }
+    apply(ends);
+    const std::string &queue = state_.findJob(Key)->policy.queue;
+    const auto restored = workflow::State::restore(state_.snapshot());
+    ASSERT_TRUE(restored.has_value());
+    EXPECT_GE(restored->runTimes().expectedRunTime(queue, 100ms), 690ms);
+    EXPECT_EQ(restored->runTimes().expectedRunTime(queue, 50ms), state_.runTimes().expectedRunTime(queue, 50ms));
+}
+
 // Guards against a crash that two leaders record, and against runs that have ended before it.
 TEST_F(WorkflowState, CrashCountsOnceAndOnlyAgainstRunsThatWereThere)
 {
