Answer requests until the process ends

What callers saw: requests on open connections got no answer when a gateway stopped on SIGTERM while managers did not respond.

Cause: after its drain a process tells its peers that it leaves, which takes up to 500 ms if they don't confirm. It still read requests meanwhile, whose answers need those peers, and ended with them unanswered. Its class: work is accepted after the check that none is left.

Retry-After is 0: another process can serve it.

test_requests_on_open_connections_are_answered_until_the_gateway_ends failed before (connection closed without an answer).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -140,6 +140,7 @@
         });
         service_.drain([this] {
             base::logInfo("drain_finished");
+            service_.refuseRequests();
             context_.members.leave([this] { context_.io.stop(); });
         });
     }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -48,6 +48,12 @@
     /// Stops accepting work and calls `done` when all work in progress has ended.
     virtual void drain(std::function<void()> done) = 0;
 
+    /// Refuses all further requests, also on open connections. Called when the drain has ended: the process still tells
+    /// its peers that it leaves, and nobody would answer what it reads meanwhile.
+    virtual void refuseRequests()
+    {
+    }
+
     /// Applies settings that changed while the process runs. Settings that the service ignores need a restart.
     virtual void reload(const settings::ProcessSettings &settings)
     {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -58,6 +58,7 @@
     ServerOptions options;
     Handler handler;
     std::size_t connections = 0;
+    bool refusing = false;
     bool stopped = false;
 };
 
@@ -143,6 +144,10 @@
             rejectRequest(bhttp::error::bad_content_length);
             return;
         }
+        if (server_->refusing) {
+            refuse();
+            return;
+        }
         stream_.expires_never();
         keepAlive_ = parser_->get().keep_alive();
         auto responder = [answered = false, self = shared_from_this()](Response response) mutable {
@@ -205,6 +210,16 @@
                        {}});
     }
 
+    // The client reaches another process at once if it connects again.
+    void refuse()
+    {
+        keepAlive_ = false;
+        writeResponse({503,
+                       R"({"error":"unavailable","message":"the process is ending","verdict":"not-run"})",
+                       "application/json",
+                       {{"Retry-After", "0"}}});
+    }
+
     void writeResponse(Response response)
     {
         response_.emplace();
@@ -275,6 +290,11 @@
     impl_->acceptor.close(ignored);
 }
 
+void Server::refuseRequests()
+{
+    impl_->refusing = true;
+}
+
 asio::ip::tcp::endpoint Server::address() const
 {
     return impl_->acceptor.local_endpoint();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -65,6 +65,8 @@
     Server &operator=(const Server &) = delete;
 
     boost::asio::ip::tcp::endpoint address() const;
+    /// Answers all further requests with 503 and closes their connections. Responses to earlier ones are still sent.
+    void refuseRequests();
 
     struct Impl;
 
--- a/src/platform/caller_api.h
+++ b/src/platform/caller_api.h
@@ -26,6 +26,11 @@
         return inProgress_;
     }
 
+    void refuseRequests()
+    {
+        server_.refuseRequests();
+    }
+
 private:
     void handle(const http::Request &request, const http::Responder &respond);
 
--- a/src/platform/control_api.h
+++ b/src/platform/control_api.h
@@ -17,6 +17,11 @@
                const boost::asio::ip::tcp::endpoint &address,
                workflow::ControlHandler &handler);
 
+    void refuseRequests()
+    {
+        server_.refuseRequests();
+    }
+
 private:
     void handle(const http::Request &request, const http::Responder &respond);
     void report(const workflow::WorkerReport &report, const http::Responder &respond);
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -37,6 +37,10 @@
 
     std::optional<std::string> notReadyReason() const override;
     void drain(std::function<void()> done) override;
+    void refuseRequests() override
+    {
+        control_->refuseRequests();
+    }
     std::size_t inProgress() const override;
     void reload(const settings::ProcessSettings &settings) override;
 
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -217,6 +217,27 @@
         self.assertEqual(len(ends), 3, "one for each allowed attempt")
         self.assertLess(ends[-1], end)
 
+    # Guards against requests that a gateway reads while it only waits for its peers to hear that it leaves: they were
+    # lost when it ended.
+    def test_requests_on_open_connections_are_answered_until_the_gateway_ends(self):
+        connection = http.client.HTTPConnection(*self.caller, timeout=5)
+        self.addCleanup(connection.close)
+
+        def ask():
+            connection.request("GET", "/jobs/0000000000000001", None, {"Host": "host.example"})
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+
+        self.assertEqual(ask()[0], 410)
+        for manager in self.managers:
+            manager.pause()  # They don't hear it, so that the gateway waits.
+        self.gateway.signal(signal.SIGTERM)
+        wait_until(lambda: "event=drain_finished" in self.gateway.log_text(), "the drain has ended")
+        self.assertEqual(ask()[0], 503)
+        self.assertEqual(self.gateway.child.wait(5), 0)
+        for manager in self.managers:
+            manager.resume()
+
     def test_stopped_processes_exit_with_success(self):
         self.assertEqual(self.gateway.terminate(), 0)
         for manager in self.managers:
