Soak managers and gateways under overlapping faults

tests/fault_soak.py starts the real processes with called workers, callers and an operator. Processes are killed, terminated, paused and reloaded, all managers are killed at once, a manager loses its disk, workers crash, and their links are delayed, reset or silenced in one or both directions, in series and overlapping. Callers keep their connections until the gateway closes them. Checked are: tasks in two places or again after their end was acknowledged, capacity, order of steps, refused jobs that run, lost and failed jobs, cancelled ones that run on, age of the configuration, requests cut off, ends of processes of their own, and that all accepted jobs end.

The fakes of called workers got leases, crashes and ends of gangs, the relay delays and resets.

Faults of the soak itself that its first runs showed: orders after the lease's end must be refused, members of a gang end together, and a process that has not set up its signal handlers yet can't handle signals.

--- a/fakes/called_worker.py
+++ b/fakes/called_worker.py
@@ -8,6 +8,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 RUN_CHECK_INTERVAL_S = 0.01
+MAX_LEASE_MS = 10_000
 
 
 class _Server(ThreadingHTTPServer):
@@ -55,17 +56,26 @@
 
 
 class CalledWorker:
-    """One worker. `starts` lists the started runs as (task, run)."""
+    """One worker. `starts` lists the started runs as (task, run).
 
-    def __init__(self, ip, managers, name, run_s=0.3, cpu=16000):
+    `observer` is told what happens, with the lock held: `started(worker, task)` before a run is added,
+    `ended(worker, number, task, outcome)`, `acknowledged(worker, number)` and `restarted(worker)`. Workers with a common
+    observer need a common `lock`. `link` is the address that the worker reports, if orders go through a relay."""
+
+    def __init__(self, ip, managers, name, run_s=0.3, cpu=16000, observer=None, lock=None, link=None):
         self.name = name
+        self.observer = observer
+        self.silent = False  # Sends no reports
+        self.down_until = 0.0
+        self.lease_until = 0
+        self.link = link
         self.managers = managers
         self.run_s = run_s
         self.cpu = cpu
         self.outcome = "done"  # Outcome of runs that end by themselves
         self.born = int(time.time() * 1000)
         self.started_at = time.monotonic()
-        self.lock = threading.Lock()
+        self.lock = lock or threading.RLock()
         self.runs = {}
         self.ended = []
         self.next_end = 1
@@ -87,12 +97,30 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def crash(self, down_s):
+        """Ends all runs without a trace. The next incarnation answers after this time."""
+        with self.lock:
+            self.born = int(time.time() * 1000)
+            self.started_at = time.monotonic()
+            self.down_until = time.monotonic() + down_s
+            self.runs, self.ended, self.highest_ended_run = {}, [], {}
+            self.next_end = 1
+            self.sequence = self.lease_until = 0
+            self._tell("restarted")
+
+    def _tell(self, event, *arguments):
+        if self.observer:
+            getattr(self.observer, event)(self, *arguments)
+
     def _report(self):
         while not self.closed:
+            if self.silent or time.monotonic() < self.down_until:
+                time.sleep(RUN_CHECK_INTERVAL_S)
+                continue
             self.sequence += 1
             body = {
                 "service": "service",
-                "address": "%s:%d" % self.address,
+                "address": "%s:%d" % (self.link or self.address),
                 "zone": "zone",
                 "version": "v1",
                 "slots": 8,
@@ -116,25 +144,33 @@
                     connection.close()
             time.sleep(0.3)
 
-    def _end_due_runs(self):
+    def end_due_runs(self):
+        """Ends the runs whose time is over, and all if the lease has expired."""
         now = time.monotonic()
+        lapsed = self.lease_until and self.clock() > self.lease_until
         for task, (run, ends_at) in list(self.runs.items()):
-            if now >= ends_at:
-                self._end(task, run, self.outcome)
+            if lapsed or now >= ends_at:
+                self._end(task, run, "lapsed" if lapsed else self.outcome)
+
+    def _extend_lease(self, body):
+        until = min(body.get("until_ms", 0), self.clock() + MAX_LEASE_MS)
+        self.lease_until = max(until, self.lease_until)
 
     def _end(self, task, run, outcome):
         del self.runs[task]
         self.highest_ended_run[task] = max(run, self.highest_ended_run.get(task, 0))
         self.ended.append([self.next_end, task, run, outcome, ""])
+        self._tell("ended", self.next_end, task, outcome)
         self.next_end += 1
 
     def _answer(self, path, body):
-        if self.closed:
+        if self.closed or time.monotonic() < self.down_until:
             raise ConnectionAbortedError("the worker is closed")
         if path == "/hold":
             return self._poll(body)
         with self.lock:
-            self._end_due_runs()
+            self.end_due_runs()
+            self._extend_lease(body)
             answer = {"clock_ms": self.clock()}
             task, run = body["task"], body["run"]
             if path == "/run-stop":
@@ -144,18 +180,29 @@
                 return 200, answer
             if run <= self.highest_ended_run.get(task, 0):
                 return 409, dict(answer, reason="old")
+            if body["until_ms"] <= answer["clock_ms"]:
+                return 409, dict(answer, reason="late")
             if task not in self.runs:
-                self.runs[task] = (run, time.monotonic() + self.run_s)
+                self._tell("started", task)
+                self.runs[task] = (run, time.monotonic() + self.run_time(body))
                 self.starts.append((task, run))
             return 200, answer
 
+    def run_time(self, order):
+        return self.run_s
+
     def _poll(self, body):
         end = time.monotonic() + body.get("wait_ms", 0) / 1000
+        born = self.born
+        with self.lock:
+            self.end_due_runs()
+            self._extend_lease(body)
+            self._tell("acknowledged", body["last_seen"])
         while True:
-            if self.closed:
+            if self.closed or born != self.born or time.monotonic() < self.down_until:
                 raise ConnectionAbortedError("the worker is closed")
             with self.lock:
-                self._end_due_runs()
+                self.end_due_runs()
                 self.ended = [row for row in self.ended if row[0] > body["last_seen"]]
                 if self.ended or time.monotonic() >= end:
                     running = [[task, run, "", 100] for task, (run, _) in self.runs.items()]
--- a/fakes/relay.py
+++ b/fakes/relay.py
@@ -1,8 +1,9 @@
-"""TCP relay that simulates silent partitions: connections stay open, and bytes are held back in one or both
-directions."""
+"""TCP relay that simulates a bad network: silent partitions, in which connections stay open while bytes are held back in
+one or both directions, delays and resets."""
 
 import socket
 import threading
+import time
 
 CHUNK_BYTES = 65536
 
@@ -10,13 +11,15 @@
 class Relay:
     """Relays connections from `listen` to `target`, both (host, port).
 
-    `silence("forward" | "backward" | "both" | "none")` applies at once to open and to new connections."""
+    `silence("forward" | "backward" | "both" | "none")` applies at once to open and to new connections, `delay_s` to all
+    bytes that arrive from now on."""
 
     def __init__(self, listen, target):
-        self._target = target
+        self.target = target
         self._listener = socket.create_server(listen)
         self.address = self._listener.getsockname()
         self._silent = "none"
+        self.delay_s = 0.0
         self._lock = threading.Condition()
         self._sockets = {self._listener}
         self._closed = False
@@ -27,6 +30,13 @@
             self._silent = direction
             self._lock.notify_all()
 
+    def reset(self):
+        """Closes all open connections."""
+        with self._lock:
+            sockets = self._sockets - {self._listener}
+        for sock in sockets:
+            _shut(sock)
+
     def close(self):
         with self._lock:
             self._closed = True
@@ -43,7 +53,7 @@
                 return
             self._wait_while_silent(forward=True)
             try:
-                server = socket.create_connection(self._target)
+                server = socket.create_connection(self.target)
             except OSError:
                 client.close()
                 continue
@@ -55,6 +65,7 @@
     def _copy(self, source, target, forward):
         try:
             while data := source.recv(CHUNK_BYTES):
+                time.sleep(self.delay_s)
                 self._wait_while_silent(forward)
                 target.sendall(data)
         except OSError:
--- /dev/null
+++ b/tests/fault_soak.py
@@ -0,0 +1,559 @@
+"""Randomised soak of managers and gateways as separate processes, with called workers, callers and operators.
+
+Faults come in series and overlap: processes are killed, terminated, paused and reloaded, managers lose their disks,
+workers crash, and their links are delayed, reset or silenced in one or both directions. Callers keep their connections
+until the gateway closes them. Everything is checked from outside, by what callers, operators and workers see."""
+
+import collections
+import http.client
+import json
+import pathlib
+import random
+import shutil
+import signal
+import tempfile
+import threading
+import time
+
+from cluster import BIN, FAKE_HOST, Process, claim_network, free_addresses, request, wait_until
+from called_worker import CalledWorker, EligibilityService
+from relay import Relay
+
+PREFIX = "/jobs/"
+HOST = "host.example"
+WORKER_MILLI_CPU = 16000
+GATEWAYS_FROM = 20  # Last byte of the first gateway's address
+CONFIGURATION_AGE_S = 2.0  # An acknowledged configuration is in force everywhere within this time.
+VISIBLE_S = 3.0  # A job is known on every gateway within this time.
+SETTLE_S = 90  # For all accepted jobs to complete after the last fault
+REQUEST_TIMEOUT_MS = 3000  # Less than the gateways' drain limit
+GANG_TIMEOUT_S = 3.0
+READ_MARGIN_S = 0.3  # A request sent this long before its gateway's end has been read.
+CLOSE_RACE_S = 0.05  # A connection that ends sooner after a request may have been closed before.
+
+
+class Observer:
+    """Checks the starts and ends that workers see. Workers call it with their common lock held."""
+
+    def __init__(self, violation):
+        self.violation = violation
+        self.jobs = {}  # Key -> steps
+        self.workers = []
+        self.starts = collections.Counter()
+        self._done = set()
+        self._acknowledged = set()
+        self._done_ends = collections.defaultdict(dict)  # Worker -> number of the end -> task
+        self._superseded = set()  # (worker, task) of ends as done after which the task was started again
+
+    def started(self, worker, task):
+        key, occurrence, step, index = task.split(".")
+        steps = self.jobs.get(key)
+        if steps is None:
+            self.violation(f"{worker.name} is told to start {task}, which nobody has submitted")
+            return
+        self.starts[key] += 1
+        for other in self.workers:
+            other.end_due_runs()
+            if other is not worker and task in other.runs:
+                self.violation(f"{task} is started on {worker.name} while it runs on {other.name}")
+        if task in self._acknowledged:
+            self.violation(f"{task} is started on {worker.name} after its end was acknowledged")
+        for name, ends in self._done_ends.items():
+            self._superseded |= {(name, number) for number, done in ends.items() if done == task}
+        load = sum(self._milli_cpu(running) for running in worker.runs) + self._milli_cpu(task)
+        if load > worker.cpu:
+            self.violation(f"{task} brings {worker.name} to {load} of {worker.cpu} millicores")
+        for earlier in steps[int(step)].get("after", []):
+            unfinished = [member for member in range(steps[earlier]["count"])
+                          if f"{key}.{occurrence}.{earlier}.{member}" not in self._done]
+            # One end as done stands for a whole gang.
+            if len(unfinished) == steps[earlier]["count"] or (unfinished and not steps[earlier].get("gang")):
+                self.violation(f"{task} is started before step {earlier} is done")
+
+    def ended(self, worker, number, task, outcome):
+        if outcome == "done":
+            self._done.add(task)
+            self._done_ends[worker.name][number] = task
+        elif outcome == "lapsed":
+            self._done_ends[worker.name].clear()
+
+    def acknowledged(self, worker, last_seen):
+        ends = self._done_ends[worker.name]
+        for number in [number for number in ends if number <= last_seen]:
+            task = ends.pop(number)
+            self._acknowledged.add(task)
+            if (worker.name, number) in self._superseded:
+                self.violation(f"the end of {task} on {worker.name} is acknowledged after it was started again")
+
+    def restarted(self, worker):
+        self._done_ends[worker.name].clear()
+        self._superseded = {item for item in self._superseded if item[0] != worker.name}
+
+    def gang_members(self, task):
+        """Returns the tasks of the gang that a task belongs to; none if it belongs to none."""
+        key, occurrence, step, _ = task.split(".")
+        spec = self.jobs[key][int(step)]
+        return [f"{key}.{occurrence}.{step}.{member}" for member in range(spec["count"])] if spec.get("gang") else []
+
+    def _milli_cpu(self, task):
+        key, _, step, _ = task.split(".")
+        return self.jobs[key][int(step)]["cpu"]
+
+
+class SoakWorker(CalledWorker):
+    """A worker behind a relay. Tasks run as long as their job's text says; members of a gang from when all are present,
+    and they end together."""
+
+    def __init__(self, ip, managers, name, observer, lock):
+        self.relay = Relay((ip, 0), None)
+        self.complete = set()  # Tasks of gangs of which all members are present
+        super().__init__(ip, managers, name, cpu=WORKER_MILLI_CPU, observer=observer, lock=lock,
+                         link=self.relay.address)
+        self.relay.target = self.address
+
+    def run_time(self, order):
+        run_s = float(order["task_spec"])
+        members = self.observer.gang_members(order["task"])
+        if not members:
+            return run_s
+        present = [(worker, member) for worker in self.observer.workers for member in members
+                   if worker.runs.get(member, (0,))[0] == order["run"]]
+        if len(present) + 1 < len(members):
+            return GANG_TIMEOUT_S
+        for worker, member in present:
+            worker.runs[member] = (order["run"], time.monotonic() + run_s)
+            worker.complete.add(member)
+        self.complete.add(order["task"])
+        return run_s
+
+    def _end(self, task, run, outcome):
+        members = self.observer.gang_members(task)
+        if members and outcome == "done" and task not in self.complete:
+            outcome = "alone"
+        self.complete.discard(task)
+        super()._end(task, run, outcome)
+        self._end_others(members, run, outcome if outcome == "done" else "broken")
+
+    def crash(self, down_s):
+        with self.lock:
+            runs = dict(self.runs)
+            self.complete.clear()
+            super().crash(down_s)
+            for task, (run, _) in runs.items():
+                self._end_others(self.observer.gang_members(task), run, "broken")
+
+    def _end_others(self, members, run, outcome):
+        for worker in self.observer.workers:
+            for member in members:
+                if worker.runs.get(member, (0,))[0] == run:
+                    worker.complete.discard(member)
+                    super(SoakWorker, worker)._end(member, run, outcome)
+
+    def close(self):
+        super().close()
+        self.relay.close()
+
+
+class Daemon:
+    """A process of the system, with what the soak has done to it."""
+
+    def __init__(self, process, address):
+        self.process = process
+        self.address = address
+        self.lock = threading.Lock()  # Held while the process is meant to be down or paused
+        self.up = True
+        self.unclean_until = 0.0  # Until then, open requests may be lost.
+
+    def is_running(self):
+        return self.process.child.poll() is None
+
+
+class Soak:
+    def __init__(self, seed, managers=3, gateways=3, workers=8, callers=6):
+        self.random = random.Random(seed)
+        self.violations = []
+        self.faults = collections.Counter()
+        self.outcomes = collections.Counter()
+        self.stopping = threading.Event()
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yw-soak-"))
+        self.lock = threading.RLock()
+        self.accepted = {}  # Key -> time of the first acknowledgement
+        self.maybe_accepted = set()  # Submitted without a clear answer
+        self.refused = set()  # Every attempt was refused
+        self.cancelled = set()
+        self.acknowledged_versions = []  # (version, time of the acknowledgement)
+        net, self._claim = claim_network()
+        manager_ips = [f"{net}.{number}" for number in range(1, managers + 1)]
+        inner, control = (address[1] for address in free_addresses(manager_ips[0], 2))
+        self.control = [(ip, control) for ip in manager_ips]
+        seeds = [f"{ip}:{control}" for ip in manager_ips[:3]]
+        fake_ip = f"{net}.{FAKE_HOST}"
+        self.service = EligibilityService(fake_ip)
+        self.managers = [self._start_manager(ip, {"inner": inner, "control": control}, seeds) for ip in manager_ips]
+        # Daemons find each other's inner address by its port, which is the same everywhere.
+        self.gateways = [self._start_gateway(f"{net}.{GATEWAYS_FROM + number}", inner, seeds)
+                         for number in range(gateways)]
+        self.observer = Observer(self.violation)
+        self.workers = [SoakWorker(fake_ip, self.control, f"i-{number}", self.observer, self.lock)
+                        for number in range(workers)]
+        self.observer.workers = self.workers
+        wait_until(lambda: self._put(1), "the configuration is accepted")
+        for gateway in self.gateways:
+            wait_until(lambda at=gateway: self._read_state(at, 0) == 410, "every gateway reaches the leader")
+        self.threads = [threading.Thread(target=self._call, args=(random.Random(f"{seed} {number}"), number))
+                        for number in range(callers)]
+        self.threads.append(threading.Thread(target=self._operate, args=(random.Random(f"{seed} operator"),)))
+        for thread in self.threads:
+            thread.start()
+
+    def violation(self, text):
+        with self.lock:
+            self.violations.append(text)
+
+    # Processes
+
+    def _start_manager(self, ip, ports, seeds):
+        extra = ["new_cluster: true", f"data_dir: {self.folder / ip}", "worker_lease: 5s"]
+        daemon = self._start("manager", ip, ports, seeds, extra)
+        daemon.data_dir = self.folder / ip
+        return daemon
+
+    def _start_gateway(self, ip, inner, seeds):
+        caller, health = (address[1] for address in free_addresses(ip, 2))
+        extra = ['eligibility_service: "%s:%d"' % self.service.address, "drain_delay: 500ms", "drain_limit: 5s"]
+        ports = {"inner": inner, "caller": caller, "health": health}
+        daemon = self._start("gateway", ip, ports, seeds, extra)
+        daemon.address = (ip, caller)
+        return daemon
+
+    def _start(self, role, ip, ports, seeds, extra):
+        lines = ["cluster: soak", "zone: zone", f"node: {role}-{ip.rsplit('.', 1)[1]}", "listen:"]
+        lines += [f'  {name}: "{ip}:{port}"' for name, port in ports.items()]
+        lines += ["seeds:"] + [f'  - "{seed}"' for seed in seeds] + extra
+        file = self.folder / f"{role}-{ip}.yaml"
+        file.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        process = Process(f"{role}-{ip}", [BIN / f"yw-{role}", "--settings", file], self.folder)
+        daemon = Daemon(process, (ip, ports.get("control", 0)))
+        daemon.settings = file
+        return daemon
+
+    # Faults: each is called in a thread of its own.
+
+    @staticmethod
+    def _start_again(daemon):
+        """Starts a process and waits until it handles signals."""
+        daemon.process.start()
+        wait_until(lambda: "event=started" in daemon.process.log_text() or not daemon.is_running(), "a process starts")
+        daemon.up = True
+
+    def _restart_killed(self, daemon, down_s, lose_disk=False):
+        with daemon.lock:
+            daemon.up, daemon.unclean_until = False, time.monotonic() + 3600
+            daemon.process.kill()
+            if lose_disk:
+                shutil.rmtree(daemon.data_dir)
+                # A blank disk must not form a second cluster.
+                text = daemon.settings.read_text(encoding="utf-8")
+                daemon.settings.write_text(text.replace("new_cluster: true", "new_cluster: false"), encoding="utf-8")
+            time.sleep(down_s)
+            self._start_again(daemon)
+            daemon.unclean_until = time.monotonic()
+
+    def _restart_terminated(self, daemon, down_s):
+        with daemon.lock:
+            daemon.up = False
+            code = daemon.process.terminate(timeout=20)
+            daemon.ended_at = time.monotonic()
+            if code != 0:
+                self.violation(f"{daemon.process.name} ends with {code} after SIGTERM")
+            time.sleep(down_s)
+            self._start_again(daemon)
+
+    def _pause(self, daemon, pause_s):
+        with daemon.lock:
+            daemon.unclean_until = time.monotonic() + 3600
+            daemon.process.pause()
+            time.sleep(pause_s)
+            daemon.process.resume()
+            daemon.unclean_until = time.monotonic() + pause_s
+
+    def _reload(self, daemon):
+        with daemon.lock:
+            daemon.process.signal(signal.SIGHUP)
+
+    def _lose_link(self, worker, direction, for_s):
+        worker.silent = direction != "backward"
+        worker.relay.silence(direction)
+        time.sleep(for_s)
+        worker.relay.silence("none")
+        worker.silent = False
+
+    def _delay_link(self, worker, delay_s, for_s):
+        worker.relay.delay_s = delay_s
+        time.sleep(for_s)
+        worker.relay.delay_s = 0.0
+
+    def _random_fault(self):
+        """Returns the name and the action of the next fault. All choices come from the seed."""
+        draw = self.random
+        manager, gateway = draw.choice(self.managers), draw.choice(self.gateways)
+        worker, any_daemon = draw.choice(self.workers), draw.choice(self.managers + self.gateways)
+        down_s, pause_s, link_s = draw.uniform(0.1, 2), draw.uniform(0.2, 3), draw.uniform(0.3, 4)
+        direction = draw.choice(["both", "forward", "backward"])
+        return draw.choice([
+            ("manager killed", lambda: self._restart_killed(manager, down_s)),
+            ("manager terminated", lambda: self._restart_terminated(manager, down_s)),
+            ("manager paused", lambda: self._pause(manager, pause_s)),
+            ("settings reloaded", lambda: self._reload(any_daemon)),
+            ("gateway killed", lambda: self._restart_killed(gateway, down_s)),
+            ("gateway terminated", lambda: self._restart_terminated(gateway, down_s)),
+            ("gateway paused", lambda: self._pause(gateway, pause_s)),
+            ("worker crashed", lambda: worker.crash(down_s)),
+            ("worker link silenced", lambda: self._lose_link(worker, direction, link_s)),
+            ("worker link delayed", lambda: self._delay_link(worker, pause_s / 10, link_s)),
+            ("worker link reset", worker.relay.reset),
+            ("all managers killed", lambda: self._kill_all_managers(down_s)),
+            ("disk lost", lambda: self._lose_disk(manager)),
+        ])
+
+    def _kill_all_managers(self, down_s):
+        threads = [threading.Thread(target=self._restart_killed, args=(manager, down_s)) for manager in self.managers]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    # One lost disk at a time is tolerated, once all managers take part again.
+    def _lose_disk(self, manager):
+        if all(other.up and not other.lock.locked() for other in self.managers) and self._disk_lock.acquire(False):
+            try:
+                self._restart_killed(manager, 0.5, lose_disk=True)
+                time.sleep(8)
+            finally:
+                self._disk_lock.release()
+
+    _disk_lock = threading.Lock()
+
+    def run(self, seconds):
+        """Injects faults for this time, heals everything and checks what is left."""
+        end = time.monotonic() + seconds
+        running = []
+        while time.monotonic() < end:
+            name, action = self._random_fault()
+            # While a disk is being replaced, a second manager must not be lost.
+            if self._disk_lock.locked() and "manager" in name:
+                continue
+            self.faults[name] += 1
+            running.append(threading.Thread(target=action))
+            running[-1].start()
+            time.sleep(self.random.uniform(0.05, 1.0))
+            self._check_processes()
+        for thread in running:
+            thread.join()
+        self._settle()
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        self._check_processes()
+        self._check_end()
+
+    def _check_processes(self):
+        for daemon in self.managers + self.gateways:
+            if daemon.lock.acquire(False):
+                try:
+                    if not daemon.is_running():
+                        self.violation(f"{daemon.process.name} has ended by itself with {daemon.process.child.poll()}")
+                        daemon.process.start()
+                finally:
+                    daemon.lock.release()
+
+    def close(self):
+        self.stopping.set()
+        for worker in self.workers:
+            worker.close()
+        for daemon in self.managers + self.gateways:
+            daemon.process.resume()
+            daemon.process.kill()
+        self.service.close()
+        self._claim.close()
+        if not self.violations:
+            shutil.rmtree(self.folder, True)
+
+    # Operator
+
+    def _put(self, version):
+        route = {"name": "queue", "host": HOST, "path_prefix": PREFIX, "route_type": "unsafe", "timeout_ms": 3000,
+                 "slo_ms": 500, "priority": 0, "service": "service", "attempts": 4, "stretch": 2.0,
+                 "advice": {"decision_ms": 5.0, "period_ms": 0.1, "valid_ms": 2000}}
+        body = json.dumps({"version": version, "routes": [route], "services": [{"name": "service"}], "limits": {}})
+        for address in self.control:
+            try:
+                if request(address, "POST", "/config/put", body, timeout=1)[0] == 200:
+                    return True
+            except (OSError, http.client.HTTPException):
+                continue
+        return False
+
+    def _operate(self, draw):
+        newest = 1
+        while not self.stopping.wait(0.2):
+            if draw.random() < 0.2:
+                newest += draw.randrange(1, 4)
+                if self._put(newest):
+                    self.acknowledged_versions.append((newest, time.monotonic()))
+                continue
+            sent_at = time.monotonic()
+            due = max((version for version, at in self.acknowledged_versions if at + CONFIGURATION_AGE_S < sent_at),
+                      default=0)
+            try:
+                address = draw.choice(self.control)
+                status, _, answer = request(address, "GET", "/config/get", timeout=1)
+            except (OSError, http.client.HTTPException):
+                continue
+            if status == 200 and json.loads(answer)["version"] < due:
+                self.violation(f"{address} answers with configuration {json.loads(answer)['version']}, not {due}")
+
+    # Callers
+
+    def _call(self, draw, number):
+        connections = {}
+        mine = []
+        serial = 0
+        while not self.stopping.wait(draw.uniform(0.05, 0.3)):
+            gateway = draw.choice(self.gateways)
+            if not self._settling and (not mine or draw.random() < 0.6):
+                serial += 1
+                key = f"{number:04x}{serial:012x}"
+                if self._submit(draw, connections, key):
+                    mine.append(key)
+                    del mine[:-50]
+            elif mine:
+                key = draw.choice(mine)
+                cancel = not self._settling and draw.random() < 0.1
+                status, answer = self._request(connections, gateway, "DELETE" if cancel else "GET", key)
+                if cancel:
+                    with self.lock:
+                        self.cancelled.add(key)
+                elif status == 200:
+                    self._check_state(key, json.loads(answer)["state"])
+                elif status == 410 and time.monotonic() > self.accepted[key] + VISIBLE_S:
+                    self.violation(f"job {key} is unknown on {gateway.process.name}")
+
+    def _check_state(self, key, state):
+        if state == "failed" or (state == "cancelled" and key not in self.cancelled):
+            self.violation(f"job {key} is {state} without cause")
+
+    def _submit(self, draw, connections, key):
+        """Submits a job until it is accepted or surely refused. Returns whether it was accepted."""
+        first = {"count": draw.randrange(1, 5), "cpu": draw.randrange(500, 6000), "mem_mb": 100, "estimated_ms": 300}
+        steps = [dict(first, gang=draw.random() < 0.3)]
+        if draw.random() < 0.3:
+            steps.append({"count": 2, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300, "after": [0]})
+        body = json.dumps({"task_spec": f"{draw.uniform(0.05, 1.0):.2f}", "steps": steps})
+        with self.lock:
+            self.observer.jobs[key] = steps
+        ambiguous = False
+        for _ in range(5):
+            status, _ = self._request(connections, draw.choice(self.gateways), "POST", key, body)
+            self.outcomes[status] += 1
+            if status == 200:
+                with self.lock:
+                    self.accepted[key] = time.monotonic()
+                return True
+            ambiguous = ambiguous or status not in (429, 503)
+            time.sleep(draw.uniform(0.1, 0.5))
+        with self.lock:
+            (self.maybe_accepted if ambiguous else self.refused).add(key)
+        return False
+
+    def _request(self, connections, gateway, method, key, body=None):
+        """Sends a request on a connection that is kept. Returns (0, b"") without a complete answer."""
+        connection = connections.get(gateway)
+        if connection is None:
+            connection = connections[gateway] = http.client.HTTPConnection(*gateway.address, timeout=5)
+        starts_of_process = gateway.process.pid
+        sent_at = 0.0
+        try:
+            headers = {"Host": HOST, "Content-Type": "application/json", "Yuccawheel-Deadline-Ms": REQUEST_TIMEOUT_MS}
+            connection.request(method, PREFIX + key, body, headers)
+            sent_at = time.monotonic()
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException) as error:
+            lost_at = time.monotonic()
+            connection.close()
+            self._check_lost(gateway, starts_of_process, sent_at, lost_at, error)
+            return 0, b""
+
+    def _check_lost(self, gateway, process, sent_at, lost_at, error):
+        """A gateway that was only terminated must answer every request that it has read."""
+        raced = not sent_at or lost_at - sent_at < CLOSE_RACE_S
+        unclean = gateway.unclean_until > sent_at or isinstance(error, TimeoutError)
+        if raced or unclean or gateway.process.pid != process:
+            return
+        if gateway.up and gateway.is_running():
+            self.violation(f"{gateway.process.name} closes a connection {lost_at - sent_at:.3f} s after a request: {error!r}")
+        elif sent_at < lost_at - READ_MARGIN_S:
+            self.violation(f"{gateway.process.name} cuts off a request while it ends: {error!r}")
+
+    def _read_state(self, gateway, key):
+        try:
+            status, _, answer = request(gateway.address, "GET", f"{PREFIX}{key:016x}", None, {"Host": HOST}, timeout=5)
+        except (OSError, http.client.HTTPException):
+            return 0
+        return json.loads(answer)["state"] if status == 200 else status
+
+    # The end
+
+    _settling = False
+
+    def _settle(self):
+        """Waits until every accepted job has ended."""
+        self._settling = True
+        with self.lock:
+            waiting = set(self.accepted)
+        deadline = time.monotonic() + SETTLE_S
+        while waiting and time.monotonic() < deadline:
+            for key in sorted(waiting):
+                state = self._read_state(self.gateways[0], int(key, 16))
+                if state in ("completed", "failed", "cancelled"):
+                    self._check_state(key, state)
+                    waiting.discard(key)
+                elif state == 410:
+                    self.violation(f"job {key} is lost")
+                    waiting.discard(key)
+            time.sleep(0.2)
+        for key in sorted(waiting)[:5]:
+            self.violation(f"job {key} has not ended after {SETTLE_S} s: {self._read_state(self.gateways[0], int(key, 16))}")
+
+    def _check_end(self):
+        with self.lock:
+            for key in self.refused:
+                if self.observer.starts[key]:
+                    self.violation(f"job {key} was refused and has run")
+            for worker in self.workers:
+                worker.end_due_runs()
+                for task in worker.runs:
+                    if task.split(".")[0] in self.cancelled:
+                        self.violation(f"{task} of a cancelled job runs on {worker.name}")
+
+    def summary(self):
+        counts = {"accepted": len(self.accepted), "refused": len(self.refused), "unclear": len(self.maybe_accepted),
+                  "cancelled": len(self.cancelled), "starts": sum(self.observer.starts.values()),
+                  "configurations": len(self.acknowledged_versions), "faults": sum(self.faults.values())}
+        return " ".join(f"{name}={count}" for name, count in counts.items())
+
+
+def run_seed(seed, seconds, **sizes):
+    """Runs one seed. Returns the violations; the folder with the logs is kept if there are any."""
+    soak = Soak(seed, **sizes)
+    try:
+        soak.run(seconds)
+    finally:
+        soak.close()
+    print(f"seed {seed}: {soak.summary()} violations={len(soak.violations)}", flush=True)
+    for violation in soak.violations[:20]:
+        print(f"  {violation}", flush=True)
+    if soak.violations:
+        print(f"  logs: {soak.folder}", flush=True)
+    return soak.violations
