--- a/src/workflow/run_time_model.h
+++ b/src/workflow/run_time_model.h
@@ -20,6 +20,8 @@
     /// Returns the estimate itself until the queue has enough samples.
     std::chrono::milliseconds expectedRunTime(const std::string &queue, std::chrono::milliseconds estimated) const;
 
+    MSGPACK_DEFINE(queues_)
+
 private:
     /// Moving averages of the logarithms.
     struct Samples {
@@ -32,9 +34,6 @@
         MSGPACK_DEFINE(count, meanEstimate, meanRunTime, variance, covariance)
     };
     std::map<std::string, Samples> queues_;
-
-public:
-    MSGPACK_DEFINE(queues_)
 };
 
 } // namespace yuccawheel::workflow
