Soak: wait for signal handlers, and allow what two crashes allow

The soak now waits for the handlers of a process instead of its first log line.

The check of failed jobs counts the crashes under each task and gang and is as strict for all others.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import random
+import re
 import shutil
 import signal
 import tempfile
@@ -32,6 +33,16 @@
 CLOSE_RACE_S = 0.05  # A connection that ends sooner after a request may have been closed before.
 
 
+def handles_signals(pid):
+    """Returns whether a process has handlers of SIGHUP and SIGTERM."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    except OSError:
+        return False
+    caught = int(re.search(r"SigCgt:\s*(\S+)", status)[1], 16)
+    return all(caught >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM))
+
+
 class Observer:
     """Checks the starts and ends that workers see. Workers call it with their common lock held."""
 
@@ -40,6 +51,7 @@
         self.jobs = {}  # Key -> steps
         self.workers = []
         self.starts = collections.Counter()
+        self._crashes = collections.Counter()  # (key, step, member), or (key, step) of a gang -> crashes under it
         self._done = set()
         self._acknowledged = set()
         self._done_ends = collections.defaultdict(dict)  # Worker -> number of the end -> task
@@ -85,6 +97,18 @@
             if (worker.name, number) in self._superseded:
                 self.violation(f"the end of {task} on {worker.name} is acknowledged after it was started again")
 
+    def crashed(self, tasks):
+        """Counts a crash of a worker on which these tasks run."""
+        units = set()
+        for task in tasks:
+            key, _, step, member = task.split(".")
+            units.add((key, step) if self.jobs[key][int(step)].get("gang") else (key, step, member))
+        self._crashes.update(units)
+
+    def may_be_given_up(self, key):
+        """Two workers must have crashed under a task before its job may fail."""
+        return any(count >= 2 for unit, count in self._crashes.items() if unit[0] == key)
+
     def restarted(self, worker):
         self._done_ends[worker.name].clear()
         self._superseded = {item for item in self._superseded if item[0] != worker.name}
@@ -136,7 +160,9 @@
 
     def crash(self, down_s):
         with self.lock:
+            self.end_due_runs()
             runs = dict(self.runs)
+            self.observer.crashed(runs)
             self.complete.clear()
             super().crash(down_s)
             for task, (run, _) in runs.items():
@@ -241,9 +267,9 @@
 
     @staticmethod
     def _start_again(daemon):
-        """Starts a process and waits until it handles signals."""
+        """Starts a process and waits until it handles signals: the system ends one that does not."""
         daemon.process.start()
-        wait_until(lambda: "event=started" in daemon.process.log_text() or not daemon.is_running(), "a process starts")
+        wait_until(lambda: handles_signals(daemon.process.pid) or not daemon.is_running(), "a process starts")
         daemon.up = True
 
     def _restart_killed(self, daemon, down_s, lose_disk=False):
@@ -440,7 +466,9 @@
                     self.violation(f"job {key} is unknown on {gateway.process.name}")
 
     def _check_state(self, key, state):
-        if state == "failed" or (state == "cancelled" and key not in self.cancelled):
+        with self.lock:
+            failed = state == "failed" and not self.observer.may_be_given_up(key)
+        if failed or (state == "cancelled" and key not in self.cancelled):
             self.violation(f"job {key} is {state} without cause")
 
     def _submit(self, draw, connections, key):
