Fakes: end a called worker's connections with its process

Cause in the fake, by its logs: a poll of the worker's earlier incarnation, held back by a silent link, reached the next one over the old connection and acknowledged its ends by the old numbers. A real process takes its connections along. A worker now aborts connections that an earlier incarnation accepted. Ending one member of a gang may also end others on the same worker, which the loop over due runs did not expect.

--- a/fakes/called_worker.py
+++ b/fakes/called_worker.py
@@ -22,8 +22,14 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
+    def setup(self):
+        super().setup()
+        self.incarnation = self.server.incarnation()
+
     def do_POST(self):
         body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))) or "{}")
+        if self.incarnation != self.server.incarnation():
+            raise ConnectionAbortedError("a connection ends with the process that accepted it")
         status, answer = self.server.answer(self.path, body)
         data = json.dumps(answer).encode()
         self.send_response(status)
@@ -43,6 +49,7 @@
         self.queries = 0
         self.server = _Server((ip, 0), _Handler)
         self.server.answer = self._answer
+        self.server.incarnation = lambda: 0
         self.address = self.server.server_address
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
@@ -85,6 +92,7 @@
         self.closed = False
         self.server = _Server((ip, 0), _Handler)
         self.server.answer = self._answer
+        self.server.incarnation = lambda: self.born
         self.address = self.server.server_address
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self._report, daemon=True).start()
@@ -149,7 +157,7 @@
         now = time.monotonic()
         lapsed = self.lease_until and self.clock() > self.lease_until
         for task, (run, ends_at) in list(self.runs.items()):
-            if lapsed or now >= ends_at:
+            if task in self.runs and (lapsed or now >= ends_at):  # The end of one run may end others.
                 self._end(task, run, "lapsed" if lapsed else self.outcome)
 
     def _extend_lease(self, body):
