--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -195,7 +195,8 @@
 
 
 class Soak:
-    def __init__(self, seed, managers=3, gateways=3, workers=8, callers=6):
+    def __init__(self, seed):
+        self.seed = seed
         self.random = random.Random(seed)
         self.violations = []
         self.faults = collections.Counter()
@@ -208,6 +209,12 @@
         self.refused = set()  # Every attempt was refused
         self.cancelled = set()
         self.acknowledged_versions = []  # (version, time of the acknowledgement)
+        self.managers, self.gateways, self.workers, self.threads = [], [], [], []
+        self.service = None
+        self.observer = Observer(self.violation)
+
+    def start(self, managers=3, gateways=3, workers=8, callers=6):
+        """Starts all processes and fakes, and the load. `close` must be called also if this fails."""
         net, self._claim = claim_network()
         manager_ips = [f"{net}.{number}" for number in range(1, managers + 1)]
         inner, control = (address[1] for address in free_addresses(manager_ips[0], 2))
@@ -215,20 +222,20 @@
         seeds = [f"{ip}:{control}" for ip in manager_ips[:3]]
         fake_ip = f"{net}.{FAKE_HOST}"
         self.service = EligibilityService(fake_ip)
-        self.managers = [self._start_manager(ip, {"inner": inner, "control": control}, seeds) for ip in manager_ips]
+        for ip in manager_ips:
+            self.managers.append(self._start_manager(ip, {"inner": inner, "control": control}, seeds))
         # Daemons find each other's inner address by its port, which is the same everywhere.
-        self.gateways = [self._start_gateway(f"{net}.{GATEWAYS_FROM + number}", inner, seeds)
-                         for number in range(gateways)]
-        self.observer = Observer(self.violation)
-        self.workers = [SoakWorker(fake_ip, self.control, f"i-{number}", self.observer, self.lock)
-                        for number in range(workers)]
+        for number in range(gateways):
+            self.gateways.append(self._start_gateway(f"{net}.{GATEWAYS_FROM + number}", inner, seeds))
         self.observer.workers = self.workers
+        for number in range(workers):
+            self.workers.append(SoakWorker(fake_ip, self.control, f"i-{number}", self.observer, self.lock))
         wait_until(lambda: self._put(1), "the configuration is accepted")
         for gateway in self.gateways:
             wait_until(lambda at=gateway: self._read_state(at, 0) == 410, "every gateway reaches the leader")
-        self.threads = [threading.Thread(target=self._call, args=(random.Random(f"{seed} {number}"), number))
+        self.threads = [threading.Thread(target=self._call, args=(random.Random(f"{self.seed} {number}"), number))
                         for number in range(callers)]
-        self.threads.append(threading.Thread(target=self._operate, args=(random.Random(f"{seed} operator"),)))
+        self.threads.append(threading.Thread(target=self._operate, args=(random.Random(f"{self.seed} operator"),)))
         for thread in self.threads:
             thread.start()
 
@@ -245,7 +252,7 @@
         return daemon
 
     def _start_gateway(self, ip, inner, seeds):
-        caller, health = (address[1] for address in free_addresses(ip, 2))
+        caller, health = [address[1] for address in free_addresses(ip, 3) if address[1] != inner][:2]
         extra = ['eligibility_service: "%s:%d"' % self.service.address, "drain_delay: 500ms", "drain_limit: 5s"]
         ports = {"inner": inner, "caller": caller, "health": health}
         daemon = self._start("gateway", ip, ports, seeds, extra)
@@ -400,8 +407,9 @@
         for daemon in self.managers + self.gateways:
             daemon.process.resume()
             daemon.process.kill()
-        self.service.close()
-        self._claim.close()
+        if self.service:
+            self.service.close()
+            self._claim.close()
         if not self.violations:
             shutil.rmtree(self.folder, True)
 
@@ -574,8 +582,9 @@
 
 def run_seed(seed, seconds, **sizes):
     """Runs one seed. Returns the violations; the folder with the logs is kept if there are any."""
-    soak = Soak(seed, **sizes)
+    soak = Soak(seed)
     try:
+        soak.start(**sizes)
         soak.run(seconds)
     finally:
         soak.close()
