Soak: expect an answer in time, and keep its state in the object

A request that gets no answer within 5 s from a gateway that was not paused, though it asks for one within 3 s, counts as broken.

--- a/fakes/called_worker.py
+++ b/fakes/called_worker.py
@@ -66,8 +66,9 @@
     """One worker. `starts` lists the started runs as (task, run).
 
     `observer` is told what happens, with the lock held: `started(worker, task)` before a run is added,
-    `ended(worker, number, task, outcome)`, `acknowledged(worker, number)` and `restarted(worker)`. Workers with a common
-    observer need a common `lock`. `link` is the address that the worker reports, if orders go through a relay."""
+    `ended(worker, number, task, outcome)`, `acknowledged(worker, number)` and `restarted(worker)`. Workers with a
+    common observer need a common `lock`. `link` is the address that the worker reports, if orders go through a relay.
+    """
 
     def __init__(self, ip, managers, name, run_s=0.3, cpu=16000, observer=None, lock=None, link=None):
         self.name = name
--- a/fakes/relay.py
+++ b/fakes/relay.py
@@ -1,5 +1,5 @@
-"""TCP relay that simulates a bad network: silent partitions, in which connections stay open while bytes are held back in
-one or both directions, delays and resets."""
+"""TCP relay that simulates a bad network: silent partitions, in which connections stay open while bytes are held back
+in one or both directions, delays and resets."""
 
 import socket
 import threading
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -183,9 +183,11 @@
 class Daemon:
     """A process of the system, with what the soak has done to it."""
 
-    def __init__(self, process, address):
+    def __init__(self, process, settings, data_dir, address):
         self.process = process
-        self.address = address
+        self.settings = settings  # Path of the settings file
+        self.data_dir = data_dir  # Of a manager
+        self.address = address  # Of callers, for a gateway
         self.lock = threading.Lock()  # Held while the process is meant to be down or paused
         self.up = True
         self.unclean_until = 0.0  # Until then, open requests may be lost.
@@ -211,6 +213,8 @@
         self.acknowledged_versions = []  # (version, time of the acknowledgement)
         self.managers, self.gateways, self.workers, self.threads = [], [], [], []
         self.service = None
+        self._settling = False  # Faults have ended, and callers submit nothing more.
+        self._disk_lock = threading.Lock()  # Held while a manager's disk is lost and replaced
         self.observer = Observer(self.violation)
 
     def start(self, managers=3, gateways=3, workers=8, callers=6):
@@ -247,17 +251,13 @@
 
     def _start_manager(self, ip, ports, seeds):
         extra = ["new_cluster: true", f"data_dir: {self.folder / ip}", "worker_lease: 5s"]
-        daemon = self._start("manager", ip, ports, seeds, extra)
-        daemon.data_dir = self.folder / ip
-        return daemon
+        return self._start("manager", ip, ports, seeds, extra)
 
     def _start_gateway(self, ip, inner, seeds):
         caller, health = [address[1] for address in free_addresses(ip, 3) if address[1] != inner][:2]
         extra = ['eligibility_service: "%s:%d"' % self.service.address, "drain_delay: 500ms", "drain_limit: 5s"]
         ports = {"inner": inner, "caller": caller, "health": health}
-        daemon = self._start("gateway", ip, ports, seeds, extra)
-        daemon.address = (ip, caller)
-        return daemon
+        return self._start("gateway", ip, ports, seeds, extra)
 
     def _start(self, role, ip, ports, seeds, extra):
         lines = ["cluster: soak", "zone: zone", f"node: {role}-{ip.rsplit('.', 1)[1]}", "listen:"]
@@ -266,9 +266,7 @@
         file = self.folder / f"{role}-{ip}.yaml"
         file.write_text("\n".join(lines) + "\n", encoding="utf-8")
         process = Process(f"{role}-{ip}", [BIN / f"yw-{role}", "--settings", file], self.folder)
-        daemon = Daemon(process, (ip, ports.get("control", 0)))
-        daemon.settings = file
-        return daemon
+        return Daemon(process, file, self.folder / ip, (ip, ports.get("caller")))
 
     # Faults: each is called in a thread of its own.
 
@@ -296,7 +294,6 @@
         with daemon.lock:
             daemon.up = False
             code = daemon.process.terminate(timeout=20)
-            daemon.ended_at = time.monotonic()
             if code != 0:
                 self.violation(f"{daemon.process.name} ends with {code} after SIGTERM")
             time.sleep(down_s)
@@ -365,8 +362,6 @@
             finally:
                 self._disk_lock.release()
 
-    _disk_lock = threading.Lock()
-
     def run(self, seconds):
         """Injects faults for this time, heals everything and checks what is left."""
         end = time.monotonic() + seconds
@@ -507,7 +502,7 @@
         connection = connections.get(gateway)
         if connection is None:
             connection = connections[gateway] = http.client.HTTPConnection(*gateway.address, timeout=5)
-        starts_of_process = gateway.process.pid
+        pid = gateway.process.pid
         sent_at = 0.0
         try:
             headers = {"Host": HOST, "Content-Type": "application/json", "Yuccawheel-Deadline-Ms": REQUEST_TIMEOUT_MS}
@@ -518,19 +513,22 @@
         except (OSError, http.client.HTTPException) as error:
             lost_at = time.monotonic()
             connection.close()
-            self._check_lost(gateway, starts_of_process, sent_at, lost_at, error)
+            self._check_lost(gateway, pid, sent_at, lost_at, error)
             return 0, b""
 
-    def _check_lost(self, gateway, process, sent_at, lost_at, error):
-        """A gateway that was only terminated must answer every request that it has read."""
-        raced = not sent_at or lost_at - sent_at < CLOSE_RACE_S
-        unclean = gateway.unclean_until > sent_at or isinstance(error, TimeoutError)
-        if raced or unclean or gateway.process.pid != process:
+    def _check_lost(self, gateway, pid, sent_at, lost_at, error):
+        """A gateway that was only terminated must answer every request that it has read, in time."""
+        waited = lost_at - sent_at
+        raced = not sent_at or waited < CLOSE_RACE_S
+        if raced or gateway.unclean_until > sent_at or gateway.process.pid != pid:
             return
-        if gateway.up and gateway.is_running():
-            self.violation(f"{gateway.process.name} closes a connection {lost_at - sent_at:.3f} s after a request: {error!r}")
-        elif sent_at < lost_at - READ_MARGIN_S:
-            self.violation(f"{gateway.process.name} cuts off a request while it ends: {error!r}")
+        name = gateway.process.name
+        if isinstance(error, TimeoutError):
+            self.violation(f"{name} has not answered a request after {waited:.3f} s")
+        elif gateway.up and gateway.is_running():
+            self.violation(f"{name} closes a connection {waited:.3f} s after a request: {error!r}")
+        elif waited > READ_MARGIN_S:
+            self.violation(f"{name} cuts off a request while it ends: {error!r}")
 
     def _read_state(self, gateway, key):
         try:
@@ -541,8 +539,6 @@
 
     # The end
 
-    _settling = False
-
     def _settle(self):
         """Waits until every accepted job has ended."""
         self._settling = True
@@ -560,7 +556,8 @@
                     waiting.discard(key)
             time.sleep(0.2)
         for key in sorted(waiting)[:5]:
-            self.violation(f"job {key} has not ended after {SETTLE_S} s: {self._read_state(self.gateways[0], int(key, 16))}")
+            state = self._read_state(self.gateways[0], int(key, 16))
+            self.violation(f"job {key} has not ended after {SETTLE_S} s: {state}")
 
     def _check_end(self):
         with self.lock:
