Keep the verdict of a call that is repeated on a new connection

A worker that a task crashes within milliseconds of its start may close its connections before it answers the start order. The call was then repeated on a new connection, which the closed port refused, and its verdict became that of the second attempt: not run.

CallMayHaveRunIfItsServerEndsBeforeAnswering failed before.

--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -42,6 +42,13 @@
     CallPool::Done done;
     CallPool::MakeBody bodyOnNewConnection;
     bool retried = false;
+
+    /// Verdict on a call that fails now, if its current attempt ends with `attempt`. The server may have processed the
+    /// first attempt of a retried call and closed the connection before it answered.
+    base::Verdict verdictAfter(base::Verdict attempt) const
+    {
+        return retried ? base::Verdict::MayHaveRun : attempt;
+    }
 };
 
 // Writes the message as a whole into the buffer, so that one buffer has to be sent.
@@ -246,7 +253,7 @@
             return;
         }
         const std::string text = error ? error.message() : "answer without a length";
-        pool->finish(call, tl::unexpected(CallError{verdict_, pool->host + ": " + text}));
+        pool->finish(call, tl::unexpected(CallError{call.verdictAfter(verdict_), pool->host + ": " + text}));
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
@@ -271,7 +278,8 @@
         queue.pop_front();
         if (call.deadline <= std::chrono::steady_clock::now()) {
             finish(call,
-                   tl::unexpected(CallError{base::Verdict::NotRun, host + ": no connection became free in time"}));
+                   tl::unexpected(CallError{call.verdictAfter(base::Verdict::NotRun),
+                                            host + ": no connection became free in time"}));
             continue;
         }
         std::shared_ptr<PooledConnection> connection;
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -1,10 +1,15 @@
 #include "http/call_pool.h"
 #include "http/server.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <chrono>
 #include <optional>
+#include <string>
+#include <thread>
 
 using namespace yuccawheel;
 using namespace std::chrono_literals;
@@ -77,3 +82,39 @@
     ASSERT_TRUE(second.has_value());
     EXPECT_GE(std::chrono::steady_clock::now() - begin, 2s);
 }
+
+// Guards against a start order that counts as never sent although it crashed the worker: the call was repeated on a new
+// connection, which the closed port refused.
+TEST(CallPool, CallMayHaveRunIfItsServerEndsBeforeAnswering)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context serverIo;
+    tcp::acceptor acceptor(serverIo, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    std::thread server([&] {
+        tcp::socket socket = acceptor.accept();
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        request.clear();
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        acceptor.close();
+        socket.close();
+    });
+    boost::asio::io_context io(1);
+    http::CallPool pool(io, {"127.0.0.1", port}, http::CallPoolOptions{1});
+    const auto call = [&] {
+        std::optional<Answer> answer;
+        pool.call({"GET", "/", {}, ""}, 30s, [&answer](Answer given) { answer = std::move(given); });
+        while (!answer) {
+            io.restart();
+            io.run_one_for(10ms);
+        }
+        return *answer;
+    };
+    EXPECT_TRUE(call().has_value());
+    const Answer unanswered = call();
+    server.join();
+    ASSERT_FALSE(unanswered.has_value());
+    EXPECT_EQ(unanswered.error().verdict, base::Verdict::MayHaveRun);
+}
