Refuse numbers out of range, and read the other rows beside an odd one

A job whose number of tasks overflows passed the limit on tasks: once it was committed, every manager would have allocated it, ended and read it again after its restart. Start times, sequence numbers, ports and amounts beyond their range were taken over; a start time in the far future hid all later reports of the same worker. Rows of run lists were cut to 32 bits, and one odd row made the whole answer unreadable, so that the worker counted as silent.

Numbers are checked where they are decoded.

--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -1,12 +1,66 @@
-// Runs a fuzz target on the given files, so that the corpus serves as a regression test in builds without libFuzzer.
+// Runs a fuzz target on the given files and on a fixed number of mutations of each, so that the corpus serves as a
+// regression test in builds without libFuzzer.
 
 #include "fuzz/target.h"
 
+#include <array>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <string>
 
+namespace
+{
+
+constexpr int MutationsPerInput = 200;
+constexpr std::uint32_t MaxChanges = 4; ///< Of one mutation.
+
+void run(const std::string &bytes)
+{
+    // NOLINTNEXTLINE: fuzz targets take unsigned bytes
+    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+}
+
+/// Inserts, repeats, removes and overwrites bytes, and inserts what parsers often fail on.
+std::string mutate(std::string bytes, std::mt19937 &random)
+{
+    static const std::array<std::string, 8> Fragments{"-1",
+                                                      "4294967296",
+                                                      "18446744073709551616",
+                                                      "1e308",
+                                                      "null",
+                                                      "65536",
+                                                      std::string(100'000, '['),
+                                                      std::string("\xff\0\"", 3)};
+    const std::uint32_t changes = 1 + random() % MaxChanges;
+    for (std::uint32_t change = 0; change < changes; ++change) {
+        const std::size_t at = random() % (bytes.size() + 1);
+        const std::size_t length = random() % 8;
+        switch (random() % 5) {
+        case 0:
+            bytes.insert(at, 1, static_cast<char>(random()));
+            break;
+        case 1:
+            bytes.erase(at, length);
+            break;
+        case 2:
+            bytes.insert(at, bytes.substr(at, 4 * length));
+            break;
+        case 3:
+            bytes.replace(at, length, Fragments[random() % Fragments.size()]);
+            break;
+        default:
+            if (at < bytes.size()) {
+                bytes[at] = static_cast<char>(random());
+            }
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
 int main(int count, char **arguments)
 {
     for (int i = 1; i < count; ++i) {
@@ -17,8 +71,11 @@
         }
         const std::string bytes{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
         std::fprintf(stderr, "%s\n", arguments[i]);
-        // NOLINTNEXTLINE: fuzz targets take unsigned bytes
-        LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+        run(bytes);
+        std::mt19937 random; // The default seed, so that each run has the same inputs.
+        for (int mutation = 0; mutation < MutationsPerInput; ++mutation) {
+            run(mutate(bytes, random));
+        }
     }
     return count > 1 ? 0 : 2;
 }
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -57,7 +57,7 @@
             finalReport.worker.id = *leavingId;
             finalReport.leaving = true;
             const Json body = request.body.empty() ? Json::object() : parseObject(request.body);
-            finalReport.worker.born = integerField(body, "born");
+            finalReport.worker.born = timeField(body, "born").count();
             report(finalReport, respond);
         } else if (request.path == "/config/put") {
             putConfiguration(request, respond);
--- a/src/platform/job_format.cpp
+++ b/src/platform/job_format.cpp
@@ -3,6 +3,9 @@
 #include "platform/json_fields.h"
 #include "settings/endpoint.h"
 
+#include <cstdlib>
+#include <limits>
+
 namespace yuccawheel::platform
 {
 
@@ -11,10 +14,41 @@
 
 using std::chrono::milliseconds;
 
+// Sums over all tasks and workers stay far below the range of the type.
+constexpr std::int64_t MaxAmount = 1'000'000'000'000;
+constexpr double MaxStretch = 1'000'000;
+
+std::int64_t amountField(const Json &object, const char *name)
+{
+    const std::int64_t amount = integerField(object, name);
+    if (std::abs(amount) > MaxAmount) {
+        throw FormatError(std::string("field ") + name + " is too large");
+    }
+    return amount;
+}
+
 placement::Resources decodeResources(const Json &object)
 {
     // Units: `cpu` is in thousandths of a core, `gpu` in whole devices.
-    return {integerField(object, "cpu"), integerField(object, "mem_mb"), integerField(object, "gpu")};
+    return {amountField(object, "cpu"), amountField(object, "mem_mb"), amountField(object, "gpu")};
+}
+
+double stretchField(const Json &object)
+{
+    const double stretch = numberField(object, "stretch", 1);
+    if (stretch < 0 || stretch > MaxStretch) {
+        throw FormatError("field stretch is out of range");
+    }
+    return stretch;
+}
+
+std::int32_t priorityField(const Json &object)
+{
+    const std::int64_t priority = integerField(object, "priority");
+    if (std::abs(priority) > std::numeric_limits<std::int32_t>::max()) {
+        throw FormatError("field priority is too large");
+    }
+    return static_cast<std::int32_t>(priority);
 }
 
 workflow::StepSpec decodeStep(const Json &object)
@@ -22,9 +56,10 @@
     workflow::StepSpec step;
     step.count = countField(object, "count", 1);
     step.perTask = decodeResources(object);
-    step.estimatedRunTime = milliseconds(integerField(object, "estimated_ms"));
+    step.estimatedRunTime = durationField(object, "estimated_ms");
     for (const Json &dependency : arrayField(object, "after")) {
-        if (!dependency.is_number_unsigned()) {
+        if (!dependency.is_number_unsigned()
+            || dependency.get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max()) {
             throw FormatError("field after is not an array of step numbers");
         }
         step.after.push_back(dependency.get<std::uint32_t>());
@@ -39,7 +74,7 @@
     step.bestEffort = flagField(object, "fills");
     step.speculative = flagField(object, "speculative");
     step.image = textField(object, "image");
-    step.tailLatencyTarget = milliseconds(integerField(object, "target_ms"));
+    step.tailLatencyTarget = durationField(object, "target_ms");
     // `may_miss` limits the tasks that the scheduler evicts at a time; tasks missing for other reasons don't count.
     step.maxUnavailable = countField(object, "may_miss");
     return step;
@@ -53,17 +88,18 @@
     requiredField(object, "timeout_ms");
     route.host = textField(object, "host");
     route.pathPrefix = textField(object, "path_prefix");
-    route.timeout = milliseconds(integerField(object, "timeout_ms"));
+    route.timeout = durationField(object, "timeout_ms");
     route.policy.queue = textField(object, "name");
     route.policy.service = textField(object, "service");
-    route.policy.priority = static_cast<std::int32_t>(integerField(object, "priority"));
+    route.policy.priority = priorityField(object);
     route.policy.attempts = countField(object, "attempts", 1);
-    route.policy.stretch = numberField(object, "stretch", 1);
-    route.policy.target = milliseconds(static_cast<std::int64_t>(numberField(object, "slo_ms")));
+    route.policy.stretch = stretchField(object);
+    route.policy.target = durationField(object, "slo_ms");
     if (object.contains("advice") && !object.at("advice").is_null()) {
         const Json &advice = object.at("advice");
         using Milliseconds = std::chrono::duration<double, std::milli>;
         const auto microsecondsField = [&advice](const char *name) {
+            durationField(advice, name); // Checks the range.
             return std::chrono::duration_cast<std::chrono::microseconds>(Milliseconds(numberField(advice, name)));
         };
         // `decision_ms` is the fixed time of a call, `period_ms` the additional time for each worker in it.
@@ -92,8 +128,8 @@
         job.steps.push_back(decodeStep(step));
     }
     job.occurrences = countField(object, "times");
-    job.startAt = milliseconds(integerField(object, "start_at_ms"));
-    job.interval = milliseconds(integerField(object, "interval_ms"));
+    job.startAt = timeField(object, "start_at_ms");
+    job.interval = durationField(object, "interval_ms");
     return job;
 }
 
@@ -127,7 +163,7 @@
     for (const char *const name : {"service", "address", "zone", "state", "capacity", "labels", "clock_ms", "seq"}) {
         requiredField(object, name);
     }
-    report.worker.born = integerField(object, "born"); // Start time of the worker process, in Unix milliseconds.
+    report.worker.born = timeField(object, "born").count(); // Start time of the worker process.
     report.worker.service = textField(object, "service");
     report.worker.address = textField(object, "address");
     report.worker.zone = textField(object, "zone");
@@ -138,8 +174,8 @@
         }
         report.worker.labels.push_back(label.get<std::string>());
     }
-    report.clock = milliseconds(integerField(object, "clock_ms")); // The worker's monotonic clock, not wall-clock time.
-    report.sequence = static_cast<std::uint64_t>(integerField(object, "seq"));
+    report.clock = timeField(object, "clock_ms"); // The worker's monotonic clock, not wall-clock time.
+    report.sequence = countField(object, "seq");
     report.warmUpRemaining = milliseconds(integerField(object, "cold_remaining_ms"));
     report.drainRemaining = milliseconds(integerField(object, "drain_remaining_ms"));
     const std::string state = textField(object, "state");
@@ -148,7 +184,7 @@
     }
     report.draining = state == "draining";
     const auto address = settings::parseEndpoint(report.worker.address);
-    if (!address || !report.worker.capacity.isNonNegative()) {
+    if (!address || address->port == 0 || !report.worker.capacity.isNonNegative()) {
         throw FormatError("the address is malformed or the capacity is negative");
     }
     return report;
--- a/src/platform/json_fields.cpp
+++ b/src/platform/json_fields.cpp
@@ -20,6 +20,15 @@
     return found == object.end() || found->is_null() ? nullptr : &*found;
 }
 
+std::chrono::milliseconds boundedMilliseconds(const Json &object, const char *name, std::chrono::milliseconds maximum)
+{
+    const double number = numberField(object, name);
+    if (number < 0 || number > static_cast<double>(maximum.count())) {
+        throwWrongType(name, "a time within its range");
+    }
+    return std::chrono::milliseconds(static_cast<std::int64_t>(number));
+}
+
 } // namespace
 
 Json parseObject(std::string_view body)
@@ -98,6 +107,16 @@
     return *field;
 }
 
+std::chrono::milliseconds durationField(const Json &object, const char *name)
+{
+    return boundedMilliseconds(object, name, std::chrono::hours(24 * 365));
+}
+
+std::chrono::milliseconds timeField(const Json &object, const char *name)
+{
+    return boundedMilliseconds(object, name, std::chrono::seconds(4'102'444'800));
+}
+
 std::uint32_t countField(const Json &object, const char *name, std::uint32_t defaultValue)
 {
     const std::int64_t number = integerField(object, name, defaultValue);
--- a/src/platform/json_fields.h
+++ b/src/platform/json_fields.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cmath>
 #include <cstdint>
 #include <limits>
@@ -37,5 +38,10 @@
 const Json &requiredField(const Json &object, const char *name);
 /// An integer from 0 to 2^32 - 1.
 std::uint32_t countField(const Json &object, const char *name, std::uint32_t defaultValue = 0);
+/// A time in milliseconds from 0 to a year. Sums of such times don't overflow.
+std::chrono::milliseconds durationField(const Json &object, const char *name);
+/// A time in milliseconds since the Unix epoch, up to the year 2100. Without an upper bound, one malformed start time
+/// would count as the latest incarnation of its worker for ever.
+std::chrono::milliseconds timeField(const Json &object, const char *name);
 
 } // namespace yuccawheel::platform
--- a/src/workflow/job.cpp
+++ b/src/workflow/job.cpp
@@ -93,7 +93,8 @@
             }
         }
     }
-    if (tasks * spec.occurrenceCount() > MaxTasks) {
+    // The first check keeps the product from overflowing.
+    if (tasks > MaxTasks || tasks * spec.occurrenceCount() > MaxTasks) {
         return fmt::format("a job must not have more than {} tasks over all its occurrences", MaxTasks);
     }
     return std::nullopt;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -702,6 +702,9 @@
             listed.try_emplace(*task, ended.run);
         }
     }
+    if (!answer.isComplete) {
+        return;
+    }
     for (auto &[task, run] : worker.runs) {
         const auto listedRun = listed.find(task);
         if (listedRun != listed.end() && listedRun->second == run.run) {
--- a/src/workflow/objective.cpp
+++ b/src/workflow/objective.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr int MaxUsefulLateness = 3; ///< Multiple of the objective within which a late result is still useful.
+/// Keeps points in time that follow from a job's estimates within the range of the clock.
+constexpr std::chrono::milliseconds MaxLength = std::chrono::hours(24 * 365 * 10);
 
 // Steps depend on earlier steps only, so a single pass in order suffices.
 template <typename Length>
@@ -25,7 +27,7 @@
         ends[step] = begin + length(step);
         longest = std::max(longest, ends[step]);
     }
-    return longest;
+    return std::min(longest, MaxLength);
 }
 
 } // namespace
@@ -49,7 +51,8 @@
 std::chrono::milliseconds objectiveOf(const JobRecord &job, const RunTimeModel &runTimes)
 {
     const auto pathLength = static_cast<double>(criticalPath(job, runTimes).count());
-    return std::chrono::milliseconds(static_cast<std::int64_t>(pathLength * job.policy.stretch)) + job.policy.target;
+    const double stretched = std::min(pathLength * job.policy.stretch, static_cast<double>(MaxLength.count()));
+    return std::min(std::chrono::milliseconds(static_cast<std::int64_t>(stretched)) + job.policy.target, MaxLength);
 }
 
 double estimatedCoreSeconds(const JobSpec &spec)
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/job_format.h"
 #include "platform/json_fields.h"
+#include "platform/worker_answers.h"
 
 #include <gtest/gtest.h>
 
@@ -122,3 +123,79 @@
     EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "10.0.0.9:8080", "nowhere")), FormatError);
     EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "[\"a\"", "[1")), FormatError);
 }
+
+// Guards against an odd entry among the workers' reports, jobs and configurations of others: a number outside its range
+// took every manager down with the job's memory, or hid the reports that came after it.
+TEST(PlatformFormat, RefusesNumbersOutOfRange)
+{
+    const std::string born = R"("born":1700000000000)";
+    for (const std::string &report : {replaced(Report, born, R"("born":9000000000000000)"),
+                                      replaced(Report, born, R"("born":-1)"),
+                                      replaced(Report, R"("seq":4)", R"("seq":-1)"),
+                                      replaced(Report, R"("seq":4)", R"("seq":1e300)"),
+                                      replaced(Report, "482113", "9000000000000000"),
+                                      replaced(Report, "16000", "9000000000000000"),
+                                      replaced(Report, ":8080", ":65536"),
+                                      replaced(Report, ":8080", ":0"),
+                                      replaced(Report, "8080", "18446744073709559696")}) {
+        EXPECT_THROW(platform::decodeReport("i-1", report), FormatError) << report;
+    }
+    const std::string valid = configuration(Route);
+    for (const std::string &body : {replaced(valid, "2.2", "1e300"),
+                                    replaced(valid, R"("slo_ms":250)", R"("slo_ms":1e300)"),
+                                    replaced(valid, R"("priority":1)", R"("priority":1e12)"),
+                                    replaced(valid, R"("valid_ms":1500)", R"("valid_ms":1e300)"),
+                                    replaced(valid, "3000", "1e15")}) {
+        EXPECT_THROW(platform::decodeConfiguration(body), FormatError) << body;
+    }
+    for (const char *const body : {R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})",
+                                   R"({"steps":[{"count":1,"cpu":9000000000000000}]})",
+                                   R"({"steps":[{"count":1,"estimated_ms":9000000000000000}]})",
+                                   R"({"steps":[{"count":1}],"interval_ms":9000000000000000})"}) {
+        EXPECT_THROW(platform::decodeJob(body), FormatError) << body;
+    }
+    // The number of tasks is a multiple of 2^64.
+    EXPECT_TRUE(workflow::findFault(platform::decodeJob(
+        R"({"steps":[{"count":2147483648},{"count":2147483648},{"count":2147483648},{"count":2147483648}],
+            "times":2147483648})")));
+}
+
+TEST(PlatformFormat, RefusesDeeplyNestedBodies)
+{
+    constexpr std::size_t Depth = 1'000'000;
+    const std::string nested = std::string(Depth, '[') + std::string(Depth, ']');
+    EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "[\"a\",\"r1-3\"]", nested)), FormatError);
+    EXPECT_THROW(platform::decodeReport("i-1", std::string(Depth, '[')), FormatError);
+    EXPECT_THROW(platform::decodeConfiguration(configuration(nested)), FormatError);
+    EXPECT_THROW(platform::decodeJob(R"({"steps":)" + nested + "}"), FormatError);
+}
+
+// Guards against a worker that counts as silent, so that its tasks move, because of one odd row in its lists.
+TEST(PlatformFormat, UnreadableRowHidesNoOthers)
+{
+    const auto decode = [](const std::string &running, const std::string &ended) {
+        const std::string body = R"({"clock_ms":5,"born":7,"running":[)" + running + R"(],"ended":[)" + ended + "]}";
+        return platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, false});
+    };
+    const std::string run = R"(["5c0e7a21d94b36f8.0.1.17",2,"",41])";
+    const std::string end = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    EXPECT_TRUE(decode(run, end).isComplete);
+    for (const std::string &odd : {std::string("3"),
+                                   std::string("[]"),
+                                   std::string(R"(["5c0e7a21d94b36f8.0.1.17",4294967298,""])"),
+                                   std::string(R"([1e300,"5c0e7a21d94b36f8.0.1.9",1,"done",""])"),
+                                   std::string(R"([59,"5c0e7a21d94b36f8.0.1.9",1,"lost",""])"),
+                                   std::string(100'000, '[') + std::string(100'000, ']')}) {
+        const auto answer = decode(odd + "," + run, odd + "," + end);
+        EXPECT_EQ(answer.outcome, workflow::OrderOutcome::Done) << odd;
+        EXPECT_FALSE(answer.isComplete) << odd;
+        ASSERT_EQ(answer.running.size(), 1U) << odd;
+        EXPECT_EQ(answer.running[0].run, 2U);
+        ASSERT_EQ(answer.ended.size(), 1U) << odd;
+        EXPECT_EQ(answer.ended[0].number, 58U);
+    }
+    const auto eligible = platform::parseEligibilityAnswer(
+        "1.0.0", http::ClientResponse{200, {}, R"({"good":[["i-1",3],["i-2","ticket"]]})", false});
+    ASSERT_TRUE(eligible && eligible->size() == 1);
+    EXPECT_EQ(eligible->front().first, "i-2");
+}
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -486,3 +486,15 @@
     simulation.lead();
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
 }
+
+// Guards against a run that is started again elsewhere because the row that lists it could not be read.
+TEST_F(WorkflowManager, UnreadableRowsAreNoProofThatARunIsMissing)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({step(4, 2'000)}), policy());
+    simulation.run(1s);
+    simulation.loseRows = true;
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_EQ(simulation.workers.starts(), 4U);
+}
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -200,6 +200,7 @@
     std::uint64_t queries = 0;
     std::uint64_t lateAnswers = 0; ///< Answers after the timeout of their query.
     bool dropQueries = false; ///< Queries get no answer.
+    bool loseRows = false; ///< The rows of running tasks can't be read.
 
 private:
     static constexpr std::chrono::milliseconds Delay{2};
@@ -306,6 +307,10 @@
             } else {
                 answer = workers.poll(poll.identity.id, poll.order, now);
                 answer.acknowledged = poll.order.acknowledged;
+                if (loseRows) {
+                    answer.running.clear();
+                    answer.isComplete = false;
+                }
                 if (answer.ended.empty() && now < poll.answerBy) {
                     pendingPolls_.push_back(poll);
                 } else {
