--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -124,6 +124,40 @@
     crashes.expectOnlyCrashingJobsFailed();
 }
 
+// Guards against crashes that no leader counts: the old one is lost before it has seen the crash, while the worker is
+// down, between its entry and the commit, or shortly after.
+TEST(WorkflowCrash, CrashCountsWheneverTheLeaderIsLost)
+{
+    constexpr std::chrono::milliseconds DownTime{2'000}; // Of fake workers.
+    for (const auto delay : {0ms,
+                             5ms,
+                             500ms,
+                             1'500ms,
+                             DownTime - 5ms,
+                             DownTime,
+                             DownTime + 5ms,
+                             DownTime + 15ms,
+                             DownTime + 25ms,
+                             DownTime + 60ms,
+                             DownTime + 120ms,
+                             DownTime + 250ms}) {
+        CrashSimulation crashes(5);
+        crashes.submit(job(1, 2'000), true);
+        for (std::uint64_t seen = 0; seen < 3;) {
+            ASSERT_TRUE(crashes.simulation.runUntil([&] { return crashes.simulation.workers.crashes() > seen; }, 60s))
+                << delay.count();
+            seen = crashes.simulation.workers.crashes();
+            crashes.simulation.run(delay);
+            crashes.simulation.loseLeader();
+            crashes.simulation.run(800ms);
+            crashes.simulation.lead();
+        }
+        EXPECT_TRUE(crashes.simulation.runUntil([&] { return crashes.allEnded(); }, 60s)) << delay.count();
+        crashes.expectOnlyCrashingJobsFailed();
+        EXPECT_EQ(crashes.simulation.workers.crashes(), 3U) << delay.count();
+    }
+}
+
 // Guards against counts that end with the leader: a new one would start a crashing task as often again.
 TEST(WorkflowCrash, CountOutlivesLeadersAndSnapshots)
 {
