Pass join requests on to the leader

A manager whose disk was lost, or that was replaced while it was frozen, asks the seeds of its settings to join.

A replica that follows a leader passes the request on to it, once. The test failed before.

--- a/src/coordination/replicated_log_members.cpp
+++ b/src/coordination/replicated_log_members.cpp
@@ -39,6 +39,11 @@
 // new one has caught up.
 void ReplicatedLog::onJoinRequest(const Message &message, base::TimePoint now)
 {
+    const bool isForwarded = message.to.generation != 0;
+    if (state_ != State::Leader && leader_.node != 0 && leader_.node != message.from.node && !isForwarded) {
+        // The sender knows only the nodes of its settings, and the leader may be another one.
+        messages_.push_back(Message{message.cluster, message.from, leader_, message.term, JoinRequest{}});
+    }
     const auto &nodes = settings_.nodes;
     const bool known =
         settings_.openMembership || std::find(nodes.begin(), nodes.end(), message.from.node) != nodes.end();
--- a/tests/coordination_log_test.cpp
+++ b/tests/coordination_log_test.cpp
@@ -544,6 +544,33 @@
     cluster.checkAcknowledged();
 }
 
+// Guards against a lost disk that is never replaced: join requests go to the configured nodes only, and none of them
+// led.
+TEST(ReplicatedLog, aReplicaJoinsThroughAnyNodeThatFollowsTheLeader)
+{
+    constexpr std::uint32_t Spare = 4; // Not among the configured nodes.
+    FakeCluster::Options options{3, 11};
+    options.spares = 1;
+    FakeCluster cluster(options);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+    cluster.run(2s);
+    const std::uint32_t lost = cluster.leader() % 3 + 1;
+    cluster.loseDisk(lost);
+    cluster.start(lost);
+    cluster.run(5s); // The spare becomes a voter.
+    for (int change = 0; change < 50 && cluster.leader() != Spare; ++change) {
+        const std::uint32_t leader = cluster.leader();
+        cluster.kill(leader);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0 && cluster.leader() != leader; }, 10s));
+        cluster.start(leader);
+        cluster.run(2s);
+    }
+    ASSERT_EQ(cluster.leader(), Spare);
+    cluster.loseDisk(lost);
+    cluster.start(lost);
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.log(lost).role() == coordination::Role::Learner; }, 3s));
+}
+
 TEST(ReplicatedLog, aVoterReplacedWhilePartitionedBecomesALearner)
 {
     FakeCluster::Options options{3, 12};
