Let reads of a running job wait for its end

A read of a running job now waits for the job's end, for 250 ms and an eighth of the caller's timeout at most. A manager that stops leading meanwhile gives no state.

--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds MaxHoldTime{1'500}; ///< Longer than an election; after that the caller should try elsewhere.
 constexpr int HoldTimeDivisor = 2; ///< A request is held for at most half of its caller's timeout.
 constexpr milliseconds ReplyMargin{250}; ///< Time for the reply to reach the caller.
+// A caller's read often comes when its tasks have ended and the end isn't in the log yet, which takes up to 150 ms.
+constexpr milliseconds MaxReadWait{250};
+constexpr int ReadWaitDivisor = 8; ///< A read waits for at most an eighth of its caller's timeout.
 constexpr milliseconds RetryInterval{50};
 constexpr milliseconds RetryAfter{1'000};
 constexpr milliseconds DrainPollInterval{20};
@@ -81,6 +84,7 @@
 {
     auto pending = std::make_shared<PendingRequest>();
     pending->request = std::move(request);
+    pending->request.wait = std::min(MaxReadWait, timeout / ReadWaitDivisor);
     pending->deadline = steady_clock::now() + std::min(MaxHoldTime, timeout / HoldTimeDivisor);
     pending->done = std::move(done);
     pending->callerDeadline = steady_clock::now() + timeout - ReplyMargin;
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -33,6 +33,7 @@
 /// Longer than one or two missed heartbeats, and than the time after which a VM counts as disconnected.
 constexpr milliseconds VoterReplacementDelay{3'000};
 constexpr std::size_t MaxLearners = 4; ///< Spare managers and managers that lost their disk.
+constexpr milliseconds MaxReadWait{1'000}; ///< Gateways wait no longer for a reply.
 constexpr std::uint64_t DiskReserveBytes = 8U << 20U;
 constexpr std::size_t SnapshotThresholdBytes = 4U << 20U; ///< Two snapshots and the log must fit on a small disk.
 
@@ -204,6 +205,8 @@
 // timeout.
 void ManagerService::drain(std::function<void()> done)
 {
+    draining_ = true;
+    waitingReads_.answerAll();
     drainDeadline_ = std::chrono::steady_clock::now() + HandoverTimeout;
     log_->tryPush(LogInput{LogInput::HandOverLeadership{}});
     waitForHandover(std::move(done));
@@ -254,6 +257,7 @@
     }
     const base::TimePoint begin = base::BootClock::now();
     jobs_.tick(begin, wallNow());
+    waitingReads_.expire(begin);
     const base::TimePoint end = base::BootClock::now();
     recordTick(begin, end);
     reportDutyTime(end);
@@ -369,6 +373,11 @@
         std::vector<workflow::StateEvent> events;
         state_.apply(*decoded, events);
         jobs_.onEntryApplied(*decoded, events, base::BootClock::now(), wallNow());
+        for (const workflow::StateEvent &event : events) {
+            if (event.kind == workflow::StateEvent::Kind::JobEnded) {
+                waitingReads_.onJobEnded(event.job);
+            }
+        }
         armTimer(DispatchDelay);
     }
     resolvePending(entry);
@@ -416,6 +425,7 @@
 {
     base::logInfo("leadership_lost").with("reason", reason).with("term", status_.term);
     jobs_.stepDown();
+    waitingReads_.answerAll();
     // The next leader decides whether these entries are committed, so their callers get no confirmation.
     for (auto &[index, entry] : std::exchange(pending_, {})) {
         if (entry.done) {
@@ -737,12 +747,33 @@
     if (job == nullptr) {
         channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
     } else if (request->verb == workflow::QueueVerb::Read) {
-        channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::State, job->phase, 0, {}, {}});
+        readJob(channel, frame.correlation, *key, request->wait);
     } else {
         cancelJob(channel, frame.correlation, *key);
     }
 }
 
+// A manager that has stopped leading meanwhile may not know the job's end, so it doesn't reply with a state.
+void ManagerService::readJob(const protocol::ChannelPtr &channel,
+                             std::uint64_t correlation,
+                             workflow::JobKey key,
+                             milliseconds wait)
+{
+    auto reply = [this, key, done = makeReplyCallback<workflow::QueueReply>(channel, correlation)] {
+        const workflow::JobRecord *const job = state_.findJob(key);
+        if (!isLeader(base::BootClock::now()) || job == nullptr) {
+            done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
+            return;
+        }
+        done(workflow::QueueReply{workflow::QueueOutcome::State, job->phase, 0, {}, {}});
+    };
+    const bool mayWait =
+        state_.findJob(key)->phase == workflow::JobPhase::Running && wait > milliseconds{0} && !draining_;
+    if (!mayWait || !waitingReads_.add(key, base::BootClock::now() + std::min(wait, MaxReadWait), reply)) {
+        reply();
+    }
+}
+
 void ManagerService::submitJob(const protocol::ChannelPtr &channel,
                                std::uint64_t correlation,
                                workflow::JobKey key,
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -9,6 +9,7 @@
 #include "protocol/listener.h"
 #include "workflow/job_manager.h"
 #include "workflow/platform_interface.h"
+#include "workflow/waiting_reads.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -106,6 +107,10 @@
     void onClosed(const protocol::ChannelPtr &channel);
     void onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
     void onQueueRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
+    void readJob(const protocol::ChannelPtr &channel,
+                 std::uint64_t correlation,
+                 workflow::JobKey key,
+                 std::chrono::milliseconds wait);
     void submitJob(const protocol::ChannelPtr &channel,
                    std::uint64_t correlation,
                    workflow::JobKey key,
@@ -150,6 +155,7 @@
     daemon::ManagerConnections managers_;
     workflow::State state_;
     workflow::JobManager jobs_;
+    workflow::WaitingReads waitingReads_;
     platform::WorkerClient workerCalls_;
     std::unique_ptr<LogThread> log_;
     LogStatus status_;
@@ -172,6 +178,7 @@
     TickTimes tickTimes_;
     DutyTimes reportedTimes_; ///< As of the last report.
     base::TimePoint nextDutyReport_{};
+    bool draining_ = false;
     bool restartDue_ = false; ///< An entry of the job manager was not committed.
 };
 
--- a/src/workflow/messages.h
+++ b/src/workflow/messages.h
@@ -48,8 +48,10 @@
     std::string host;
     std::string path;
     std::optional<JobSpec> job; ///< Set for submissions.
+    /// The reply to a read of a running job may be delayed by this time, so that it can tell of the job's end.
+    std::chrono::milliseconds wait{0};
 
-    MSGPACK_DEFINE(verb, host, path, job)
+    MSGPACK_DEFINE(verb, host, path, job, wait)
 };
 
 struct ReportWorkerReply {
