--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -25,7 +25,7 @@
 /// Inserts, repeats, removes and overwrites bytes, and inserts what parsers often fail on.
 std::string mutate(std::string bytes, std::mt19937 &random)
 {
-    static const std::array<std::string, 8> Fragments{"-1",
+    static const std::array<std::string, 8> fragments{"-1",
                                                       "4294967296",
                                                       "18446744073709551616",
                                                       "1e308",
@@ -48,7 +48,7 @@
             bytes.insert(at, bytes.substr(at, 4 * length));
             break;
         case 3:
-            bytes.replace(at, length, Fragments[random() % Fragments.size()]);
+            bytes.replace(at, length, fragments[random() % fragments.size()]);
             break;
         default:
             if (at < bytes.size()) {
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/json_fields.h"
 #include "platform/worker_answers.h"
 
+#include <fmt/core.h>
 #include <gtest/gtest.h>
 
 using namespace yuccawheel;
@@ -174,7 +175,8 @@
 TEST(PlatformFormat, UnreadableRowHidesNoOthers)
 {
     const auto decode = [](const std::string &running, const std::string &ended) {
-        const std::string body = R"({"clock_ms":5,"born":7,"running":[)" + running + R"(],"ended":[)" + ended + "]}";
+        const std::string body =
+            fmt::format(R"({{"clock_ms":5,"born":7,"running":[{}],"ended":[{}]}})", running, ended);
         return platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, false});
     };
     const std::string run = R"(["5c0e7a21d94b36f8.0.1.17",2,"",41])";
@@ -186,7 +188,7 @@
                                    std::string(R"([1e300,"5c0e7a21d94b36f8.0.1.9",1,"done",""])"),
                                    std::string(R"([59,"5c0e7a21d94b36f8.0.1.9",1,"lost",""])"),
                                    std::string(100'000, '[') + std::string(100'000, ']')}) {
-        const auto answer = decode(odd + "," + run, odd + "," + end);
+        const auto answer = decode(fmt::format("{},{}", odd, run), fmt::format("{},{}", odd, end));
         EXPECT_EQ(answer.outcome, workflow::OrderOutcome::Done) << odd;
         EXPECT_FALSE(answer.isComplete) << odd;
         ASSERT_EQ(answer.running.size(), 1U) << odd;
