--- a/fuzz/platform_messages.cpp
+++ b/fuzz/platform_messages.cpp
@@ -62,7 +62,7 @@
     }
 }
 
-// Returns whether the rows that were added to a list of the body are decoded.
+// An answer that can't be read lists no ends, so that none is acknowledged.
 void checkRuns(std::string_view body)
 {
     const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, std::string(body), false});
