--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -68,8 +68,8 @@
         0; ///< Value that the worker received: 0 on a new connection, which may lead to a new incarnation.
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
-    bool isComplete =
-        true; ///< False if the lists had rows that can't be read: a run may be there without being listed.
+    /// False if the lists had rows that can't be read: a run may be there without being listed.
+    bool isComplete = true;
 };
 
 /// A query to the eligibility service, sent through a gateway.
