Review case 1: a shrunken worker and a filling task end every manager

The ledger asserts that nothing is reserved on a worker that holds less than is reserved, but placement doesn't leave such a worker out for tasks that ask for no CPU. All replicas hold the same state, so each leader aborts.

Nothing is fixed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,64 +1,50 @@
-"""Ends beyond the first 500 of a list: one start order without an answer, while 600 tasks of one executor end."""
+"""An executor's capacity shrinks while it runs, and tasks that fill are waiting."""
 
+import json
 import pathlib
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib"))
 from deployment import Deployment, run_case, wait_until  # noqa: E402
-from executors import Executor  # noqa: E402
+from executors import AdviceService, Executor  # noqa: E402
 
-TASKS = 600  # Of a tenth of a core each, on an executor of 64 cores
-WORK_S = 6.0
-LARGE, SMALL = "00000000000000a1", "00000000000000b2"
-LATE_S = 4.0  # The unanswered order is carried out this much later; the pages allow 2 to 12 s.
+STEADY, FILLING = "00000000000000a1", "00000000000000b2"
+CPU, SHRUNK_CPU = 64_000, 32_000
+WATCH_S = 25.0
+ENDS_FOR_FAULT = 3  # "processes end by themselves three times in the day"
 
 
 def case(record, trouble):
     deployment = Deployment(record, managers=3, gateways=2)
     executors = []
+    advice = AdviceService(deployment.stand_in_ip, record)
+    deployment.advice = advice.address
     try:
         deployment.start()
         deployment.configure()
-        first = Executor(deployment, "first", run_s=lambda task: WORK_S if task.startswith(LARGE) else 1.0,
-                         labels=("a", "r1-1"))
-        executors += [first, Executor(deployment, "second", run_s=lambda task: WORK_S, labels=("b", "r1-2"))]
+        executors += [Executor(deployment, name, cpu=CPU, run_s=lambda task: 60.0 if task.startswith(STEADY) else 1.0)
+                      for name in ("one", "two")]
         time.sleep(2.0)
-        step = {"count": TASKS, "cpu": 100, "mem_mb": 100, "estimated_ms": int(WORK_S * 1000), "required_label": "a"}
-        deployment.submit(LARGE, [step])
-        wait_until(lambda: len(first.starts) >= TASKS, "all tasks have started", 30)
+        # 60 of 64 cores of each executor are in use, and most of the memory is free.
+        deployment.submit(STEADY, [{"count": 6, "cpu": 20_000, "mem_mb": 1000, "estimated_ms": 60_000}])
+        wait_until(lambda: sum(len(each.runs) for each in executors) == 6, "all tasks run", 20)
         if trouble:
-            first.ignore_starts = lambda task, run: LATE_S if task.startswith(SMALL) else None
-        # The small job is handed in shortly before the first tasks of the large one end.
-        time.sleep(max(0.0, first.starts[0][0] + WORK_S - 0.25 - time.monotonic()))
-        deployment.submit(SMALL, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 1000,
-                                   "required_label": "a"}])
-        time.sleep(4.0)
-        first.ignore_starts = None
-        for job in (LARGE, SMALL):
-            wait_until(lambda at=job: deployment.state(at) == "completed", f"job {job} is completed", 50)
-        time.sleep(1.0)
-        return started_after_done(record, executors)
+            executors[0].cpu = SHRUNK_CPU
+            wait_until(executors[0].check_in, "the new capacity is reported", 5)
+        time.sleep(2.0)
+        deployment.call("POST", FILLING, json.dumps({"task_spec": "work", "steps": [
+            {"count": 4, "cpu": 2000, "mem_mb": 1000, "estimated_ms": 1000, "fills": True}]}))
+        time.sleep(WATCH_S)
+        ends = {daemon.name: len(daemon.ends) for daemon in deployment.gateways + deployment.managers}
+        state = deployment.state(FILLING)
+        record("result", ends=json.dumps(ends), filling_job=state)
+        return sum(len(daemon.ends) >= ENDS_FOR_FAULT for daemon in deployment.managers) * 2 >= len(deployment.managers)
     finally:
         for executor in executors:
             executor.close()
         deployment.close()
-
-
-def started_after_done(record, executors):
-    """TWICE: a start after a run has ended `done`, if that end is taken note of then or later."""
-    again = 0
-    for executor in executors:
-        for task, ends in executor.done.items():
-            life, number, at = ends[0]
-            noted = executor.noted.get(life, 0) >= number
-            for other in executors:
-                for started, name, run, _ in other.starts:
-                    if name == task and started > at and noted:
-                        again += 1
-                        record("twice", task=task, run=run, first_end=number, last_seen=executor.noted[life])
-    record("result", tasks_started_again=again)
-    return again > 0
+        advice.close()
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An executor crashes and starts again under its id, at another address."""
+"""Ends beyond the first 500 of a list: one start order without an answer, while 600 tasks of one executor end."""
 
 import pathlib
 import sys
@@ -8,12 +8,10 @@
 from deployment import Deployment, run_case, wait_until  # noqa: E402
 from executors import Executor  # noqa: E402
 
-JOB, LATER_JOB = "00000000000000a1", "00000000000000b2"
-WORK_S = 3.0
-DOWN_S = 4.5
-FINISH_S = 14.0  # `finish_s` of the deployments
-STANDSTILL_S = 3.0  # "for 3 s, a job has nothing running while a task's turn has come"
-WATCH_S = 40.0
+TASKS = 600  # Of a tenth of a core each, on an executor of 64 cores
+WORK_S = 6.0
+LARGE, SMALL = "00000000000000a1", "00000000000000b2"
+LATE_S = 4.0  # The unanswered order is carried out this much later; the pages allow 2 to 12 s.
 
 
 def case(record, trouble):
@@ -22,30 +20,46 @@
     try:
         deployment.start()
         deployment.configure()
-        executors += [Executor(deployment, name, run_s=lambda task: WORK_S) for name in ("one", "two", "three")]
+        first = Executor(deployment, "first", run_s=lambda task: WORK_S if task.startswith(LARGE) else 1.0,
+                         labels=("a", "r1-1"))
+        executors += [first, Executor(deployment, "second", run_s=lambda task: WORK_S, labels=("b", "r1-2"))]
         time.sleep(2.0)
-        deployment.submit(JOB, [{"count": 1, "cpu": 4000, "mem_mb": 1000, "estimated_ms": int(WORK_S * 1000)}])
-        host = wait_until(lambda: next((each for each in executors if each.runs), None), "the task runs", 20)
+        step = {"count": TASKS, "cpu": 100, "mem_mb": 100, "estimated_ms": int(WORK_S * 1000), "required_label": "a"}
+        deployment.submit(LARGE, [step])
+        wait_until(lambda: len(first.starts) >= TASKS, "all tasks have started", 30)
         if trouble:
-            host.crash()
-            time.sleep(DOWN_S)
-            host.restart(new_id=False, new_address=True)
-        # From here on all executors are up, all but idle, and check in.
-        began = time.monotonic()
-        deployment.submit(LATER_JOB, [{"count": 1, "cpu": 4000, "mem_mb": 1000, "estimated_ms": int(WORK_S * 1000)}])
-        while time.monotonic() < began + WATCH_S and deployment.state(JOB) != "completed":
-            time.sleep(1.0)
-        states = deployment.state(JOB), deployment.state(LATER_JOB)
-        idle = not any(each.runs for each in executors)
-        starts = [(task, run) for each in executors for _, task, run, _ in each.starts]
-        record("result", state=states[0], later_job=states[1], nothing_runs=idle, starts=starts,
-               standstill_s=f"{time.monotonic() - began:.1f}")
-        return states[0] != "completed" and idle and time.monotonic() - began > FINISH_S + STANDSTILL_S
+            first.ignore_starts = lambda task, run: LATE_S if task.startswith(SMALL) else None
+        # The small job is handed in shortly before the first tasks of the large one end.
+        time.sleep(max(0.0, first.starts[0][0] + WORK_S - 0.25 - time.monotonic()))
+        deployment.submit(SMALL, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 1000,
+                                   "required_label": "a"}])
+        time.sleep(4.0)
+        first.ignore_starts = None
+        for job in (LARGE, SMALL):
+            wait_until(lambda at=job: deployment.state(at) == "completed", f"job {job} is completed", 50)
+        time.sleep(1.0)
+        return started_after_done(record, executors)
     finally:
         for executor in executors:
             executor.close()
         deployment.close()
 
 
+def started_after_done(record, executors):
+    """TWICE: a start after a run has ended `done`, if that end is taken note of then or later."""
+    again = 0
+    for executor in executors:
+        for task, ends in executor.done.items():
+            life, number, at = ends[0]
+            noted = executor.noted.get(life, 0) >= number
+            for other in executors:
+                for started, name, run, _ in other.starts:
+                    if name == task and started > at and noted:
+                        again += 1
+                        record("twice", task=task, run=run, first_end=number, last_seen=executor.noted[life])
+    record("result", tasks_started_again=again)
+    return again > 0
+
+
 if __name__ == "__main__":
     sys.exit(run_case(pathlib.Path(__file__).parent, case))
