--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -25,7 +25,7 @@
 MAX_CASE_S = 115  # A script may run for 120 s.
 RESTART_DELAY_S = 0.5  # "A process that exits or is killed is restarted after a short delay"
 HOST = "queues.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 SERVICE = "service-a"
 
 
