Offer nothing on a worker that holds less than is reserved on it

Cause: the placer counts how often a task fits in what is free, and a task that asks for none of a resource fits however far below zero that is; the ledger asserts that nothing is added there. The state is replicated, so each successor made the same choice.

The fake workers don't count the CPU of tasks that fill, as workers don't.

The zone scheduler cuts reservations before it lowers a capacity and is not affected.

--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -2,6 +2,7 @@
 
 #include "base/invariant.h"
 #include "base/log.h"
+#include "workflow/step_placer.h"
 
 #include <algorithm>
 
@@ -89,10 +90,10 @@
                                const workflow::StepSpec &spec,
                                base::TimePoint now) const
 {
-    placement::Resources used = spec.perTask;
+    placement::Resources used = workflow::reservationOf(spec);
     std::uint32_t tasksOfStep = 1;
     for (const auto &[task, run] : worker.runs) {
-        used += run.spec.perTask;
+        used += workflow::reservationOf(run.spec);
         tasksOfStep += task.job == order.task.job && task.step == order.task.step ? 1 : 0;
     }
     const bool fits = used.fitsIn(worker.identity.capacity)
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -49,6 +49,12 @@
     return ledger_.free(number) - claims_.withheldCapacity(number, request.job.policy.priority, step.isResumable());
 }
 
+// A worker that holds less than is reserved takes nothing more, not even a task that asks for none of what it lacks.
+std::uint32_t StepPlacer::fittingTasks(const Request &request, WorkerNumber number) const
+{
+    return ledger_.isExceeded(number) ? 0 : fittingTasksIn(request, number, availableOn(request, number));
+}
+
 std::uint32_t
 StepPlacer::fittingTasksIn(const Request &request, WorkerNumber number, const placement::Resources &free) const
 {
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -72,10 +72,7 @@
     /// Returns the free capacity of a worker minus what the step must leave to claims.
     placement::Resources availableOn(const Request &request, WorkerNumber number) const;
     /// Returns how many of the step's tasks fit on the worker now.
-    std::uint32_t fittingTasks(const Request &request, WorkerNumber number) const
-    {
-        return fittingTasksIn(request, number, availableOn(request, number));
-    }
+    std::uint32_t fittingTasks(const Request &request, WorkerNumber number) const;
     /// Returns how many of the step's tasks would fit on the worker with this free capacity.
     std::uint32_t fittingTasksIn(const Request &request, WorkerNumber number, const placement::Resources &free) const;
 
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -487,6 +487,94 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
 }
 
+// Guards against managers that abort one after the other: a worker that holds less than is reserved on it was taken as
+// free for tasks that ask for none of what it lacks.
+TEST_F(WorkflowManager, ShrunkenWorkerGetsNoTaskThatAsksForNothing)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1);
+    simulation.submit(Key, job({step(4, 4'000)}), policy());
+    simulation.run(500ms);
+    simulation.workers.setCapacity("w0", {8'000, 1'000'000, 0}, 2s, simulation.now);
+    simulation.run(2s);
+    workflow::StepSpec filling = step(2, 1'000);
+    filling.bestEffort = true;
+    workflow::StepSpec empty = step(2, 0);
+    empty.perTask = {};
+    workflow::StepSpec fillingGang = gang(2, 1'000);
+    fillingGang.bestEffort = true;
+    simulation.submit(Key + 1, job({filling}), policy());
+    simulation.submit(Key + 2, job({empty}), policy());
+    simulation.submit(Key + 3, job({fillingGang}), policy());
+    simulation.submit(Key + 4, job({filling}), checkedPolicy(10ms, 1ms));
+    simulation.run(500ms);
+    simulation.loseLeader();
+    simulation.lead();
+    simulation.run(500ms);
+    EXPECT_EQ(simulation.workers.running(), 4U);
+    simulation.workers.setCapacity("w0", {16'000, 1'000'000, 0}, 0ms, simulation.now);
+    for (workflow::JobKey key = Key; key <= Key + 4; ++key) {
+        EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, key, JobPhase::Completed); }, 20s));
+    }
+}
+
+// Capacities shrink and grow while tasks of all shapes wait, also such that ask for none of a resource, and leaders
+// change. The fake workers assert that none of them is overfilled. All jobs must end once the capacity is back.
+RC_GTEST_PROP(WorkflowManagerRandom, KeepsItsGuaranteesWhileCapacitiesChange, ())
+{
+    constexpr auto Notice = 2s; // One report and a little more.
+    constexpr std::size_t Workers = 3;
+    ManagerSimulation::Options options;
+    options.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+    options.workers.runTime = 1s;
+    options.workers.stopTime = 200ms;
+    ManagerSimulation simulation(options);
+    std::mt19937_64 random(options.seed);
+    for (std::size_t number = 0; number < Workers; ++number) {
+        simulation.workers.add("w" + std::to_string(number), 16'000, "rack" + std::to_string(number % 2), simulation.now);
+    }
+    simulation.lead();
+    const auto randomStep = [&random] {
+        const auto width = static_cast<std::uint32_t>(1 + random() % 3);
+        workflow::StepSpec spec = random() % 3 == 0 ? gang(width, 4'000) : step(2 * width, 3'000);
+        spec.checkpointing = random() % 2 == 0;
+        spec.bestEffort = random() % 3 == 0;
+        spec.perTask.milliCpu = random() % 4 == 0 ? 0 : spec.perTask.milliCpu;
+        spec.perTask.memoryMib = random() % 2 == 0 ? 0 : 200'000;
+        return spec;
+    };
+    const auto setCapacity = [&](std::size_t worker, const placement::Resources &capacity) {
+        simulation.workers.setCapacity("w" + std::to_string(worker), capacity, Notice, simulation.now);
+    };
+    constexpr workflow::JobKey Jobs = 15;
+    for (workflow::JobKey key = 1; key <= Jobs; ++key) {
+        workflow::QueuePolicy queue = random() % 2 == 0 ? policy() : checkedPolicy(5ms, 100us);
+        queue.priority = static_cast<std::int32_t>(random() % 3);
+        queue.target = 20s;
+        simulation.submit(key, job({randomStep(), randomStep()}), queue);
+        simulation.run(std::chrono::milliseconds(random() % 500));
+        if (random() % 2 == 0) {
+            setCapacity(random() % Workers,
+                        {static_cast<std::int64_t>(random() % 3) * 8'000,
+                         static_cast<std::int64_t>(random() % 3) * 500'000,
+                         0});
+            simulation.run(Notice);
+        } else if (random() % 3 == 0) {
+            simulation.loseLeader();
+            simulation.lead();
+        }
+    }
+    for (std::size_t worker = 0; worker < Workers; ++worker) {
+        setCapacity(worker, {16'000, 1'000'000, 0});
+    }
+    const auto allEnded = [&] {
+        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
+            return item.second.hasEnded() && item.second.placed == 0;
+        });
+    };
+    RC_ASSERT(simulation.runUntil(allEnded, 60s));
+}
+
 // Guards against a run that is started again elsewhere because the row that lists it could not be read.
 TEST_F(WorkflowManager, UnreadableRowsAreNoProofThatARunIsMissing)
 {
