Take no run for missing that a cut list doesn't name

Workers list 500 ends at a time. The manager took a run that was neither listed as running nor among these for one that isn't there, and while a start had no answer it acknowledged nothing, so that the list never showed the others.

A list of 500 ends, or an answer without a list, now proves nothing about runs that it doesn't name. Ends are acknowledged also while a start has no answer, on connections on which an answer has named the incarnation: a connection doesn't outlive its process. Before, any reused connection counted, also one that a start order had opened to the next incarnation.

--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr std::string_view Poison = "poison"; ///< Payload of a job whose tasks always fail.
+constexpr std::size_t MaxListedEnds = 500; ///< A longer list of ends is cut short.
 
 } // namespace
 
@@ -226,7 +227,9 @@
         }
         return isAcknowledged;
     });
-    answer.ended = worker.ended;
+    const std::size_t listed = std::min(worker.ended.size(), MaxListedEnds);
+    answer.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.isComplete = listed < MaxListedEnds;
     for (const auto &[task, run] : worker.runs) {
         answer.running.push_back({toString(task), run.run, {}});
     }
--- a/fuzz/platform_messages.cpp
+++ b/fuzz/platform_messages.cpp
@@ -33,6 +33,13 @@
     fuzz::require(workflow::decodeEntry(workflow::encodeEntry(workflow::WorkerJoinedEntry{report.worker})).has_value());
 }
 
+// The id of a report comes from its path. One that is accepted can be written as it is.
+void checkId(std::string_view id)
+{
+    const workflow::WorkerReport report = platform::decodeFinalReport(std::string(id), {});
+    fuzz::require(platform::Json::parse(platform::encodeJson(report.worker.id)) == id);
+}
+
 void checkJob(std::string_view body, const workflow::QueuePolicy &policy)
 {
     workflow::JobSpec spec = platform::decodeJob(body);
@@ -65,7 +72,7 @@
 // An answer that can't be read lists no ends, so that none is acknowledged.
 void checkRuns(std::string_view body)
 {
-    const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, std::string(body), false});
+    const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, std::string(body), {}, {}});
     fuzz::require(answer.outcome == workflow::OrderOutcome::Done || answer.ended.empty());
 }
 
@@ -76,10 +83,12 @@
     const std::string_view input = fuzz::view(data, size);
     const std::string_view kind = input.substr(0, input.find('\n'));
     const std::string_view body = input.substr(std::min(input.size(), kind.size() + 1));
-    const http::ClientResponse response{200, {}, std::string(body), false};
+    const http::ClientResponse response{200, {}, std::string(body), {}, {}};
     try {
         if (kind == "report") {
             checkReport(body);
+        } else if (kind == "id") {
+            checkId(body);
         } else if (kind == "job") {
             checkJob(body, {});
         } else if (kind == "configuration") {
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -40,7 +40,7 @@
     ClientRequest request;
     std::chrono::steady_clock::time_point deadline;
     CallPool::Done done;
-    CallPool::MakeBody bodyOnNewConnection;
+    CallPool::MakeBody makeBody;
     bool retried = false;
 
     /// Verdict on a call that fails now, if its current attempt ends with `attempt`. The server may have processed the
@@ -180,7 +180,8 @@
         for (const Header &header : call_->request.headers) {
             message.set(header.name, header.value);
         }
-        message.body() = !connected_ && call_->bodyOnNewConnection ? call_->bodyOnNewConnection() : call_->request.body;
+        tagWhenSent_ = *tag_;
+        message.body() = call_->makeBody ? call_->makeBody(tagWhenSent_) : call_->request.body;
         message.prepare_payload();
         output_.clear();
         serialize(message, output_);
@@ -225,7 +226,8 @@
         for (const auto &field : parser_->get()) {
             response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
-        response.onNewConnection = !reused_;
+        response.tagWhenSent = tagWhenSent_;
+        response.connectionTag = tag_;
         const bool reusable = parser_->get().keep_alive();
         response.body = std::move(parser_->get().body());
         parser_.reset();
@@ -264,6 +266,8 @@
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
     std::optional<QueuedCall> call_;
     base::Verdict verdict_ = base::Verdict::NotRun;
+    std::shared_ptr<ConnectionTag> tag_ = std::make_shared<ConnectionTag>();
+    ConnectionTag tagWhenSent_;
     bool timerArmed_ = false;
     bool timedOut_ = false;
     bool connected_ = false;
@@ -336,13 +340,13 @@
     return impl_->busy.empty() && impl_->queue.empty();
 }
 
-void CallPool::call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody bodyOnNewConnection)
+void CallPool::call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody makeBody)
 {
     const base::DutyScope duty(base::Duty::Calls);
     QueuedCall call{std::move(request),
                     std::chrono::steady_clock::now() + timeout,
                     std::move(done),
-                    std::move(bodyOnNewConnection),
+                    std::move(makeBody),
                     false};
     if (impl_->queue.size() >= impl_->options.maxQueued) {
         asio::post(impl_->io, [impl = impl_, call = std::move(call)] {
--- a/src/http/call_pool.h
+++ b/src/http/call_pool.h
@@ -27,7 +27,8 @@
 {
 public:
     using Done = std::function<void(tl::expected<ClientResponse, CallError>)>;
-    using MakeBody = std::function<std::string()>;
+    /// Makes the body of a request from the tag of the connection that carries it.
+    using MakeBody = std::function<std::string(const ConnectionTag &)>;
 
     CallPool(boost::asio::io_context &io, const settings::Endpoint &server, CallPoolOptions options = {});
     ~CallPool();
@@ -35,9 +36,8 @@
     CallPool &operator=(const CallPool &) = delete;
 
     /// Sends a request and calls `done` exactly once, never from within this call, unless the pool is destroyed first.
-    /// If the request goes out on a new connection, `bodyOnNewConnection`, if given, makes another body: the server may
-    /// be another process than the one that sent earlier answers.
-    void call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody bodyOnNewConnection = {});
+    /// `makeBody`, if given, makes the body instead of the request's, again if the request is sent once more.
+    void call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody makeBody = {});
 
     /// Closes all connections. Calls in progress end with an error.
     void closeConnections();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -6,6 +6,9 @@
 #include <tl/expected.hpp>
 
 #include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,11 +29,17 @@
     std::string body;
 };
 
+/// What the user of a pool knows about the server at the other end of a connection; nothing on a new connection.
+using ConnectionTag = std::optional<std::int64_t>;
+
 struct ClientResponse {
     int status = 0;
     std::vector<Header> headers;
     std::string body;
-    bool onNewConnection = false; ///< Whether this is the first answer over its connection.
+    ConnectionTag tagWhenSent; ///< Tag of the connection when the request was sent.
+    /// Sets the tag of the pooled connection that carried the answer; null for an answer to `call`. Tags set before the
+    /// callback with the answer returns hold for the next request on the connection.
+    std::shared_ptr<ConnectionTag> connectionTag;
 
     /// Returns the first value of a header, or an empty text. The name is not case-sensitive.
     std::string_view header(std::string_view name) const;
--- a/src/platform/worker_answers.cpp
+++ b/src/platform/worker_answers.cpp
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 using workflow::OrderOutcome;
 
+constexpr std::size_t MaxListedEnds = 500; ///< Workers list no more ends at a time.
+
 OrderOutcome parseOutcome(int status, const Json &body)
 {
     switch (status) {
@@ -184,7 +186,8 @@
             pollAnswer.born = timeField(body, "born").count();
             const bool running = decodeRows(body, "running", worker, decodeRunning, pollAnswer.running);
             const bool ended = decodeRows(body, "ended", worker, decodeEnded, pollAnswer.ended);
-            pollAnswer.isComplete = running && ended;
+            const bool isCut = arrayField(body, "ended").size() >= MaxListedEnds;
+            pollAnswer.isComplete = running && ended && !isCut && body.contains("running") && body.contains("ended");
         }
         pollAnswer.outcome = outcome;
     } catch (const FormatError &error) {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -15,15 +15,20 @@
 constexpr milliseconds OrderTimeout{700}; ///< A healthy worker answers within a few milliseconds.
 constexpr std::size_t MaxConnections = 6; ///< One for the long poll `hold`, the others for orders. Workers accept 64.
 
-http::ClientRequest makeRequest(const workflow::WorkerIdentity &worker, const char *path, const Json &body)
+http::ClientRequest makeRequest(const workflow::WorkerIdentity &worker, const char *path, std::string body)
 {
     return {"POST",
             path,
             {{"Content-Type", "application/json"}, {"Yuccawheel-Expect-Instance", worker.id}},
-            body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+            std::move(body)};
 }
 
-Json encodePoll(const workflow::PollOrder &order, std::uint64_t acknowledged)
+std::string encode(const Json &body)
+{
+    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string encodePoll(const workflow::PollOrder &order, std::uint64_t acknowledged)
 {
     Json body{{"fencing_token", order.epoch}, {"last_seen", acknowledged}};
     if (order.leaseUntil) {
@@ -32,7 +37,7 @@
     if (order.wait.count() > 0) {
         body["wait_ms"] = order.wait.count();
     }
-    return body;
+    return encode(body);
 }
 
 } // namespace
@@ -70,7 +75,7 @@
         body["ticket"] = order.ticket;
     }
     poolFor(worker.address)
-        .call(makeRequest(worker, "/run-start", body),
+        .call(makeRequest(worker, "/run-start", encode(body)),
               OrderTimeout,
               [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
 }
@@ -82,7 +87,7 @@
     const base::DutyScope duty(base::Duty::Calls);
     const Json body{{"task", toString(order.task)}, {"run", order.run}, {"fencing_token", order.epoch}};
     poolFor(worker.address)
-        .call(makeRequest(worker, "/run-stop", body),
+        .call(makeRequest(worker, "/run-stop", encode(body)),
               OrderTimeout,
               [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
 }
@@ -92,18 +97,29 @@
                         std::function<void(const workflow::PollAnswer &)> done)
 {
     const base::DutyScope duty(base::Duty::Calls);
-    // On a new connection the worker may be a restarted process, so `last_seen` is sent as 0. A reused connection leads
-    // to the same process as before, since connections don't outlive a process.
+    // Each incarnation numbers its ends from the start, so only the incarnation that listed an end may be told that it is
+    // recorded. A connection doesn't outlive its process: once an answer on it has named the incarnation, all later
+    // requests on it reach the same one.
+    const auto acknowledgedOn = [order, born = worker.born](const http::ConnectionTag &tag) {
+        return tag == born ? order.acknowledged : 0;
+    };
     poolFor(worker.address)
         .call(
-            makeRequest(worker, "/hold", encodePoll(order, order.acknowledged)),
+            makeRequest(worker, "/hold", {}),
             order.wait + OrderTimeout,
-            [id = worker.id, order, done = std::move(done)](const auto &answer) {
-                workflow::PollAnswer pollAnswer = parsePollAnswer(id, order.number, answer);
-                pollAnswer.acknowledged = answer && !answer->onNewConnection ? order.acknowledged : 0;
+            [id = worker.id, born = worker.born, number = order.number, acknowledgedOn, done = std::move(done)](
+                const auto &answer) {
+                workflow::PollAnswer pollAnswer = parsePollAnswer(id, number, answer);
+                if (answer) {
+                    pollAnswer.acknowledged = acknowledgedOn(answer->tagWhenSent);
+                    const bool isExpected = born == 0 || pollAnswer.born == 0 || pollAnswer.born == born;
+                    if (pollAnswer.outcome == workflow::OrderOutcome::Done && isExpected) {
+                        *answer->connectionTag = born;
+                    }
+                }
                 done(pollAnswer);
             },
-            [order] { return encodePoll(order, 0).dump(); });
+            [order, acknowledgedOn](const http::ConnectionTag &tag) { return encodePoll(order, acknowledgedOn(tag)); });
 }
 
 // Keeps a pool with calls in progress: a restarted worker may already use the same address.
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -203,7 +203,6 @@
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
     void reviewWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void reviewRun(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
-    static bool hasUnconfirmedStart(const WorkerView &worker);
     void reviewPolls(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void sendStart(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
     void sendStop(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -295,15 +295,6 @@
     }
 }
 
-bool JobManager::hasUnconfirmedStart(const WorkerView &worker)
-{
-    return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &item) {
-        const LiveRun &run = item.second;
-        return run.stage == LiveRun::Stage::Starting || run.stage == LiveRun::Stage::Uncertain
-            || (run.stage == LiveRun::Stage::Stopping && run.startUnanswered);
-    });
-}
-
 // Keeps one long poll pending, which the worker answers when a run ends. A quick poll is sent in parallel while the
 // state of a run is uncertain.
 void JobManager::reviewPolls(WorkerNumber number, WorkerView &worker, base::TimePoint now)
@@ -325,9 +316,8 @@
         sendPoll(number, worker, true, now);
         return;
     }
-    // While a start is unconfirmed, nothing is acknowledged and the worker would list the same ends again at once.
-    const bool redundant = endsPending || (unacknowledged && hasUnconfirmedStart(worker));
-    if (worker.retired || worker.hasPendingPoll(false) || redundant) {
+    // The worker would list the same ends again at once.
+    if (worker.retired || worker.hasPendingPoll(false) || endsPending) {
         return;
     }
     if (!worker.runs.empty() && (worker.failedCalls == 0 || quickDue)) {
@@ -350,10 +340,10 @@
         worker.lease.recordGrant(*order.leaseUntil);
     }
     const auto record = state_->workers().find(number);
-    // Each incarnation numbers its ends from the start. A worker that has not answered since a start order may be a new
-    // incarnation, whose ends must not be acknowledged by the numbers of the old one.
-    const bool sameIncarnation = !worker.retired && worker.failedCalls == 0 && !hasUnconfirmedStart(worker);
-    order.acknowledged = sameIncarnation && record != state_->workers().end() ? record->second.lastEndNumber : 0;
+    // Ends are acknowledged also while the outcome of a start is unknown: a list that is cut short shows further ends,
+    // and with them whether that run is there, only after its first ones have been acknowledged.
+    const bool mayAcknowledge = !worker.retired && worker.failedCalls == 0;
+    order.acknowledged = mayAcknowledge && record != state_->workers().end() ? record->second.lastEndNumber : 0;
     // The lease can't be renewed before the first clock reading, so that poll must be answered immediately.
     const bool wait = !quick && order.leaseUntil && worker.failedCalls == 0;
     order.wait = wait ? MaxPollWait : std::chrono::milliseconds{0};
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -35,7 +35,8 @@
     std::uint64_t number = 0; ///< Repeated in the answer.
     std::optional<std::chrono::milliseconds> leaseUntil;
     std::uint64_t epoch = 0;
-    std::uint64_t acknowledged = 0; ///< The worker may forget ends up to this number.
+    /// The worker may forget ends up to this number. Must reach no other incarnation than the one it is meant for.
+    std::uint64_t acknowledged = 0;
     std::chrono::milliseconds wait{0}; ///< Maximum time that the worker may delay its answer until a run ends.
 };
 
@@ -64,11 +65,11 @@
     OrderOutcome outcome = OrderOutcome::NoAnswer;
     std::optional<std::chrono::milliseconds> clock;
     std::int64_t born = 0; ///< Start time of the incarnation that answered; 0 if unknown.
-    std::uint64_t acknowledged =
-        0; ///< Value that the worker received: 0 on a new connection, which may lead to a new incarnation.
+    std::uint64_t acknowledged = 0; ///< Value that the worker received: 0 if it may be another incarnation.
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
-    /// False if the lists had rows that can't be read: a run may be there without being listed.
+    /// False if a list is missing, may be cut short or has rows that can't be read: a run may be there, or have ended
+    /// there, without being listed.
     bool isComplete = true;
 };
 
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -171,13 +171,37 @@
     EXPECT_THROW(platform::decodeJob(R"({"steps":)" + nested + "}"), FormatError);
 }
 
+// Guards against runs that are started again although they have ended: their ends were not listed yet, since workers list
+// 500 at a time, or a list was missing.
+TEST(PlatformFormat, ListsThatMayBeCutShortAreIncomplete)
+{
+    const auto isComplete = [](const std::string &lists) {
+        const std::string body = fmt::format(R"({{"clock_ms":5,"born":7{}}})", lists);
+        const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, {}, {}});
+        EXPECT_EQ(answer.outcome, workflow::OrderOutcome::Done) << lists;
+        return answer.isComplete;
+    };
+    const auto ends = [](int count) {
+        std::string rows;
+        for (int number = 1; number <= count; ++number) {
+            rows += fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.1.{}",1,"done",""])", number > 1 ? "," : "", number, number);
+        }
+        return rows;
+    };
+    EXPECT_TRUE(isComplete(fmt::format(R"(,"running":[],"ended":[{}])", ends(499))));
+    EXPECT_FALSE(isComplete(fmt::format(R"(,"running":[],"ended":[{}])", ends(500))));
+    EXPECT_FALSE(isComplete(R"(,"ended":[])"));
+    EXPECT_FALSE(isComplete(R"(,"running":[])"));
+    EXPECT_FALSE(isComplete(""));
+}
+
 // Guards against a worker that counts as silent, so that its tasks move, because of one odd row in its lists.
 TEST(PlatformFormat, UnreadableRowHidesNoOthers)
 {
     const auto decode = [](const std::string &running, const std::string &ended) {
         const std::string body =
             fmt::format(R"({{"clock_ms":5,"born":7,"running":[{}],"ended":[{}]}})", running, ended);
-        return platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, false});
+        return platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, {}, {}});
     };
     const std::string run = R"(["5c0e7a21d94b36f8.0.1.17",2,"",41])";
     const std::string end = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
@@ -197,7 +221,7 @@
         EXPECT_EQ(answer.ended[0].number, 58U);
     }
     const auto eligible = platform::parseEligibilityAnswer(
-        "1.0.0", http::ClientResponse{200, {}, R"({"good":[["i-1",3],["i-2","ticket"]]})", false});
+        "1.0.0", http::ClientResponse{200, {}, R"({"good":[["i-1",3],["i-2","ticket"]]})", {}, {}});
     ASSERT_TRUE(eligible && eligible->size() == 1);
     EXPECT_EQ(eligible->front().first, "i-2");
 }
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -586,3 +586,40 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
     EXPECT_EQ(simulation.workers.starts(), 4U);
 }
+
+// Guards against tasks that run again after they were done: while a start order had no answer, ends beyond the first 500
+// of a worker's list counted as runs that are not there.
+TEST_F(WorkflowManager, EndsBeyondAFullListAreNoProofThatARunIsMissing)
+{
+    constexpr std::uint32_t Tasks = 600;
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1, 64'000);
+    simulation.submit(Key, job({step(Tasks, 100)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == Tasks; }, 2s));
+    simulation.run(5s);
+    simulation.losesStart = [](const workflow::TaskRef &task) {
+        return task.job == Key + 1;
+    };
+    simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
+    simulation.run(3s);
+    simulation.losesStart = {};
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 5s));
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 1, JobPhase::Completed); }, 10s));
+    EXPECT_EQ(simulation.workers.starts(), Tasks + 1);
+}
+
+// The same for a new leader, to which every run is uncertain.
+TEST_F(WorkflowManager, NewLeaderFindsEndsBeyondAFullList)
+{
+    constexpr std::uint32_t Tasks = 1'200;
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1, 128'000);
+    simulation.submit(Key, job({step(Tasks, 100)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == Tasks; }, 2s));
+    simulation.run(5'500ms);
+    simulation.loseLeader();
+    simulation.run(2s);
+    simulation.lead();
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 5s));
+    EXPECT_EQ(simulation.workers.starts(), Tasks);
+}
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -127,6 +127,12 @@
                const workflow::WorkerIdentity &identity,
                const workflow::StartOrder &order) override
     {
+        if (losesStart && losesStart(order.task)) {
+            schedule(now + OrderTimeout, [this, worker, order] {
+                manager->onStartAnswer(worker, order.task, order.run, workflow::OrderAnswer{}, now);
+            });
+            return;
+        }
         send(
             identity,
             [this, id = identity.id, order] { return workers.start(id, order, now); },
@@ -184,6 +190,9 @@
         return true;
     };
 
+    /// Whether start orders of a task get lost without an answer; none does if unset.
+    std::function<bool(const workflow::TaskRef &)> losesStart;
+
     /// Service time of a query; `Options::serviceTime` for all if unset.
     std::function<std::chrono::milliseconds(const workflow::EligibilityQuery &)> serviceTimeOf;
 
