--- a/src/platform/caller_api.cpp
+++ b/src/platform/caller_api.cpp
@@ -45,9 +45,9 @@
     case QueueOutcome::Accepted:
         return {200, "{}", "application/json", {}};
     case QueueOutcome::State:
-        return {200, Json{{"state", workflow::toString(reply.phase)}}.dump(), "application/json", {}};
+        return {200, encodeJson(Json{{"state", workflow::toString(reply.phase)}}), "application/json", {}};
     case QueueOutcome::Pending:
-        return {200, Json{{"pending", reply.pending}}.dump(), "application/json", {}};
+        return {200, encodeJson(Json{{"pending", reply.pending}}), "application/json", {}};
     case QueueOutcome::NoSuchQueue:
         return errorResponse(404, "no such queue");
     case QueueOutcome::NoSuchJob:
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -53,12 +53,7 @@
         if (const auto reportingId = workerIdFromPath(request.path, "/heartbeat")) {
             report(decodeReport(*reportingId, request.body), respond);
         } else if (const auto leavingId = workerIdFromPath(request.path, "/leave")) {
-            workflow::WorkerReport finalReport;
-            finalReport.worker.id = *leavingId;
-            finalReport.leaving = true;
-            const Json body = request.body.empty() ? Json::object() : parseObject(request.body);
-            finalReport.worker.born = timeField(body, "born").count();
-            report(finalReport, respond);
+            report(decodeFinalReport(*leavingId, request.body), respond);
         } else if (request.path == "/config/put") {
             putConfiguration(request, respond);
         } else {
@@ -81,7 +76,7 @@
         if (!reply->reportTo.empty()) {
             body["heartbeat_addr"] = reply->reportTo; // The worker sends its next reports there.
         }
-        respond({200, body.dump(), "application/json", {}});
+        respond({200, encodeJson(body), "application/json", {}});
     });
 }
 
@@ -96,7 +91,7 @@
     handler_.putConfiguration(
         std::move(configuration),
         [respond](const tl::expected<workflow::PutConfigurationReply, workflow::Unanswered> &reply) {
-            respond(reply ? http::Response{200, Json{{"version", reply->version}}.dump(), "application/json", {}}
+            respond(reply ? http::Response{200, encodeJson(Json{{"version", reply->version}}), "application/json", {}}
                           : errorResponse(503, "no confirmation that the configuration is stored"));
         });
 }
--- a/src/platform/eligibility_client.cpp
+++ b/src/platform/eligibility_client.cpp
@@ -24,7 +24,7 @@
                               std::function<void(workflow::EligibilityRows)> done)
 {
     const Json body{{"step", step}, {"workers", workers}};
-    pool_.call({"POST", "/advise", {{"Content-Type", "application/json"}}, body.dump()},
+    pool_.call({"POST", "/advise", {{"Content-Type", "application/json"}}, encodeJson(body)},
                timeout,
                [step, done = std::move(done)](const auto &answer) { done(parseEligibilityAnswer(step, answer)); });
 }
--- a/src/platform/job_format.cpp
+++ b/src/platform/job_format.cpp
@@ -3,6 +3,7 @@
 #include "platform/json_fields.h"
 #include "settings/endpoint.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <limits>
 
@@ -17,6 +18,7 @@
 // Sums over all tasks and workers stay far below the range of the type.
 constexpr std::int64_t MaxAmount = 1'000'000'000'000;
 constexpr double MaxStretch = 1'000'000;
+constexpr std::size_t MaxIdBytes = 256;
 
 std::int64_t amountField(const Json &object, const char *name)
 {
@@ -51,6 +53,15 @@
     return static_cast<std::int32_t>(priority);
 }
 
+// Ids are part of a URL path, so they consist of visible ASCII characters.
+void checkWorkerId(std::string_view id)
+{
+    const bool isVisible = std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < 0x7f; });
+    if (id.empty() || id.size() > MaxIdBytes || !isVisible) {
+        throw FormatError("the worker id is unreadable");
+    }
+}
+
 workflow::StepSpec decodeStep(const Json &object)
 {
     workflow::StepSpec step;
@@ -157,6 +168,7 @@
 
 workflow::WorkerReport decodeReport(const std::string &id, std::string_view body)
 {
+    checkWorkerId(id);
     const Json object = parseObject(body);
     workflow::WorkerReport report;
     report.worker.id = id;
@@ -190,4 +202,15 @@
     return report;
 }
 
+workflow::WorkerReport decodeFinalReport(const std::string &id, std::string_view body)
+{
+    checkWorkerId(id);
+    const Json object = body.empty() ? Json::object() : parseObject(body);
+    workflow::WorkerReport report;
+    report.worker.id = id;
+    report.worker.born = timeField(object, "born").count();
+    report.leaving = true;
+    return report;
+}
+
 } // namespace yuccawheel::platform
--- a/src/platform/job_format.h
+++ b/src/platform/job_format.h
@@ -15,5 +15,7 @@
 workflow::Configuration decodeConfiguration(std::string_view body);
 /// `id` is the worker id from the request path.
 workflow::WorkerReport decodeReport(const std::string &id, std::string_view body);
+/// Decodes the report of a worker that leaves. `id` is the worker id from the request path.
+workflow::WorkerReport decodeFinalReport(const std::string &id, std::string_view body);
 
 } // namespace yuccawheel::platform
--- a/src/platform/json_fields.cpp
+++ b/src/platform/json_fields.cpp
@@ -31,6 +31,11 @@
 
 } // namespace
 
+std::string encodeJson(const Json &value)
+{
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 Json parseObject(std::string_view body)
 {
     Json parsed = Json::parse(body, nullptr, false);
--- a/src/platform/json_fields.h
+++ b/src/platform/json_fields.h
@@ -16,6 +16,9 @@
 
 using Json = nlohmann::json;
 
+/// Returns the text of a value. Bytes that are not UTF-8 are replaced; Json::dump() would throw.
+std::string encodeJson(const Json &value);
+
 /// Thrown for a body that does not match the platform's API description.
 class FormatError : public std::runtime_error
 {
--- a/src/platform/responses.cpp
+++ b/src/platform/responses.cpp
@@ -14,7 +14,7 @@
 
 http::Response errorResponse(int status, std::string_view error)
 {
-    return {status, Json{{"error", error}}.dump(), "application/json", {}};
+    return {status, encodeJson(Json{{"error", error}}), "application/json", {}};
 }
 
 http::ServerOptions serverOptions(std::size_t maxBodyBytes)
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -23,11 +23,6 @@
             std::move(body)};
 }
 
-std::string encode(const Json &body)
-{
-    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 std::string encodePoll(const workflow::PollOrder &order, std::uint64_t acknowledged)
 {
     Json body{{"fencing_token", order.epoch}, {"last_seen", acknowledged}};
@@ -37,7 +32,7 @@
     if (order.wait.count() > 0) {
         body["wait_ms"] = order.wait.count();
     }
-    return encode(body);
+    return encodeJson(body);
 }
 
 } // namespace
@@ -75,7 +70,7 @@
         body["ticket"] = order.ticket;
     }
     poolFor(worker.address)
-        .call(makeRequest(worker, "/run-start", encode(body)),
+        .call(makeRequest(worker, "/run-start", encodeJson(body)),
               OrderTimeout,
               [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
 }
@@ -87,7 +82,7 @@
     const base::DutyScope duty(base::Duty::Calls);
     const Json body{{"task", toString(order.task)}, {"run", order.run}, {"fencing_token", order.epoch}};
     poolFor(worker.address)
-        .call(makeRequest(worker, "/run-stop", encode(body)),
+        .call(makeRequest(worker, "/run-stop", encodeJson(body)),
               OrderTimeout,
               [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
 }
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -125,6 +125,26 @@
     EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "[\"a\"", "[1")), FormatError);
 }
 
+// Guards against gateways that end one after the other: the leader names the id of each worker that has joined in its
+// queries, and an id that is not UTF-8 can't be written as JSON.
+TEST(PlatformFormat, RefusesUnreadableWorkerIds)
+{
+    constexpr std::size_t TooLong = 257;
+    for (const std::string &id : {std::string("i-\xc3\x28\xff"),
+                                  std::string(),
+                                  std::string("i 1"),
+                                  std::string("i-1\n"),
+                                  std::string("i-\0", 3),
+                                  std::string(TooLong, 'i')}) {
+        EXPECT_THROW(platform::decodeReport(id, Report), FormatError) << id;
+        EXPECT_THROW(platform::decodeFinalReport(id, ""), FormatError) << id;
+    }
+    const auto leaving = platform::decodeFinalReport("i-7f3a91c2", R"({"born":1700000000000})");
+    EXPECT_TRUE(leaving.leaving);
+    EXPECT_EQ(leaving.worker.id, "i-7f3a91c2");
+    EXPECT_EQ(leaving.worker.born, 1700000000000);
+}
+
 // Guards against an odd entry among the workers' reports, jobs and configurations of others: a number outside its range
 // took every manager down with the job's memory, or hid the reports that came after it.
 TEST(PlatformFormat, RefusesNumbersOutOfRange)
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -170,6 +171,26 @@
         self.assertIn(status, (503, 504))
         self.assertGreaterEqual(int(headers["Retry-After"]), 1)
 
+    # Guards against gateways that end again and again after one report of another writer: its id was not UTF-8, so that
+    # queries about the worker could not be written.
+    def test_report_with_an_unreadable_id_ends_no_process(self):
+        self.submit(1, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}])
+        self.wait_state(1, "completed")
+        report = {"service": "service", "address": "127.0.0.1:9", "zone": "zone", "state": "ready",
+                  "capacity": {"cpu": 64000, "mem_mb": 65536}, "labels": ["kind", "rack"], "clock_ms": 1, "seq": 1,
+                  "born": 1}
+        body = json.dumps(report).encode()
+        head = b"POST /instances/i-\xc3\x28\xff/heartbeat HTTP/1.1\r\nHost: control\r\nConnection: close\r\n"
+        for address in self.control:
+            with socket.create_connection(address, timeout=5) as connection:
+                connection.sendall(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+                self.assertIn(b" 400 ", connection.recv(4096).split(b"\r\n")[0])
+        for key in (2, 3):
+            self.submit(key, [{"count": 4, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}])
+            self.wait_state(key, "completed")
+        self.assertIsNone(self.gateway.child.poll())
+        self.assertEqual([manager.child.poll() for manager in self.managers], [None] * MANAGERS)
+
     def trace(self, key):
         """Returns the trace of a job that yuccactl extracts from the logs: (event, fields) in order of time."""
         logs = sorted(str(file) for file in self.folder.glob("*.log"))
