Pass over ends of tasks that their job doesn't have

A worker that lists an end with the id of a known job and a step that it doesn't have made the leader read past the job's steps, for a log line. The end is not acknowledged before the process ends, so each successor reads it again.

EndOfATaskThatItsJobDoesNotHaveIsIgnored ended with a segmentation fault before.

--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -586,7 +586,8 @@
         }
         entry.lastEndNumber = std::max(entry.lastEndNumber, ended.number);
         const auto task = parseTaskRef(ended.task);
-        if (!task) {
+        const JobRecord *const job = task ? state_->findJob(task->job) : nullptr;
+        if (!task || (job != nullptr && state_->findTask(*task) == nullptr)) {
             base::logWarning("ended_task_unreadable").with("worker", worker.identity.id).with("task", ended.task);
             continue;
         }
@@ -596,7 +597,6 @@
         end.outcome = ended.outcome;
         end.checkpoint = ended.checkpoint;
         const LiveRun *const run = findRun(number, *task, ended.run);
-        const JobRecord *const job = state_->findJob(task->job);
         const bool timed = run != nullptr && run->isTimed;
         const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(timed ? now - run->runningSince
                                                                                      : base::BootClock::duration{0});
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -623,3 +623,22 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 5s));
     EXPECT_EQ(simulation.workers.starts(), Tasks);
 }
+
+// Guards against managers that end one after the other: a worker lists the end of a task that its job doesn't have.
+TEST_F(WorkflowManager, EndOfATaskThatItsJobDoesNotHaveIsIgnored)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1);
+    simulation.submit(Key, job({step(2, 1'000)}), policy());
+    simulation.run(500ms);
+    fakes::CalledWorkers::Worker &worker = simulation.workers.worker("w0");
+    for (const workflow::TaskRef &odd : {workflow::TaskRef{Key, 0, UINT32_MAX, 0},
+                                         workflow::TaskRef{Key, 0, 1, 0},
+                                         workflow::TaskRef{Key, UINT32_MAX, 0, 0},
+                                         workflow::TaskRef{Key, 0, 0, UINT32_MAX},
+                                         workflow::TaskRef{Key + 1, 0, 0, 0}}) {
+        worker.ended.push_back({worker.nextEnd++, toString(odd), 1, workflow::RunOutcome::Failed, {}});
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_EQ(simulation.workers.starts(), 2U);
+}
