Let no report for an unknown service replace a worker

Such reports are now ignored, unless they come from a worker that is known already: its service may have been removed while it still runs tasks. Before the first configuration every service may be one.

ReportForAnUnknownServiceReplacesNoWorker failed before. A report that names a configured service and a sound worker's address still retires that worker: nothing tells it from a worker that was restarted under a new id.

--- a/src/workflow/configuration.cpp
+++ b/src/workflow/configuration.cpp
@@ -20,6 +20,13 @@
     return best;
 }
 
+bool Configuration::mayHaveService(std::string_view name) const
+{
+    return version == 0 || std::any_of(services.begin(), services.end(), [name](const ServicePolicy &service) {
+               return service.name == name;
+           });
+}
+
 std::optional<std::string> findFault(const Configuration &configuration)
 {
     std::set<std::string_view> services;
--- a/src/workflow/configuration.h
+++ b/src/workflow/configuration.h
@@ -60,6 +60,8 @@
     std::vector<ServicePolicy> services;
     std::string text; ///< Original text, returned to operators.
 
+    /// Returns whether there may be a service of this name: before the first configuration, none is known.
+    bool mayHaveService(std::string_view name) const;
     /// Returns the matching route with the longest path prefix, or null.
     const QueueRoute *findRoute(std::string_view host, std::string_view path) const;
     MSGPACK_DEFINE(version, routes, services, text)
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -214,6 +214,7 @@
     void processEndedTasks(WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint now);
     void processEndedInSuccessor(WorkerNumber number, WorkerView &worker, const PollAnswer &answer);
     LiveRun *findRun(WorkerNumber worker, const TaskRef &task, std::uint32_t run);
+    bool isKnown(const WorkerIdentity &identity) const;
     bool retireReplacedWorkers(const WorkerReport &report, base::TimePoint now);
 
     ManagerPort &port_;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -81,6 +81,15 @@
     return !known;
 }
 
+bool JobManager::isKnown(const WorkerIdentity &identity) const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [&identity](const auto &item) {
+        const WorkerIdentity &known = item.second.identity;
+        return known.id == identity.id && known.born == identity.born;
+    });
+}
+
+// A report that names an unknown service comes from no worker of ours and replaces none, whatever its address.
 void JobManager::onReport(const WorkerReport &report, base::TimePoint now)
 {
     if (!isLeading()) {
@@ -90,6 +99,10 @@
         onLeaving(report.worker);
         return;
     }
+    if (!state_->configuration().mayHaveService(report.worker.service) && !isKnown(report.worker)) {
+        base::logInfo("report_ignored").with("worker", report.worker.id).with("service", report.worker.service);
+        return;
+    }
     const bool isNew = retireReplacedWorkers(report, now);
     for (auto &[number, worker] : workers_) {
         if (worker.identity.id != report.worker.id) {
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -191,8 +191,8 @@
     EXPECT_THROW(platform::decodeJob(R"({"steps":)" + nested + "}"), FormatError);
 }
 
-// Guards against runs that are started again although they have ended: their ends were not listed yet, since workers list
-// 500 at a time, or a list was missing.
+// Guards against runs that are started again although they have ended: their ends were not listed yet, since workers
+// list 500 at a time, or a list was missing.
 TEST(PlatformFormat, ListsThatMayBeCutShortAreIncomplete)
 {
     const auto isComplete = [](const std::string &lists) {
@@ -204,7 +204,8 @@
     const auto ends = [](int count) {
         std::string rows;
         for (int number = 1; number <= count; ++number) {
-            rows += fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.1.{}",1,"done",""])", number > 1 ? "," : "", number, number);
+            rows +=
+                fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.1.{}",1,"done",""])", number > 1 ? "," : "", number, number);
         }
         return rows;
     };
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -531,7 +531,8 @@
     ManagerSimulation simulation(options);
     std::mt19937_64 random(options.seed);
     for (std::size_t number = 0; number < Workers; ++number) {
-        simulation.workers.add("w" + std::to_string(number), 16'000, "rack" + std::to_string(number % 2), simulation.now);
+        simulation.workers.add(
+            "w" + std::to_string(number), 16'000, "rack" + std::to_string(number % 2), simulation.now);
     }
     simulation.lead();
     const auto randomStep = [&random] {
@@ -587,8 +588,8 @@
     EXPECT_EQ(simulation.workers.starts(), 4U);
 }
 
-// Guards against tasks that run again after they were done: while a start order had no answer, ends beyond the first 500
-// of a worker's list counted as runs that are not there.
+// Guards against tasks that run again after they were done: while a start order had no answer, ends beyond the first
+// 500 of a worker's list counted as runs that are not there.
 TEST_F(WorkflowManager, EndsBeyondAFullListAreNoProofThatARunIsMissing)
 {
     constexpr std::uint32_t Tasks = 600;
@@ -642,3 +643,30 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
     EXPECT_EQ(simulation.workers.starts(), 2U);
 }
+
+// Guards against a sound worker that gets no work because reports of another writer, for a service that doesn't exist,
+// name its address.
+TEST_F(WorkflowManager, ReportForAnUnknownServiceReplacesNoWorker)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1);
+    workflow::Configuration configuration;
+    configuration.version = 1;
+    configuration.services.push_back({"service", false, false});
+    simulation.propose(workflow::ConfigurationEntry{configuration});
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    simulation.run(500ms);
+    ASSERT_EQ(simulation.workers.running(), 1U);
+    workflow::WorkerReport odd = simulation.workers.report("w0", simulation.now);
+    odd.worker.id = "odd";
+    odd.worker.service = "nowhere";
+    odd.worker.born += 1'000;
+    for (int report = 0; report < 8; ++report) {
+        simulation.manager->onReport(odd, simulation.now);
+        simulation.run(1s);
+    }
+    EXPECT_TRUE(ended(simulation, Key, JobPhase::Completed));
+    EXPECT_EQ(simulation.workers.starts(), 1U);
+    simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 1, JobPhase::Completed); }, 8s));
+}
