Divide a process's file descriptors between its connections, with a reserve

Cause: six connections to each worker are 6,600 of 4,324 descriptors. Orders and polls failed, and so did the log's next file.

The setting max_open_files, filled from the platform's limit, is divided: a reserve for the log, channels and new clients, the rest between a manager's server and its calls. The pools of all workers share the calls' part equally, two to six connections each. A full server closes its longest idle connection. A process that can open nothing more waits instead of ending: servers retry after 0.1 s, the log treats it like a full disk.

--- a/src/coordination/file_system.cpp
+++ b/src/coordination/file_system.cpp
@@ -56,7 +56,7 @@
 tl::unexpected<StorageError> errnoError(const std::string &context)
 {
     StorageFailure failure = StorageFailure::Failed;
-    if (errno == ENOSPC || errno == EDQUOT) {
+    if (errno == ENOSPC || errno == EDQUOT || errno == EMFILE || errno == ENFILE) {
         failure = StorageFailure::NoSpace;
     } else if (errno == ENOENT) {
         failure = StorageFailure::NotFound;
--- a/src/coordination/storage_error.h
+++ b/src/coordination/storage_error.h
@@ -10,7 +10,7 @@
 {
 
 enum class StorageFailure : std::uint8_t {
-    NoSpace, ///< The disk is full.
+    NoSpace, ///< The disk is full, or no file descriptor is left: the call may be repeated.
     Damaged, ///< Stored bytes do not match their checksums, or files are missing.
     SyncFailed, ///< It is unknown which data is on disk, so the process must end.
     NotFound,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,9 +10,11 @@
 #include <cxxopts.hpp>
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <limits>
 
 namespace yuccawheel::daemon
 {
@@ -87,6 +89,15 @@
     return protocol::Role::Entry;
 }
 
+base::DescriptorBudget descriptorBudget(const settings::ProcessSettings &settings, settings::Program program)
+{
+    const std::size_t limit = base::openFilesLimit();
+    const auto allowed = static_cast<std::size_t>(settings.maxOpenFiles.value_or(std::numeric_limits<int>::max()));
+    const auto calls = program == settings::Program::Manager ? base::DescriptorBudget::Calls::Many
+                                                             : base::DescriptorBudget::Calls::Few;
+    return {std::min(limit, allowed), calls};
+}
+
 coordination::DetectorSettings detectorSettings(const settings::ProcessSettings &settings)
 {
     coordination::DetectorSettings detector;
@@ -185,12 +196,13 @@
     asio::io_context io(1);
     const protocol::Identity self{settings.cluster, roleOf(program), settings.node, settings.zone, newIncarnation()};
     protocol::Members members(io, self, detectorSettings(settings));
-    Context context{io, settings, metrics, self, members};
+    Context context{io, settings, metrics, self, members, descriptorBudget(settings, program)};
     base::logInfo("started")
         .with("program", name)
         .with("version", YW_VERSION)
         .with("node", settings.node)
-        .with("zone", settings.zone);
+        .with("zone", settings.zone)
+        .with("max_open_files", context.descriptors.limit());
     const auto service = factory(context);
     Shutdown shutdown(context, *service);
     const SettingsWatch watch(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/descriptor_budget.h"
 #include "base/metrics.h"
 #include "protocol/identity.h"
 #include "protocol/members.h"
@@ -34,6 +35,7 @@
     base::MetricsRegistry &metrics;
     protocol::Identity self;
     protocol::Members &members;
+    base::DescriptorBudget descriptors;
 };
 
 /// Implements one program. All calls are on the network thread.
--- a/src/daemon/health_server.cpp
+++ b/src/daemon/health_server.cpp
@@ -16,10 +16,12 @@
 {
     const auto &address = context.settings.listen.health;
     if (address) {
+        http::ServerOptions options;
+        options.maxConnections = MaxConnections;
         server_.emplace(
             context.io,
             toAsio(*address),
-            http::ServerOptions{},
+            options,
             [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); });
         base::logInfo("listening").with("on", "health").with("port", server_->address().port());
     }
--- a/src/daemon/health_server.h
+++ b/src/daemon/health_server.h
@@ -15,6 +15,7 @@
 {
 public:
     using NotReadyReason = std::function<std::optional<std::string>()>;
+    static constexpr std::size_t MaxConnections = 64;
 
     HealthServer(Context &context, NotReadyReason notReadyReason);
 
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -30,6 +31,9 @@
 {
 
 constexpr unsigned HttpVersion11 = 11;
+// A call that has waited for this long may use a connection beyond its pool's share: one that is answered late must not
+// hold up the others.
+constexpr std::chrono::milliseconds MaxShareWait{400};
 
 using Executor = asio::io_context::executor_type;
 using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
@@ -38,6 +42,7 @@
 
 struct QueuedCall {
     ClientRequest request;
+    std::chrono::steady_clock::time_point queuedAt;
     std::chrono::steady_clock::time_point deadline;
     CallPool::Done done;
     CallPool::MakeBody makeBody;
@@ -69,11 +74,13 @@
 
 class PooledConnection;
 
-struct CallPool::Impl : std::enable_shared_from_this<CallPool::Impl> {
+struct CallPool::Impl
+    : std::enable_shared_from_this<CallPool::Impl>
+    , ConnectionLimiter::Pool {
     Impl(asio::io_context &context, const settings::Endpoint &address, CallPoolOptions opts)
         : io(context)
         , server(address)
-        , options(opts)
+        , options(std::move(opts))
     {
         boost::system::error_code invalid;
         endpoint = {asio::ip::make_address(server.ip, invalid), server.port};
@@ -81,6 +88,21 @@
     }
 
     void startQueuedCalls();
+    bool mayOpenConnection(std::chrono::steady_clock::time_point queuedAt);
+    std::shared_ptr<PooledConnection> takeIdle(bool tagged);
+    void closeIdleConnection() override;
+    void resume() override
+    {
+        if (!stopped) {
+            startQueuedCalls();
+        }
+    }
+    void noteIdle()
+    {
+        if (options.limiter) {
+            options.limiter->setIdle(*this, !idle.empty());
+        }
+    }
     void release(const std::shared_ptr<PooledConnection> &connection, bool reusable);
     void finish(const QueuedCall &call, tl::expected<ClientResponse, CallError> answer) const
     {
@@ -106,10 +128,17 @@
 public:
     explicit PooledConnection(std::shared_ptr<CallPool::Impl> pool)
         : pool_(std::move(pool))
+        , limiter_(pool_->options.limiter)
         , socket_(pool_->io)
         , timer_(pool_->io)
     {
     }
+    ~PooledConnection()
+    {
+        close();
+    }
+    PooledConnection(const PooledConnection &) = delete;
+    PooledConnection &operator=(const PooledConnection &) = delete;
 
     void run(QueuedCall call)
     {
@@ -137,11 +166,19 @@
         });
     }
 
+    bool isTagged() const
+    {
+        return tag_->has_value();
+    }
+
     void close()
     {
         beast::error_code ignored;
         socket_.close(ignored);
         timer_.cancel();
+        if (const auto limiter = std::exchange(limiter_, nullptr)) {
+            limiter->onClosed();
+        }
     }
 
 private:
@@ -259,6 +296,7 @@
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
+    std::shared_ptr<ConnectionLimiter> limiter_; ///< Null once the connection is closed.
     Socket socket_;
     Timer timer_;
     beast::flat_buffer output_; ///< The request.
@@ -277,20 +315,27 @@
 
 void CallPool::Impl::startQueuedCalls()
 {
-    while (!queue.empty() && (!idle.empty() || busy.size() < options.maxConnections)) {
+    while (!queue.empty()) {
+        const bool expired = queue.front().deadline <= std::chrono::steady_clock::now();
+        // A retried call gets a new connection, since another idle one may have been closed by the server too.
+        const bool reuses = !idle.empty() && !queue.front().retried;
+        if (!expired && !reuses && !mayOpenConnection(queue.front().queuedAt)) {
+            if (options.limiter) {
+                options.limiter->wait(*this);
+            }
+            return;
+        }
         QueuedCall call = std::move(queue.front());
         queue.pop_front();
-        if (call.deadline <= std::chrono::steady_clock::now()) {
+        if (expired) {
             finish(call,
                    tl::unexpected(CallError{call.verdictAfter(base::Verdict::NotRun),
                                             host + ": no connection became free in time"}));
             continue;
         }
         std::shared_ptr<PooledConnection> connection;
-        // A retried call gets a new connection, since another idle one may have been closed by the server too.
-        if (!idle.empty() && !call.retried) {
-            connection = idle.back();
-            idle.pop_back();
+        if (reuses) {
+            connection = takeIdle(call.makeBody != nullptr);
         } else {
             connection = std::make_shared<PooledConnection>(shared_from_this());
         }
@@ -299,11 +344,51 @@
     }
 }
 
+// Prefers a connection with a tag for calls that make use of it, and leaves it to them.
+std::shared_ptr<PooledConnection> CallPool::Impl::takeIdle(bool tagged)
+{
+    const auto preferred =
+        std::find_if(idle.rbegin(), idle.rend(), [tagged](const std::shared_ptr<PooledConnection> &connection) {
+            return connection->isTagged() == tagged;
+        });
+    const auto chosen = preferred == idle.rend() ? std::prev(idle.end()) : std::prev(preferred.base());
+    auto connection = *chosen;
+    idle.erase(chosen);
+    noteIdle();
+    return connection;
+}
+
+// Counts the connection with the limiter if it may be opened.
+bool CallPool::Impl::mayOpenConnection(std::chrono::steady_clock::time_point queuedAt)
+{
+    if (!options.limiter) {
+        return busy.size() < options.maxConnections;
+    }
+    const bool hasWaited = std::chrono::steady_clock::now() - queuedAt >= MaxShareWait;
+    const std::size_t share = options.limiter->share(options.maxConnections);
+    const bool beyondShare = busy.size() >= share;
+    if (busy.size() >= options.maxConnections || (beyondShare && (!hasWaited || !options.limiter->hasFree()))) {
+        return false;
+    }
+    return options.limiter->tryOpen();
+}
+
+void CallPool::Impl::closeIdleConnection()
+{
+    const auto oldest = idle.front();
+    idle.erase(idle.begin());
+    noteIdle();
+    oldest->close();
+}
+
 void CallPool::Impl::release(const std::shared_ptr<PooledConnection> &connection, bool reusable)
 {
     std::erase(busy, connection);
-    if (reusable && !stopped) {
+    const bool exceedsShare =
+        options.limiter && busy.size() + idle.size() >= options.limiter->share(options.maxConnections);
+    if (reusable && !stopped && !exceedsShare) {
         idle.push_back(connection);
+        noteIdle();
     } else {
         connection->close();
     }
@@ -313,8 +398,11 @@
 }
 
 CallPool::CallPool(asio::io_context &io, const settings::Endpoint &server, CallPoolOptions options)
-    : impl_(std::make_shared<Impl>(io, server, options))
+    : impl_(std::make_shared<Impl>(io, server, std::move(options)))
 {
+    if (impl_->options.limiter) {
+        impl_->options.limiter->addPool();
+    }
 }
 
 CallPool::~CallPool()
@@ -322,6 +410,9 @@
     impl_->stopped = true;
     closeConnections();
     impl_->queue.clear();
+    if (impl_->options.limiter) {
+        impl_->options.limiter->removePool(*impl_);
+    }
 }
 
 void CallPool::closeConnections()
@@ -333,6 +424,7 @@
         connection->close();
     }
     impl_->idle.clear();
+    impl_->noteIdle();
 }
 
 bool CallPool::isIdle() const
@@ -343,11 +435,8 @@
 void CallPool::call(ClientRequest request, std::chrono::milliseconds timeout, Done done, MakeBody makeBody)
 {
     const base::DutyScope duty(base::Duty::Calls);
-    QueuedCall call{std::move(request),
-                    std::chrono::steady_clock::now() + timeout,
-                    std::move(done),
-                    std::move(makeBody),
-                    false};
+    const auto now = std::chrono::steady_clock::now();
+    QueuedCall call{std::move(request), now, now + timeout, std::move(done), std::move(makeBody), false};
     if (impl_->queue.size() >= impl_->options.maxQueued) {
         asio::post(impl_->io, [impl = impl_, call = std::move(call)] {
             impl->finish(call,
--- a/src/http/call_pool.h
+++ b/src/http/call_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/client.h"
+#include "http/connection_limiter.h"
 #include "settings/endpoint.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,11 +19,12 @@
     std::size_t maxConnections = 4;
     std::size_t maxQueued = 1'000; ///< Calls that wait for a connection.
     std::size_t maxAnswerBytes = 4U << 20U;
+    std::shared_ptr<ConnectionLimiter> limiter{}; ///< Shared by several pools; null if only maxConnections counts.
 };
 
 /// Client with persistent connections to one server. All calls and callbacks are on the io_context's thread.
 /// A call that finds its idle connection closed by the server is sent once more on a new connection, so only idempotent
-/// requests may be sent. A connection whose call timed out is closed.
+/// requests may be sent. A connection whose call timed out is closed. Calls for which no connection is left wait.
 class CallPool
 {
 public:
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,15 +1,19 @@
 #include "http/server.h"
 
 #include "base/duty_time.h"
+#include "base/log.h"
 #include "base/traffic.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/core.h>
 
 #include <algorithm>
 #include <cctype>
+#include <list>
 #include <optional>
+#include <utility>
 
 namespace yuccawheel::http
 {
@@ -42,22 +46,39 @@
     return {};
 }
 
+namespace
+{
+
+// Without free file descriptors, accepting again at once would keep the thread busy.
+constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+
+class Session;
+
+} // namespace
+
 struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
     Impl(asio::io_context &context, const asio::ip::tcp::endpoint &address, ServerOptions opts, Handler handle)
         : io(context)
         , acceptor(context, address)
+        , acceptTimer(context)
         , options(opts)
         , handler(std::move(handle))
     {
     }
 
     void accept();
+    void acceptLater(const boost::system::error_code &error);
+    bool makeRoom();
 
     asio::io_context &io;
     asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     ServerOptions options;
     Handler handler;
     std::size_t connections = 0;
+    std::list<Session *> idleSessions; ///< Those that wait for a request, the one that waits for longest first.
+    std::size_t closedIdle = 0; ///< Since the last report.
+    std::chrono::steady_clock::time_point nextReport{};
     bool refusing = false;
     bool stopped = false;
 };
@@ -89,11 +110,21 @@
     }
     ~Session()
     {
-        --server_->connections;
+        setIdle(false);
+        release();
     }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
+    /// Closes the connection, which must be idle.
+    void closeIdle()
+    {
+        setIdle(false);
+        release();
+        boost::system::error_code ignored;
+        stream_.socket().close(ignored);
+    }
+
     void waitForRequest()
     {
         parser_.emplace();
@@ -103,11 +134,14 @@
             readRequest();
             return;
         }
+        setIdle(true);
         stream_.expires_after(server_->options.idleTimeout);
         stream_.async_read_some(buffer_.prepare(ReadChunkBytes),
                                 [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
                                     const base::DutyScope duty(base::Duty::Reports);
-                                    if (error) {
+                                    const bool closed = !self->counted_;
+                                    self->setIdle(false);
+                                    if (error || closed) {
                                         return;
                                     }
                                     self->buffer_.commit(bytes);
@@ -118,6 +152,21 @@
 private:
     static constexpr std::size_t ReadChunkBytes = 4096;
 
+    void setIdle(bool idle)
+    {
+        if (idlePosition_) {
+            server_->idleSessions.erase(*idlePosition_);
+            idlePosition_.reset();
+        }
+        if (idle) {
+            idlePosition_ = server_->idleSessions.insert(server_->idleSessions.end(), this);
+        }
+    }
+    void release()
+    {
+        server_->connections -= std::exchange(counted_, false) ? 1 : 0;
+    }
+
     void readRequest()
     {
         stream_.expires_after(server_->options.readTimeout);
@@ -257,6 +306,8 @@
     std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
     std::optional<bhttp::response<bhttp::string_body>> response_;
     std::string peer_;
+    std::optional<std::list<Session *>::iterator> idlePosition_;
+    bool counted_ = true; ///< Among the server's connections.
     bool keepAlive_ = true;
 };
 
@@ -269,14 +320,49 @@
             if (self->stopped) {
                 return;
             }
-            // Connections above the limit are closed at once, so that the client tries another VM.
-            if (!error && self->connections < self->options.maxConnections) {
+            if (error) {
+                self->acceptLater(error);
+                return;
+            }
+            // If all are in use, the connection is closed at once, so that the client tries another VM.
+            if (self->connections < self->options.maxConnections || self->makeRoom()) {
                 std::make_shared<Session>(std::move(socket), self)->waitForRequest();
             }
             self->accept();
         });
 }
 
+void Server::Impl::acceptLater(const boost::system::error_code &error)
+{
+    base::logWarning("accept_failed").with("error", error.message());
+    acceptTimer.expires_after(AcceptRetryDelay);
+    acceptTimer.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
+        if (!cancelled && !self->stopped) {
+            self->accept();
+        }
+    });
+}
+
+// Idle clients connect again when they need to, and a new one may be an operator.
+bool Server::Impl::makeRoom()
+{
+    if (idleSessions.empty()) {
+        return false;
+    }
+    idleSessions.front()->closeIdle();
+    ++closedIdle;
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= nextReport) {
+        constexpr std::chrono::seconds ReportInterval{1};
+        nextReport = now + ReportInterval;
+        base::logWarning("connection_limit_reached")
+            .with("port", acceptor.local_endpoint().port())
+            .with("limit", options.maxConnections)
+            .with("idle_closed", std::exchange(closedIdle, 0));
+    }
+    return true;
+}
+
 Server::Server(asio::io_context &io, const asio::ip::tcp::endpoint &address, ServerOptions options, Handler handler)
     : impl_(std::make_shared<Impl>(io, address, options, std::move(handler)))
 {
@@ -286,6 +372,7 @@
 Server::~Server()
 {
     impl_->stopped = true;
+    impl_->acceptTimer.cancel();
     boost::system::error_code ignored;
     impl_->acceptor.close(ignored);
 }
--- a/src/platform/caller_api.cpp
+++ b/src/platform/caller_api.cpp
@@ -66,11 +66,12 @@
 
 CallerApi::CallerApi(boost::asio::io_context &io,
                      const boost::asio::ip::tcp::endpoint &address,
-                     workflow::CallerHandler &handler)
+                     workflow::CallerHandler &handler,
+                     std::size_t maxConnections)
     : handler_(handler)
     , server_(io,
               address,
-              serverOptions(MaxBodyBytes),
+              serverOptions(MaxBodyBytes, maxConnections),
               [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); })
 {
 }
--- a/src/platform/caller_api.h
+++ b/src/platform/caller_api.h
@@ -18,7 +18,8 @@
     /// Throws boost::system::system_error if the address can't be bound. `handler` must outlive the object.
     CallerApi(boost::asio::io_context &io,
               const boost::asio::ip::tcp::endpoint &address,
-              workflow::CallerHandler &handler);
+              workflow::CallerHandler &handler,
+              std::size_t maxConnections);
 
     /// Number of requests that were read but not answered yet.
     std::size_t inProgress() const
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -30,11 +30,12 @@
 
 ControlApi::ControlApi(boost::asio::io_context &io,
                        const boost::asio::ip::tcp::endpoint &address,
-                       workflow::ControlHandler &handler)
+                       workflow::ControlHandler &handler,
+                       std::size_t maxConnections)
     : handler_(handler)
     , server_(io,
               address,
-              serverOptions(MaxBodyBytes),
+              serverOptions(MaxBodyBytes, maxConnections),
               [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); })
 {
 }
--- a/src/platform/control_api.h
+++ b/src/platform/control_api.h
@@ -5,6 +5,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
+
 namespace yuccawheel::platform
 {
 
@@ -15,7 +17,8 @@
     /// Throws boost::system::system_error if the address can't be bound. `handler` must outlive the object.
     ControlApi(boost::asio::io_context &io,
                const boost::asio::ip::tcp::endpoint &address,
-               workflow::ControlHandler &handler);
+               workflow::ControlHandler &handler,
+               std::size_t maxConnections);
 
     void refuseRequests()
     {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -37,7 +37,9 @@
 
 } // namespace
 
-WorkerClient::WorkerClient(boost::asio::io_context &io) : io_(io)
+WorkerClient::WorkerClient(boost::asio::io_context &io, std::function<std::size_t()> connectionLimit)
+    : io_(io)
+    , limiter_(std::make_shared<http::ConnectionLimiter>(io, std::move(connectionLimit)))
 {
 }
 
@@ -47,6 +49,7 @@
     if (!pool) {
         http::CallPoolOptions options;
         options.maxConnections = MaxConnections;
+        options.limiter = limiter_;
         // Reports with a malformed address are refused, so parsing can't fail here.
         pool = std::make_unique<http::CallPool>(io_, *settings::parseEndpoint(address), options);
     }
@@ -92,8 +95,8 @@
                         std::function<void(const workflow::PollAnswer &)> done)
 {
     const base::DutyScope duty(base::Duty::Calls);
-    // Each incarnation numbers its ends from the start, so only the incarnation that listed an end may be told that it is
-    // recorded. A connection doesn't outlive its process: once an answer on it has named the incarnation, all later
+    // Each incarnation numbers its ends from the start, so only the incarnation that listed an end may be told that it
+    // is recorded. A connection doesn't outlive its process: once an answer on it has named the incarnation, all later
     // requests on it reach the same one.
     const auto acknowledgedOn = [order, born = worker.born](const http::ConnectionTag &tag) {
         return tag == born ? order.acknowledged : 0;
--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -1,6 +1,7 @@
 #include "gateway_service.h"
 
 #include "base/log.h"
+#include "daemon/health_server.h"
 
 #include <algorithm>
 
@@ -36,7 +37,11 @@
         eligibility_.emplace(context.io, *context.settings.eligibilityService);
     }
     workflow::CallerHandler &handler = *this;
-    callers_.emplace(context.io, daemon::toAsio(*context.settings.listen.caller), handler);
+    const std::size_t connections = context.descriptors.forServers();
+    callers_.emplace(context.io,
+                     daemon::toAsio(*context.settings.listen.caller),
+                     handler,
+                     connections - std::min(connections / 2, daemon::HealthServer::MaxConnections));
 }
 
 GatewayService::~GatewayService()
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -110,7 +110,7 @@
     , self_(ownManagerNumber(context.settings))
     , managers_(context, self_, [](std::uint32_t, const protocol::Frame &) {})
     , jobs_(*this, managerLimits(context.settings))
-    , workerCalls_(context.io)
+    , workerCalls_(context.io, [&context] { return context.descriptors.forCalls(); })
     , log_(startLog())
     , timer_(context.io)
     , drainTimer_(context.io)
@@ -128,7 +128,8 @@
     listener_.emplace(
         context.io, daemon::toAsio(*context.settings.listen.inner), context.members, std::move(callbacks));
     workflow::ControlHandler &handler = *this;
-    control_.emplace(context.io, daemon::toAsio(*context.settings.listen.control), handler);
+    control_.emplace(
+        context.io, daemon::toAsio(*context.settings.listen.control), handler, context.descriptors.forServers());
     armTimer(TickInterval);
 }
 
@@ -256,6 +257,7 @@
         startLeading();
     }
     const base::TimePoint begin = base::BootClock::now();
+    workerCalls_.expectWorkers(jobs_.workers().size());
     jobs_.tick(begin, wallNow());
     waitingReads_.expire(begin);
     const base::TimePoint end = base::BootClock::now();
@@ -300,6 +302,12 @@
     }
     nextDutyReport_ = now + DutyReportInterval;
     const DutyTimes times{base::processorTime(), base::timeByDuty()};
+    base::logInfo("connections")
+        .with("workers", workerCalls_.openConnections())
+        .with("workers_limit", context_.descriptors.forCalls())
+        .with("servers_limit", context_.descriptors.forServers())
+        .with("channels", channels_.size())
+        .with("max_open_files", context_.descriptors.limit());
     base::LogLine line = base::logInfo("duty_time");
     line.with("processor_us", (times.processor - reportedTimes_.processor).count());
     for (std::size_t duty = 0; duty < base::DutyCount; ++duty) {
@@ -609,6 +617,7 @@
     const std::uint64_t number = nextChannel_++;
     channelNumbers_[channel.get()] = number;
     channels_[number] = channel;
+    context_.descriptors.setChannels(channels_.size());
     if (channel->peer().role == protocol::Role::Gateway) {
         jobs_.addGateway(number);
     }
@@ -626,6 +635,7 @@
         jobs_.removeGateway(found->second, base::BootClock::now());
         channels_.erase(found->second);
         channelNumbers_.erase(found);
+        context_.descriptors.setChannels(channels_.size());
     }
 }
 
--- a/src/protocol/listener.cpp
+++ b/src/protocol/listener.cpp
@@ -10,8 +10,16 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+
+} // namespace
+
 Listener::Listener(asio::io_context &io, const asio::ip::tcp::endpoint &address, Members &members, Callbacks callbacks)
     : acceptor_(io, address)
+    , retryTimer_(io)
     , members_(members)
     , callbacks_(std::move(callbacks))
     , alive_(std::make_shared<Listener *>(this))
@@ -47,21 +55,35 @@
         if (self == nullptr || error == asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            acceptHandshake(
-                std::move(socket),
-                self->members_,
-                [alive](asio::ip::tcp::socket accepted, Identity peer) {
-                    if (*alive != nullptr) {
-                        (*alive)->onHandshake(std::move(accepted), std::move(peer));
-                    }
-                },
-                [](const std::string &reason) { base::logWarning("peer_refused").with("reason", reason); });
+        if (error) {
+            self->acceptLater(error);
+            return;
         }
+        acceptHandshake(
+            std::move(socket),
+            self->members_,
+            [alive](asio::ip::tcp::socket accepted, Identity peer) {
+                if (*alive != nullptr) {
+                    (*alive)->onHandshake(std::move(accepted), std::move(peer));
+                }
+            },
+            [](const std::string &reason) { base::logWarning("peer_refused").with("reason", reason); });
         self->accept();
     });
 }
 
+// Without free file descriptors, accepting again at once would keep the thread busy.
+void Listener::acceptLater(const boost::system::error_code &error)
+{
+    base::logWarning("accept_failed").with("error", error.message());
+    retryTimer_.expires_after(AcceptRetryDelay);
+    retryTimer_.async_wait([alive = alive_](const boost::system::error_code &cancelled) {
+        if (*alive != nullptr && !cancelled) {
+            (*alive)->accept();
+        }
+    });
+}
+
 void Listener::onHandshake(asio::ip::tcp::socket socket, Identity peer)
 {
     const auto channel = std::make_shared<Channel>(std::move(socket), std::move(peer), members_);
--- a/src/protocol/listener.h
+++ b/src/protocol/listener.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <unordered_set>
@@ -38,9 +39,11 @@
 
 private:
     void accept();
+    void acceptLater(const boost::system::error_code &error);
     void onHandshake(boost::asio::ip::tcp::socket socket, Identity peer);
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retryTimer_;
     Members &members_;
     Callbacks callbacks_;
     std::unordered_set<ChannelPtr> channels_;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -61,6 +61,7 @@
     std::optional<Endpoint> eligibilityService;
     std::string tokenFile;
     std::string dataDir;
+    std::optional<std::int64_t> maxOpenFiles;
     placement::Objective objective = placement::Objective::Packing;
     std::chrono::milliseconds heartbeat{0};
     std::chrono::milliseconds peerTimeoutMin{0};
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -217,6 +217,14 @@
                {Program::Store, Program::Manager},
                &ProcessSettings::dataDir,
                "Folder on a disk of this VM. All files of the process live below it."),
+        scalar("max_open_files",
+               "",
+               integerRule(256, 1'000'000),
+               {},
+               &ProcessSettings::maxOpenFiles,
+               "Number of files and connections that managers and gateways may have open; they accept and open no more "
+               "connections than leave a reserve. If it is not set or higher, the limit of the process "
+               "(`RLIMIT_NOFILE`) counts."),
         scalar("objective",
                "packing",
                choiceRule<Objective>({{"waiting", Objective::Waiting}, {"packing", Objective::Packing}}),
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -59,19 +60,24 @@
 class Process:
     """Child process and its log file."""
 
-    def __init__(self, name, arguments, folder, stdin=subprocess.DEVNULL):
+    def __init__(self, name, arguments, folder, stdin=subprocess.DEVNULL, max_open_files=None):
         self.name = name
         self.arguments = [str(argument) for argument in arguments]
         self.log = folder / f"{name}.log"
         self._stdin = stdin
+        self._max_open_files = max_open_files
         self.start()
 
     def start(self):
         self._log_start = self.log.stat().st_size if self.log.exists() else 0
         with open(self.log, "ab") as log:
-            self.child = subprocess.Popen(self.arguments, stdin=self._stdin, stdout=log, stderr=log)
+            self.child = subprocess.Popen(self.arguments, stdin=self._stdin, stdout=log, stderr=log,
+                                          preexec_fn=self._lower_limit if self._max_open_files else None)
         self.pid = self.child.pid
 
+    def _lower_limit(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self._max_open_files, self._max_open_files))
+
     def signal(self, number):
         if self.child.poll() is None:
             os.kill(self.pid, number)
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -6,10 +6,14 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace yuccawheel;
 using namespace std::chrono_literals;
@@ -118,3 +122,251 @@
     ASSERT_FALSE(unanswered.has_value());
     EXPECT_EQ(unanswered.error().verdict, base::Verdict::MayHaveRun);
 }
+
+namespace
+{
+
+/// A server that answers `/late` only when told to, and pools with a common limit. Each pool stands for one worker.
+class LimitedPoolsTest : public testing::Test
+{
+protected:
+    static constexpr std::size_t MaxPerPool = 6;
+
+    explicit LimitedPoolsTest()
+        : io_(1)
+        , server_(io_,
+                  {boost::asio::ip::make_address("127.0.0.1"), 0},
+                  http::ServerOptions{},
+                  [this](const http::Request &request, const http::Responder &respond) {
+                      if (request.path == "/late") {
+                          late_.push_back(respond);
+                      } else {
+                          respond({200, "", "text/plain", {}});
+                      }
+                  })
+    {
+    }
+
+    void makePools(std::size_t count, std::size_t limit)
+    {
+        limiter_ = std::make_shared<http::ConnectionLimiter>(io_, [limit] { return limit; });
+        addPools(count);
+    }
+    void addPools(std::size_t count)
+    {
+        http::CallPoolOptions options;
+        options.maxConnections = MaxPerPool;
+        options.limiter = limiter_;
+        for (std::size_t pool = 0; pool < count; ++pool) {
+            pools_.push_back(std::make_unique<http::CallPool>(
+                io_, settings::Endpoint{"127.0.0.1", server_.address().port()}, options));
+        }
+    }
+    void send(std::size_t pool, const std::string &path, std::chrono::milliseconds timeout = 30s)
+    {
+        pools_[pool]->call({"POST", path, {}, ""}, timeout, [this](const Answer &answer) {
+            ++(answer ? answered_ : failed_);
+            verdict_ = answer ? verdict_ : answer.error().verdict;
+        });
+    }
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + 30s;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            io_.run_one_for(10ms);
+            most_ = std::max(most_, limiter_->open());
+        }
+        return condition();
+    }
+    void answerLate()
+    {
+        for (const http::Responder &respond : std::exchange(late_, {})) {
+            respond({200, "", "text/plain", {}});
+        }
+    }
+
+    boost::asio::io_context io_;
+    std::vector<http::Responder> late_;
+    http::Server server_;
+    std::shared_ptr<http::ConnectionLimiter> limiter_;
+    std::vector<std::unique_ptr<http::CallPool>> pools_;
+    std::size_t answered_ = 0;
+    std::size_t failed_ = 0;
+    std::size_t most_ = 0; ///< Connections that were open at a time.
+    std::optional<base::Verdict> verdict_; ///< Of the last failed call.
+};
+
+} // namespace
+
+// Load pattern: a new leader calls all of many workers at once. Guards against a leader that uses up its file
+// descriptors and ends.
+TEST_F(LimitedPoolsTest, ManyPoolsKeepTheCommonLimit)
+{
+    constexpr std::size_t Pools = 40;
+    constexpr std::size_t Limit = 30;
+    makePools(Pools, Limit);
+    for (std::size_t pool = 0; pool < Pools; ++pool) {
+        for (std::size_t call = 0; call < MaxPerPool; ++call) {
+            send(pool, "/now");
+        }
+    }
+    EXPECT_TRUE(runUntil([&] { return answered_ == Pools * MaxPerPool; }));
+    EXPECT_EQ(failed_, 0U);
+    EXPECT_LE(most_, Limit);
+}
+
+// Each pool keeps a connection for its long poll and one for orders.
+TEST_F(LimitedPoolsTest, PoolsShareTheLimitEqually)
+{
+    constexpr std::size_t Pools = 10;
+    makePools(Pools, 2 * Pools);
+    for (std::size_t pool = 0; pool < Pools; ++pool) {
+        send(pool, "/late");
+    }
+    ASSERT_TRUE(runUntil([&] { return late_.size() == Pools; }));
+    for (std::size_t pool = 0; pool < Pools; ++pool) {
+        for (std::size_t call = 0; call < MaxPerPool; ++call) {
+            send(pool, "/now");
+        }
+    }
+    EXPECT_TRUE(runUntil([&] { return answered_ == Pools * MaxPerPool; }));
+    EXPECT_EQ(most_, 2 * Pools);
+    answerLate();
+    EXPECT_TRUE(runUntil([&] { return answered_ == Pools * MaxPerPool + Pools; }));
+}
+
+// Guards against connections that are closed for one pool and opened again for another, in turn, because the first
+// pools keep more than their share.
+TEST_F(LimitedPoolsTest, PoolsKeepNoMoreThanTheirShare)
+{
+    constexpr std::size_t Limit = 12;
+    makePools(2, Limit);
+    for (std::size_t call = 0; call < MaxPerPool; ++call) {
+        send(0, "/late");
+    }
+    ASSERT_TRUE(runUntil([&] { return late_.size() == MaxPerPool; }));
+    addPools(2);
+    answerLate();
+    ASSERT_TRUE(runUntil([&] { return answered_ == MaxPerPool; }));
+    EXPECT_EQ(limiter_->open(), Limit / 4);
+    limiter_->expectPools(6);
+    for (std::size_t call = 0; call < MaxPerPool; ++call) {
+        send(1, "/now");
+    }
+    ASSERT_TRUE(runUntil([&] { return answered_ == 2 * MaxPerPool; }));
+    EXPECT_EQ(limiter_->open(), Limit / 4 + Limit / 6);
+}
+
+// Guards against a gang whose members start seconds apart, as an order that gets no answer holds up the next ones.
+TEST_F(LimitedPoolsTest, UnansweredCallHoldsUpNoOthersWhileConnectionsAreLeft)
+{
+    makePools(2, 5);
+    send(0, "/late");
+    send(0, "/late");
+    send(0, "/now");
+    EXPECT_TRUE(runUntil([&] { return answered_ == 1; }));
+    EXPECT_EQ(late_.size(), 2U);
+}
+
+TEST_F(LimitedPoolsTest, CallWithoutAConnectionTimesOutUnsent)
+{
+    makePools(2, 1);
+    send(0, "/late");
+    ASSERT_TRUE(runUntil([&] { return late_.size() == 1; }));
+    send(1, "/now", 200ms);
+    EXPECT_TRUE(runUntil([&] { return failed_ == 1; }));
+    EXPECT_EQ(verdict_, base::Verdict::NotRun);
+    send(1, "/now");
+    answerLate();
+    EXPECT_TRUE(runUntil([&] { return answered_ == 2; }));
+}
+
+TEST_F(LimitedPoolsTest, RemovedPoolGivesItsConnectionsBack)
+{
+    makePools(3, 1);
+    send(0, "/late");
+    ASSERT_TRUE(runUntil([&] { return late_.size() == 1; }));
+    send(1, "/now");
+    send(2, "/now");
+    pools_[1].reset();
+    pools_[0].reset();
+    EXPECT_TRUE(runUntil([&] { return answered_ == 1; }));
+    EXPECT_EQ(failed_, 0U);
+}
+
+namespace
+{
+
+class ServerLimitTest : public testing::Test
+{
+protected:
+    static constexpr std::size_t Limit = 4;
+
+    ServerLimitTest()
+        : io_(1)
+        , server_(io_,
+                  {boost::asio::ip::make_address("127.0.0.1"), 0},
+                  options(),
+                  [this](const http::Request &request, const http::Responder &respond) {
+                      if (request.path == "/late") {
+                          late_.push_back(respond);
+                      } else {
+                          respond({200, "", "text/plain", {}});
+                      }
+                  })
+        , thread_([this] { io_.run(); })
+    {
+    }
+    ~ServerLimitTest() override
+    {
+        io_.stop();
+        thread_.join();
+    }
+
+    static http::ServerOptions options()
+    {
+        http::ServerOptions options;
+        options.maxConnections = Limit;
+        return options;
+    }
+    boost::asio::ip::tcp::socket connect()
+    {
+        boost::asio::ip::tcp::socket socket(clientIo_);
+        socket.connect(server_.address());
+        return socket;
+    }
+    /// Returns whether the server answers over the connection.
+    static bool isAnswered(boost::asio::ip::tcp::socket &socket, const std::string &path)
+    {
+        boost::system::error_code error;
+        const std::string request = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(request), error);
+        std::string answer;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n", error);
+        return !error && answer.starts_with("HTTP/1.1 200");
+    }
+
+    boost::asio::io_context io_;
+    boost::asio::io_context clientIo_;
+    std::vector<http::Responder> late_;
+    http::Server server_;
+    std::thread thread_;
+};
+
+} // namespace
+
+// Guards against an operator who finds no connection because idle clients hold them all.
+TEST_F(ServerLimitTest, IdleConnectionsMakeRoomForNewOnes)
+{
+    std::vector<boost::asio::ip::tcp::socket> idle;
+    for (std::size_t number = 0; number < Limit; ++number) {
+        idle.push_back(connect());
+        ASSERT_TRUE(isAnswered(idle.back(), "/"));
+    }
+    boost::asio::ip::tcp::socket added = connect();
+    EXPECT_TRUE(isAnswered(added, "/"));
+    EXPECT_FALSE(isAnswered(idle.front(), "/")) << "the one that has been idle for longest is closed";
+    EXPECT_TRUE(isAnswered(idle.back(), "/"));
+    EXPECT_TRUE(isAnswered(added, "/"));
+}
--- a/tests/platform_worker_client_test.cpp
+++ b/tests/platform_worker_client_test.cpp
@@ -32,17 +32,19 @@
                       if (request.path == "/hold") {
                           received_.push_back(platform::parseObject(request.body).at("last_seen").get<std::uint64_t>());
                       }
-                      const Json body{{"clock_ms", 5}, {"born", born_}, {"running", Json::array()}, {"ended", Json::array()}};
+                      const Json body{
+                          {"clock_ms", 5}, {"born", born_}, {"running", Json::array()}, {"ended", Json::array()}};
                       respond({200, body.dump(), "application/json", {}});
                   })
-        , client_(io_)
+        , client_(io_, [] { return std::size_t{8}; })
     {
         worker_.id = "i-1";
         worker_.born = Born;
         worker_.address = "127.0.0.1:" + std::to_string(server_.address().port());
     }
 
-    /// Sends a poll that acknowledges `Ends` and returns what the worker received, and whether the answer tells the same.
+    /// Sends a poll that acknowledges `Ends` and returns what the worker received, and whether the answer tells the
+    /// same.
     std::uint64_t poll()
     {
         workflow::PollOrder order;
@@ -59,6 +61,15 @@
         client_.start(worker_, workflow::StartOrder{}, [&answer](const auto &given) { answer = given; });
         run([&answer] { return answer.has_value(); });
     }
+    /// Opens a second connection.
+    void startTwice()
+    {
+        std::size_t answers = 0;
+        for (int order = 0; order < 2; ++order) {
+            client_.start(worker_, workflow::StartOrder{}, [&answers](const auto &) { ++answers; });
+        }
+        run([&answers] { return answers == 2; });
+    }
     template <typename Condition>
     void run(Condition condition)
     {
@@ -89,6 +100,8 @@
     EXPECT_EQ(poll(), Ends);
     start();
     EXPECT_EQ(poll(), Ends);
+    startTwice();
+    EXPECT_EQ(poll(), Ends) << "of two idle connections, the one that the worker is known at";
 }
 
 // Such workers would list the same ends again and again.
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -28,7 +28,11 @@
     return file
 
 
-class CalledWorkersTest(unittest.TestCase):
+class CalledWorkersCase(unittest.TestCase):
+    """Three managers and a gateway. Subclasses may lower what one of these processes may have open."""
+
+    max_open_files = None
+
     def setUp(self):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yw-called-"))
         self.addCleanup(shutil.rmtree, self.folder, True)
@@ -58,7 +62,7 @@
             self.addCleanup(worker.close)
 
     def daemon(self, program, name, file):
-        process = Process(name, [BIN / program, "--settings", file], self.folder)
+        process = Process(name, [BIN / program, "--settings", file], self.folder, max_open_files=self.max_open_files)
         self.addCleanup(process.kill)
         return process
 
@@ -82,8 +86,8 @@
         headers = {"Host": "host.example", "Content-Type": "application/json"}
         return self.call(self.caller, method, f"/jobs/{key:016x}", body, headers)
 
-    def submit(self, key, steps):
-        body = json.dumps({"task_spec": "work", "steps": steps})
+    def submit(self, key, steps, payload="work"):
+        body = json.dumps({"task_spec": payload, "steps": steps})
         wait_until(lambda: self.job("POST", key, body)[0] == 200, f"job {key} is accepted")
 
     def state(self, key):
@@ -105,6 +109,8 @@
     def starts(self):
         return [start for worker in self.workers for start in worker.starts]
 
+
+class CalledWorkersTest(CalledWorkersCase):
     def test_jobs_run_once_through_a_change_of_leader(self):
         step = {"count": 4, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}
         for key in range(1, 11):
