Compare reports only with workers of their id or address

Incarnations are now found by id and address. ReportsAreComparedOnlyWithWorkersOfTheirIdOrAddress counts the comparisons of 300 workers that report four times.

--- a/src/workflow/dispatch_cost.h
+++ b/src/workflow/dispatch_cost.h
@@ -5,10 +5,12 @@
 namespace yuccawheel::workflow
 {
 
-/// Work done by dispatches, which grows with the number of workers and of waiting steps.
+/// Work done by dispatches and for reports, which must not grow with the product of workers and waiting steps or
+/// reports.
 struct DispatchCost {
     std::uint64_t dispatches = 0;
     std::uint64_t workersExamined = 0; ///< Checks of one worker, for one step or for the index of free capacity.
+    std::uint64_t workersMatched = 0; ///< Comparisons of a report with a known incarnation.
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -67,6 +67,7 @@
     }
     state_ = nullptr;
     workers_.clear();
+    directory_ = {};
     ledger_ = {};
     isolation_ = {};
     reservations_.clear();
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -7,6 +7,7 @@
 #include "workflow/preemption_planner.h"
 #include "workflow/state.h"
 #include "workflow/step_placer.h"
+#include "workflow/worker_directory.h"
 #include "workflow/worker_view.h"
 
 #include <chrono>
@@ -224,6 +225,7 @@
     base::TimePoint leaseEnd_{};
     WallTime wall_{0};
     WorkerViews workers_;
+    WorkerDirectory directory_; ///< Of `workers_`.
     placement::Ledger ledger_;
     SuspectIsolation isolation_;
     std::map<TaskRef, Reservation> reservations_; ///< Of placed tasks and of proposed placements.
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -24,6 +24,7 @@
 {
     WorkerView &worker = workers_[number];
     worker.identity = record.identity;
+    directory_.add(number, record.identity);
     worker.proposedEndNumber = record.lastEndNumber;
     worker.lastReport = now;
     worker.draining = record.draining;
@@ -52,6 +53,7 @@
     speeds_.removeWorker(number);
     base::logInfo("worker_gone").with("worker", found->second.identity.id).with("number", number);
     port_.forget(found->second.identity);
+    directory_.remove(number, found->second.identity);
     workers_.erase(found);
     dispatchDue_ = true;
 }
@@ -61,11 +63,10 @@
 bool JobManager::retireReplacedWorkers(const WorkerReport &report, base::TimePoint now)
 {
     bool known = false;
-    for (auto &[number, worker] : workers_) {
+    for (const WorkerNumber number : directory_.withIdOrAddress(report.worker.id, report.worker.address)) {
+        ++cost_.workersMatched;
+        WorkerView &worker = workers_.at(number);
         const bool sameId = worker.identity.id == report.worker.id;
-        if (!sameId && worker.identity.address != report.worker.address) {
-            continue;
-        }
         if (report.worker.born < worker.identity.born) {
             return false;
         }
@@ -83,9 +84,9 @@
 
 bool JobManager::isKnown(const WorkerIdentity &identity) const
 {
-    return std::any_of(workers_.begin(), workers_.end(), [&identity](const auto &item) {
-        const WorkerIdentity &known = item.second.identity;
-        return known.id == identity.id && known.born == identity.born;
+    const std::vector<WorkerNumber> numbers = directory_.withId(identity.id);
+    return std::any_of(numbers.begin(), numbers.end(), [&](WorkerNumber number) {
+        return workers_.at(number).identity.born == identity.born;
     });
 }
 
@@ -104,10 +105,9 @@
         return;
     }
     const bool isNew = retireReplacedWorkers(report, now);
-    for (auto &[number, worker] : workers_) {
-        if (worker.identity.id != report.worker.id) {
-            continue;
-        }
+    for (const WorkerNumber number : directory_.withId(report.worker.id)) {
+        ++cost_.workersMatched;
+        WorkerView &worker = workers_.at(number);
         if (report.worker.born > worker.identity.born) {
             joining_[report.worker.id] = report;
             return;
@@ -161,9 +161,10 @@
 // earlier incarnation.
 void JobManager::onLeaving(const WorkerIdentity &leaving)
 {
-    for (auto &[number, worker] : workers_) {
+    for (const WorkerNumber number : directory_.withId(leaving.id)) {
+        WorkerView &worker = workers_.at(number);
         const bool sameIncarnation = leaving.born == worker.identity.born || (leaving.born == 0 && worker.draining);
-        if (worker.identity.id == leaving.id && sameIncarnation && !worker.goneProposed) {
+        if (sameIncarnation && !worker.goneProposed) {
             proposeGone(number, worker, "leaving");
         }
     }
--- a/tests/workflow_load_test.cpp
+++ b/tests/workflow_load_test.cpp
@@ -154,6 +154,22 @@
     EXPECT_LE(workersExaminedPerQuery(3 * Workers), 1.2 * workersExaminedPerQuery(Workers));
 }
 
+// Guards against a leader that compares each report with every worker: with 1,100 workers, reports took up to a quarter
+// of its main thread's time.
+TEST(WorkflowLoad, ReportsAreComparedOnlyWithWorkersOfTheirIdOrAddress)
+{
+    constexpr std::size_t Workers = 300;
+    constexpr std::uint64_t Rounds = 4;
+    ManagerSimulation simulation({});
+    addWorkers(simulation, Workers);
+    simulation.run(2s);
+    const std::uint64_t before = simulation.manager->dispatchCost().workersMatched;
+    simulation.run(1'500ms * Rounds);
+    const std::uint64_t matched = simulation.manager->dispatchCost().workersMatched - before;
+    EXPECT_GE(matched, Workers * Rounds);
+    EXPECT_LE(matched, 2 * Workers * (Rounds + 1));
+}
+
 // Guards against capacity that idles for gangs that can't start yet while their queries keep others from tickets.
 TEST(WorkflowLoad, GangBurstLeavesNoCapacityIdleBesideWaitingTasks)
 {
