Acknowledge reports at followers without waiting for the leader

A follower that knows the leader now acknowledges a report at once and names the leader; draining and leaving, which the log has to have first, wait as before. A worker whose report doesn't reach the leader reports again after its interval, to the leader itself.

test_followers_acknowledge_reports_while_the_leader_is_busy failed before.

--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -548,7 +548,17 @@
         }
         return;
     }
-    forwardToLeader(workflow::ReportWorker{report}, std::move(done));
+    const bool needsConfirmation = report.draining || report.leaving;
+    if (needsConfirmation || managers_.leader() == nullptr) {
+        forwardToLeader(workflow::ReportWorker{report}, std::move(done));
+        return;
+    }
+    // Load pattern: many workers report while the leader is busy. If they waited for its reply here, each of them would
+    // send its report to all managers in turn, and the leader would get it as many times.
+    forwardToLeader(workflow::ReportWorker{report}, [](const auto &) {});
+    const settings::Endpoint leader{daemon::managerIp(managers_.leaderNumber()),
+                                    context_.settings.listen.control->port};
+    done(workflow::ReportWorkerReply{settings::toString(leader)});
 }
 
 void ManagerService::putConfiguration(
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -197,6 +197,23 @@
         self.assertIsNone(self.gateway.child.poll())
         self.assertEqual([manager.child.poll() for manager in self.managers], [None] * MANAGERS)
 
+    # Guards against an overload that feeds itself: a follower that waits for a busy leader leaves the report unanswered,
+    # and the worker sends it to the next manager, which passes it on as well.
+    def test_followers_acknowledge_reports_while_the_leader_is_busy(self):
+        report = json.dumps({"service": "service", "address": "127.0.0.1:9", "zone": "zone", "state": "ready",
+                             "capacity": {"cpu": 1000, "mem_mb": 1000}, "labels": ["kind", "rack"], "clock_ms": 1,
+                             "seq": 1, "born": 1})
+        answers = []
+        for _ in range(20):  # Another leader may be elected before the follower answers.
+            leader = self.managers.index(self.leader())
+            self.managers[leader].pause()
+            status, answer = self.call(self.control[leader - 1], "POST", "/instances/i-9/heartbeat", report)
+            self.managers[leader].resume()
+            answers.append((status, answer))
+            if status == 200 and json.loads(answer)["heartbeat_addr"] == "%s:%d" % self.control[leader]:
+                return
+        self.fail(f"no follower acknowledged a report: {answers}")
+
     def trace(self, key):
         """Returns the trace of a job that yuccactl extracts from the logs: (event, fields) in order of time."""
         logs = sorted(str(file) for file in self.folder.glob("*.log"))
