Say the file limit, the acknowledgement and the shrunken worker once

No functional change, from a second reading. The limit of open files is lowered by the setting only if there is one, instead of by a number that stands for none. The polls' closures capture the number that they need, not the order. Two tests of a shrunken worker share their set-up; their assertions stay.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,7 +14,6 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <limits>
 
 namespace yuccawheel::daemon
 {
@@ -91,11 +90,13 @@
 
 base::DescriptorBudget descriptorBudget(const settings::ProcessSettings &settings, settings::Program program)
 {
-    const std::size_t limit = base::openFilesLimit();
-    const auto allowed = static_cast<std::size_t>(settings.maxOpenFiles.value_or(std::numeric_limits<int>::max()));
+    std::size_t limit = base::openFilesLimit();
+    if (settings.maxOpenFiles) {
+        limit = std::min(limit, static_cast<std::size_t>(*settings.maxOpenFiles));
+    }
     const auto calls = program == settings::Program::Manager ? base::DescriptorBudget::Calls::Many
                                                              : base::DescriptorBudget::Calls::Few;
-    return {std::min(limit, allowed), calls};
+    return {limit, calls};
 }
 
 coordination::DetectorSettings detectorSettings(const settings::ProcessSettings &settings)
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -98,8 +98,9 @@
     // Each incarnation numbers its ends from the start, so only the incarnation that listed an end may be told that it
     // is recorded. A connection doesn't outlive its process: once an answer on it has named the incarnation, all later
     // requests on it reach the same one.
-    const auto acknowledgedOn = [order, born = worker.born](const http::ConnectionTag &tag) {
-        return tag == born ? order.acknowledged : 0;
+    const auto acknowledgedOn = [acknowledged = order.acknowledged,
+                                 born = worker.born](const http::ConnectionTag &tag) {
+        return tag == born ? acknowledged : 0;
     };
     poolFor(worker.address)
         .call(
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -132,7 +132,7 @@
 protected:
     static constexpr std::size_t MaxPerPool = 6;
 
-    explicit LimitedPoolsTest()
+    LimitedPoolsTest()
         : io_(1)
         , server_(io_,
                   {boost::asio::ip::make_address("127.0.0.1"), 0},
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -76,6 +76,15 @@
         simulation.run(unanswered);
         simulation.dropQueries = false;
     }
+    /// Fills a single worker of 16 cores with the four tasks of `Key` and shrinks it below what they hold.
+    void fillAndShrinkWorker(ManagerSimulation &simulation, std::int64_t milliCpu)
+    {
+        addWorkers(simulation, 1);
+        simulation.submit(Key, job({step(4, 4'000)}), policy());
+        simulation.run(500ms);
+        simulation.workers.setCapacity("w0", {milliCpu, 1'000'000, 0}, 2s, simulation.now);
+        simulation.run(2s);
+    }
     static ManagerSimulation::Options longRuns()
     {
         ManagerSimulation::Options options;
@@ -477,11 +486,7 @@
 TEST_F(WorkflowManager, NewLeaderAcceptsWhatExceedsAShrunkenWorker)
 {
     ManagerSimulation simulation(longRuns());
-    addWorkers(simulation, 1);
-    simulation.submit(Key, job({step(4, 4'000)}), policy());
-    simulation.run(500ms);
-    simulation.workers.setCapacity("w0", {4'000, 1'000'000, 0}, 2s, simulation.now);
-    simulation.run(2s);
+    fillAndShrinkWorker(simulation, 4'000);
     simulation.loseLeader();
     simulation.lead();
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
@@ -492,11 +497,7 @@
 TEST_F(WorkflowManager, ShrunkenWorkerGetsNoTaskThatAsksForNothing)
 {
     ManagerSimulation simulation(longRuns());
-    addWorkers(simulation, 1);
-    simulation.submit(Key, job({step(4, 4'000)}), policy());
-    simulation.run(500ms);
-    simulation.workers.setCapacity("w0", {8'000, 1'000'000, 0}, 2s, simulation.now);
-    simulation.run(2s);
+    fillAndShrinkWorker(simulation, 8'000);
     workflow::StepSpec filling = step(2, 1'000);
     filling.bestEffort = true;
     workflow::StepSpec empty = step(2, 0);
