Refuse requests before a drain waits for those in progress

Cause: the drain ended only at a moment without any request in progress, and requests were refused only after that. Under steady load there is no such moment, so the hard limit stopped the event loop. Evidence: with 80 clients, drain_started, then 21,234 answers without a refusal, then drain_cut_off reason=drain_limit in_progress=40. Ruled out: requests stuck at the managers (each was answered within 0.3 s) and an event loop too busy for its timers (the hard limit came in time).

Change: one order for all daemons. Answers close their connections; the service prepares to leave; further requests are refused, over HTTP and by managers over the inner protocol; those in progress are waited for, which now has an end; shortly before the limit the rest is answered with what is known of it; peers are told; the last answers are sent before the event loop ends. http::ServerGroup holds all servers of an event loop, so that none is forgotten (health, operators, upstreams). The limits of the drain and of the forced end no longer coincide.

test_ends_under_steady_reads and test_requests_without_a_manager_are_answered_before_the_end fail on the code before (exit code 3, requests lost).

aDrainFinishesRequestsAndReportsThoseCutOff expected that a request at the hard limit is cut off without an answer. It now expects the answer 504 with the verdict may-have-run; the rest of it is unchanged.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "daemon/health_server.h"
 #include "daemon/settings_watch.h"
+#include "http/server_group.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,14 @@
 
 namespace asio = boost::asio;
 
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds DrainPollInterval{10};
+constexpr milliseconds CloseTimeout{500}; ///< For the last answers to be sent and their connections to be closed.
+/// From the end of a drain to the exit, with a margin for a busy event loop.
+constexpr milliseconds EndTime = protocol::LeaveTimeout + CloseTimeout + milliseconds{200};
+
 struct Arguments {
     std::string settingsFile;
     bool checkOnly = false;
@@ -109,14 +118,19 @@
 }
 
 // Drains on the first SIGTERM or SIGINT. Stops the process on the second one or when the drain limit expires.
+//
+// Load pattern: clients that keep sending requests on open connections. A moment without requests may never come, so
+// requests are refused before the process waits for those in progress.
 class Shutdown
 {
 public:
     Shutdown(Context &context, Service &service)
         : context_(context)
         , service_(service)
+        , servers_(http::ServerGroup::of(context.io))
         , signals_(context.io, SIGTERM, SIGINT)
         , hardLimitTimer_(context.io)
+        , pollTimer_(context.io)
     {
         signals_.async_wait([this](const boost::system::error_code &error, int) {
             if (!error) {
@@ -138,28 +152,75 @@
     void startDrain()
     {
         draining_ = true;
-        base::logInfo("drain_started").with("in_progress", service_.inProgress());
+        base::logInfo("drain_started").with("in_progress", inProgress());
         signals_.async_wait([this](const boost::system::error_code &error, int) {
             if (!error) {
                 forceStop("second_signal");
             }
         });
-        hardLimitTimer_.expires_after(context_.settings.drainDelay + context_.settings.drainLimit);
+        const auto now = steady_clock::now();
+        answerDeadline_ = now + answerLimit(context_.settings);
+        hardLimitTimer_.expires_at(answerDeadline_ + EndTime);
         hardLimitTimer_.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
                 forceStop("drain_limit");
             }
         });
-        service_.drain([this] {
-            base::logInfo("drain_finished");
-            service_.refuseRequests();
-            context_.members.leave([this] { context_.io.stop(); });
-        });
+        servers_.closeAfterAnswers();
+        service_.drain([this] { refuseRequests(); });
+    }
+
+    void refuseRequests()
+    {
+        base::logInfo("requests_refused").with("in_progress", inProgress());
+        service_.refuseRequests();
+        servers_.refuseRequests();
+        const auto isAnswered = [this] {
+            return inProgress() == 0;
+        };
+        waitFor(isAnswered, answerDeadline_, [this] { finishDrain(); });
+    }
+
+    void finishDrain()
+    {
+        const std::size_t pending = inProgress();
+        service_.answerPendingRequests();
+        base::logInfo("drain_finished").with("given_up", pending);
+        context_.members.leave([this] { closeConnections(); });
+    }
+
+    void closeConnections()
+    {
+        servers_.stopAccepting();
+        const auto isClosed = [this] {
+            return servers_.busyConnections() == 0;
+        };
+        waitFor(isClosed, steady_clock::now() + CloseTimeout, [this] { context_.io.stop(); });
+    }
+
+    void waitFor(const std::function<bool()> &condition, steady_clock::time_point deadline, std::function<void()> done)
+    {
+        if (condition() || steady_clock::now() >= deadline) {
+            done();
+            return;
+        }
+        pollTimer_.expires_after(DrainPollInterval);
+        pollTimer_.async_wait(
+            [this, condition, deadline, done = std::move(done)](const boost::system::error_code &error) {
+                if (!error) {
+                    waitFor(condition, deadline, done);
+                }
+            });
+    }
+
+    std::size_t inProgress() const
+    {
+        return std::max(service_.inProgress(), servers_.unanswered());
     }
 
     void forceStop(std::string_view reason)
     {
-        const std::size_t aborted = service_.inProgress();
+        const std::size_t aborted = inProgress();
         base::logWarning("drain_cut_off").with("reason", reason).with("in_progress", aborted);
         if (aborted > 0) {
             exitCode_ = ExitCode::WorkAborted;
@@ -169,8 +230,11 @@
 
     Context &context_;
     Service &service_;
+    http::ServerGroup &servers_;
     asio::signal_set signals_;
     asio::steady_timer hardLimitTimer_;
+    asio::steady_timer pollTimer_;
+    steady_clock::time_point answerDeadline_{};
     bool draining_ = false;
     ExitCode exitCode_ = ExitCode::Ok;
 };
@@ -218,6 +282,11 @@
 
 } // namespace
 
+std::chrono::milliseconds answerLimit(const settings::ProcessSettings &settings)
+{
+    return settings.drainDelay + std::max(milliseconds{0}, settings.drainLimit - EndTime);
+}
+
 asio::ip::tcp::endpoint toAsio(const settings::Endpoint &endpoint)
 {
     return {asio::ip::make_address(endpoint.ip), endpoint.port};
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -47,15 +47,20 @@
     /// Returns why the process should get no traffic, or nothing if it is ready.
     virtual std::optional<std::string> notReadyReason() const = 0;
 
-    /// Stops accepting work and calls `done` when all work in progress has ended.
+    /// Prepares to leave, for example hands over leadership, and calls `done` when further requests may be refused.
     virtual void drain(std::function<void()> done) = 0;
 
-    /// Refuses all further requests, also on open connections. Called when the drain has ended: the process still tells
-    /// its peers that it leaves, and nobody would answer what it reads meanwhile.
+    /// Refuses all further requests of other processes of the cluster. Requests to HTTP servers are refused for all
+    /// services alike.
     virtual void refuseRequests()
     {
     }
 
+    /// Answers every request in progress that the service would otherwise keep waiting, with what is known of it.
+    virtual void answerPendingRequests()
+    {
+    }
+
     /// Applies settings that changed while the process runs. Settings that the service ignores need a restart.
     virtual void reload(const settings::ProcessSettings &settings)
     {
@@ -84,6 +89,10 @@
         const ServiceFactory &factory,
         const std::vector<Action> &actions = {});
 
+/// Returns how long after the start of a drain requests are given up on. The rest of drain_limit is left for their
+/// answers and for the end of the process.
+std::chrono::milliseconds answerLimit(const settings::ProcessSettings &settings);
+
 /// Converts an address from validated settings.
 boost::asio::ip::tcp::endpoint toAsio(const settings::Endpoint &endpoint);
 /// Returns the peers' addresses for the protocol between processes.
--- a/src/daemon/health_server.cpp
+++ b/src/daemon/health_server.cpp
@@ -18,6 +18,7 @@
     if (address) {
         http::ServerOptions options;
         options.maxConnections = MaxConnections;
+        options.refusable = false;
         server_.emplace(
             context.io,
             toAsio(*address),
--- a/src/http/proxy_core.cpp
+++ b/src/http/proxy_core.cpp
@@ -46,10 +46,10 @@
     return finish;
 }
 
-void ProxyCore::cancelWaiting(routing::RequestId request)
+base::Verdict ProxyCore::cancelWaiting(routing::RequestId request)
 {
-    router.cancelWaiting(request);
     requests_.erase(request);
+    return router.cancelWaiting(request);
 }
 
 // Only the sending direction is shut down. This tells the upstream that the request was abandoned; the upstream closes
@@ -228,6 +228,17 @@
     pool.closeIdle();
 }
 
+std::size_t ProxyCore::giveUpRequests()
+{
+    const std::vector<ProxySessionPtr> sessions(sessions_.begin(), sessions_.end());
+    const std::size_t active = activeSessionCount();
+    for (const ProxySessionPtr &session : sessions) {
+        session->giveUpRequest();
+    }
+    deliverRouterOutput();
+    return active;
+}
+
 std::size_t ProxyCore::abortSessions()
 {
     const std::vector<ProxySessionPtr> sessions(sessions_.begin(), sessions_.end());
--- a/src/http/proxy_core.h
+++ b/src/http/proxy_core.h
@@ -27,7 +27,7 @@
     routing::FinishResult
     finishAttempt(routing::RequestId request, routing::AttemptId attempt, const routing::AttemptResult &result);
     /// Cancels a request that waits for a slot.
-    void cancelWaiting(routing::RequestId request);
+    base::Verdict cancelWaiting(routing::RequestId request);
     /// Keeps the connection of an abandoned attempt open until its upstream closes it or the grace period ends. The
     /// attempt's slot is released then.
     void trackAbandonedAttempt(const UpstreamConnectionPtr &connection, routing::AttemptId attempt);
@@ -49,6 +49,9 @@
     ProxyStatistics snapshot() const;
     /// Aborts all sessions and closes all upstream connections, so that their pending handlers end.
     void shutDown();
+    /// Ends all requests in progress: answers with what is known of them, or closes the connection if part of the
+    /// upstream's answer has been sent. Returns how many there were.
+    std::size_t giveUpRequests();
     /// Aborts all sessions. Returns how many had a request in progress.
     std::size_t abortSessions();
 
--- a/src/http/proxy_server.cpp
+++ b/src/http/proxy_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <thread>
@@ -22,6 +23,7 @@
 {
 constexpr std::chrono::milliseconds TickInterval{10};
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+constexpr std::chrono::milliseconds FinalAnswerTime{500}; ///< For answers to requests that are given up.
 } // namespace
 
 class ProxyServer::Impl
@@ -39,9 +41,10 @@
     tl::expected<std::uint16_t, std::string> listen();
     void accept();
     void onAccepted(const boost::system::error_code &error, Socket socket);
+    void addSession(Socket socket);
     void tick();
     void continueDrain(base::TimePoint now);
-    void finishDrain(std::size_t cut);
+    void finishDrain();
     void stopAccepting();
     void shutDown();
 
@@ -54,7 +57,9 @@
     std::atomic<bool> ready{false};
     bool draining = false;
     base::TimePoint stopAcceptingAt;
+    base::TimePoint giveUpAt;
     base::TimePoint hardLimitAt;
+    std::size_t cutRequests = 0;
     DrainHandler onDrained;
     std::thread thread;
 };
@@ -101,6 +106,12 @@
         });
         return;
     }
+    addSession(std::move(socket));
+    accept();
+}
+
+void ProxyServer::Impl::addSession(Socket socket)
+{
     boost::system::error_code disconnected;
     const auto peer = socket.remote_endpoint(disconnected);
     if (!disconnected && core.sessionCount() < options.limits.maxConnections) {
@@ -108,7 +119,6 @@
         core.addSession(session);
         session->start();
     }
-    accept();
 }
 
 void ProxyServer::Impl::tick()
@@ -135,28 +145,45 @@
     }
     stopAccepting();
     core.closeIdleSessions();
+    if (now >= giveUpAt) {
+        giveUpAt = base::TimePoint::max();
+        cutRequests += core.giveUpRequests();
+    }
+    if (now >= hardLimitAt) {
+        cutRequests += core.abortSessions();
+    }
     if (core.sessionCount() == 0) {
-        finishDrain(0);
-    } else if (now >= hardLimitAt) {
-        finishDrain(core.abortSessions());
+        finishDrain();
     }
 }
 
-void ProxyServer::Impl::finishDrain(std::size_t cut)
+void ProxyServer::Impl::finishDrain()
 {
     draining = false;
     core.pool.closeIdle();
     core.announceShutdown();
-    base::logInfo("drained").with("cut_requests", cut);
+    base::logInfo("drained").with("cut_requests", cutRequests);
     if (const DrainHandler done = std::exchange(onDrained, nullptr)) {
-        done(DrainReport{cut});
+        done(DrainReport{cutRequests});
     }
 }
 
+// Connections that the kernel has accepted may carry requests already.
 void ProxyServer::Impl::stopAccepting()
 {
-    boost::system::error_code ignored;
-    acceptor.close(ignored);
+    boost::system::error_code error;
+    if (acceptor.is_open()) {
+        acceptor.cancel(error);
+        acceptor.non_blocking(true, error);
+    }
+    while (!error && acceptor.is_open()) {
+        Socket socket(context.get_executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            addSession(std::move(socket));
+        }
+    }
+    acceptor.close(error);
 }
 
 // Pending handlers own sessions, which use the core, so the handlers are run before the core is destroyed.
@@ -244,6 +271,7 @@
         impl_->draining = true;
         impl_->stopAcceptingAt = now + delay;
         impl_->hardLimitAt = now + hardLimit;
+        impl_->giveUpAt = now + std::max(delay, hardLimit - FinalAnswerTime);
         impl_->onDrained = std::move(done);
         base::logInfo("draining").with("active", impl_->core.activeSessionCount());
     });
@@ -254,7 +282,8 @@
     asio::post(impl_->context, [this] {
         if (impl_->draining) {
             impl_->stopAccepting();
-            impl_->finishDrain(impl_->core.abortSessions());
+            impl_->cutRequests += impl_->core.abortSessions();
+            impl_->finishDrain();
         }
     });
 }
--- a/src/http/proxy_server.h
+++ b/src/http/proxy_server.h
@@ -39,7 +39,7 @@
 
 /// Result of a drain.
 struct DrainReport {
-    std::size_t cutRequests = 0; ///< Requests in progress that were cut off.
+    std::size_t cutRequests = 0; ///< Requests in progress that were given up at the hard limit.
 };
 
 struct ProxyStatistics {
@@ -86,8 +86,8 @@
     /// Returns whether the load balancer should send callers here: most slots are usable and no drain has begun.
     bool isReady() const;
     /// Shuts down gracefully: reports not ready at once, serves as before for `delay`, then accepts no new connections.
-    /// Cuts off the requests still in progress `hardLimit` from now. Calls `done` on the proxy's thread when no request
-    /// is left.
+    /// Shortly before `hardLimit` from now, requests still in progress are given up and answered so. Calls `done` on
+    /// the proxy's thread when no request is left.
     void drain(base::Duration delay, base::Duration hardLimit, DrainHandler done);
     /// Ends a drain in progress at once and cuts off the remaining requests.
     void finishDrainNow();
--- a/src/http/proxy_session.h
+++ b/src/http/proxy_session.h
@@ -47,6 +47,9 @@
     bool isIdle() const;
     bool hasTimedOut(base::TimePoint now) const;
     void handleTimeout(base::TimePoint now);
+    /// Ends a request in progress with an error answer, because the process shuts down. Closes the connection instead
+    /// if part of the upstream's answer has been sent.
+    void giveUpRequest();
     /// Closes the connection and ends a request in progress, because the process shuts down.
     void abort();
     void close();
@@ -89,6 +92,7 @@
     void route();
     void startExchange(const routing::Decision &decision);
     void answerRejection(const routing::Decision &decision);
+    void answerGivenUp(base::Verdict verdict);
     void answerFailure(const routing::AttemptResult &result, base::Verdict verdict);
     void finishKey(base::Verdict verdict);
     void answerError(unsigned status, std::string_view message, base::Verdict verdict, base::Duration retryAfter = {});
--- a/src/http/proxy_session_answer.cpp
+++ b/src/http/proxy_session_answer.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr unsigned RequestTimeout = 408;
+constexpr unsigned Unavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
 constexpr unsigned FirstServerError = 500;
 constexpr unsigned Http11 = 11;
@@ -184,6 +185,37 @@
     }
 }
 
+void ProxySession::giveUpRequest()
+{
+    constexpr int MaxAttempts = 3; // The router may retry a request whose attempt ends.
+    requestDeadline_ = base::BootClock::now();
+    for (int attempt = 0; attempt < MaxAttempts && phase_ == Phase::Exchanging; ++attempt) {
+        if (exchange_->hasStartedAnswer()) {
+            abort();
+            return;
+        }
+        exchange_->onTimeout();
+    }
+    if (phase_ == Phase::Waiting) {
+        const base::Verdict verdict = core_.cancelWaiting(decision_.request);
+        finishKey(verdict);
+        answerGivenUp(verdict);
+    } else if (phase_ == Phase::ReservingKey) {
+        answerGivenUp(base::Verdict::MayHaveRun);
+    } else if (phase_ == Phase::ReadingBody) {
+        answerGivenUp(base::Verdict::NotRun);
+    }
+}
+
+void ProxySession::answerGivenUp(base::Verdict verdict)
+{
+    const bool notRun = verdict == base::Verdict::NotRun;
+    answerError(notRun ? Unavailable : GatewayTimeout,
+                "the process is ending",
+                verdict,
+                notRun ? base::Duration(std::chrono::seconds(1)) : base::Duration{0});
+}
+
 void ProxySession::abort()
 {
     if (isActive()) {
@@ -192,8 +224,7 @@
     if (phase_ == Phase::Exchanging) {
         exchange_->onCallerGone();
     } else if (phase_ == Phase::Waiting) {
-        core_.cancelWaiting(decision_.request);
-        finishKey(base::Verdict::NotRun);
+        finishKey(core_.cancelWaiting(decision_.request));
     }
     close();
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "base/duty_time.h"
 #include "base/log.h"
 #include "base/traffic.h"
+#include "http/server_group.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -56,7 +57,9 @@
 
 } // namespace
 
-struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
+struct Server::Impl
+    : GroupedServer
+    , std::enable_shared_from_this<Server::Impl> {
     Impl(asio::io_context &context, const asio::ip::tcp::endpoint &address, ServerOptions opts, Handler handle)
         : io(context)
         , acceptor(context, address)
@@ -66,9 +69,29 @@
     {
     }
 
+    void closeAfterAnswers() override
+    {
+        closing = true;
+    }
+    void refuseRequests() override
+    {
+        refusing = options.refusable;
+    }
+    void stopAccepting() override;
+    std::size_t unanswered() const override
+    {
+        return unansweredRequests;
+    }
+    std::size_t busyConnections() const override
+    {
+        return connections;
+    }
+
     void accept();
+    void onAccepted(asio::ip::tcp::socket socket);
     void acceptLater(const boost::system::error_code &error);
     bool makeRoom();
+    void closeIdleSessions();
 
     asio::io_context &io;
     asio::ip::tcp::acceptor acceptor;
@@ -76,9 +99,12 @@
     ServerOptions options;
     Handler handler;
     std::size_t connections = 0;
-    std::list<Session *> idleSessions; ///< Those that wait for a request, the one that waits for longest first.
+    std::size_t unansweredRequests = 0;
+    /// Those that wait for a request or for the client to close them, the one that waits for longest first.
+    std::list<Session *> idleSessions;
     std::size_t closedIdle = 0; ///< Since the last report.
     std::chrono::steady_clock::time_point nextReport{};
+    bool closing = false; ///< Answers close their connections.
     bool refusing = false;
     bool stopped = false;
 };
@@ -111,12 +137,20 @@
     ~Session()
     {
         setIdle(false);
+        setUnanswered(false);
         release();
     }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
-    /// Closes the connection, which must be idle.
+    // The socket is checked too, since closing it would lose a request that has arrived but was not read yet.
+    bool isIdle() const
+    {
+        boost::system::error_code error;
+        return idlePosition_ && !lingering_ && (stream_.socket().available(error) == 0 || error);
+    }
+
+    /// Closes the connection, on which no request is in progress.
     void closeIdle()
     {
         setIdle(false);
@@ -151,6 +185,7 @@
 
 private:
     static constexpr std::size_t ReadChunkBytes = 4096;
+    static constexpr std::chrono::seconds MaxLinger{1};
 
     void setIdle(bool idle)
     {
@@ -162,6 +197,12 @@
             idlePosition_ = server_->idleSessions.insert(server_->idleSessions.end(), this);
         }
     }
+    void setUnanswered(bool unanswered)
+    {
+        server_->unansweredRequests -= unanswered_ ? 1 : 0;
+        server_->unansweredRequests += unanswered ? 1 : 0;
+        unanswered_ = unanswered;
+    }
     void release()
     {
         server_->connections -= std::exchange(counted_, false) ? 1 : 0;
@@ -199,6 +240,7 @@
         }
         stream_.expires_never();
         keepAlive_ = parser_->get().keep_alive();
+        setUnanswered(true);
         auto responder = [answered = false, self = shared_from_this()](Response response) mutable {
             if (!answered) {
                 answered = true;
@@ -271,6 +313,8 @@
 
     void writeResponse(Response response)
     {
+        setUnanswered(false);
+        keepAlive_ = keepAlive_ && !server_->closing;
         response_.emplace();
         response_->version(11);
         response_->result(static_cast<unsigned>(response.status));
@@ -294,12 +338,34 @@
                                if (self->keepAlive_) {
                                    self->waitForRequest();
                                } else {
-                                   boost::system::error_code ignored;
-                                   self->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                                   self->closeGracefully();
                                }
                            });
     }
 
+    // Closing a socket with unread bytes resets the connection, and the client may lose the answer.
+    void closeGracefully()
+    {
+        boost::system::error_code ignored;
+        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        setIdle(true);
+        lingering_ = true;
+        stream_.expires_after(MaxLinger);
+        discardInput();
+    }
+
+    void discardInput()
+    {
+        buffer_.clear();
+        stream_.async_read_some(buffer_.prepare(ReadChunkBytes),
+                                [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                                    const base::DutyScope duty(base::Duty::Reports);
+                                    if (!error && self->counted_) {
+                                        self->discardInput();
+                                    }
+                                });
+    }
+
     beast::tcp_stream stream_;
     std::shared_ptr<Server::Impl> server_;
     beast::flat_buffer buffer_;
@@ -308,6 +374,8 @@
     std::string peer_;
     std::optional<std::list<Session *>::iterator> idlePosition_;
     bool counted_ = true; ///< Among the server's connections.
+    bool unanswered_ = false; ///< Has a request without a response.
+    bool lingering_ = false; ///< Has sent its last answer and waits for the client to close the connection.
     bool keepAlive_ = true;
 };
 
@@ -317,27 +385,61 @@
 {
     acceptor.async_accept(
         [self = shared_from_this()](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-            if (self->stopped) {
+            if (self->stopped || !self->acceptor.is_open()) {
                 return;
             }
             if (error) {
                 self->acceptLater(error);
                 return;
             }
-            // If all are in use, the connection is closed at once, so that the client tries another VM.
-            if (self->connections < self->options.maxConnections || self->makeRoom()) {
-                std::make_shared<Session>(std::move(socket), self)->waitForRequest();
-            }
+            self->onAccepted(std::move(socket));
             self->accept();
         });
 }
 
+// If all connections are in use, a new one is closed at once, so that the client tries another VM.
+void Server::Impl::onAccepted(asio::ip::tcp::socket socket)
+{
+    if (connections < options.maxConnections || makeRoom()) {
+        std::make_shared<Session>(std::move(socket), shared_from_this())->waitForRequest();
+    }
+}
+
+// Connections that the kernel has accepted may carry requests already.
+void Server::Impl::stopAccepting()
+{
+    boost::system::error_code error;
+    acceptor.cancel(error);
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(io);
+        acceptor.accept(socket, error);
+        if (!error) {
+            onAccepted(std::move(socket));
+        }
+    }
+    acceptor.close(error);
+    acceptTimer.cancel();
+    closing = true;
+    closeIdleSessions();
+}
+
+void Server::Impl::closeIdleSessions()
+{
+    const std::vector<Session *> sessions(idleSessions.begin(), idleSessions.end());
+    for (Session *const session : sessions) {
+        if (session->isIdle()) {
+            session->closeIdle();
+        }
+    }
+}
+
 void Server::Impl::acceptLater(const boost::system::error_code &error)
 {
     base::logWarning("accept_failed").with("error", error.message());
     acceptTimer.expires_after(AcceptRetryDelay);
     acceptTimer.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
-        if (!cancelled && !self->stopped) {
+        if (!cancelled && !self->stopped && self->acceptor.is_open()) {
             self->accept();
         }
     });
@@ -366,22 +468,19 @@
 Server::Server(asio::io_context &io, const asio::ip::tcp::endpoint &address, ServerOptions options, Handler handler)
     : impl_(std::make_shared<Impl>(io, address, options, std::move(handler)))
 {
+    ServerGroup::of(io).add(*impl_);
     impl_->accept();
 }
 
 Server::~Server()
 {
+    ServerGroup::of(impl_->io).remove(*impl_);
     impl_->stopped = true;
     impl_->acceptTimer.cancel();
     boost::system::error_code ignored;
     impl_->acceptor.close(ignored);
 }
 
-void Server::refuseRequests()
-{
-    impl_->refusing = true;
-}
-
 asio::ip::tcp::endpoint Server::address() const
 {
     return impl_->acceptor.local_endpoint();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -48,10 +48,11 @@
     std::size_t maxConnections = 1024;
     std::chrono::milliseconds readTimeout{10'000}; ///< For one complete request, from its first byte on.
     std::chrono::milliseconds idleTimeout{60'000}; ///< Between two requests, and for writing one answer.
+    bool refusable = true; ///< Refuses requests while its process ends. False for health checks.
 };
 
 /// Small HTTP/1.1 server for control interfaces. Malformed or oversized requests are answered with a 4xx status, and
-/// their connection is closed.
+/// their connection is closed. Belongs to the ServerGroup of its io_context.
 class Server
 {
 public:
@@ -65,8 +66,6 @@
     Server &operator=(const Server &) = delete;
 
     boost::asio::ip::tcp::endpoint address() const;
-    /// Answers all further requests with 503 and closes their connections. Responses to earlier ones are still sent.
-    void refuseRequests();
 
     struct Impl;
 
--- a/src/platform/caller_api.cpp
+++ b/src/platform/caller_api.cpp
@@ -96,12 +96,10 @@
         respond(errorResponse(405, "the methods are GET, POST and DELETE"));
         return;
     }
-    ++inProgress_;
     const workflow::QueueVerb verb = queue.verb;
     handler_.handle(std::move(queue),
                     timeoutOf(request),
-                    [this, respond, verb](const tl::expected<workflow::QueueReply, workflow::Unanswered> &reply) {
-                        --inProgress_;
+                    [respond, verb](const tl::expected<workflow::QueueReply, workflow::Unanswered> &reply) {
                         if (reply) {
                             respond(toResponse(*reply));
                             return;
--- a/src/platform/caller_api.h
+++ b/src/platform/caller_api.h
@@ -21,22 +21,10 @@
               workflow::CallerHandler &handler,
               std::size_t maxConnections);
 
-    /// Number of requests that were read but not answered yet.
-    std::size_t inProgress() const
-    {
-        return inProgress_;
-    }
-
-    void refuseRequests()
-    {
-        server_.refuseRequests();
-    }
-
 private:
     void handle(const http::Request &request, const http::Responder &respond);
 
     workflow::CallerHandler &handler_;
-    std::size_t inProgress_ = 0;
     http::Server server_;
 };
 
--- a/src/platform/control_api.h
+++ b/src/platform/control_api.h
@@ -20,11 +20,6 @@
                workflow::ControlHandler &handler,
                std::size_t maxConnections);
 
-    void refuseRequests()
-    {
-        server_.refuseRequests();
-    }
-
 private:
     void handle(const http::Request &request, const http::Responder &respond);
     void report(const workflow::WorkerReport &report, const http::Responder &respond);
--- a/src/programs/yw_entry/entry_service.cpp
+++ b/src/programs/yw_entry/entry_service.cpp
@@ -151,9 +151,8 @@
 
 void EntryService::drain(std::function<void()> done)
 {
-    const auto &settings = context_.settings;
-    proxy_.drain(settings.drainDelay,
-                 settings.drainDelay + settings.drainLimit,
+    proxy_.drain(context_.settings.drainDelay,
+                 daemon::answerLimit(context_.settings),
                  [this, done = std::move(done)](const http::DrainReport &report) {
                      boost::asio::post(context_.io, [done, cut = report.cutRequests] {
                          if (cut > 0) {
--- a/src/programs/yw_entry/entry_service.h
+++ b/src/programs/yw_entry/entry_service.h
@@ -31,13 +31,6 @@
 
     std::optional<std::string> notReadyReason() const override;
     void drain(std::function<void()> done) override;
-    void refuseRequests() override
-    {
-        if (operators_) {
-            operators_->refuseRequests();
-        }
-        upstreamServer_->refuseRequests();
-    }
     std::size_t inProgress() const override;
 
 private:
--- a/src/programs/yw_entry/operator_api.h
+++ b/src/programs/yw_entry/operator_api.h
@@ -28,11 +28,6 @@
 
     OperatorApi(daemon::Context &context, store::StoreClient &store, ListUpstreams listUpstreams);
 
-    void refuseRequests()
-    {
-        server_->refuseRequests();
-    }
-
 private:
     static constexpr std::chrono::milliseconds StoreTimeout{8'000}; ///< Maximum wait for the store leader's answer.
 
--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -4,6 +4,7 @@
 #include "daemon/health_server.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace yuccawheel::gateway
 {
@@ -23,7 +24,6 @@
 constexpr int ReadWaitDivisor = 8; ///< A read waits for at most an eighth of its caller's timeout.
 constexpr milliseconds RetryInterval{50};
 constexpr milliseconds RetryAfter{1'000};
-constexpr milliseconds DrainPollInterval{20};
 
 } // namespace
 
@@ -56,7 +56,7 @@
 
 std::size_t GatewayService::inProgress() const
 {
-    return callers_->inProgress();
+    return pending_.size();
 }
 
 void GatewayService::reload(const settings::ProcessSettings &settings)
@@ -67,22 +67,20 @@
 // Load balancers take a while to notice that the gateway is not ready, so it accepts requests during the drain delay.
 void GatewayService::drain(std::function<void()> done)
 {
-    acceptUntil_ = steady_clock::now() + context_.settings.drainDelay;
-    waitForRequests(std::move(done));
+    drainTimer_.expires_after(context_.settings.drainDelay);
+    drainTimer_.async_wait([done = std::move(done)](const boost::system::error_code &error) {
+        if (!error) {
+            done();
+        }
+    });
 }
 
-void GatewayService::waitForRequests(std::function<void()> done)
+void GatewayService::answerPendingRequests()
 {
-    if (steady_clock::now() >= acceptUntil_ && callers_->inProgress() == 0) {
-        done();
-        return;
+    const std::vector<PendingRequestPtr> requests(pending_.begin(), pending_.end());
+    for (const PendingRequestPtr &pending : requests) {
+        giveUp(pending);
     }
-    drainTimer_.expires_after(DrainPollInterval);
-    drainTimer_.async_wait([this, done = std::move(done)](const boost::system::error_code &error) {
-        if (!error) {
-            waitForRequests(done);
-        }
-    });
 }
 
 void GatewayService::handle(workflow::QueueRequest request, milliseconds timeout, ReplyCallback done)
@@ -93,35 +91,51 @@
     pending->deadline = steady_clock::now() + std::min(MaxHoldTime, timeout / HoldTimeDivisor);
     pending->done = std::move(done);
     pending->callerDeadline = steady_clock::now() + timeout - ReplyMargin;
+    pending_.insert(pending);
     forward(pending);
 }
 
+void GatewayService::answer(const PendingRequestPtr &pending,
+                            tl::expected<workflow::QueueReply, workflow::Unanswered> reply)
+{
+    if (pending_.erase(pending) > 0) {
+        pending->done(std::move(reply));
+    }
+}
+
+void GatewayService::giveUp(const PendingRequestPtr &pending)
+{
+    base::logInfo("request_given_up")
+        .with("path", pending->request.path)
+        .with("verb", static_cast<int>(pending->request.verb))
+        .with("leader", daemon::managerIp(managers_.leaderNumber()))
+        .with("connected", managers_.leader() != nullptr);
+    answer(pending, tl::make_unexpected(workflow::Unanswered{pending->mayTakeEffect || pending->isSent, RetryAfter}));
+}
+
 // Requests are idempotent, because the leader identifies a job by its key. So an unanswered request can be sent again.
-void GatewayService::forward(const std::shared_ptr<PendingRequest> &pending)
+void GatewayService::forward(const PendingRequestPtr &pending)
 {
     protocol::Peer *const leader = managers_.leader();
     const auto remaining = std::chrono::duration_cast<milliseconds>(pending->deadline - steady_clock::now());
     if (remaining.count() <= 0) {
-        base::logInfo("request_given_up")
-            .with("path", pending->request.path)
-            .with("verb", static_cast<int>(pending->request.verb))
-            .with("leader", daemon::managerIp(managers_.leaderNumber()))
-            .with("connected", leader != nullptr);
-        pending->done(tl::make_unexpected(workflow::Unanswered{pending->mayTakeEffect, RetryAfter}));
+        giveUp(pending);
         return;
     }
     if (leader == nullptr) {
         retryLater(pending);
         return;
     }
+    pending->isSent = true;
     leader->request(pending->request,
                     std::min(remaining, AttemptTimeout),
                     [this, alive = alive_, pending](tl::expected<workflow::QueueReply, protocol::RequestError> reply) {
                         if (*alive == nullptr) {
                             return;
                         }
+                        pending->isSent = false;
                         if (reply) {
-                            pending->done(std::move(*reply));
+                            answer(pending, std::move(*reply));
                             return;
                         }
                         // A request that may have taken effect is retried until the caller's deadline: giving up
@@ -134,11 +148,11 @@
                     });
 }
 
-void GatewayService::retryLater(const std::shared_ptr<PendingRequest> &pending)
+void GatewayService::retryLater(const PendingRequestPtr &pending)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(context_.io, RetryInterval);
     timer->async_wait([this, alive = alive_, pending, timer](const boost::system::error_code &error) {
-        if (*alive != nullptr && !error) {
+        if (*alive != nullptr && !error && pending_.contains(pending)) {
             forward(pending);
         }
     });
--- a/src/programs/yw_gateway/gateway_service.h
+++ b/src/programs/yw_gateway/gateway_service.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 
 namespace yuccawheel::gateway
 {
@@ -28,10 +29,7 @@
 
     std::optional<std::string> notReadyReason() const override;
     void drain(std::function<void()> done) override;
-    void refuseRequests() override
-    {
-        callers_->refuseRequests();
-    }
+    void answerPendingRequests() override;
     std::size_t inProgress() const override;
     void reload(const settings::ProcessSettings &settings) override;
 
@@ -44,22 +42,26 @@
         std::chrono::steady_clock::time_point callerDeadline; ///< Latest time for a reply to reach the caller.
         ReplyCallback done;
         bool mayTakeEffect = false; ///< An earlier attempt got no answer but may have run.
+        bool isSent = false; ///< An attempt is in progress.
     };
+    using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
     // CallerHandler.
     void handle(workflow::QueueRequest request, std::chrono::milliseconds timeout, ReplyCallback done) override;
 
-    void forward(const std::shared_ptr<PendingRequest> &pending);
-    void retryLater(const std::shared_ptr<PendingRequest> &pending);
+    void forward(const PendingRequestPtr &pending);
+    void giveUp(const PendingRequestPtr &pending);
+    void retryLater(const PendingRequestPtr &pending);
     void onNotice(std::uint32_t manager, const protocol::Frame &frame);
-    void waitForRequests(std::function<void()> done);
+    /// Passes the reply on, unless the request has been answered already.
+    void answer(const PendingRequestPtr &pending, tl::expected<workflow::QueueReply, workflow::Unanswered> reply);
 
     daemon::Context &context_;
     std::shared_ptr<GatewayService *> alive_;
     daemon::ManagerConnections managers_;
     std::optional<platform::EligibilityClient> eligibility_;
     boost::asio::steady_timer drainTimer_;
-    std::chrono::steady_clock::time_point acceptUntil_{};
+    std::unordered_set<PendingRequestPtr> pending_;
     std::optional<platform::CallerApi> callers_;
 };
 
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -216,7 +216,7 @@
 void ManagerService::waitForHandover(std::function<void()> done)
 {
     const bool leading = status_.role == coordination::Role::Leader;
-    if ((!leading && inProgress_ == 0) || std::chrono::steady_clock::now() >= drainDeadline_) {
+    if (!leading || std::chrono::steady_clock::now() >= drainDeadline_) {
         done();
         return;
     }
@@ -228,6 +228,18 @@
     });
 }
 
+// The log may never commit what was proposed, for example if too few managers are connected.
+void ManagerService::answerPendingRequests()
+{
+    waitingReads_.answerAll();
+    failPendingEntries();
+    for (auto &[id, done] : std::exchange(proposals_, {})) {
+        if (done) {
+            done(ProposalOutcome::Unknown);
+        }
+    }
+}
+
 bool ManagerService::isLeader(base::TimePoint now) const
 {
     return jobs_.isLeading() && status_.leaseEnd && now < *status_.leaseEnd;
@@ -434,7 +446,12 @@
     base::logInfo("leadership_lost").with("reason", reason).with("term", status_.term);
     jobs_.stepDown();
     waitingReads_.answerAll();
-    // The next leader decides whether these entries are committed, so their callers get no confirmation.
+    failPendingEntries();
+}
+
+// The next leader decides whether these entries are committed, so their callers get no confirmation.
+void ManagerService::failPendingEntries()
+{
     for (auto &[index, entry] : std::exchange(pending_, {})) {
         if (entry.done) {
             entry.done(ProposalOutcome::Unknown);
@@ -706,7 +723,7 @@
     if (frame.kind != protocol::FrameKind::Request) {
         return;
     }
-    if (!isLeader(base::BootClock::now())) {
+    if (refusing_ || !isLeader(base::BootClock::now())) {
         replyNotLeader(channel, frame.correlation, base::Verdict::NotRun);
         return;
     }
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -40,8 +40,9 @@
     void drain(std::function<void()> done) override;
     void refuseRequests() override
     {
-        control_->refuseRequests();
+        refusing_ = true;
     }
+    void answerPendingRequests() override;
     std::size_t inProgress() const override;
     void reload(const settings::ProcessSettings &settings) override;
 
@@ -93,6 +94,8 @@
     void updateStatus(const LogStatus &status);
     void startLeading();
     void stopLeading(std::string_view reason);
+    /// Reports proposed entries as neither committed nor refused.
+    void failPendingEntries();
     /// Proposes an entry. Returns false, without calling `done`, if it could not be handed to the log.
     bool proposeEntry(const workflow::LogEntry &entry, CommitCallback done);
     /// Returns whether this manager leads and its leader lease is valid at `now`.
@@ -179,6 +182,7 @@
     DutyTimes reportedTimes_; ///< As of the last report.
     base::TimePoint nextDutyReport_{};
     bool draining_ = false;
+    bool refusing_ = false; ///< Requests of gateways and other managers are refused.
     bool restartDue_ = false; ///< An entry of the job manager was not committed.
 };
 
--- a/src/programs/yw_scheduler/scheduler_service.h
+++ b/src/programs/yw_scheduler/scheduler_service.h
@@ -35,12 +35,6 @@
 
     std::optional<std::string> notReadyReason() const override;
     void drain(std::function<void()> done) override;
-    void refuseRequests() override
-    {
-        if (workerServer_) {
-            workerServer_->refuseRequests();
-        }
-    }
     std::size_t inProgress() const override;
 
 private:
--- a/src/protocol/members.cpp
+++ b/src/protocol/members.cpp
@@ -135,11 +135,21 @@
     leaveTimer_.expires_after(channels_.empty() ? std::chrono::milliseconds::zero() : LeaveTimeout);
     leaveTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            finishLeaving();
+            closeChannels();
         }
     });
 }
 
+// Requests over these channels fail now rather than remain without an answer.
+void Members::closeChannels()
+{
+    const std::vector<ChannelPtr> channels(channels_.begin(), channels_.end());
+    for (const ChannelPtr &channel : channels) {
+        channel->close("this process leaves");
+    }
+    finishLeaving();
+}
+
 void Members::finishLeaving()
 {
     leaveTimer_.cancel();
--- a/src/protocol/members.h
+++ b/src/protocol/members.h
@@ -53,7 +53,7 @@
     /// Records that a process has announced that it leaves.
     void markLeft(const Identity &peer);
     /// Announces on every channel that this process leaves, and rejects new channels from now on. Calls `done` once the
-    /// other processes have closed their channels, or after LeaveTimeout.
+    /// other processes have closed their channels; those still open after LeaveTimeout are closed.
     void leave(std::function<void()> done);
 
 private:
@@ -68,6 +68,7 @@
     /// Updates the membership's states and logs each change.
     void updateStates();
     void updatePeriodically();
+    void closeChannels();
     void finishLeaving();
 
     Identity self_;
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -295,7 +295,8 @@
                  0s,
                  1h,
                  &ProcessSettings::drainLimit,
-                 "Time limit for requests in progress after drain_delay; then they are cut off."),
+                 "Time limit for requests in progress after drain_delay. Those that remain shortly before it get an "
+                 "answer that says what is known of them."),
         duration("request_timeout",
                  "15s",
                  10ms,
