Keep requests that were read while idle connections are closed

Cause: a server closes connections that wait for a request and have no bytes to read. The event loop may have read the request already without having run its handler; then nothing is left to read, and closing drops it. The entry's proxy did the same each tick of a drain.

Change: the read is cancelled instead of the socket closed. A read that has completed is handled and refused or answered; one that has not ends the connection.

--- a/src/http/proxy_core.cpp
+++ b/src/http/proxy_core.cpp
@@ -213,7 +213,7 @@
     const std::vector<ProxySessionPtr> sessions(sessions_.begin(), sessions_.end());
     for (const ProxySessionPtr &session : sessions) {
         if (session->isIdle()) {
-            session->close();
+            session->cancelIdleRead();
         }
     }
 }
--- a/src/http/proxy_session.h
+++ b/src/http/proxy_session.h
@@ -53,6 +53,8 @@
     /// Closes the connection and ends a request in progress, because the process shuts down.
     void abort();
     void close();
+    /// Closes an idle connection, unless a request has been read already whose handler has not run yet.
+    void cancelIdleRead();
 
     /// Give the exchange access to the caller's connection, the current request and its timeouts.
     Socket &socket();
--- a/src/http/proxy_session_answer.cpp
+++ b/src/http/proxy_session_answer.cpp
@@ -131,6 +131,12 @@
     core_.removeSession(shared_from_this());
 }
 
+void ProxySession::cancelIdleRead()
+{
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+}
+
 bool ProxySession::isActive() const
 {
     return phase_ != Phase::ReadingHead && phase_ != Phase::Closing && phase_ != Phase::Closed;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -150,6 +150,12 @@
         return idlePosition_ && !lingering_ && (stream_.socket().available(error) == 0 || error);
     }
 
+    // Unlike a close, this keeps a request that has been read already and whose handler has not run yet.
+    void cancelIdleRead()
+    {
+        stream_.cancel();
+    }
+
     /// Closes the connection, on which no request is in progress.
     void closeIdle()
     {
@@ -429,7 +435,7 @@
     const std::vector<Session *> sessions(idleSessions.begin(), idleSessions.end());
     for (Session *const session : sessions) {
         if (session->isIdle()) {
-            session->closeIdle();
+            session->cancelIdleRead();
         }
     }
 }
--- a/src/http/server_group.h
+++ b/src/http/server_group.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
-#include <functional>
 #include <vector>
 
 namespace yuccawheel::http
