Log when the configuration is answered, and how gangs start

Cause: the incident on the large deployment couldn't be traced. The logs didn't tell when a read or a change of the configuration was answered, by whom and with which version, nor when the orders of a gang were committed, sent and answered.

Change: configuration_reply, queue_unknown and the version in job_accepted; gang_started and gang_not_started; when an order was written and given up; how long its ticket should have been valid; once a second, requests by kind and the longest delay of a due timer. No functional change.

--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -47,6 +47,15 @@
     CallPool::Done done;
     CallPool::MakeBody makeBody;
     bool retried = false;
+    std::optional<std::chrono::steady_clock::time_point> sentAt{}; ///< Of the current attempt.
+
+    CallTiming timing() const
+    {
+        const auto since = [this](std::chrono::steady_clock::time_point time) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(time - queuedAt);
+        };
+        return {sentAt ? std::optional(since(*sentAt)) : std::nullopt, since(std::chrono::steady_clock::now())};
+    }
 
     /// Verdict on a call that fails now, if its current attempt ends with `attempt`. The server may have processed the
     /// first attempt of a retried call and closed the connection before it answered.
@@ -227,6 +236,7 @@
     void write()
     {
         verdict_ = base::Verdict::MayHaveRun;
+        call_->sentAt = std::chrono::steady_clock::now();
         asio::async_write(
             socket_, output_.data(), [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
                 const base::DutyScope duty(base::Duty::Calls);
@@ -270,6 +280,7 @@
         parser_.reset();
         QueuedCall call = std::move(*call_);
         call_.reset();
+        response.timing = call.timing();
         const auto pool = pool_;
         pool->release(shared_from_this(), reusable);
         pool->finish(call, std::move(response));
@@ -287,12 +298,13 @@
         pool->release(shared_from_this(), false);
         if (closedWhileIdle && !pool->stopped) {
             call.retried = true;
+            call.sentAt.reset();
             pool->queue.push_front(std::move(call));
             pool->startQueuedCalls();
             return;
         }
         const std::string text = error ? error.message() : "answer without a length";
-        pool->finish(call, tl::unexpected(CallError{call.verdictAfter(verdict_), pool->host + ": " + text}));
+        pool->finish(call, tl::unexpected(CallError{call.verdictAfter(verdict_), pool->host + ": " + text, call.timing()}));
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
@@ -330,7 +342,8 @@
         if (expired) {
             finish(call,
                    tl::unexpected(CallError{call.verdictAfter(base::Verdict::NotRun),
-                                            host + ": no connection became free in time"}));
+                                            host + ": no connection became free in time",
+                                            call.timing()}));
             continue;
         }
         std::shared_ptr<PooledConnection> connection;
@@ -440,7 +453,8 @@
     if (impl_->queue.size() >= impl_->options.maxQueued) {
         asio::post(impl_->io, [impl = impl_, call = std::move(call)] {
             impl->finish(call,
-                         tl::unexpected(CallError{base::Verdict::NotRun, impl->host + ": too many calls are queued"}));
+                         tl::unexpected(CallError{
+                             base::Verdict::NotRun, impl->host + ": too many calls are queued", call.timing()}));
         });
         return;
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,6 +32,12 @@
 /// What the user of a pool knows about the server at the other end of a connection; nothing on a new connection.
 using ConnectionTag = std::optional<std::int64_t>;
 
+/// When a call of a CallPool was sent and when it ended, from the time at which it was handed in.
+struct CallTiming {
+    std::optional<std::chrono::milliseconds> sentAfter; ///< Nothing if no part of the request was written.
+    std::chrono::milliseconds endedAfter{0};
+};
+
 struct ClientResponse {
     int status = 0;
     std::vector<Header> headers;
@@ -40,6 +46,7 @@
     /// Sets the tag of the pooled connection that carried the answer; null for an answer to `call`. Tags set before the
     /// callback with the answer returns hold for the next request on the connection.
     std::shared_ptr<ConnectionTag> connectionTag;
+    CallTiming timing{};
 
     /// Returns the first value of a header, or an empty text. The name is not case-sensitive.
     std::string_view header(std::string_view name) const;
@@ -49,6 +56,7 @@
 struct CallError {
     base::Verdict verdict = base::Verdict::MayHaveRun;
     std::string text;
+    CallTiming timing{};
 };
 
 /// Sends a request over a new connection and waits for the complete answer, for at most `timeout` in total.
--- a/src/platform/worker_answers.cpp
+++ b/src/platform/worker_answers.cpp
@@ -156,12 +156,20 @@
                                        const tl::expected<http::ClientResponse, http::CallError> &answer)
 {
     if (!answer) {
-        base::logInfo("order_unanswered").with("worker", worker).with("reason", answer.error().text);
-        return {OrderOutcome::NoAnswer, std::nullopt, answer.error().verdict != base::Verdict::NotRun};
+        const http::CallTiming &timing = answer.error().timing;
+        base::logInfo("order_unanswered")
+            .with("worker", worker)
+            .with("reason", answer.error().text)
+            .with("sent_after_ms", timing.sentAfter ? timing.sentAfter->count() : -1)
+            .with("ended_after_ms", timing.endedAfter.count());
+        return {OrderOutcome::NoAnswer,
+                std::nullopt,
+                answer.error().verdict != base::Verdict::NotRun,
+                answer.error().timing.sentAfter};
     }
     try {
         const Json body = parseBody(*answer);
-        return {parseOutcome(answer->status, body), parseClock(body), true};
+        return {parseOutcome(answer->status, body), parseClock(body), true, answer->timing.sentAfter};
     } catch (const FormatError &error) {
         base::logWarning("order_answer_unreadable").with("worker", worker).with("reason", error.what());
         return {};
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -263,7 +263,7 @@
 void ManagerService::onTimer()
 {
     const base::DutyScope duty(base::Duty::Decisions);
-    timerDue_ = {};
+    longestDelay_ = std::max(longestDelay_, std::chrono::steady_clock::now() - std::exchange(timerDue_, {}));
     if (restartDue_ && jobs_.isLeading() && std::chrono::steady_clock::now() >= earliestRestart_) {
         base::logWarning("entries_not_committed").with("term", status_.term);
         startLeading();
@@ -326,7 +326,18 @@
         line.with(fmt::format("{}_us", base::toString(static_cast<base::Duty>(duty))),
                   (times.byDuty[duty] - reportedTimes_.byDuty[duty]).count());
     }
+    // The timer waits for its turn like the message of any other process.
+    line.with("longest_delay_us", std::chrono::duration_cast<std::chrono::microseconds>(longestDelay_).count());
+    longestDelay_ = {};
     reportedTimes_ = times;
+    const RequestCounts counts = std::exchange(requestCounts_, {});
+    base::logInfo("requests_handled")
+        .with("reports", counts.reports)
+        .with("forwarded_reports", counts.forwardedReports)
+        .with("queue_requests", counts.queueRequests)
+        .with("configuration_requests", counts.configurationRequests)
+        .with("forwards", counts.forwards)
+        .with("failed_forwards", counts.failedForwards);
 }
 
 void ManagerService::handlePendingOutput()
@@ -544,6 +555,7 @@
                             std::function<void(tl::expected<workflow::ReportWorkerReply, workflow::Unanswered>)> done)
 {
     const base::TimePoint now = base::BootClock::now();
+    ++requestCounts_.reports;
     if (isLeader(now)) {
         jobs_.onReport(report, now);
         armTimer(DispatchDelay);
@@ -567,12 +579,12 @@
     }
     const bool needsConfirmation = report.draining || report.leaving;
     if (needsConfirmation || managers_.leader() == nullptr) {
-        forwardToLeader(workflow::ReportWorker{report}, std::move(done));
+        forwardToLeader("report", workflow::ReportWorker{report}, std::move(done));
         return;
     }
     // Load pattern: many workers report while the leader is busy. If they waited for its reply here, each of them would
     // send its report to all managers in turn, and the leader would get it as many times.
-    forwardToLeader(workflow::ReportWorker{report}, [](const auto &) {});
+    forwardToLeader("report", workflow::ReportWorker{report}, [](const auto &) {});
     const settings::Endpoint leader{daemon::managerIp(managers_.leaderNumber()),
                                     context_.settings.listen.control->port};
     done(workflow::ReportWorkerReply{settings::toString(leader)});
@@ -582,8 +594,10 @@
     workflow::Configuration configuration,
     std::function<void(tl::expected<workflow::PutConfigurationReply, workflow::Unanswered>)> done)
 {
+    ++requestCounts_.configurationRequests;
+    done = logConfigurationReply("put", std::move(done));
     if (!isLeader(base::BootClock::now())) {
-        forwardToLeader(workflow::PutConfiguration{std::move(configuration)}, std::move(done));
+        forwardToLeader("put", workflow::PutConfiguration{std::move(configuration)}, std::move(done));
         return;
     }
     base::logInfo("configuration_offered")
@@ -609,31 +623,57 @@
 void ManagerService::getConfiguration(
     std::function<void(tl::expected<workflow::GetConfigurationReply, workflow::Unanswered>)> done)
 {
+    ++requestCounts_.configurationRequests;
+    done = logConfigurationReply("get", std::move(done));
     if (isLeader(base::BootClock::now())) {
         done(workflow::GetConfigurationReply{state_.configuration().version, state_.configuration().text});
         return;
     }
-    forwardToLeader(workflow::GetConfiguration{}, std::move(done));
+    forwardToLeader("get", workflow::GetConfiguration{}, std::move(done));
+}
+
+template <typename Reply>
+std::function<void(tl::expected<Reply, workflow::Unanswered>)> ManagerService::logConfigurationReply(
+    std::string_view request, std::function<void(tl::expected<Reply, workflow::Unanswered>)> done)
+{
+    return [this, request, done = std::move(done), begin = base::BootClock::now()](
+               const tl::expected<Reply, workflow::Unanswered> &reply) {
+        const auto taken = std::chrono::duration_cast<milliseconds>(base::BootClock::now() - begin);
+        base::logInfo("configuration_reply")
+            .with("request", request)
+            .with("answered", reply.has_value())
+            .with("version", reply ? reply->version : 0)
+            .with("after_ms", taken.count())
+            .with("leading", jobs_.isLeading())
+            .with("leader", status_.leader.node == 0 ? "none" : daemon::managerIp(status_.leader.node));
+        done(reply);
+    };
 }
 
 template <typename Request>
 void ManagerService::forwardToLeader(
-    const Request &request, std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done)
+    std::string_view name,
+    const Request &request,
+    std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done)
 {
     protocol::Peer *const leader = status_.leader.node == self_ ? nullptr : managers_.leader();
     if (leader == nullptr) {
         done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
         return;
     }
+    ++requestCounts_.forwards;
     leader->request(
         request,
         ForwardTimeout,
-        [done = std::move(done)](tl::expected<typename Request::Reply, protocol::RequestError> answer) {
+        [this, name, done = std::move(done)](tl::expected<typename Request::Reply, protocol::RequestError> answer) {
             if (answer) {
                 done(std::move(*answer));
                 return;
             }
-            base::logInfo("forward_to_leader_failed").with("reason", protocol::toString(answer.error().code));
+            ++requestCounts_.failedForwards;
+            base::logInfo("forward_to_leader_failed")
+                .with("request", name)
+                .with("reason", protocol::toString(answer.error().code));
             const bool mayTakeEffect = answer.error().verdict != base::Verdict::NotRun;
             done(tl::make_unexpected(workflow::Unanswered{mayTakeEffect, RetryDelay}));
         });
@@ -728,8 +768,10 @@
         return;
     }
     if (frame.type == MessageType::QueueRequest) {
+        ++requestCounts_.queueRequests;
         onQueueRequest(channel, frame);
     } else if (frame.type == MessageType::ReportWorker) {
+        ++requestCounts_.forwardedReports;
         if (const auto message = protocol::decode<workflow::ReportWorker>(frame.payload)) {
             report(message->report, makeReplyCallback<workflow::ReportWorkerReply>(channel, frame.correlation));
         }
@@ -757,6 +799,10 @@
     if (route == nullptr) {
         // Without a configuration the queues are unknown, so the queue may exist.
         const auto outcome = state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
+        base::logInfo("queue_unknown")
+            .with("host", request->host)
+            .with("path", request->path)
+            .with("configuration", state_.configuration().version);
         channel->reply(frame.correlation, workflow::QueueReply{outcome, {}, 0, RetryDelay, "no such queue"});
         return;
     }
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -131,11 +131,16 @@
     template <typename Reply>
     std::function<void(tl::expected<Reply, workflow::Unanswered>)>
     makeReplyCallback(const protocol::ChannelPtr &channel, std::uint64_t correlation);
-    /// Forwards a request to the leader; `done` gets its reply, or Unanswered if there is none.
+    /// Forwards a request to the leader; `done` gets its reply, or Unanswered if there is none. `name` is for the log.
     template <typename Request>
-    void forwardToLeader(const Request &request,
+    void forwardToLeader(std::string_view name,
+                         const Request &request,
                          std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done);
 
+    /// Passes a reply about the configuration on and logs it, with the time since the request.
+    template <typename Reply>
+    std::function<void(tl::expected<Reply, workflow::Unanswered>)>
+    logConfigurationReply(std::string_view request, std::function<void(tl::expected<Reply, workflow::Unanswered>)> done);
     void recordTick(base::TimePoint begin, base::TimePoint end);
     void reportDutyTime(base::TimePoint now);
 
@@ -147,6 +152,16 @@
         base::BootClock::duration longest{0};
     };
 
+    /// Requests since the last report.
+    struct RequestCounts {
+        std::uint64_t reports = 0; ///< Of workers, to this manager.
+        std::uint64_t forwardedReports = 0; ///< From other managers.
+        std::uint64_t queueRequests = 0;
+        std::uint64_t configurationRequests = 0;
+        std::uint64_t forwards = 0; ///< To the leader.
+        std::uint64_t failedForwards = 0;
+    };
+
     struct DutyTimes {
         std::chrono::microseconds processor{0};
         std::array<std::chrono::microseconds, base::DutyCount> byDuty{};
@@ -181,6 +196,8 @@
     TickTimes tickTimes_;
     DutyTimes reportedTimes_; ///< As of the last report.
     base::TimePoint nextDutyReport_{};
+    RequestCounts requestCounts_;
+    std::chrono::steady_clock::duration longestDelay_{0}; ///< Of the timer since the last report.
     bool draining_ = false;
     bool refusing_ = false; ///< Requests of gateways and other managers are refused.
     bool restartDue_ = false; ///< An entry of the job manager was not committed.
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -77,6 +77,7 @@
     joining_.clear();
     pendingQueries_.clear();
     startedJobs_.clear();
+    gangStarts_.clear();
     nextPendingCount_ = {};
     gateways_.forgetQueries();
 }
@@ -117,6 +118,7 @@
         base::logInfo("job_accepted")
             .with("job", toString(event.job))
             .with("queue", job.policy.queue)
+            .with("configuration", state_->configuration().version)
             .with("steps", job.spec.steps.size())
             .with("tasks", job.spec.tasksPerOccurrence())
             .with("core_seconds", estimatedCoreSeconds(job.spec))
@@ -146,6 +148,7 @@
             worker->second.runs.erase(event.task);
         }
         unreserve(event.task);
+        logBrokenStart(event.task);
         if (event.outcome != RunOutcome::Done) {
             stopGang(event.task, now);
         }
@@ -211,6 +214,9 @@
             }
             continue;
         }
+        if (isGangMember(start.task)) {
+            gangStarts_.addMember(state_->findJob(start.task.job)->crashUnitOf(start.task), start.run, start.task, now);
+        }
         WorkerView &worker = workers_.at(start.worker);
         LiveRun &run = worker.runs[start.task] = makeRun(start.task, start.run);
         run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -2,6 +2,7 @@
 
 #include "placement/ledger.h"
 #include "workflow/eligibility.h"
+#include "workflow/gang_starts.h"
 #include "workflow/manager_port.h"
 #include "workflow/objective.h"
 #include "workflow/preemption_planner.h"
@@ -209,6 +210,17 @@
     void sendStop(WorkerNumber number, WorkerView &worker, const TaskRef &task, LiveRun &run, base::TimePoint now);
     void sendPoll(WorkerNumber number, WorkerView &worker, bool quick, base::TimePoint now);
     static void stopRun(LiveRun &run, base::TimePoint now);
+    /// Returns how long the ticket for a task on a worker should still be valid; zero without one.
+    std::chrono::milliseconds ticketLeft(const TaskRef &task, WorkerNumber worker, base::TimePoint now) const;
+    /// Returns whether a task belongs to a gang; no if its job is unknown.
+    bool isGangMember(const TaskRef &task) const;
+    /// Records that a run is on its worker.
+    void confirmStart(const TaskRef &task,
+                      LiveRun &run,
+                      std::optional<std::chrono::milliseconds> sentAfter,
+                      base::TimePoint now);
+    /// Logs how the run of a gang began, if a member ends before all of them were confirmed.
+    void logBrokenStart(const TaskRef &member);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
@@ -234,6 +246,7 @@
     std::map<std::string, std::size_t> pendingJobs_; ///< By queue, as of the last count.
     base::TimePoint nextPendingCount_{};
     std::unordered_set<JobKey> startedJobs_; ///< Jobs of which a run has been confirmed by a worker.
+    GangStarts gangStarts_;
     std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
     EligibilityGateways gateways_;
     WorkerSpeedTracker speeds_;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -376,7 +376,11 @@
     const JobRecord &job = *state_->findJob(task.job);
     worker.lease.recordGrant(*until);
     run.callInFlight = true;
+    run.orderedAt = now;
     ++run.startCalls;
+    if (job.spec.steps[task.step].gang) {
+        gangStarts_.recordOrder(job.crashUnitOf(task), run.run, task, now);
+    }
     port_.start(number,
                 worker.identity,
                 {task, run.run, job.spec.payload, *until, epoch_, state_->findTask(task)->checkpoint, run.ticket});
@@ -408,6 +412,74 @@
     run.nextCall = now;
 }
 
+std::chrono::milliseconds
+JobManager::ticketLeft(const TaskRef &task, WorkerNumber worker, base::TimePoint now) const
+{
+    const JobRecord &job = *state_->findJob(task.job);
+    const auto step = readySteps_.find({task.job, job.positionOf(task.occurrence, task.step)});
+    if (step == readySteps_.end()) {
+        return std::chrono::milliseconds{0};
+    }
+    const auto &tickets = step->second.eligibility.eligible();
+    const auto ticket = tickets.find(worker);
+    return ticket == tickets.end()
+        ? std::chrono::milliseconds{0}
+        : std::chrono::duration_cast<std::chrono::milliseconds>(ticket->second.validUntil - now);
+}
+
+bool JobManager::isGangMember(const TaskRef &task) const
+{
+    const JobRecord *const job = state_->findJob(task.job);
+    return job != nullptr && job->spec.steps[task.step].gang;
+}
+
+void JobManager::confirmStart(const TaskRef &task,
+                              LiveRun &run,
+                              std::optional<std::chrono::milliseconds> sentAfter,
+                              base::TimePoint now)
+{
+    run.stage = LiveRun::Stage::Running;
+    run.mayHaveStarted = true;
+    run.runningSince = now;
+    run.callInFlight = false;
+    startedJobs_.insert(task.job);
+    if (!isGangMember(task)) {
+        return;
+    }
+    const TaskRef gang = state_->findJob(task.job)->crashUnitOf(task);
+    const auto sentAt = sentAfter ? std::optional(run.orderedAt + *sentAfter) : std::nullopt;
+    if (const auto summary = gangStarts_.recordConfirmation(gang, run.run, task, sentAt, now)) {
+        base::logInfo("gang_started")
+            .with("gang", toString(gang))
+            .with("run", run.run)
+            .with("members", summary->members)
+            .with("orders", summary->orders)
+            .with("last_ordered_ms", summary->lastOrdered.count())
+            .with("last_sent_ms", summary->lastSent.count())
+            .with("last_confirmed_ms", summary->lastConfirmed.count());
+    }
+}
+
+void JobManager::logBrokenStart(const TaskRef &member)
+{
+    if (!isGangMember(member)) {
+        return;
+    }
+    const TaskRef gang = state_->findJob(member.job)->crashUnitOf(member);
+    const std::uint32_t run = state_->findTask(member)->run;
+    if (const auto summary = gangStarts_.remove(gang, run)) {
+        base::logInfo("gang_not_started")
+            .with("gang", toString(gang))
+            .with("run", run)
+            .with("member", toString(member))
+            .with("members", summary->members)
+            .with("confirmed", summary->confirmed)
+            .with("orders", summary->orders)
+            .with("last_ordered_ms", summary->lastOrdered.count())
+            .with("last_confirmed_ms", summary->lastConfirmed.count());
+    }
+}
+
 void JobManager::proposeNotStarted(const TaskRef &task, LiveRun &run)
 {
     run.stage = LiveRun::Stage::ReleaseProposed;
@@ -464,11 +536,8 @@
             return;
         }
         recordAnswer(worker, answer.clock, now);
-        run->stage = LiveRun::Stage::Running;
-        run->mayHaveStarted = true;
-        run->runningSince = now;
         run->isTimed = true;
-        startedJobs_.insert(task.job);
+        confirmStart(task, *run, answer.sentAfter, now);
         reviewPolls(number, worker, now);
         return;
     }
@@ -477,7 +546,10 @@
         .with("run", runNumber)
         .with("worker", worker.identity.id)
         .with("outcome", toString(answer.outcome))
-        .with("calls", run->startCalls);
+        .with("calls", run->startCalls)
+        .with("sent_after_ms", answer.sentAfter ? answer.sentAfter->count() : -1)
+        .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - run->orderedAt).count())
+        .with("ticket_left_ms", ticketLeft(task, number, now).count());
     switch (answer.outcome) {
     case OrderOutcome::NoAnswer:
         recordTimeout(number, worker, now);
@@ -693,11 +765,7 @@
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
             run->isTimed = run->stage == LiveRun::Stage::Starting;
-            run->stage = LiveRun::Stage::Running;
-            run->mayHaveStarted = true;
-            run->runningSince = now;
-            run->callInFlight = false;
-            startedJobs_.insert(task->job);
+            confirmStart(*task, *run, std::nullopt, now);
         }
     }
     for (const EndedTask &ended : answer.ended) {
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -58,6 +58,7 @@
     OrderOutcome outcome = OrderOutcome::NoAnswer;
     std::optional<std::chrono::milliseconds> clock; ///< Reading of the worker's clock.
     bool mayHaveArrived = true; ///< False if no part of the order was sent, so that it can't take effect.
+    std::optional<std::chrono::milliseconds> sentAfter{}; ///< From the order to its first write; nothing if unknown.
 };
 
 struct PollAnswer {
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -33,6 +33,7 @@
     bool resumable = false; ///< Can be stopped and resumed on another worker without losing work.
     std::string ticket; ///< Sent with the start order.
     std::string checkpoint; ///< Last known checkpoint.
+    base::TimePoint orderedAt{}; ///< When the latest start order was handed to the port.
     base::TimePoint nextCall{}; ///< Earliest time of the next order that the stage requires.
     base::TimePoint runningSince{}; ///< When the worker first confirmed the run to this leader.
     bool isTimed = false; ///< `runningSince` is when the run started.
