Stop gangs that don't become whole, and place none on silent workers

Callers saw gangs of which a part ran alone until it gave up, and that started again seconds later. Cause: members that are there wait for the others for as long as the workers allow (3 to 5 s), and the leader, which knew from unanswered orders that the run wouldn't become whole, waited with them. New leaders placed tasks on workers that they had never heard from, and all leaders on idle workers whose reports had stopped, up to 10 s before these are given up.

Change: a run that is not whole after 0.4 of the gang timeout (new setting gang_timeout) is stopped and placed anew; one member that its worker doesn't list ends it at once, and members without an order are released without a call. A worker gets tasks only once its clock is known to this leader, and while a report or an answer is not older than two report intervals.

The three new tests failed on that code: 3 incomplete ends instead of 0, and gangs not completed.

--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -58,7 +58,7 @@
 
 workflow::ManagerLimits managerLimits(const settings::ProcessSettings &settings)
 {
-    return {settings.workerLease, ElectionTimeout};
+    return {settings.workerLease, ElectionTimeout, settings.gangTimeout};
 }
 
 // All seeds derive the same initial state from the seed list, so any of them may start first. The cluster id is an
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -68,6 +68,7 @@
     std::chrono::milliseconds peerTimeoutMax{0};
     std::chrono::milliseconds lease{0};
     std::chrono::milliseconds workerLease{0};
+    std::chrono::milliseconds gangTimeout{0};
     std::chrono::milliseconds drainDelay{0};
     std::chrono::milliseconds drainLimit{0};
     std::chrono::milliseconds requestTimeout{0};
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -257,6 +257,13 @@
                  1min,
                  &ProcessSettings::workerLease,
                  "Maximum lease that called workers grant. If it is not renewed, they end the tasks that they run."),
+        duration("gang_timeout",
+                 "3s",
+                 500ms,
+                 1min,
+                 &ProcessSettings::gangTimeout,
+                 "How long the tasks of a gang wait on called workers for the others. A gang of which a task hasn't "
+                 "started after 0.4 of it is stopped and placed again."),
         duration(
             "heartbeat", "500ms", 50ms, 10s, &ProcessSettings::heartbeat, "Interval between heartbeats to a peer."),
         duration(
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds JobRetention{150'000}; ///< Callers may read states for 120 s; plus a margin.
 constexpr std::chrono::milliseconds ForgetInterval{5'000};
 constexpr std::chrono::milliseconds PendingCountInterval{500}; ///< A quarter of the age that readers accept.
+// Share of the gang timeout after which a run that is not whole is stopped. The rest is left for the stop orders.
+constexpr double MaxGangStartShare = 0.4;
 constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
 
 } // namespace
@@ -170,6 +172,7 @@
         base::logInfo("worker_joined")
             .with("worker", record.identity.id)
             .with("number", event.worker)
+            worker.lastHeard = now;
             .with("address", record.identity.address)
             .with("rack", record.identity.rack());
         break;
@@ -273,11 +276,27 @@
 {
     const JobRecord &job = *state_->findJob(key);
     const std::vector<TaskRecord> &tasks = job.steps[position].tasks;
+// Members that are there wait for the others and do no work. One whose worker doesn't answer may keep them waiting
+// until they give up, so they are stopped as soon as it is clear that the run will hardly become whole in time.
+void JobManager::stopIncompleteGangs(base::TimePoint now)
+{
+    const auto limit = std::chrono::duration_cast<base::Duration>(limits_.gangTimeout * MaxGangStartShare);
+    for (const TaskRef &gang : gangStarts_.committedBy(now - limit)) {
+        logBrokenStart(gang);
+        stopGang(gang, now);
+    }
+}
+
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const TaskRef task = job.refOf(key, position, index);
         LiveRun *const run =
             tasks[index].phase == TaskPhase::Placed ? findRun(tasks[index].worker, task, tasks[index].run) : nullptr;
-        if (run != nullptr) {
+        if (run == nullptr) {
+            continue;
+        }
+        if (run->stage == LiveRun::Stage::Starting && run->startCalls == 0) {
+            proposeNotStarted(task, *run); // No start order has been or will be sent.
+        } else {
             stopRun(*run, now);
             reviewRun(tasks[index].worker, workers_.at(tasks[index].worker), task, *run, now);
         }
@@ -317,6 +336,7 @@
         forgetOldJobs(now);
         dispatchDue_ = true;
     }
+        stopIncompleteGangs(now);
     if (dispatchDue_ && now >= nextFullDispatch_) {
         dispatchDue_ = false;
         nextFullDispatch_ = now + MinDispatchInterval;
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds leaderLease{1'000}; ///< A deposed leader sends no more orders after this time.
 };
 
+    std::chrono::milliseconds gangTimeout{3'000}; ///< Members of a gang wait no longer for the others.
 /// Schedules all jobs while this manager leads: places tasks on workers, sends start and stop orders and proposes the
 /// outcomes to the log. All side effects go through the port, and the caller passes the time. Not thread-safe.
 ///
@@ -240,6 +241,7 @@
     WorkerDirectory directory_; ///< Of `workers_`.
     placement::Ledger ledger_;
     SuspectIsolation isolation_;
+    void stopIncompleteGangs(base::TimePoint now);
     std::map<TaskRef, Reservation> reservations_; ///< Of placed tasks and of proposed placements.
     std::map<StepKey, ReadyStep> readySteps_;
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds MaxPollWait{2'000}; ///< Maximum time that workers delay an answer until a run ends.
 constexpr std::chrono::milliseconds QuickPollInterval{100}; ///< While the state of a run is uncertain.
 constexpr std::chrono::milliseconds RetryInterval{200}; ///< After an unanswered order.
+constexpr std::chrono::milliseconds IdleRetryInterval{1'000}; ///< After an unanswered poll of a worker without runs.
 constexpr std::chrono::milliseconds StopInterval{500}; ///< Exceeds the 400 ms that a stop may take.
 constexpr std::uint32_t MaxStartCalls = 2;
 constexpr std::chrono::milliseconds ReportTimeout{10'000}; ///< Six missed reports.
@@ -117,6 +118,7 @@
         }
         worker.reportSequence = report.sequence;
         worker.lastReport = now;
+        worker.lastHeard = now;
         worker.lease.observeClock(report.clock, now);
         if (worker.draining != report.draining) {
             base::logInfo("worker_draining")
@@ -336,7 +338,7 @@
     }
     if (!worker.runs.empty() && (worker.failedCalls == 0 || quickDue)) {
         sendPoll(number, worker, false, now);
-    } else if (unacknowledged && quickDue && !worker.hasPendingPoll(true)) {
+    } else if ((unacknowledged || !worker.lease.isClockKnown()) && quickDue && !worker.hasPendingPoll(true)) {
         sendPoll(number, worker, true, now);
     }
 }
@@ -502,6 +504,7 @@
         base::logInfo("worker_answers").with("worker", worker.identity.id).with("failed_calls", worker.failedCalls);
         dispatchDue_ = true;
     }
+    worker.lastHeard = now;
     worker.failedCalls = 0;
     if (clock && !worker.retired) {
         worker.lease.observeClock(*clock, now);
@@ -518,7 +521,7 @@
             .with("lease_left_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(worker.lease.expiresBy() - now).count());
     }
-    worker.nextPollAt = now + RetryInterval;
+    worker.nextPollAt = now + (worker.runs.empty() ? IdleRetryInterval : RetryInterval);
 }
 
 void JobManager::onStartAnswer(
@@ -790,6 +793,7 @@
                 .with("run", run.run)
                 .with("worker", worker.identity.id);
             stopRun(run, now);
+            stopGang(task, now);
             reviewRun(number, worker, task, run, now);
         } else if (run.stage == LiveRun::Stage::Stopping && run.stopAnsweredAt && sentAt > *run.stopAnsweredAt) {
             proposeNotStarted(task, run);
--- a/src/workflow/worker_lease.h
+++ b/src/workflow/worker_lease.h
@@ -15,6 +15,11 @@
 public:
     /// Records that the worker's clock read `clock` at some time not later than `now`.
     void observeClock(std::chrono::milliseconds clock, base::TimePoint now);
+    /// Returns whether a clock reading is known, without which no lease can be granted.
+    bool isClockKnown() const
+    {
+        return clock_.has_value();
+    }
     /// Returns whether `clock` is a possible reading of the observed incarnation at `now`.
     bool isPlausible(std::chrono::milliseconds clock, base::TimePoint now) const;
     /// Returns the expected clock reading `length` after `now`, or nothing before the first observation.
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -7,6 +7,7 @@
 #include "workflow/worker_lease.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -61,6 +62,7 @@
     std::uint64_t proposedEndNumber = 0; ///< Ends up to this number are in the log or proposed.
     base::TimePoint nextPollAt{};
     base::TimePoint lastReport{};
+    base::TimePoint lastHeard{}; ///< Latest report or answer to this leader.
     std::map<std::uint64_t, PendingPoll> pendingPolls; ///< By number.
     std::uint32_t failedCalls = 0; ///< Unanswered calls since the last answer.
     bool draining = false;
@@ -73,11 +75,14 @@
         return std::any_of(
             pendingPolls.begin(), pendingPolls.end(), [quick](const auto &poll) { return poll.second.quick == quick; });
     }
-    /// Returns whether the worker answers calls and may be given new tasks.
+    /// Returns whether the worker answers calls and may be given new tasks. A worker that has told this leader nothing
+    /// for a while may be cut off: a gang with a task there would wait in vain.
     bool isUsable(base::TimePoint now) const
     {
-        return !draining && !retired && failedCalls == 0 && health.canAccept(now, runs.size());
+        return !draining && !retired && failedCalls == 0 && lease.isClockKnown() && now - lastHeard <= MaxSilence
+            && health.canAccept(now, runs.size());
     }
+    static constexpr std::chrono::milliseconds MaxSilence{3'500}; ///< Two missed reports.
 };
 
 using WorkerViews = std::map<WorkerNumber, WorkerView>;
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -126,6 +126,52 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against members of a gang that wait for one whose worker has fallen silent, until they give up.
+TEST_F(WorkflowManager, GangWhoseWorkerFallsSilentIsStoppedBeforeItsMembersGiveUp)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 5);
+    bool cut = false;
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        const std::string &id = simulation.state.workers().at(simulation.state.findTask(task)->worker).identity.id;
+        if (!cut && task.index == 0) {
+            cut = simulation.workers.worker(id).cut = true;
+        }
+        return simulation.workers.worker(id).cut;
+    };
+    simulation.submit(Key, job({gang(4, 10'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 20s));
+    EXPECT_TRUE(cut);
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against gangs that are placed on workers of which a new leader knows nothing: one that is cut off gets no
+// order, and the other members wait in vain.
+TEST_F(WorkflowManager, GangIsNotPlacedOnWorkersThatANewLeaderHasNotHeardFrom)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 3);
+    simulation.workers.worker("w0").cut = true;
+    simulation.loseLeader();
+    simulation.lead();
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 1s));
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against the same on idle workers that have fallen silent: without an order to them, only their reports are
+// missed.
+TEST_F(WorkflowManager, GangIsNotPlacedOnAnIdleWorkerThatIsSilent)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 3);
+    simulation.workers.worker("w0").cut = true;
+    simulation.run(5s);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 1s));
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
 // Guards against run times that count from a change of leader: the queue's jobs would seem shorter than they are.
 TEST_F(WorkflowManager, RunsOfAnEarlierLeaderAreNotTimed)
 {
