Count the validity of tickets from when they were issued

Callers saw tasks, and with them whole gangs, placed again and again.

Change: validity counts from when the service should have answered, but from half of it before the answer was handled at the earliest, so that a service slower than announced doesn't stop the queue. The rows of an answer are matched with the workers asked about by a table instead of each with each.

--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -117,6 +117,7 @@
     };
     struct Reservation {
         WorkerNumber worker = 0;
+        base::TimePoint expectedAt{}; ///< When the service should have handled the query.
         placement::Resources amount;
         std::string ticket;
         TaskRef unit; ///< For isolation.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
+#include <unordered_map>
 
 namespace yuccawheel::workflow
 {
@@ -689,11 +691,9 @@
     }
     std::map<WorkerNumber, Ticket> eligible;
     for (const auto &[id, ticket] : *rows) {
-        for (const WorkerNumber worker : query.workers) {
-            const auto view = workers_.find(worker);
-            if (view != workers_.end() && view->second.identity.id == id) {
-                eligible[worker] = {ticket, now + query.validFor - MaxRelayDelay};
-            }
+        const auto worker = queried.find(id);
+        if (worker != queried.end()) {
+            eligible[worker->second] = {ticket, validUntil};
         }
     }
     double &share = eligibleShare_.try_emplace(query.queue, InitialEligibleShare).first->second;
@@ -703,8 +703,20 @@
     base::logInfo("eligibility_learned")
         .with("job", toString(query.step.job))
         .with("step", query.step.position)
+                               now + gateways_.backlog(*gateway, now) + serviceTime,
         .with("queried", query.workers.size())
         .with("eligible", eligible.size());
 }
 
 } // namespace yuccawheel::workflow
+    // The answer may have waited on the way, or for this thread, while its tickets were running out.
+    const base::TimePoint issuedAt = std::max<base::TimePoint>(
+        now - query.validFor / 2, std::min<base::TimePoint>(now - MaxRelayDelay, query.expectedAt));
+    const base::TimePoint validUntil = issuedAt + query.validFor;
+    std::unordered_map<std::string_view, WorkerNumber> queried;
+    for (const WorkerNumber worker : query.workers) {
+        const auto view = workers_.find(worker);
+        if (view != workers_.end()) {
+            queried.emplace(view->second.identity.id, worker);
+        }
+    }
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -172,6 +172,27 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against orders that their workers refuse: tickets counted as valid from the time at which a busy leader
+// handled the answer that brought them.
+TEST_F(WorkflowManager, TicketsOfAnswersThatAreHandledLateExpireInTime)
+{
+    ManagerSimulation::Options options;
+    options.serviceTime = 20ms;
+    options.answerDelay = 600ms;
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 2);
+    // A second job gets its tickets while the workers are full and starts when they are about to expire.
+    simulation.submit(Key, job({step(2, 16'000)}), policy());
+    simulation.run(100ms);
+    for (workflow::JobKey key = 1; key <= 20; ++key) {
+        workflow::StepSpec spec = step(2, 8'000);
+        spec.estimatedRunTime = 100ms;
+        simulation.submit(Key + key, job({spec}), checkedPolicy(20ms, 0ms));
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 20, JobPhase::Completed); }, 30s));
+    EXPECT_EQ(simulation.expiredTickets, 0U);
+}
+
 // Guards against run times that count from a change of leader: the queue's jobs would seem shorter than they are.
 TEST_F(WorkflowManager, RunsOfAnEarlierLeaderAreNotTimed)
 {
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -27,6 +27,7 @@
         double lateEffectShare = 0; ///< Share of unanswered orders that take effect seconds later.
         std::uint64_t gateways = 1; ///< Gateways to the eligibility service.
         std::chrono::milliseconds serviceTime{28}; ///< Per query, including queries that have timed out.
+        std::chrono::milliseconds answerDelay{0}; ///< From the service's answer until the manager handles it.
         fakes::CalledWorkers::Options workers;
     };
 
@@ -127,6 +128,7 @@
                const workflow::WorkerIdentity &identity,
                const workflow::StartOrder &order) override
     {
+        countExpiredTicket(order);
         if (losesStart && losesStart(order.task)) {
             schedule(now + OrderTimeout, [this, worker, order] {
                 manager->onStartAnswer(worker, order.task, order.run, workflow::OrderAnswer{}, now);
@@ -172,14 +174,18 @@
         workflow::EligibilityRows rows(std::in_place);
         for (const std::string &worker : query.workers) {
             if (mayRun(query.step, worker)) {
-                rows->emplace_back(worker, "ticket");
+                rows->emplace_back(worker, std::string());
             }
         }
         // The service processes the queries of each gateway one at a time.
         base::TimePoint &queueEnd = queueEnds_[query.gateway];
         queueEnd = std::max(queueEnd, now + Delay) + (serviceTimeOf ? serviceTimeOf(query) : options_.serviceTime);
         lateAnswers += queueEnd > now + query.timeout ? 1 : 0;
-        schedule(queueEnd, [this, number = query.number, rows] { manager->onEligibilityAnswer(number, rows, now); });
+        for (auto &[worker, ticket] : *rows) {
+            ticket = std::to_string(std::chrono::nanoseconds(queueEnd.time_since_epoch()).count());
+        }
+        schedule(queueEnd + options_.answerDelay,
+                 [this, number = query.number, rows] { manager->onEligibilityAnswer(number, rows, now); });
     }
     void forget(const workflow::WorkerIdentity &identity) override
     {
@@ -208,6 +214,7 @@
     std::uint64_t pollsSent = 0;
     std::uint64_t queries = 0;
     std::uint64_t lateAnswers = 0; ///< Answers after the timeout of their query.
+    std::uint64_t expiredTickets = 0; ///< Start orders whose ticket had expired.
     bool dropQueries = false; ///< Queries get no answer.
     bool loseRows = false; ///< The rows of running tasks can't be read.
 
@@ -231,6 +238,15 @@
     };
 
     workflow::WallTime wall() const
+    // The text of a ticket is the time at which the service issued it.
+    void countExpiredTicket(const workflow::StartOrder &order)
+    {
+        const auto &policy = state.findJob(order.task.job)->policy.eligibility;
+        if (policy) {
+            const base::TimePoint issuedAt{std::chrono::nanoseconds(std::stoll(order.ticket))};
+            expiredTickets += now + Delay > issuedAt + policy->validFor ? 1 : 0;
+        }
+    }
     {
         return std::chrono::duration_cast<workflow::WallTime>(now.time_since_epoch());
     }
