--- a/fakes/fake_cluster.h
+++ b/fakes/fake_cluster.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +29,7 @@
         std::size_t snapshotEvery = 2000; ///< Log bytes after which a snapshot is due.
         std::size_t retainedBytes = 500;
         std::size_t segmentBytes = 1500;
+        std::chrono::milliseconds snapshotDelay{0}; ///< From the application's state until its snapshot is saved.
         std::uint32_t spares = 0; ///< Additional nodes with empty disks. If not 0, any node may join.
     };
     using Value = std::uint64_t;
@@ -110,6 +112,8 @@
         std::unique_ptr<coordination::FileLogStorage> storage;
         std::unique_ptr<coordination::Replica> replica;
         Application application;
+        std::optional<Application> unsaved; ///< State of which a snapshot will be saved.
+        base::TimePoint saveAt{};
         base::TimePoint pausedUntil{};
         double clockRate = 1.0;
         std::vector<coordination::Message> waiting; ///< Received but not yet handled, for example during a pause.
@@ -123,6 +127,7 @@
     coordination::ReplicaSettings settingsOf(std::uint32_t number);
     void flush(Node &node, std::uint32_t number);
     void handle(Node &node, std::uint32_t number, const coordination::ReplicaOutput &output);
+    void saveSnapshot(Node &node);
     void apply(Node &node, const coordination::Entry &entry);
     void stop(Node &node);
     void checkLeader(const Node &node);
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -196,8 +196,8 @@
 
 StorageResult<void> Replica::saveSnapshot(Index index, std::string_view bytes)
 {
-    YW_INVARIANT(index == log_.appliedIndex(), "a snapshot must hold the state after the last applied entry");
-    if (index == log_.snapshotIndex()) {
+    YW_INVARIANT(index <= log_.appliedIndex(), "a snapshot must hold the state after an applied entry");
+    if (index <= log_.snapshotIndex()) {
         return {};
     }
     SnapshotMeta meta = log_.describeSnapshot(index);
--- a/src/coordination/replica.h
+++ b/src/coordination/replica.h
@@ -68,8 +68,8 @@
 
     /// Returns whether enough entries have been applied since the last snapshot to save the next one.
     bool isSnapshotDue() const;
-    /// Saves the application's state after `index`, which must be the last applied entry. A full disk is not an error:
-    /// the log continues and the snapshot remains due.
+    /// Saves the application's state after `index`, an applied entry. Does nothing if the log holds a later snapshot
+    /// already. A full disk is not an error: the log continues and the snapshot remains due.
     StorageResult<void> saveSnapshot(Index index, std::string_view bytes);
 
     const ReplicatedLog &log() const
--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t MaxInputsPerFlush = 512; ///< Group commit: one disk sync covers them all.
 constexpr std::chrono::milliseconds TickInterval{50}; ///< A quarter of the heartbeat interval.
 constexpr std::chrono::milliseconds FullQueueWait{1};
-constexpr std::chrono::milliseconds StateWaitInterval{20};
 constexpr std::chrono::milliseconds OpenRetryInterval{200}; ///< While the disk is full.
 
 } // namespace
@@ -51,7 +50,7 @@
             input = taken < MaxInputsPerFlush ? input_.tryPop() : std::nullopt;
         }
         log_.replica->tick(base::BootClock::now());
-        if (!flush()) {
+        if (!flush() || !saveRequestedState()) {
             return;
         }
     }
@@ -140,12 +139,10 @@
         output.snapshot = std::move(result->snapshot);
         output.committed = std::move(result->committed);
         output.status = status();
-        std::future<std::string> state;
-        coordination::Index index = 0;
-        if (log_.replica->isSnapshotDue() && !output.committed.empty()) {
-            index = output.committed.back().index;
+        if (log_.replica->isSnapshotDue() && !output.committed.empty() && !requestedState_.valid()) {
+            requestedIndex_ = output.committed.back().index;
             output.stateRequest = std::make_shared<std::promise<std::string>>();
-            state = output.stateRequest->get_future();
+            requestedState_ = output.stateRequest->get_future();
         }
         const bool changed = !output.results.empty() || !output.messages.empty() || output.snapshot
             || !output.committed.empty() || output.status.role != published_.role
@@ -157,20 +154,28 @@
                 return true;
             }
         }
-        while (state.valid() && !stopping_) {
-            if (state.wait_for(StateWaitInterval) != std::future_status::ready) {
-                continue;
-            }
-            const auto saved = log_.replica->saveSnapshot(index, state.get());
-            if (!saved) {
-                onFailure_("cannot save a snapshot: " + saved.error().detail);
-                return false;
-            }
-        }
     }
     return true;
 }
 
+// The application may be busy, so heartbeats, votes and entries go on meanwhile.
+bool LogThread::saveRequestedState()
+{
+    using namespace std::chrono_literals;
+    if (!requestedState_.valid() || requestedState_.wait_for(0s) != std::future_status::ready) {
+        return true;
+    }
+    const std::string state = requestedState_.get();
+    if (log_.replica->isDiskFull()) {
+        return true; // The snapshot remains due.
+    }
+    const auto saved = log_.replica->saveSnapshot(requestedIndex_, state);
+    if (!saved) {
+        onFailure_("cannot save a snapshot: " + saved.error().detail);
+    }
+    return saved.has_value();
+}
+
 bool LogThread::publish(LogOutput output)
 {
     while (!output_.tryPushFrom(output)) {
--- a/src/programs/yw_manager/log_thread.h
+++ b/src/programs/yw_manager/log_thread.h
@@ -56,7 +56,7 @@
     std::optional<std::string> snapshot; ///< Replaces the application's state.
     std::vector<coordination::Entry> committed;
     LogStatus status;
-    /// Set if the log thread waits for the application's state after `committed`, to save it as a snapshot.
+    /// Set if the log thread wants the application's state after `committed`, to save it as a snapshot.
     std::shared_ptr<std::promise<std::string>> stateRequest;
 };
 
@@ -96,6 +96,7 @@
     std::optional<LogInput> waitForInput();
     void handle(LogInput &input);
     bool flush();
+    bool saveRequestedState();
     bool publish(LogOutput output);
     LogStatus status() const;
 
@@ -107,6 +108,8 @@
     base::BoundedQueue<LogOutput> output_;
     std::vector<ProposalResult> results_;
     LogStatus published_; ///< Status of the last published output.
+    std::future<std::string> requestedState_; ///< Valid while the application makes it.
+    coordination::Index requestedIndex_ = 0;
     store::DiskFullLog diskFullLog_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
