Make dispatches in slices, and indexes of workers only when needed

Callers saw little served: the leader's main thread had no time left, 0.4 to 0.6 of it went into decisions, the longest took 0.13 s. Cause: each dispatch sorted all workers, twice if a gang may preempt; each waiting gang was tried in full against its eligible workers in each dispatch; and a dispatch was made whenever 25 ms had passed since the start of the one before.

Change: indexes are made when first used, and those for the choice of whom to ask are kept for 0.1 s. A sum over free CPU comes before each full try. A dispatch examines 2,000 workers at a time and goes on in later ticks, urgent steps in between; the caller says how long a tick took, and decisions leave twice that time for other work.

The tests of dispatch costs count index entries apart from other checks, which is as strict: the query test subtracted them, with one index a dispatch.

--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -1,4 +1,5 @@
 #include "command.h"
+#include "decisions.h"
 #include "place.h"
 #include "policy.h"
 #include "replay.h"
@@ -36,6 +37,7 @@
     Command{"replay", "replay traces and check the outcomes that they state", yuccawheel::bench::runReplay},
     Command{"state", "measure the replicated log: appends, elections, recovery", yuccawheel::bench::runState},
     Command{"scale", "measure how cost grows with the size of the cluster", yuccawheel::bench::runScale},
+    Command{"decisions", "measure what the leader's decisions cost at several sizes", yuccawheel::bench::runDecisions},
     Command{"soak", "measure CPU, memory and traffic of running daemons", yuccawheel::bench::runSoak},
 };
 
--- a/src/workflow/dispatch_cost.h
+++ b/src/workflow/dispatch_cost.h
@@ -9,7 +9,8 @@
 /// reports.
 struct DispatchCost {
     std::uint64_t dispatches = 0;
-    std::uint64_t workersExamined = 0; ///< Checks of one worker, for one step or for the index of free capacity.
+    std::uint64_t workersExamined = 0; ///< Checks of one worker for one step.
+    std::uint64_t workersIndexed = 0; ///< Entries made in indexes of free capacity.
     std::uint64_t workersMatched = 0; ///< Comparisons of a report with a known incarnation.
 };
 
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -12,14 +12,13 @@
 {
 
 constexpr std::chrono::milliseconds ReviewInterval{50}; ///< Half of the shortest timeout checked, 100 ms.
-// Bounds the share of time that dispatches take when a backlog makes them long.
-constexpr std::chrono::milliseconds MinDispatchInterval{25};
+constexpr int OtherWorkShare = 2; ///< Time between two decisions, in multiples of the time that the first one took.
 constexpr std::chrono::milliseconds JobRetention{150'000}; ///< Callers may read states for 120 s; plus a margin.
 constexpr std::chrono::milliseconds ForgetInterval{5'000};
 constexpr std::chrono::milliseconds PendingCountInterval{500}; ///< A quarter of the age that readers accept.
+constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
 // Share of the gang timeout after which a run that is not whole is stopped. The rest is left for the stop orders.
 constexpr double MaxGangStartShare = 0.4;
-constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
 
 } // namespace
 
@@ -75,11 +74,16 @@
     reservations_.clear();
     readySteps_.clear();
     changedSteps_.clear();
+    heldSteps_.clear();
     arrivals_.clear();
     joining_.clear();
     pendingQueries_.clear();
     startedJobs_.clear();
     gangStarts_.clear();
+    queryIndexes_.clear();
+    dispatch_.reset();
+    nextFullDispatch_ = {};
+    nextDispatch_ = {};
     nextPendingCount_ = {};
     gateways_.forgetQueries();
 }
@@ -168,11 +172,11 @@
             worker.draining = worker.draining || report.draining;
             worker.reportSequence = report.sequence;
             worker.lastReport = now;
+            worker.lastHeard = now;
         }
         base::logInfo("worker_joined")
             .with("worker", record.identity.id)
             .with("number", event.worker)
-            worker.lastHeard = now;
             .with("address", record.identity.address)
             .with("rack", record.identity.rack());
         break;
@@ -272,10 +276,6 @@
     }
 }
 
-void JobManager::stopStep(JobKey key, std::size_t position, base::TimePoint now)
-{
-    const JobRecord &job = *state_->findJob(key);
-    const std::vector<TaskRecord> &tasks = job.steps[position].tasks;
 // Members that are there wait for the others and do no work. One whose worker doesn't answer may keep them waiting
 // until they give up, so they are stopped as soon as it is clear that the run will hardly become whole in time.
 void JobManager::stopIncompleteGangs(base::TimePoint now)
@@ -287,6 +287,10 @@
     }
 }
 
+void JobManager::stopStep(JobKey key, std::size_t position, base::TimePoint now)
+{
+    const JobRecord &job = *state_->findJob(key);
+    const std::vector<TaskRecord> &tasks = job.steps[position].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const TaskRef task = job.refOf(key, position, index);
         LiveRun *const run =
@@ -332,25 +336,36 @@
         for (auto &[number, worker] : workers_) {
             reviewWorker(number, worker, now);
         }
+        stopIncompleteGangs(now);
         failOverdueQueries(now);
         forgetOldJobs(now);
         dispatchDue_ = true;
     }
-        stopIncompleteGangs(now);
-    if (dispatchDue_ && now >= nextFullDispatch_) {
-        dispatchDue_ = false;
-        nextFullDispatch_ = now + MinDispatchInterval;
-        changedSteps_.clear();
-        isolation_.endSetAside(now);
-        dispatch(now);
-    } else if (!changedSteps_.empty()) {
+    if (now < nextDispatch_) {
+        return;
+    }
+    const bool isFullDue = dispatch_ || (dispatchDue_ && now >= nextFullDispatch_);
+    if (!changedSteps_.empty() && !(isFullDue && wasUrgentDispatch_)) {
+        wasUrgentDispatch_ = true;
         dispatchUrgent(now);
+    } else if (isFullDue) {
+        wasUrgentDispatch_ = false;
+        dispatch_ ? continueDispatch(now) : startDispatch(now);
     }
 }
 
+void JobManager::recordTickTime(base::Duration taken, base::TimePoint end)
+{
+    nextDispatch_ = std::max(nextDispatch_, end + OtherWorkShare * taken);
+}
+
 base::TimePoint JobManager::nextTick(base::TimePoint now) const
 {
-    return dispatchDue_ ? std::max(now, nextFullDispatch_) : std::max(now, nextReview_);
+    const bool anyDue = dispatch_ || !changedSteps_.empty();
+    const base::TimePoint next = anyDue ? nextDispatch_
+        : dispatchDue_                  ? std::max(nextDispatch_, nextFullDispatch_)
+                                        : nextReview_;
+    return std::max(now, next);
 }
 
 // Counts the jobs of all queues at once: thousands of them are too many to look at for each reader.
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placement/ledger.h"
+#include "workflow/capacity_index.h"
 #include "workflow/eligibility.h"
 #include "workflow/gang_starts.h"
 #include "workflow/manager_port.h"
@@ -16,6 +17,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -29,9 +31,9 @@
 struct ManagerLimits {
     std::chrono::milliseconds workerLease{10'000}; ///< Maximum lease that a worker accepts.
     std::chrono::milliseconds leaderLease{1'000}; ///< A deposed leader sends no more orders after this time.
+    std::chrono::milliseconds gangTimeout{3'000}; ///< Members of a gang wait no longer for the others.
 };
 
-    std::chrono::milliseconds gangTimeout{3'000}; ///< Members of a gang wait no longer for the others.
 /// Schedules all jobs while this manager leads: places tasks on workers, sends start and stop orders and proposes the
 /// outcomes to the log. All side effects go through the port, and the caller passes the time. Not thread-safe.
 ///
@@ -58,8 +60,11 @@
     /// Handles an entry that was just applied to the state, together with the resulting events.
     void
     onEntryApplied(const LogEntry &entry, const std::vector<StateEvent> &events, base::TimePoint now, WallTime wall);
-    /// Checks timeouts and places waiting tasks. Must be called periodically.
+    /// Checks timeouts and places waiting tasks, for a limited time. Must be called periodically.
     void tick(base::TimePoint now, WallTime wall);
+    /// Records how long the last call of tick() took and when it ended. Leaves at least twice that time for other work
+    /// before decisions go on.
+    void recordTickTime(base::Duration taken, base::TimePoint end);
 
     void onReport(const WorkerReport &report, base::TimePoint now);
     void onStartAnswer(
@@ -104,7 +109,6 @@
         base::TimePoint nextQueryAt{};
         std::map<WorkerNumber, std::uint32_t> heldTasks; ///< For a gang: tasks whose capacity each worker is freeing.
         base::TimePoint heldUntil{}; ///< End of the hold on that capacity.
-        std::map<WorkerNumber, placement::Resources> heldCapacity; ///< What the current dispatch holds.
     };
     struct PendingQuery {
         StepKey step;
@@ -113,11 +117,11 @@
         std::chrono::microseconds serviceTime{0};
         std::chrono::milliseconds validFor{0};
         std::string queue;
+        base::TimePoint expectedAt{}; ///< When the service should have handled the query.
         base::TimePoint deadline{};
     };
     struct Reservation {
         WorkerNumber worker = 0;
-        base::TimePoint expectedAt{}; ///< When the service should have handled the query.
         placement::Resources amount;
         std::string ticket;
         TaskRef unit; ///< For isolation.
@@ -131,12 +135,19 @@
         Pass &operator=(const Pass &) = delete;
         ~Pass() = default;
 
+        /// Goes on with the pass at a later time, after other events.
+        void resume(const JobManager &manager, base::TimePoint time);
+
         base::TimePoint now;
+        DispatchCost &cost;
         CapacityClaims claims;
-        CapacityIndex index;
-        StepPlacer placer;
+        std::optional<CapacityIndex> index;
+        std::optional<StepPlacer> placer;
         PreemptionPlanner planner;
         StartsEntry starts;
+        std::map<StepKey, std::map<WorkerNumber, placement::Resources>> held; ///< Of gangs whose turn is still to come.
+        std::vector<std::pair<Rank, StepKey>> order;
+        std::size_t next = 0; ///< Position in `order`.
         /// Queries of this service time and longer find no gateway any more.
         std::chrono::microseconds blockedServiceTime = std::chrono::microseconds::max();
     };
@@ -158,9 +169,13 @@
     void countPendingJobs();
 
     // Placement.
-    void dispatch(base::TimePoint now);
+    void startDispatch(base::TimePoint now);
+    void continueDispatch(base::TimePoint now);
     void dispatchUrgent(base::TimePoint now);
-    void placeSteps(const std::vector<std::pair<Rank, StepKey>> &order, Pass &pass);
+    /// Holds capacity for the gangs that are freeing it, instead of what the pass has held for gangs so far.
+    void holdForGangs(Pass &pass);
+    /// Places steps in the order of the pass, until it has examined `maxExamined` workers, and proposes their starts.
+    void placeSteps(Pass &pass, std::uint64_t maxExamined);
     void
     reportLoad(const std::vector<std::pair<Rank, StepKey>> &order, const CapacityClaims &claims, base::TimePoint now);
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
@@ -172,8 +187,8 @@
     void queryIfDue(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void setWorkersAside(const StepPlacer::Request &request, const Pass &pass);
     placement::Resources claimLimit() const;
-    void holdCapacity(StepKey key, ReadyStep &step, Pass &pass);
-    static void releaseHold(ReadyStep &step, Pass &pass);
+    void holdCapacity(StepKey key, const ReadyStep &step, Pass &pass) const;
+    static void releaseHold(StepKey key, Pass &pass);
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void reserve(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void adoptReservation(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount);
@@ -181,6 +196,9 @@
     recordReservation(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
     std::vector<WorkerNumber> workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass);
+    /// Returns the workers by free CPU, with what this priority may preempt, for the choice of whom to ask. It may be
+    /// slightly outdated and contain workers that are gone.
+    const CapacityIndex &queryIndex(std::optional<std::int32_t> preemptingPriority, const Pass &pass);
     std::optional<EligibilityGateways::GatewayId> chooseGateway(std::chrono::microseconds serviceTime,
                                                                 Pass &pass) const;
     void queryEligibility(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
@@ -223,6 +241,7 @@
                       base::TimePoint now);
     /// Logs how the run of a gang began, if a member ends before all of them were confirmed.
     void logBrokenStart(const TaskRef &member);
+    void stopIncompleteGangs(base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
@@ -242,7 +261,6 @@
     WorkerDirectory directory_; ///< Of `workers_`.
     placement::Ledger ledger_;
     SuspectIsolation isolation_;
-    void stopIncompleteGangs(base::TimePoint now);
     std::map<TaskRef, Reservation> reservations_; ///< Of placed tasks and of proposed placements.
     std::map<StepKey, ReadyStep> readySteps_;
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
@@ -255,6 +273,11 @@
     WorkerSpeedTracker speeds_;
     std::map<std::uint64_t, PendingQuery> pendingQueries_;
     std::map<std::string, double> eligibleShare_; ///< By queue: moving average of the share of eligible workers.
+    struct QueryIndex {
+        base::TimePoint madeAt{};
+        std::optional<CapacityIndex> byFreeCpu;
+    };
+    std::map<std::optional<std::int32_t>, QueryIndex> queryIndexes_; ///< By the priority that may preempt, if any.
     std::uint64_t nextQueryNumber_ = 1;
     std::uint64_t nextPollNumber_ = 1;
     base::TimePoint nextReview_{};
@@ -263,7 +286,11 @@
     DispatchCost cost_;
     DispatchCost reportedCost_; ///< As of the last load report.
     bool dispatchDue_ = false;
+    std::optional<Pass> dispatch_; ///< The full dispatch in progress.
+    base::TimePoint nextDispatch_{}; ///< Leaves time for other work.
     base::TimePoint nextFullDispatch_{};
+    bool wasUrgentDispatch_ = false; ///< The last one.
+    std::set<StepKey> heldSteps_; ///< Of which `heldUntil` may lie in the future.
     std::set<StepKey> changedSteps_; ///< Became ready or learned eligibility since the last full dispatch.
     std::int32_t urgentPriority_ =
         std::numeric_limits<std::int32_t>::max(); ///< Of the first step of the last full dispatch.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -23,7 +23,11 @@
 constexpr std::size_t MaxWorkersAtATime = MaxParallelQueries * MaxQueryWorkers;
 // Candidates examined for each worker that a query may include. Steps that query together choose different ones.
 constexpr std::size_t CandidatesPerQueryWorker = 3;
+// Bounds the share of time that dispatches take when a backlog makes them long.
+constexpr std::chrono::milliseconds MinDispatchInterval{25};
+constexpr std::uint64_t MaxExaminedPerTick = 2'000; ///< A few milliseconds.
 constexpr std::chrono::milliseconds QueryRetryDelay{100}; ///< After a failed query.
+constexpr std::chrono::milliseconds QueryIndexLifetime{100};
 constexpr std::chrono::milliseconds QueryTimeoutSlack{800}; ///< Covers a pending query of the previous leader.
 constexpr std::chrono::milliseconds RelayTimeoutSlack{500}; ///< Added to the query timeout for the gateway's reply.
 constexpr std::chrono::milliseconds MaxRelayDelay{50}; ///< Maximum delay of an answer on an idle network.
@@ -124,8 +128,13 @@
     return placedTasks;
 }
 
-void JobManager::dispatch(base::TimePoint now)
+// A backlog of thousands of steps takes longer than what has a deadline may wait, so a dispatch goes on in later ticks.
+void JobManager::startDispatch(base::TimePoint now)
 {
+    dispatchDue_ = false;
+    nextFullDispatch_ = now + MinDispatchInterval;
+    changedSteps_.clear();
+    isolation_.endSetAside(now);
     if (!canSendOrders(now)) {
         return;
     }
@@ -141,13 +150,28 @@
     }
     std::sort(order.begin(), order.end());
     urgentPriority_ = order.empty() ? std::numeric_limits<std::int32_t>::max() : order.front().first.priority;
-    Pass pass(*this, cost_, now);
-    placeSteps(order, pass);
-    reportLoad(order, pass.claims, now);
+    dispatch_.emplace(*this, cost_, now);
+    dispatch_->order = std::move(order);
+    continueDispatch(now);
 }
 
-// Places changed steps of the most urgent queue between full dispatches. They go before all others in any case, so that
-// their order needs no look at the backlog.
+void JobManager::continueDispatch(base::TimePoint now)
+{
+    if (!canSendOrders(now)) {
+        dispatch_.reset();
+        return;
+    }
+    dispatch_->resume(*this, now);
+    holdForGangs(*dispatch_);
+    placeSteps(*dispatch_, MaxExaminedPerTick);
+    if (dispatch_->next == dispatch_->order.size()) {
+        reportLoad(dispatch_->order, dispatch_->claims, now);
+        dispatch_.reset();
+    }
+}
+
+// Places changed steps of the most urgent queue between full dispatches, and while one is in progress. They go before
+// all others in any case, so that their order needs no look at the backlog.
 void JobManager::dispatchUrgent(base::TimePoint now)
 {
     if (!canSendOrders(now)) {
@@ -170,31 +194,61 @@
     ++cost_.dispatches;
     std::sort(order.begin(), order.end());
     Pass pass(*this, cost_, now);
-    placeSteps(order, pass);
+    pass.order = std::move(order);
+    holdForGangs(pass);
+    placeSteps(pass, std::numeric_limits<std::uint64_t>::max());
 }
 
-void JobManager::placeSteps(const std::vector<std::pair<Rank, StepKey>> &order, Pass &pass)
+// What a gang is waiting for becomes free while a dispatch is in progress, so holds are made anew each time it goes on.
+void JobManager::holdForGangs(Pass &pass)
 {
-    for (auto &[key, step] : readySteps_) {
-        holdCapacity(key, step, pass);
+    while (!pass.held.empty()) {
+        releaseHold(pass.held.begin()->first, pass);
     }
-    for (const auto &[rank, key] : order) {
-        placeStep(key, readySteps_.at(key), rank.lateness, pass);
+    std::erase_if(heldSteps_, [&](const StepKey &key) {
+        const auto step = readySteps_.find(key);
+        if (step != readySteps_.end()) {
+            holdCapacity(key, step->second, pass);
+        }
+        return step == readySteps_.end() || pass.now >= step->second.heldUntil;
+    });
+}
+
+void JobManager::placeSteps(Pass &pass, std::uint64_t maxExamined)
+{
+    const std::uint64_t before = cost_.workersExamined;
+    while (pass.next < pass.order.size() && cost_.workersExamined - before < maxExamined) {
+        const auto &[rank, key] = pass.order[pass.next++];
+        const auto step = readySteps_.find(key); // Its job may have ended since the dispatch began.
+        if (step != readySteps_.end()) {
+            placeStep(key, step->second, rank.lateness, pass);
+        }
     }
-    if (!pass.starts.starts.empty() && !port_.propose(pass.starts)) {
-        for (const StartsEntry::Start &start : pass.starts.starts) {
+    const StartsEntry starts = std::exchange(pass.starts, {});
+    if (!starts.starts.empty() && !port_.propose(starts)) {
+        for (const StartsEntry::Start &start : starts.starts) {
             unreserve(start.task);
         }
     }
 }
 
-JobManager::Pass::Pass(const JobManager &manager, DispatchCost &cost, base::TimePoint time)
+JobManager::Pass::Pass(const JobManager &manager, DispatchCost &dispatchCost, base::TimePoint time)
     : now(time)
+    , cost(dispatchCost)
     , claims(manager.claimLimit())
-    , index(manager.workers_, manager.ledger_, cost, time, [](WorkerNumber) { return placement::Resources{}; })
-    , placer(manager.workers_, manager.ledger_, claims, index, manager.isolation_, manager.speeds_, cost, time)
-    , planner(manager.workers_, manager.ledger_, cost, time)
+    , planner(manager.workers_, manager.ledger_)
 {
+    resume(manager, time);
+}
+
+void JobManager::Pass::resume(const JobManager &manager, base::TimePoint time)
+{
+    now = time;
+    planner.forgetWorkers();
+    index.emplace(manager.workers_, cost, time, [&manager](WorkerNumber number) {
+        return manager.ledger_.free(number).milliCpu;
+    });
+    placer.emplace(manager.workers_, manager.ledger_, claims, *index, manager.isolation_, manager.speeds_, cost, time);
 }
 
 // Logs the cluster load, which shows whether waiting jobs lack capacity or tickets or are ranked behind others, and
@@ -213,6 +267,9 @@
     std::size_t lateSteps = 0;
     std::size_t uselessSteps = 0;
     for (const auto &[rank, key] : order) {
+        if (!readySteps_.contains(key)) {
+            continue; // Its job has ended since the dispatch began.
+        }
         const JobRecord &job = *state_->findJob(key.job);
         const std::size_t waiting = waitingTasks(job, key).size();
         waitingTaskCount += waiting;
@@ -236,7 +293,8 @@
         .with("useless_steps", uselessSteps)
         .with("pending_queries", pendingQueries_.size())
         .with("dispatches", cost_.dispatches - before.dispatches)
-        .with("workers_examined", cost_.workersExamined - before.workersExamined);
+        .with("workers_examined", cost_.workersExamined - before.workersExamined)
+        .with("workers_indexed", cost_.workersIndexed - before.workersIndexed);
 }
 
 placement::Resources JobManager::claimLimit() const
@@ -273,7 +331,7 @@
     if (!canProgress(job, key, step, pass)) {
         return;
     }
-    releaseHold(step, pass);
+    releaseHold(key, pass);
     std::vector<std::uint32_t> waiting = waitingTasks(job, key);
     if (waiting.empty()) {
         return;
@@ -329,13 +387,13 @@
     const base::TimePoint until = pass.now + SetAsideDuration;
     const auto canRun = [&](WorkerNumber number) {
         const auto worker = workers_.find(number);
-        return worker != workers_.end() && pass.placer.canRun(request, number, worker->second);
+        return worker != workers_.end() && pass.placer->canRun(request, number, worker->second);
     };
     if (isolation_.extendSetAside(request.unit, until, canRun)) {
         return;
     }
     std::vector<std::pair<std::int64_t, WorkerNumber>> candidates;
-    pass.placer.forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
+    pass.placer->forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
         if (!isolation_.isSetAside(number)) {
             candidates.emplace_back(ledger_.reserved(number).milliCpu, number);
         }
@@ -391,10 +449,13 @@
 // Reserves capacity for the tasks that fit and adds their starts to the pass. Returns how many were placed.
 std::size_t JobManager::placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass)
 {
+    if (!pass.placer->mayFit(request)) {
+        return 0;
+    }
     const base::TimePoint now = pass.now;
     const JobRecord &job = request.job;
     const StepSpec &spec = job.specOf(key.position);
-    const std::vector<Assignment> assignments = pass.placer.place(request);
+    const std::vector<Assignment> assignments = pass.placer->place(request);
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
     for (const TaskRecord &task : tasks) {
@@ -426,9 +487,9 @@
 {
     const base::TimePoint now = pass.now;
     if (now >= step.heldUntil) {
-        const auto plan = request.mayPreempt ? pass.planner.plan(pass.placer, request) : std::nullopt;
+        const auto plan = request.mayPreempt ? pass.planner.plan(*pass.placer, request) : std::nullopt;
         if (!plan) {
-            pass.planner.claimCapacity(pass.placer, request, pass.claims);
+            pass.planner.claimCapacity(*pass.placer, request, pass.claims);
             return;
         }
         for (const PreemptionPlanner::Preemption &preemption : plan->preemptions) {
@@ -445,15 +506,15 @@
         }
         step.heldTasks = plan->tasksByWorker;
         step.heldUntil = now + HoldDuration;
+        heldSteps_.insert(key);
     }
     holdCapacity(key, step, pass);
 }
 
 // Holds exist from the start of a dispatch, as more urgent small tasks would take the capacity piece by piece and make
 // the preemption useless.
-void JobManager::holdCapacity(StepKey key, ReadyStep &step, Pass &pass)
+void JobManager::holdCapacity(StepKey key, const ReadyStep &step, Pass &pass) const
 {
-    step.heldCapacity.clear();
     if (pass.now >= step.heldUntil) {
         return;
     }
@@ -463,17 +524,19 @@
             const placement::Resources free = placement::elementwiseMax(ledger_.free(worker), {});
             const placement::Resources held = placement::elementwiseMin(amount * tasks, free);
             pass.claims.hold(worker, held);
-            step.heldCapacity[worker] = held;
+            pass.held[key][worker] = held;
         }
     }
 }
 
-void JobManager::releaseHold(ReadyStep &step, Pass &pass)
+void JobManager::releaseHold(StepKey key, Pass &pass)
 {
-    for (const auto &[worker, amount] : step.heldCapacity) {
-        pass.claims.releaseHold(worker, amount);
+    const auto held = pass.held.extract(key);
+    if (!held.empty()) {
+        for (const auto &[worker, amount] : held.mapped()) {
+            pass.claims.releaseHold(worker, amount);
+        }
     }
-    step.heldCapacity.clear();
 }
 
 // Returns the workers to include in the next queries. Tickets of eligible workers with free capacity are renewed
@@ -494,16 +557,16 @@
         return {};
     }
     const auto fittingTasksOn = [&](WorkerNumber number) {
-        return request.mayPreempt ? pass.planner.maxFittingTasks(pass.placer, request, number)
-                                  : pass.placer.fittingTasks(request, number);
+        return request.mayPreempt ? pass.planner.maxFittingTasks(*pass.placer, request, number)
+                                  : pass.placer->fittingTasks(request, number);
     };
     std::vector<WorkerNumber> eligibleWithCapacity;
     std::size_t eligibleCapacity = 0;
     std::size_t eligibleSize = 0; // Tasks that the eligible workers would hold if they were empty.
     bool expired = false;
-    pass.placer.forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
+    pass.placer->forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
         const std::uint32_t fittingTasks = fittingTasksOn(number);
-        eligibleSize += pass.placer.fittingTasksIn(request, number, ledger_.capacity(number));
+        eligibleSize += pass.placer->fittingTasksIn(request, number, ledger_.capacity(number));
         if (fittingTasks > 0) {
             eligibleWithCapacity.push_back(number);
             eligibleCapacity += fittingTasks;
@@ -522,17 +585,18 @@
             mayPlacePartially ? TypicalQueryWorkers : MaxWorkersAtATime - std::min(MaxWorkersAtATime, queried.size());
         std::vector<Candidate> unknown;
         const auto addUnknown = [&](WorkerNumber number) {
-            if (!eligibility.isKnown(number) && pass.placer.canRun(request, number, workers_.at(number))) {
+            if (!eligibility.isKnown(number) && workers_.contains(number)
+                && pass.placer->canRun(request, number, workers_.at(number))) {
                 unknown.push_back({number, fittingTasksOn(number)});
             }
             return unknown.size() < maxChosen * CandidatesPerQueryWorker;
         };
         const std::int64_t neededCpu = reservationOf(spec).milliCpu;
-        const CapacityIndex &index =
-            request.mayPreempt ? pass.planner.indexFor(request.job.policy.priority) : pass.index;
         const std::size_t wantedSize = spec.gang ? needed * WantedEligibleSize : 0;
         const bool anyCapacity = nothingKnown || eligibleSize < wantedSize;
-        index.visitWithFree(anyCapacity ? std::numeric_limits<std::int64_t>::min() : neededCpu, addUnknown);
+        const auto priority = request.mayPreempt ? std::optional(request.job.policy.priority) : std::nullopt;
+        queryIndex(priority, pass)
+            .visitWithFree(anyCapacity ? std::numeric_limits<std::int64_t>::min() : neededCpu, addUnknown);
         const double share = eligibleShare_.try_emplace(request.job.policy.queue, InitialEligibleShare).first->second;
         // Spreads steps that arrive together over different workers.
         const auto scatterHash = [&key](WorkerNumber worker) {
@@ -558,7 +622,7 @@
             chosen.push_back(candidate.worker);
             expected += share * candidate.fittingTasks;
             expectedSize += share
-                * static_cast<double>(pass.placer.fittingTasksIn(
+                * static_cast<double>(pass.placer->fittingTasksIn(
                     request, candidate.worker, ledger_.capacity(candidate.worker)));
         }
         const bool mayStart = mayPlacePartially || expected >= static_cast<double>(needed);
@@ -573,6 +637,22 @@
     return queried;
 }
 
+// Whom to ask needs no exact figures, and steps ask one after the other.
+const CapacityIndex &JobManager::queryIndex(std::optional<std::int32_t> preemptingPriority, const Pass &pass)
+{
+    QueryIndex &index = queryIndexes_[preemptingPriority];
+    if (!index.byFreeCpu || pass.now - index.madeAt >= QueryIndexLifetime) {
+        index.madeAt = pass.now;
+        index.byFreeCpu.emplace(workers_, cost_, pass.now, [this, preemptingPriority, &pass](WorkerNumber number) {
+            const std::int64_t free = ledger_.free(number).milliCpu;
+            return preemptingPriority ? free + pass.planner.preemptibleCapacity(number, *preemptingPriority).milliCpu
+                                      : free;
+        });
+        index.byFreeCpu->build();
+    }
+    return *index.byFreeCpu;
+}
+
 // The answer is the same for all longer queries of a dispatch, because queries only make gateways busier.
 std::optional<EligibilityGateways::GatewayId> JobManager::chooseGateway(std::chrono::microseconds serviceTime,
                                                                         Pass &pass) const
@@ -629,6 +709,7 @@
                                serviceTime,
                                request.job.policy.eligibility->validFor,
                                request.job.policy.queue,
+                               now + gateways_.backlog(*gateway, now) + serviceTime,
                                now + query.timeout + RelayTimeoutSlack};
     ++step.pendingQueries;
     gateways_.recordQuery(*gateway, serviceTime, now);
@@ -689,6 +770,17 @@
             .with("workers", query.workers.size());
         return;
     }
+    // The answer may have waited on the way, or for this thread, while its tickets were running out.
+    const base::TimePoint issuedAt = std::max<base::TimePoint>(
+        now - query.validFor / 2, std::min<base::TimePoint>(now - MaxRelayDelay, query.expectedAt));
+    const base::TimePoint validUntil = issuedAt + query.validFor;
+    std::unordered_map<std::string_view, WorkerNumber> queried;
+    for (const WorkerNumber worker : query.workers) {
+        const auto view = workers_.find(worker);
+        if (view != workers_.end()) {
+            queried.emplace(view->second.identity.id, worker);
+        }
+    }
     std::map<WorkerNumber, Ticket> eligible;
     for (const auto &[id, ticket] : *rows) {
         const auto worker = queried.find(id);
@@ -703,20 +795,8 @@
     base::logInfo("eligibility_learned")
         .with("job", toString(query.step.job))
         .with("step", query.step.position)
-                               now + gateways_.backlog(*gateway, now) + serviceTime,
         .with("queried", query.workers.size())
         .with("eligible", eligible.size());
 }
 
 } // namespace yuccawheel::workflow
-    // The answer may have waited on the way, or for this thread, while its tickets were running out.
-    const base::TimePoint issuedAt = std::max<base::TimePoint>(
-        now - query.validFor / 2, std::min<base::TimePoint>(now - MaxRelayDelay, query.expectedAt));
-    const base::TimePoint validUntil = issuedAt + query.validFor;
-    std::unordered_map<std::string_view, WorkerNumber> queried;
-    for (const WorkerNumber worker : query.workers) {
-        const auto view = workers_.find(worker);
-        if (view != workers_.end()) {
-            queried.emplace(view->second.identity.id, worker);
-        }
-    }
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -414,8 +414,7 @@
     run.nextCall = now;
 }
 
-std::chrono::milliseconds
-JobManager::ticketLeft(const TaskRef &task, WorkerNumber worker, base::TimePoint now) const
+std::chrono::milliseconds JobManager::ticketLeft(const TaskRef &task, WorkerNumber worker, base::TimePoint now) const
 {
     const JobRecord &job = *state_->findJob(task.job);
     const auto step = readySteps_.find({task.job, job.positionOf(task.occurrence, task.step)});
@@ -504,8 +503,8 @@
         base::logInfo("worker_answers").with("worker", worker.identity.id).with("failed_calls", worker.failedCalls);
         dispatchDue_ = true;
     }
-    worker.lastHeard = now;
     worker.failedCalls = 0;
+    worker.lastHeard = now;
     if (clock && !worker.retired) {
         worker.lease.observeClock(*clock, now);
     }
@@ -793,8 +792,8 @@
                 .with("run", run.run)
                 .with("worker", worker.identity.id);
             stopRun(run, now);
-            stopGang(task, now);
             reviewRun(number, worker, task, run, now);
+            stopGang(task, now);
         } else if (run.stage == LiveRun::Stage::Stopping && run.stopAnsweredAt && sentAt > *run.stopAnsweredAt) {
             proposeNotStarted(task, run);
             run.nextCall = now + StopInterval;
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -112,18 +112,6 @@
     }
 }
 
-const CapacityIndex &PreemptionPlanner::indexFor(std::int32_t priority) const
-{
-    auto found = indexes_.find(priority);
-    if (found == indexes_.end()) {
-        const auto preemptible = [this, priority](WorkerNumber number) {
-            return preemptibleCapacity(number, priority);
-        };
-        found = indexes_.emplace(priority, CapacityIndex(workers_, ledger_, cost_, now_, preemptible)).first;
-    }
-    return found->second;
-}
-
 void PreemptionPlanner::forgetWorker(WorkerNumber number)
 {
     for (auto &[priority, byWorker] : preemptible_) {
@@ -151,9 +139,29 @@
     return candidate;
 }
 
+bool PreemptionPlanner::mayFit(const StepPlacer::Request &request) const
+{
+    const std::int64_t needed = reservationOf(request.job.specOf(request.position)).milliCpu;
+    if (request.eligibility == nullptr || needed == 0) {
+        return true;
+    }
+    std::size_t fitting = 0;
+    for (const auto &[number, ticket] : request.eligibility->eligible()) {
+        if (workers_.contains(number)) {
+            const std::int64_t reachable =
+                ledger_.free(number).milliCpu + preemptibleCapacity(number, request.job.policy.priority).milliCpu;
+            fitting += static_cast<std::size_t>(std::max<std::int64_t>(reachable, 0) / needed);
+        }
+    }
+    return fitting >= request.waiting.size();
+}
+
 std::optional<PreemptionPlanner::Plan> PreemptionPlanner::plan(const StepPlacer &placer,
                                                                const StepPlacer::Request &request) const
 {
+    if (!mayFit(request)) {
+        return std::nullopt;
+    }
     std::vector<WorkerNumber> ready;
     std::size_t reachableTasks = 0;
     placer.forEachEligible(request, PreemptionTime, [&](WorkerNumber number) {
--- a/src/workflow/preemption_planner.h
+++ b/src/workflow/preemption_planner.h
@@ -19,14 +19,7 @@
 class PreemptionPlanner
 {
 public:
-    PreemptionPlanner(const WorkerViews &workers,
-                      const placement::Ledger &ledger,
-                      DispatchCost &cost,
-                      base::TimePoint now)
-        : workers_(workers)
-        , ledger_(ledger)
-        , cost_(cost)
-        , now_(now)
+    PreemptionPlanner(const WorkerViews &workers, const placement::Ledger &ledger) : workers_(workers), ledger_(ledger)
     {
     }
 
@@ -48,10 +41,15 @@
     /// Claims capacity for a gang that can't start yet, if all of it fits on eligible workers and within the limit.
     /// What the claim covers by preemptible tasks counts as preemptible for no other gang.
     void claimCapacity(const StepPlacer &placer, const StepPlacer::Request &request, CapacityClaims &claims);
-    /// Returns the workers by what would be free if all tasks that this priority may preempt were stopped.
-    const CapacityIndex &indexFor(std::int32_t priority) const;
+    /// Returns what the tasks that this priority may preempt hold on a worker.
+    placement::Resources preemptibleCapacity(WorkerNumber number, std::int32_t priority) const;
     /// Forgets what was computed about a worker, after tasks were stopped there.
     void forgetWorker(WorkerNumber number);
+    /// Forgets what was computed about all workers, except what gangs have claimed.
+    void forgetWorkers()
+    {
+        preemptible_.clear();
+    }
 
 private:
     struct Candidate {
@@ -62,19 +60,17 @@
         std::vector<Preemption> preemptible; ///< Not selected yet; the largest last.
     };
 
+    /// Returns whether the gang may fit after preemption, by CPU alone.
+    bool mayFit(const StepPlacer::Request &request) const;
     static bool isPreemptible(const LiveRun &run, std::int32_t priority);
     template <typename Visit>
     void forEachPreemptible(WorkerNumber number, std::int32_t priority, Visit visit) const;
-    placement::Resources preemptibleCapacity(WorkerNumber number, std::int32_t priority) const;
     Candidate makeCandidate(const StepPlacer &placer, const StepPlacer::Request &request, WorkerNumber number) const;
 
     const WorkerViews &workers_;
     const placement::Ledger &ledger_;
-    DispatchCost &cost_;
-    base::TimePoint now_;
     mutable std::map<std::int32_t, std::unordered_map<WorkerNumber, placement::Resources>>
         preemptible_; ///< By priority.
-    mutable std::map<std::int32_t, CapacityIndex> indexes_; ///< By priority.
     std::map<WorkerNumber, placement::Resources> claimedPreemptible_; ///< Counts as preemptible for no other gang.
 };
 
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -27,6 +27,26 @@
     return amount;
 }
 
+bool StepPlacer::mayFit(const Request &request) const
+{
+    const StepSpec &step = request.job.specOf(request.position);
+    const std::int64_t needed = reservationOf(step).milliCpu;
+    if (request.eligibility == nullptr || needed == 0) {
+        return true;
+    }
+    const std::size_t wanted = step.gang ? request.waiting.size() : 1;
+    std::size_t fitting = 0;
+    for (const auto &[number, ticket] : request.eligibility->eligible()) {
+        if (ticket.validUntil >= now_ + TicketMargin) {
+            fitting += static_cast<std::size_t>(std::max<std::int64_t>(ledger_.free(number).milliCpu, 0) / needed);
+            if (fitting >= wanted) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 std::vector<Assignment> StepPlacer::place(const Request &request) const
 {
     std::vector<Candidate> candidates = candidatesFor(request);
@@ -85,7 +105,8 @@
     if (request.eligibility == nullptr) {
         const std::int64_t needed = reservationOf(request.job.specOf(request.position)).milliCpu;
         index_.visitWithFree(needed, [&](WorkerNumber number) {
-            if (canRun(request, number, workers_.at(number))) {
+            const auto worker = workers_.find(number); // It may be gone since the index was made.
+            if (worker != workers_.end() && canRun(request, number, worker->second)) {
                 addIfFitting(number);
             }
             return true;
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -64,6 +64,8 @@
         Suspicion suspicion = Suspicion::None;
     };
 
+    /// Returns whether any task, or all of a gang, may fit, by free CPU alone. Costs a fraction of place().
+    bool mayFit(const Request &request) const;
     /// Returns as many assignments as fit; for a gang all or none.
     std::vector<Assignment> place(const Request &request) const;
 
--- a/tests/workflow_load.h
+++ b/tests/workflow_load.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace yuccawheel::tests
@@ -77,6 +78,15 @@
         samples_ = 0;
         return use;
     }
+    /// Returns the processor time of each tick of the manager since the last call.
+    std::vector<std::chrono::nanoseconds> takeTickTimes()
+    {
+        return std::exchange(simulation_.tickTimes, {});
+    }
+    const workflow::DispatchCost &dispatchCost() const
+    {
+        return simulation_.manager->dispatchCost();
+    }
     base::TimePoint now() const
     {
         return simulation_.now;
--- a/tests/workflow_load_test.cpp
+++ b/tests/workflow_load_test.cpp
@@ -65,12 +65,12 @@
     const workflow::DispatchCost before = simulation.manager->dispatchCost();
     simulation.run(2s);
     const workflow::DispatchCost &after = simulation.manager->dispatchCost();
-    return static_cast<double>(after.workersExamined - before.workersExamined)
+    return static_cast<double>(after.workersExamined + after.workersIndexed - before.workersExamined
+                               - before.workersIndexed)
         / static_cast<double>(after.dispatches - before.dispatches);
 }
 
-/// Returns how many checks of a worker it takes to choose the workers of a query, without those that each dispatch
-/// does.
+/// Returns how many checks of a worker it takes to choose the workers of a query, without those for indexes.
 double workersExaminedPerQuery(std::size_t workers)
 {
     constexpr workflow::JobKey Jobs = 200;
@@ -90,8 +90,24 @@
     }
     EXPECT_TRUE(simulation.runUntil([&] { return simulation.queries >= Jobs; }, 1s));
     const workflow::DispatchCost &after = simulation.manager->dispatchCost();
-    const std::uint64_t indexed = (after.dispatches - before.dispatches) * workers;
-    return static_cast<double>(after.workersExamined - before.workersExamined - indexed) / Jobs;
+    return static_cast<double>(after.workersExamined - before.workersExamined) / Jobs;
+}
+
+/// Returns how many entries the indexes of free capacity get in a second of urgent jobs whose steps query.
+std::uint64_t workersIndexedPerSecond(std::size_t workers)
+{
+    ManagerSimulation::Options options;
+    options.gateways = 100;
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, workers);
+    workflow::QueuePolicy queried = policy("queried", 0);
+    queried.eligibility = workflow::EligibilityPolicy{10ms, 0ms, 1'500ms};
+    const std::uint64_t before = simulation.manager->dispatchCost().workersIndexed;
+    for (workflow::JobKey key = 1; key <= 100; ++key) {
+        simulation.submit(key, job(1, 10, 400ms), queried);
+        simulation.run(10ms);
+    }
+    return simulation.manager->dispatchCost().workersIndexed - before;
 }
 
 /// Returns whether a job whose estimate is far too low meets its objective, in a queue whose estimates say nothing.
@@ -154,6 +170,15 @@
     EXPECT_LE(workersExaminedPerQuery(3 * Workers), 1.2 * workersExaminedPerQuery(Workers));
 }
 
+// Guards against a leader that sorts all workers in each dispatch: with 1,100 workers, and a dispatch for each job that
+// arrives and each answer to its query, that took most of the time of its decisions.
+TEST(WorkflowLoad, UrgentJobsDoNotIndexAllWorkersEachTime)
+{
+    constexpr std::size_t Workers = 200;
+    constexpr std::uint64_t IndexesPerSecond = 20;
+    EXPECT_LE(workersIndexedPerSecond(Workers), IndexesPerSecond * Workers);
+}
+
 // Guards against a leader that compares each report with every worker: with 1,100 workers, reports took up to a quarter
 // of its main thread's time.
 TEST(WorkflowLoad, ReportsAreComparedOnlyWithWorkersOfTheirIdOrAddress)
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -211,10 +211,11 @@
     workflow::State state;
     fakes::CalledWorkers workers;
     std::unique_ptr<workflow::JobManager> manager;
+    std::vector<std::chrono::nanoseconds> tickTimes; ///< In real time.
     std::uint64_t pollsSent = 0;
     std::uint64_t queries = 0;
-    std::uint64_t lateAnswers = 0; ///< Answers after the timeout of their query.
     std::uint64_t expiredTickets = 0; ///< Start orders whose ticket had expired.
+    std::uint64_t lateAnswers = 0; ///< Answers after the timeout of their query.
     bool dropQueries = false; ///< Queries get no answer.
     bool loseRows = false; ///< The rows of running tasks can't be read.
 
@@ -237,7 +238,6 @@
         base::TimePoint commitAt;
     };
 
-    workflow::WallTime wall() const
     // The text of a ticket is the time at which the service issued it.
     void countExpiredTicket(const workflow::StartOrder &order)
     {
@@ -247,6 +247,7 @@
             expiredTickets += now + Delay > issuedAt + policy->validFor ? 1 : 0;
         }
     }
+    workflow::WallTime wall() const
     {
         return std::chrono::duration_cast<workflow::WallTime>(now.time_since_epoch());
     }
@@ -370,7 +371,9 @@
                     at = now + ReportInterval;
                 }
             }
+            const auto begin = std::chrono::steady_clock::now();
             manager->tick(now, wall());
+            tickTimes.emplace_back(std::chrono::steady_clock::now() - begin);
         }
     }
 
