Handle what has a deadline before queued work

Operators saw reads and changes of the configuration without an answer, and callers late starts. Cause: all messages, answers, requests, reports, committed entries and decisions took their turn on one thread in the order of their arrival. On a loaded leader each waited 0.1 s and more. A placement passes this thread three times before its order goes out: 228 to 410 ms on a disk that syncs in 9 ms. What is passed on to the leader was given up after 0.7 s.

Change: the event loop handles messages of the log, votes, leases, requests about the configuration and heartbeats as they arrive. Answers of workers, requests of callers, reports, and the application of committed entries are queued by kind and take turns of equal time. Messages of the log leave before entries are applied. What has waited for 0.6 s, longer than its sender will, or finds thousands before it, is refused as not run; gateways pass that on to the caller instead of trying again. A timer that is due is no longer put off by further events.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/duty_time.h"
 #include "base/log.h"
+#include "daemon/event_loop.h"
 #include "daemon/health_server.h"
 #include "daemon/settings_watch.h"
 #include "http/server_group.h"
@@ -29,6 +30,8 @@
 
 constexpr milliseconds DrainPollInterval{10};
 constexpr milliseconds CloseTimeout{500}; ///< For the last answers to be sent and their connections to be closed.
+constexpr std::size_t MaxQueuedRequests = 2'000; ///< More than a daemon answers before their senders give up.
+constexpr std::size_t MaxQueuedReports = 4'000;
 /// From the end of a drain to the exit, with a margin for a busy event loop.
 constexpr milliseconds EndTime = protocol::LeaveTimeout + CloseTimeout + milliseconds{200};
 
@@ -239,17 +242,6 @@
     ExitCode exitCode_ = ExitCode::Ok;
 };
 
-// Runs due handlers first and waits only if there are none, so that waiting is charged apart from them.
-void runEventLoop(asio::io_context &io)
-{
-    while (!io.stopped()) {
-        if (io.poll() == 0) {
-            const base::DutyScope duty(base::Duty::Waiting);
-            io.run_one();
-        }
-    }
-}
-
 int serve(const settings::ProcessSettings &settings,
           const std::string &settingsFile,
           settings::Program program,
@@ -261,7 +253,8 @@
     asio::io_context io(1);
     const protocol::Identity self{settings.cluster, roleOf(program), settings.node, settings.zone, newIncarnation()};
     protocol::Members members(io, self, detectorSettings(settings));
-    Context context{io, settings, metrics, self, members, descriptorBudget(settings, program)};
+    base::WorkQueue work(MaxQueuedRequests, MaxQueuedReports);
+    Context context{io, settings, metrics, self, members, descriptorBudget(settings, program), work};
     base::logInfo("started")
         .with("program", name)
         .with("version", YW_VERSION)
@@ -275,7 +268,7 @@
     const HealthServer health(context, [&]() -> std::optional<std::string> {
         return shutdown.isDraining() ? "draining" : service->notReadyReason();
     });
-    runEventLoop(io);
+    runEventLoop(io, work);
     base::logInfo("stopped").with("exit_code", static_cast<int>(shutdown.exitCode()));
     return static_cast<int>(shutdown.exitCode());
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,6 +2,7 @@
 
 #include "base/descriptor_budget.h"
 #include "base/metrics.h"
+#include "base/work_queue.h"
 #include "protocol/identity.h"
 #include "protocol/members.h"
 #include "settings/process_settings.h"
@@ -36,6 +37,7 @@
     protocol::Identity self;
     protocol::Members &members;
     base::DescriptorBudget descriptors;
+    base::WorkQueue &work; ///< Run by the network thread too, between the handlers of `io`.
 };
 
 /// Implements one program. All calls are on the network thread.
--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -304,7 +304,8 @@
             return;
         }
         const std::string text = error ? error.message() : "answer without a length";
-        pool->finish(call, tl::unexpected(CallError{call.verdictAfter(verdict_), pool->host + ": " + text, call.timing()}));
+        pool->finish(call,
+                     tl::unexpected(CallError{call.verdictAfter(verdict_), pool->host + ": " + text, call.timing()}));
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -1,5 +1,6 @@
 #include "platform/control_api.h"
 
+#include "base/duty_time.h"
 #include "base/log.h"
 #include "platform/job_format.h"
 #include "platform/json_fields.h"
@@ -30,9 +31,11 @@
 
 ControlApi::ControlApi(boost::asio::io_context &io,
                        const boost::asio::ip::tcp::endpoint &address,
+                       base::WorkQueue &work,
                        workflow::ControlHandler &handler,
                        std::size_t maxConnections)
-    : handler_(handler)
+    : work_(work)
+    , handler_(handler)
     , server_(io,
               address,
               serverOptions(MaxBodyBytes, maxConnections),
@@ -51,14 +54,10 @@
             respond(errorResponse(405, "the methods are GET and POST"));
             return;
         }
-        if (const auto reportingId = workerIdFromPath(request.path, "/heartbeat")) {
-            report(decodeReport(*reportingId, request.body), respond);
-        } else if (const auto leavingId = workerIdFromPath(request.path, "/leave")) {
-            report(decodeFinalReport(*leavingId, request.body), respond);
-        } else if (request.path == "/config/put") {
+        if (request.path == "/config/put") {
             putConfiguration(request, respond);
         } else {
-            respond(errorResponse(404, "unknown path"));
+            queueReport(request, respond);
         }
     } catch (const FormatError &error) {
         base::logInfo("request_unreadable").with("path", request.path).with("reason", error.what());
@@ -66,6 +65,36 @@
     }
 }
 
+void ControlApi::queueReport(const http::Request &request, const http::Responder &respond)
+{
+    const bool queued = work_.post(base::WorkKind::Reports, [this, path = request.path, body = request.body, respond] {
+        const base::DutyScope duty(base::Duty::Reports);
+        handleReport(path, body, respond);
+    });
+    if (!queued) {
+        base::logWarning("report_shed").with("path", request.path);
+        http::Response response = errorResponse(503, "too many reports wait");
+        response.headers.emplace_back("Retry-After", "1");
+        respond(std::move(response));
+    }
+}
+
+void ControlApi::handleReport(const std::string &path, const std::string &body, const http::Responder &respond)
+{
+    try {
+        if (const auto reportingId = workerIdFromPath(path, "/heartbeat")) {
+            report(decodeReport(*reportingId, body), respond);
+        } else if (const auto leavingId = workerIdFromPath(path, "/leave")) {
+            report(decodeFinalReport(*leavingId, body), respond);
+        } else {
+            respond(errorResponse(404, "unknown path"));
+        }
+    } catch (const FormatError &error) {
+        base::logInfo("request_unreadable").with("path", path).with("reason", error.what());
+        respond(errorResponse(400, error.what()));
+    }
+}
+
 void ControlApi::report(const workflow::WorkerReport &report, const http::Responder &respond)
 {
     handler_.report(report, [respond](const tl::expected<workflow::ReportWorkerReply, workflow::Unanswered> &reply) {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -37,12 +37,34 @@
 
 } // namespace
 
-WorkerClient::WorkerClient(boost::asio::io_context &io, std::function<std::size_t()> connectionLimit)
+WorkerClient::WorkerClient(boost::asio::io_context &io,
+                           base::WorkQueue &work,
+                           std::function<std::size_t()> connectionLimit)
     : io_(io)
+    , work_(work)
     , limiter_(std::make_shared<http::ConnectionLimiter>(io, std::move(connectionLimit)))
 {
 }
 
+WorkerClient::~WorkerClient()
+{
+    *alive_ = false;
+}
+
+http::CallPool::Done WorkerClient::queued(http::CallPool::Done handle)
+{
+    using Answer = tl::expected<http::ClientResponse, http::CallError>;
+    return [this, alive = alive_, handle = std::move(handle)](Answer answer) mutable {
+        auto item = [alive = std::move(alive), handle = std::move(handle), answer = std::move(answer)]() mutable {
+            const base::DutyScope duty(base::Duty::Calls);
+            if (*alive) {
+                handle(std::move(answer));
+            }
+        };
+        work_.post(base::WorkKind::Answers, std::move(item));
+    };
+}
+
 http::CallPool &WorkerClient::poolFor(const std::string &address)
 {
     auto &pool = pools_[address];
@@ -75,7 +97,9 @@
     poolFor(worker.address)
         .call(makeRequest(worker, "/run-start", encodeJson(body)),
               OrderTimeout,
-              [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
+              queued([id = worker.id, done = std::move(done)](const auto &answer) {
+                  done(parseOrderAnswer(id, answer));
+              }));
 }
 
 void WorkerClient::stop(const workflow::WorkerIdentity &worker,
@@ -87,7 +111,9 @@
     poolFor(worker.address)
         .call(makeRequest(worker, "/run-stop", encodeJson(body)),
               OrderTimeout,
-              [id = worker.id, done = std::move(done)](const auto &answer) { done(parseOrderAnswer(id, answer)); });
+              queued([id = worker.id, done = std::move(done)](const auto &answer) {
+                  done(parseOrderAnswer(id, answer));
+              }));
 }
 
 void WorkerClient::poll(const workflow::WorkerIdentity &worker,
@@ -106,8 +132,8 @@
         .call(
             makeRequest(worker, "/hold", {}),
             order.wait + OrderTimeout,
-            [id = worker.id, born = worker.born, number = order.number, acknowledgedOn, done = std::move(done)](
-                const auto &answer) {
+            queued([id = worker.id, born = worker.born, number = order.number, acknowledgedOn, done = std::move(done)](
+                       const auto &answer) {
                 workflow::PollAnswer pollAnswer = parsePollAnswer(id, number, answer);
                 if (answer) {
                     pollAnswer.acknowledged = acknowledgedOn(answer->tagWhenSent);
@@ -117,7 +143,7 @@
                     }
                 }
                 done(pollAnswer);
-            },
+            }),
             [order, acknowledgedOn](const http::ConnectionTag &tag) { return encodePoll(order, acknowledgedOn(tag)); });
 }
 
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/work_queue.h"
 #include "http/call_pool.h"
 #include "workflow/platform_interface.h"
 
@@ -18,8 +19,12 @@
 class WorkerClient : public workflow::WorkerCalls
 {
 public:
-    /// `connectionLimit` returns how many connections to all workers together may be open.
-    WorkerClient(boost::asio::io_context &io, std::function<std::size_t()> connectionLimit);
+    /// Answers are parsed and passed on as items of `work`. `connectionLimit` returns how many connections to all
+    /// workers together may be open.
+    WorkerClient(boost::asio::io_context &io, base::WorkQueue &work, std::function<std::size_t()> connectionLimit);
+    ~WorkerClient() override;
+    WorkerClient(const WorkerClient &) = delete;
+    WorkerClient &operator=(const WorkerClient &) = delete;
 
     void start(const workflow::WorkerIdentity &worker,
                const workflow::StartOrder &order,
@@ -45,8 +50,12 @@
 
 private:
     http::CallPool &poolFor(const std::string &address);
+    /// Returns a callback that queues the handling of an answer, unless this object has been destroyed.
+    http::CallPool::Done queued(http::CallPool::Done handle);
 
     boost::asio::io_context &io_;
+    base::WorkQueue &work_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::shared_ptr<http::ConnectionLimiter> limiter_;
     std::map<std::string, std::unique_ptr<http::CallPool>> pools_; ///< By worker address.
 };
--- a/src/programs/yw_gateway/gateway_service.cpp
+++ b/src/programs/yw_gateway/gateway_service.cpp
@@ -138,6 +138,10 @@
                             answer(pending, std::move(*reply));
                             return;
                         }
+                        if (reply.error().code == protocol::ErrorCode::Overloaded && !pending->mayTakeEffect) {
+                            answer(pending, tl::make_unexpected(workflow::Unanswered{false, RetryAfter}));
+                            return;
+                        }
                         // A request that may have taken effect is retried until the caller's deadline: giving up
                         // earlier would only leave the retries to the caller.
                         if (reply.error().verdict != base::Verdict::NotRun) {
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -20,6 +20,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TickInterval{50}; ///< Review interval of the job manager.
+/// Gateways wait for 1 s and other managers for 0.7 s; what has waited here for this long would be answered too late.
+constexpr milliseconds MaxRequestAge{600};
+constexpr milliseconds MaxApplicationTurn{1};
+constexpr std::size_t EntriesPerClockReading = 8;
 constexpr milliseconds DispatchDelay{5}; ///< Batches events that arrive together into one scheduling pass.
 constexpr milliseconds ForwardTimeout{700}; ///< Less than the 1 s after which callers try the next manager.
 constexpr milliseconds MinRestartInterval{500}; ///< Limits job manager restarts while a full disk rejects all entries.
@@ -110,7 +114,7 @@
     , self_(ownManagerNumber(context.settings))
     , managers_(context, self_, [](std::uint32_t, const protocol::Frame &) {})
     , jobs_(*this, managerLimits(context.settings))
-    , workerCalls_(context.io, [&context] { return context.descriptors.forCalls(); })
+    , workerCalls_(context.io, context.work, [&context] { return context.descriptors.forCalls(); })
     , log_(startLog())
     , timer_(context.io)
     , drainTimer_(context.io)
@@ -119,8 +123,8 @@
     callbacks.opened = [this](const protocol::ChannelPtr &channel) {
         onOpened(channel);
     };
-    callbacks.frame = [this](const protocol::ChannelPtr &channel, const protocol::Frame &frame) {
-        onFrame(channel, frame);
+    callbacks.frame = [this](const protocol::ChannelPtr &channel, protocol::Frame frame) {
+        onFrame(channel, std::move(frame));
     };
     callbacks.closed = [this](const protocol::ChannelPtr &channel) {
         onClosed(channel);
@@ -128,8 +132,11 @@
     listener_.emplace(
         context.io, daemon::toAsio(*context.settings.listen.inner), context.members, std::move(callbacks));
     workflow::ControlHandler &handler = *this;
-    control_.emplace(
-        context.io, daemon::toAsio(*context.settings.listen.control), handler, context.descriptors.forServers());
+    control_.emplace(context.io,
+                     daemon::toAsio(*context.settings.listen.control),
+                     context.work,
+                     handler,
+                     context.descriptors.forServers());
     armTimer(TickInterval);
 }
 
@@ -248,7 +255,9 @@
 void ManagerService::armTimer(milliseconds delay)
 {
     const auto due = std::chrono::steady_clock::now() + delay;
-    if (timerDue_ <= due && timerDue_ > std::chrono::steady_clock::now()) {
+    // A timer that is due and waits for its turn must not be put off by each further event.
+    const bool armed = timerDue_ != std::chrono::steady_clock::time_point{};
+    if (armed && timerDue_ <= due) {
         return;
     }
     timerDue_ = due;
@@ -275,6 +284,7 @@
     const base::TimePoint end = base::BootClock::now();
     recordTick(begin, end);
     reportDutyTime(end);
+    jobs_.recordTickTime(end - begin, end);
     const auto wait = std::chrono::ceil<milliseconds>(jobs_.nextTick(end) - end);
     armTimer(std::clamp(wait, DispatchDelay, TickInterval));
 }
@@ -336,6 +346,7 @@
         .with("forwarded_reports", counts.forwardedReports)
         .with("queue_requests", counts.queueRequests)
         .with("configuration_requests", counts.configurationRequests)
+        .with("shed", counts.shed)
         .with("forwards", counts.forwards)
         .with("failed_forwards", counts.failedForwards);
 }
@@ -344,16 +355,16 @@
 {
     const base::DutyScope duty(base::Duty::State);
     while (auto output = log_->tryPopOutput()) {
-        handleOutput(*output);
+        sendMessages(output->messages);
+        updateLease(output->status);
+        unapplied_.push_back(std::move(*output));
     }
+    queueApplication();
 }
 
-void ManagerService::handleOutput(LogOutput &output)
+void ManagerService::sendMessages(const std::vector<coordination::Message> &messages)
 {
-    for (const ProposalResult &result : output.results) {
-        handleProposalResult(result);
-    }
-    for (const coordination::Message &message : output.messages) {
+    for (const coordination::Message &message : messages) {
         const base::DutyScope duty(base::Duty::Replication);
         if (message.to.node != self_) {
             managers_.peer(message.to.node)
@@ -363,20 +374,70 @@
                               store::encodeReplication(message)});
         }
     }
-    if (output.snapshot) {
-        auto restored = workflow::State::restore(*output.snapshot);
-        if (!restored) {
-            throw std::runtime_error("cannot decode the job state of a snapshot: " + restored.error().message);
-        }
-        state_ = std::move(*restored);
+}
+
+void ManagerService::updateLease(const LogStatus &status)
+{
+    const bool leading = status.role == coordination::Role::Leader && status.term == status_.term;
+    status_.leaseEnd = leading ? status.leaseEnd : std::nullopt;
+    jobs_.setLeaseEnd(status_.leaseEnd.value_or(base::TimePoint{}));
+}
+
+void ManagerService::queueApplication()
+{
+    if (unapplied_.empty() || std::exchange(isApplicationQueued_, true)) {
+        return;
     }
-    for (const coordination::Entry &entry : output.committed) {
-        applyEntry(entry);
+    context_.work.post(base::WorkKind::State, [this, alive = alive_] {
+        if (*alive != nullptr) {
+            isApplicationQueued_ = false;
+            applyOutputs();
+            queueApplication();
+        }
+    });
+}
+
+void ManagerService::applyOutputs()
+{
+    const base::DutyScope duty(base::Duty::State);
+    const auto end = std::chrono::steady_clock::now() + MaxApplicationTurn;
+    while (!unapplied_.empty()) {
+        LogOutput &output = unapplied_.front();
+        if (appliedEntries_ == 0) {
+            for (const ProposalResult &result : std::exchange(output.results, {})) {
+                handleProposalResult(result);
+            }
+            if (const auto snapshot = std::exchange(output.snapshot, std::nullopt)) {
+                auto restored = workflow::State::restore(*snapshot);
+                if (!restored) {
+                    throw std::runtime_error("cannot decode the job state of a snapshot: " + restored.error().message);
+                }
+                state_ = std::move(*restored);
+            }
+        }
+        while (appliedEntries_ < output.committed.size()) {
+            applyEntry(output.committed[appliedEntries_++]);
+            if (appliedEntries_ % EntriesPerClockReading == 0 && std::chrono::steady_clock::now() >= end) {
+                return;
+            }
+        }
+        finishOutput(output);
+        unapplied_.pop_front();
+        appliedEntries_ = 0;
     }
+}
+
+void ManagerService::finishOutput(LogOutput &output)
+{
     if (output.stateRequest) {
         output.stateRequest->set_value(state_.snapshot());
     }
-    updateStatus(output.status);
+    // The lease may have changed since, with an output that is not applied yet.
+    LogStatus status = output.status;
+    const LogStatus &newest = unapplied_.back().status;
+    const bool leads = newest.role == coordination::Role::Leader && newest.term == status.term;
+    status.leaseEnd = leads ? newest.leaseEnd : std::nullopt;
+    updateStatus(status);
 }
 
 void ManagerService::handleProposalResult(const ProposalResult &result)
@@ -633,8 +694,9 @@
 }
 
 template <typename Reply>
-std::function<void(tl::expected<Reply, workflow::Unanswered>)> ManagerService::logConfigurationReply(
-    std::string_view request, std::function<void(tl::expected<Reply, workflow::Unanswered>)> done)
+std::function<void(tl::expected<Reply, workflow::Unanswered>)>
+ManagerService::logConfigurationReply(std::string_view request,
+                                      std::function<void(tl::expected<Reply, workflow::Unanswered>)> done)
 {
     return [this, request, done = std::move(done), begin = base::BootClock::now()](
                const tl::expected<Reply, workflow::Unanswered> &reply) {
@@ -747,7 +809,9 @@
 
 // Only the leader answers requests. A manager that does not lead refuses a forwarded request rather than forwarding it
 // again, so that requests can't loop.
-void ManagerService::onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
+//
+// Messages of the log, and requests of operators, are handled at once. All others wait for their turn.
+void ManagerService::onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame)
 {
     using protocol::MessageType;
     if (frame.type == MessageType::Replication) {
@@ -757,12 +821,59 @@
         return;
     }
     if (frame.type == MessageType::EligibilityAnswer) {
-        onEligibilityAnswer(frame);
+        context_.work.post(base::WorkKind::Answers, [this, alive = alive_, frame = std::move(frame)] {
+            const base::DutyScope duty(base::Duty::Requests);
+            if (*alive != nullptr) {
+                onEligibilityAnswer(frame);
+            }
+        });
         return;
     }
     if (frame.kind != protocol::FrameKind::Request) {
         return;
     }
+    if (frame.type == MessageType::QueueRequest) {
+        queueRequest(base::WorkKind::Requests, channel, std::move(frame));
+    } else if (frame.type == MessageType::ReportWorker) {
+        queueRequest(base::WorkKind::Reports, channel, std::move(frame));
+    } else {
+        onRequest(channel, frame);
+    }
+}
+
+void ManagerService::queueRequest(base::WorkKind kind, const protocol::ChannelPtr &channel, protocol::Frame frame)
+{
+    const auto shed = [this](const protocol::ChannelPtr &sender, std::uint64_t correlation) {
+        ++requestCounts_.shed;
+        sender->reply(correlation,
+                      protocol::RequestError{
+                          protocol::ErrorCode::Overloaded, base::Verdict::NotRun, "too many requests wait", {}});
+    };
+    const std::uint64_t correlation = frame.correlation;
+    const auto receivedAt = std::chrono::steady_clock::now();
+    const bool queued =
+        context_.work.post(kind, [this, alive = alive_, channel, frame = std::move(frame), receivedAt, shed] {
+            const base::DutyScope duty(base::Duty::Requests);
+            if (*alive == nullptr) {
+                return;
+            }
+            --inProgress_;
+            if (std::chrono::steady_clock::now() - receivedAt > MaxRequestAge) {
+                shed(channel, frame.correlation);
+            } else {
+                onRequest(channel, frame);
+            }
+        });
+    if (queued) {
+        ++inProgress_;
+    } else {
+        shed(channel, correlation);
+    }
+}
+
+void ManagerService::onRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
+{
+    using protocol::MessageType;
     if (refusing_ || !isLeader(base::BootClock::now())) {
         replyNotLeader(channel, frame.correlation, base::Verdict::NotRun);
         return;
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -15,12 +15,14 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace yuccawheel::manager
 {
@@ -87,7 +89,15 @@
     std::unique_ptr<LogThread> startLog();
     static workflow::Unanswered unanswered(ProposalOutcome outcome);
     void handlePendingOutput();
-    void handleOutput(LogOutput &output);
+    void sendMessages(const std::vector<coordination::Message> &messages);
+    /// Applies a new end of the leader lease, or the loss of leadership, before the entries of its output are.
+    void updateLease(const LogStatus &status);
+    /// Queues the application of the oldest output that has not been applied yet.
+    void queueApplication();
+    /// Applies outputs for a limited time.
+    void applyOutputs();
+    /// Finishes an output whose entries are applied.
+    void finishOutput(LogOutput &output);
     void handleProposalResult(const ProposalResult &result);
     void applyEntry(const coordination::Entry &entry);
     void resolvePending(const coordination::Entry &entry);
@@ -108,7 +118,10 @@
     // Gateways and other managers.
     void onOpened(const protocol::ChannelPtr &channel);
     void onClosed(const protocol::ChannelPtr &channel);
-    void onFrame(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
+    void onFrame(const protocol::ChannelPtr &channel, protocol::Frame frame);
+    void onRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
+    /// Handles a request as an item of the work queue, unless it has waited there until its sender has given up.
+    void queueRequest(base::WorkKind kind, const protocol::ChannelPtr &channel, protocol::Frame frame);
     void onQueueRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
     void readJob(const protocol::ChannelPtr &channel,
                  std::uint64_t correlation,
@@ -140,7 +153,8 @@
     /// Passes a reply about the configuration on and logs it, with the time since the request.
     template <typename Reply>
     std::function<void(tl::expected<Reply, workflow::Unanswered>)>
-    logConfigurationReply(std::string_view request, std::function<void(tl::expected<Reply, workflow::Unanswered>)> done);
+    logConfigurationReply(std::string_view request,
+                          std::function<void(tl::expected<Reply, workflow::Unanswered>)> done);
     void recordTick(base::TimePoint begin, base::TimePoint end);
     void reportDutyTime(base::TimePoint now);
 
@@ -160,6 +174,7 @@
         std::uint64_t configurationRequests = 0;
         std::uint64_t forwards = 0; ///< To the leader.
         std::uint64_t failedForwards = 0;
+        std::uint64_t shed = 0; ///< Refused, because they or too many others had waited for too long.
     };
 
     struct DutyTimes {
@@ -178,6 +193,9 @@
     std::unique_ptr<LogThread> log_;
     LogStatus status_;
     std::uint64_t nextProposalId_ = 1;
+    std::deque<LogOutput> unapplied_; ///< Outputs whose messages have been sent.
+    std::size_t appliedEntries_ = 0; ///< Of the first one of `unapplied_`.
+    bool isApplicationQueued_ = false;
     std::map<std::uint64_t, CommitCallback> proposals_; ///< By proposal id: handed to the log thread, no result yet.
     std::map<coordination::Index, PendingEntry> pending_; ///< By log index.
     /// Accepted connections by number; `jobs_` knows a gateway by this number.
--- a/tests/platform_worker_client_test.cpp
+++ b/tests/platform_worker_client_test.cpp
@@ -36,7 +36,7 @@
                           {"clock_ms", 5}, {"born", born_}, {"running", Json::array()}, {"ended", Json::array()}};
                       respond({200, body.dump(), "application/json", {}});
                   })
-        , client_(io_, [] { return std::size_t{8}; })
+        , client_(io_, work_, [] { return std::size_t{8}; })
     {
         worker_.id = "i-1";
         worker_.born = Born;
@@ -76,6 +76,8 @@
         const auto end = std::chrono::steady_clock::now() + 30s;
         while (!condition() && std::chrono::steady_clock::now() < end) {
             io_.run_one_for(10ms);
+            while (work_.runNext()) {
+            }
         }
         ASSERT_TRUE(condition()) << "no answer";
     }
@@ -85,6 +87,7 @@
 
 private:
     boost::asio::io_context io_;
+    base::WorkQueue work_{100, 100};
     std::vector<std::uint64_t> received_; ///< End numbers that polls have acknowledged.
     http::Server server_;
     platform::WorkerClient client_;
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -32,6 +32,7 @@
     """Three managers and a gateway. Subclasses may lower what one of these processes may have open."""
 
     max_open_files = None
+    worker_count = 3
 
     def setUp(self):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yw-called-"))
@@ -57,7 +58,8 @@
         self.gateway = self.daemon("yw-gateway", "gateway", self.gateway_file)
         wait_until(lambda: self.call(self.ready, "GET", "/readyz")[0] == 200, "the gateway is ready")
         wait_until(lambda: self.put(1) == 200, "the configuration is accepted")
-        self.workers = [CalledWorker(f"{net}.{FAKE_HOST}", self.control, f"i-{number}") for number in range(3)]
+        self.workers = [CalledWorker(f"{net}.{FAKE_HOST}", self.control, f"i-{number}")
+                        for number in range(self.worker_count)]
         for worker in self.workers:
             self.addCleanup(worker.close)
 
