Wait in a proxy's test until its thread has counted the answer

Cause: the client has the whole answer before the proxy's thread handles the end of its write, so the test read the figure too early; the log shows the fourth request still in progress at the proxy's end. The test waits for the figure, for 30 s at most, and checks the same value.

--- a/tests/routing_proxy_test.cpp
+++ b/tests/routing_proxy_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <array>
+#include <chrono>
 #include <future>
 #include <thread>
 
@@ -47,6 +48,17 @@
         ASSERT_TRUE(done.get_future().get());
     }
 
+    /// Returns how many requests count as answered, once they are as many as expected. A client may have its answer
+    /// before the proxy's thread counts it.
+    std::uint64_t answeredRequests(std::uint64_t expected) const
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        while (proxy_->statistics().answered < expected && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return proxy_->statistics().answered;
+    }
+
     std::shared_ptr<routing::KeyStore> keys_;
     std::unique_ptr<http::ProxyServer> proxy_;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
@@ -69,7 +81,7 @@
     EXPECT_TRUE(sendRequest(port_, "POST", "/serve/loan-check/echo", {{"Yw-Repeatable", "yes"}}, large).body == large);
     EXPECT_EQ(sendRequest(port_, "GET", "/serve/loan-check/bytes/5000000").body.size(), 5'000'000);
     EXPECT_EQ(sendRequest(port_, "HEAD", "/serve/loan-check/x").status, 200);
-    EXPECT_EQ(proxy_->statistics().answered, 4);
+    EXPECT_EQ(answeredRequests(4), 4);
 }
 
 TEST_F(ProxyTest, failuresSayWhetherTheRequestMayHaveRun)
