Hold no lease again in a term whose successor was asked to lead

What callers saw: with leader leases, two leaders that act at once. A leader that is stopped, or whose disk is full, hands over; if nobody takes over within an election timeout, it gave up and had its lease again. A voter that got the request after that, because it was paused or the message was late, was elected nevertheless, while the first leader's lease ran.

Cause: a request to take over has no expiry, and voters grant the votes that follow from it whatever they have promised to the leader. So no heartbeat that they acknowledge later makes the lease safe again in that term.

Fix: a leader that gives a handover up after it has sent the request steps down and stands for election at once, with the votes of a handover, since the lease that they override is its own. If it hasn't sent the request, it leads on as before. Why that is enough: a request of term T is followed by its receiver in term T only, and makes it ask once for votes of term T+1. After the request is sent, nobody holds a lease in T again: the leader has none during the handover, and leaves T at its end. Leases of terms before T had ended when T was won. Term T+1 has at most one leader, whoever it is, and voters that follow it refuse other votes of T+1; a lease of T+1 or later is not touched, because in a later term the request is dropped and the vote is refused.

--- a/src/coordination/replicated_log.cpp
+++ b/src/coordination/replicated_log.cpp
@@ -81,6 +81,9 @@
 {
     if (state_ == State::Leader) {
         checkQuorum(now);
+        if (handoverDeadline_ && now >= *handoverDeadline_) {
+            giveUpHandover(now);
+        }
         // Reads also trigger heartbeats, which postpone the next regular one, so replica checks have their own timer.
         if (state_ == State::Leader && now >= nextReplicaCheck_) {
             nextReplicaCheck_ = now + settings_.heartbeatInterval;
@@ -90,9 +93,6 @@
             handoverSent_ = false;
             broadcastHeartbeat(now);
         }
-        if (handoverDeadline_ && now >= *handoverDeadline_) {
-            handoverDeadline_.reset();
-        }
         return;
     }
     if (now < electionDeadline_) {
--- a/src/coordination/replicated_log.h
+++ b/src/coordination/replicated_log.h
@@ -144,8 +144,8 @@
     tl::expected<Position, ProposeError> removeReplica(ReplicaId id, base::TimePoint now);
 
     /// Starts to hand over leadership to the active voter with the longest log. Proposals are refused until another
-    /// replica leads or an election timeout has passed. Returns false if this replica is not the leader or no other
-    /// voter is active.
+    /// replica leads or an election timeout has passed; then, this replica may lead on in a new term. Returns false if
+    /// this replica is not the leader or no other voter is active.
     bool handOverLeadership(base::TimePoint now);
 
     /// Sets the nodes to which join requests are sent.
@@ -230,6 +230,7 @@
     void startElection(base::TimePoint now, bool handover);
     ReplicaId findSuccessor(base::TimePoint now) const;
     void continueHandover(base::TimePoint now);
+    void giveUpHandover(base::TimePoint now);
     void onHandoverRequest(const Message &message, base::TimePoint now);
     void becomeLeader(base::TimePoint now);
     void requestVotes(const VoteRequest &request, Term term);
@@ -302,6 +303,7 @@
     base::TimePoint nextQuorumCheck_{};
     std::optional<base::TimePoint> handoverDeadline_; ///< Set during a handover: when to give it up.
     bool handoverSent_ = false; ///< Whether a HandoverRequest was sent since the last heartbeat.
+    bool successorAsked_ = false; ///< Whether a HandoverRequest was sent in this leadership.
     std::set<ReplicaId> votes_;
     std::uint64_t randomState_ = 0;
 
--- a/src/coordination/replicated_log_election.cpp
+++ b/src/coordination/replicated_log_election.cpp
@@ -35,6 +35,7 @@
         refuseReads();
         progress_.clear();
         handoverDeadline_.reset();
+        successorAsked_ = false;
         uncommittedBytes_ = 0;
     }
     state_ = State::Follower;
--- a/src/coordination/replicated_log_handover.cpp
+++ b/src/coordination/replicated_log_handover.cpp
@@ -41,10 +41,26 @@
     const ReplicaId next = findSuccessor(now);
     if (next != ReplicaId{} && progress_.at(next).matched == buffer_.lastIndex()) {
         handoverSent_ = true;
+        successorAsked_ = true;
         send(next, term(), HandoverRequest{});
     }
 }
 
+// A request to take over has no expiry, and the vote requests that follow from it override what the voters have
+// promised to this leader, so after one this leader can't rely on a lease in this term any more. In the next term it
+// can: a late request asks for votes of that term only, which has at most one leader.
+void ReplicatedLog::giveUpHandover(base::TimePoint now)
+{
+    handoverDeadline_.reset();
+    if (!successorAsked_) {
+        return;
+    }
+    becomeFollower(term(), ReplicaId{}, now);
+    if (isVoter(replicaSet(), self())) {
+        startElection(now, true);
+    }
+}
+
 void ReplicatedLog::onHandoverRequest(const Message &message, base::TimePoint now)
 {
     if (state_ == State::Follower && message.from == leader_ && isVoter(replicaSet(), self())) {
--- a/tests/coordination_log_test.cpp
+++ b/tests/coordination_log_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <ostream>
+#include <random>
 
 using namespace yuccawheel;
 using namespace std::chrono_literals;
@@ -653,3 +654,80 @@
         EXPECT_NE(cluster.leader(), old);
     }
 }
+
+// Guards against two leaders at a time: a voter that is told late that it is to take over, when the leader has given
+// the handover up and holds a lease again, must not be elected before that lease has ended.
+TEST(ReplicatedLog, aHandoverRequestThatComesLateElectsNoSecondLeader)
+{
+    int resumptions = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FakeCluster::Options options{3, seed};
+        options.spares = 1;
+        FakeCluster cluster(options);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+        cluster.run(1s);
+        const std::uint32_t old = cluster.leader();
+        ASSERT_TRUE(cluster.handOver(old));
+        std::vector<std::uint32_t> others;
+        for (std::uint32_t node = 1; node <= 3; ++node) {
+            if (node != old) {
+                others.push_back(node);
+            }
+        }
+        for (const std::uint32_t node : others) {
+            cluster.pause(node, node == others[seed % 2] ? 1'100ms : 1ms);
+        }
+        bool resumed = false; // The leader has given the handover up and leads on.
+        for (int elapsed = 0; elapsed < 4'000; ++elapsed) {
+            cluster.run(1ms);
+            const auto lease = cluster.log(old).leaseEnd();
+            const std::uint32_t leader = cluster.leader();
+            resumed = resumed || (elapsed > 1'000 && lease && leader == old);
+            if (resumed && leader == old) {
+                cluster.network().cut(others[seed % 2], old);
+                cluster.network().cut(old, others[seed % 2]);
+            }
+            EXPECT_FALSE(lease && *lease > cluster.now() && leader != old && leader != 0)
+                << "seed " << seed << " after " << elapsed << " ms";
+        }
+        resumptions += resumed ? 1 : 0;
+        if (resumed) {
+            EXPECT_EQ(cluster.leader(), old) << "seed " << seed;
+            EXPECT_TRUE(cluster.propose(old)) << "seed " << seed;
+        }
+    }
+    EXPECT_GT(resumptions, 0);
+}
+
+// Guards the same with messages that are lost, late, repeated and out of order, and with processes that pause: while a
+// leader holds a lease, no replica leads in a later term, however often handovers are started and given up.
+TEST(ReplicatedLog, noOtherLeadsDuringALeaseBesideHandovers)
+{
+    int handovers = 0;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        FakeCluster::Options options{seed % 2 == 0 ? 3U : 5U, seed};
+        options.spares = 1;
+        FakeCluster cluster(options);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+        cluster.network().setFaults({5, 5, 1ms, 40ms});
+        std::mt19937_64 random(seed);
+        for (int elapsed = 0; elapsed < 20'000; ++elapsed) {
+            if (elapsed % 2'000 == 0 && cluster.leader() != 0 && cluster.handOver(cluster.leader())) {
+                ++handovers;
+                // Until about the time when the leader gives up.
+                const auto paused = static_cast<std::uint32_t>(1 + random() % options.replicas);
+                if (paused != cluster.leader()) {
+                    cluster.pause(paused, std::chrono::milliseconds(900 + random() % 300));
+                }
+            }
+            cluster.run(1ms);
+            const std::uint32_t leader = cluster.leader();
+            for (std::uint32_t node = 1; node <= options.replicas; ++node) {
+                const auto lease = cluster.log(node).leaseEnd();
+                ASSERT_FALSE(lease && *lease > cluster.now() && leader != node)
+                    << "seed " << seed << " after " << elapsed << " ms: " << node << " beside " << leader;
+            }
+        }
+    }
+    EXPECT_GT(handovers, 0);
+}
