Write the hard state into a recovered segment that has none

What callers could see: a replica that restarts with another identity and without its term and vote, so that it stays out and could vote twice in a term.

Cause: the process is killed between the first two records of a new segment.

--- a/src/coordination/file_log_storage.cpp
+++ b/src/coordination/file_log_storage.cpp
@@ -209,6 +209,7 @@
             return malformed("a malformed hard state");
         }
         replay.hardState = *state;
+        replay.hardStateSegment = segment.sequence;
     } else if (record.type == RecordType::Entry) {
         auto entry = decodeEntry(record.payload);
         if (!entry) {
@@ -264,6 +265,14 @@
         return tl::unexpected(file.error());
     }
     current_ = std::move(*file);
+    // A process that died in `startSegment` may have left a segment without one, and the older segments are removed
+    // later.
+    if (replay.hardStateSegment != segments_.back().sequence) {
+        stageRecord(RecordType::HardState, encodeHardState(hardState_));
+        if (auto done = writeAndSync(); !done) {
+            return done;
+        }
+    }
     if (snapshots_.empty()) {
         return replay.first <= 1 ? StorageResult<void>() : missingSnapshot(replay.first - 1);
     }
--- a/src/coordination/file_log_storage.h
+++ b/src/coordination/file_log_storage.h
@@ -48,6 +48,7 @@
     /// State of the log while the records are read in order.
     struct Replay {
         HardState hardState;
+        std::uint64_t hardStateSegment = 0; ///< Sequence of the segment that it was read from.
         Index first = 0; ///< First entry index in the segments; 0 before the first entry.
         Index last = 0; ///< Last index of the log so far; 0 before the first entry.
         std::optional<Term>
--- a/tests/coordination_disk_test.cpp
+++ b/tests/coordination_disk_test.cpp
@@ -189,6 +189,52 @@
     }
 }
 
+// Guards against a replica that forgets its identity, term and vote: the process was killed between the first two
+// records of a segment, so that the segment held no hard state, and the ones before were removed once a snapshot
+// covered them.
+TEST(FileLogStorage, hardStateOutlivesAKillWhileASegmentIsStarted)
+{
+    const HardState hardState{7, ReplicaId{1, 2}, 3, ReplicaId{1, 2}};
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        FakeDisk disk(seed);
+        Index last = 0;
+        const auto saveNext = [&](FileLogStorage &storage, std::size_t size) {
+            const Entry entry{last + 1, 3, EntryKind::Application, std::string(size, 'x')};
+            const auto saved = storage.save(last == 0 ? std::optional(hardState) : std::nullopt, {entry});
+            last += saved ? 1 : 0;
+            return saved.has_value();
+        };
+        {
+            FileLogStorage storage(disk, SmallSegments);
+            ASSERT_TRUE(storage.recover());
+            ASSERT_TRUE(saveNext(storage, 40));
+            disk.killAfter(seed % 40);
+            try {
+                while (last < 20 && saveNext(storage, 40)) {
+                }
+            } catch (const fakes::ProcessKilled &) {
+            }
+        }
+        disk.clearFaults();
+        {
+            FileLogStorage storage(disk, SmallSegments);
+            const auto recovered = storage.recover();
+            ASSERT_TRUE(recovered);
+            EXPECT_TRUE(recovered->hardState == hardState) << "seed " << seed;
+            last = recovered->entries.back().index;
+            for (int snapshot = 0; snapshot < 3; ++snapshot) {
+                ASSERT_TRUE(saveNext(storage, 1));
+                SnapshotMeta meta{last, 3, {}, 0, 0};
+                ASSERT_TRUE(storage.saveSnapshot(meta, "s"));
+            }
+        }
+        FileLogStorage storage(disk, SmallSegments);
+        const auto again = storage.recover();
+        ASSERT_TRUE(again);
+        EXPECT_TRUE(again->hardState == hardState) << "seed " << seed;
+    }
+}
+
 TEST(FileLogStorage, damageInTheMiddleIsAnErrorAndATornTailIsNot)
 {
     FakeDisk disk(1);
