Let stand-ins restart workers elsewhere, lose answers, drop entries and run clocks slow

The fake workers end the process if a worker that lists a task as done is told to start it again, and if a run with a higher number is ordered beside an earlier one; they remember lapsed leases, match gangs by occurrence, and tell progress. The simulation loses and delays polls, refuses or drops entries, delays commits, and starts the same leader again with its proposals on their way. Lists of workers tell whether all ends are listed, and a run's progress.

No functional change of the product.

--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -28,8 +28,8 @@
     worker.identity = {id, nextBorn_++, "10.0.0.1:" + std::to_string(workers_.size() + 1), "service", "zone", {}, {}};
     worker.identity.capacity = {milliCpu, 1'000'000, 0};
     worker.identity.labels = {"kind", rack};
-    worker.clockOffset = std::chrono::milliseconds(1'000 * static_cast<std::int64_t>(workers_.size() + 1))
-        - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    worker.clockOffset =
+        std::chrono::milliseconds(1'000 * static_cast<std::int64_t>(workers_.size() + 1)) - scaled(now);
     workers_[id] = worker;
     return id;
 }
@@ -41,10 +41,16 @@
     worker.identity = old.identity;
     worker.identity.born = nextBorn_++;
     worker.cut = old.cut;
-    worker.clockOffset = -std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    worker.clockOffset = -scaled(now);
     old = worker;
 }
 
+void CalledWorkers::restartElsewhere(const std::string &id, base::TimePoint now)
+{
+    restart(id, now);
+    workers_.at(id).identity.address = "10.0.1.1:" + std::to_string(nextBorn_);
+}
+
 void CalledWorkers::crash(const std::string &id, base::TimePoint now)
 {
     ++crashes_;
@@ -69,7 +75,19 @@
 
 std::chrono::milliseconds CalledWorkers::readClock(const Worker &worker, base::TimePoint now) const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + worker.clockOffset;
+    return scaled(now) + worker.clockOffset;
+}
+
+std::chrono::milliseconds CalledWorkers::scaled(base::TimePoint now) const
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(
+        std::chrono::duration<double, std::milli>(now.time_since_epoch()).count() * options_.clockRate));
+}
+
+std::chrono::nanoseconds CalledWorkers::localTime(std::chrono::milliseconds length) const
+{
+    return std::chrono::nanoseconds(
+        static_cast<std::int64_t>(static_cast<double>(length.count()) * 1e6 / options_.clockRate));
 }
 
 std::chrono::milliseconds CalledWorkers::runTimeOf(const TaskRef &task, const Worker &worker) const
@@ -111,6 +129,12 @@
     }
     YW_INVARIANT(!acknowledgedDone_.contains(representativeOf(order.task)),
                  "a task whose end was acknowledged must not start again");
+    const bool listedHere =
+        std::any_of(worker.ended.begin(), worker.ended.end(), [&](const workflow::EndedTask &ended) {
+            return ended.outcome == RunOutcome::Done
+                && representativeOf(*workflow::parseTaskRef(ended.task)) == representativeOf(order.task);
+        });
+    YW_INVARIANT(!listedHere, "a worker that lists a task as done must not be told to start it again");
     for (const auto &[id, other] : workers_) {
         const bool isRunning = other.runs.contains(order.task);
         YW_INVARIANT(!isRunning, "a task must not run on two workers at once");
@@ -137,20 +161,23 @@
         return {OrderOutcome::TooLate, clock};
     }
     const auto length = std::min(order.leaseUntil - clock, options_.lease);
-    worker.leaseUntil = std::max(worker.leaseUntil, now + length);
+    worker.leaseUntil = std::max(worker.leaseUntil, now + localTime(length));
     const auto endedRun = worker.highestEndedRun.find(order.task);
     if (endedRun != worker.highestEndedRun.end() && order.run <= endedRun->second) {
         return {OrderOutcome::OldRun, clock};
     }
     if (const auto there = worker.runs.find(order.task); there != worker.runs.end()) {
+        YW_INVARIANT(order.run <= there->second.run, "a task must not be started again while a run of it is there");
         return {there->second.run == order.run ? OrderOutcome::Done : OrderOutcome::OldRun, clock};
     }
     const workflow::StepSpec &spec = jobs_.at(order.task.job).steps[order.task.step];
     checkStart(worker, order, spec, now);
     countStartAfterCrashes(order.task);
+    startsAfterDone_ += done_.contains(representativeOf(order.task)) ? 1 : 0;
     for (const EndId &done : doneEndsByTask_[representativeOf(order.task)]) {
         const Worker &earlier = workers_.at(std::get<0>(done));
-        if (earlier.identity.born == std::get<1>(done) && now < earlier.leaseUntil) {
+        if (earlier.identity.born == std::get<1>(done) && now < earlier.leaseUntil
+            && std::get<2>(done) >= earlier.lapsedEnds) {
             supersededEnds_.insert(done);
         }
     }
@@ -206,7 +233,7 @@
     worker.epoch = order.epoch;
     if (order.leaseUntil) {
         const auto length = std::min(*order.leaseUntil - *answer.clock, options_.lease);
-        worker.leaseUntil = std::max(worker.leaseUntil, now + length);
+        worker.leaseUntil = std::max(worker.leaseUntil, now + localTime(length));
     }
     std::erase_if(worker.ended, [&](const workflow::EndedTask &ended) {
         const bool isAcknowledged = ended.number <= order.acknowledged;
@@ -229,9 +256,12 @@
     });
     const std::size_t listed = std::min(worker.ended.size(), MaxListedEnds);
     answer.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
-    answer.isComplete = listed < MaxListedEnds;
+    answer.areAllEndsListed = listed < MaxListedEnds;
+    answer.isComplete = answer.areAllEndsListed;
     for (const auto &[task, run] : worker.runs) {
-        answer.running.push_back({toString(task), run.run, {}});
+        const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.presentSince);
+        const std::uint32_t progress = run.working && ran > std::chrono::milliseconds{10} ? 1 : 0;
+        answer.running.push_back({toString(task), run.run, {}, progress});
     }
     return answer;
 }
@@ -325,6 +355,9 @@
     startGangs(now);
     crashWorkers(now);
     for (auto &[id, worker] : workers_) {
+        if (now >= worker.leaseUntil) {
+            worker.lapsedEnds = worker.nextEnd;
+        }
         std::vector<std::pair<TaskRef, RunOutcome>> due;
         for (const auto &[task, run] : worker.runs) {
             const bool poisoned = jobs_.at(task.job).payload == Poison;
@@ -357,6 +390,7 @@
     report.worker = worker.identity;
     report.clock = readClock(worker, now);
     report.sequence = ++worker.sequence;
+    report.draining = worker.isDraining;
     return report;
 }
 
--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -18,22 +18,25 @@
 {
 
 /// Called workers in virtual time. An order that would violate a guarantee ends the process: a task would run in two
-/// places or again after its end was acknowledged, a worker would exceed its capacity or the step's limit of tasks per
-/// worker, a task that has crashed three workers would start three times more, or a step would start before the steps
-/// that it depends on are done. A resumable task that is stopped continues where it was; its checkpoint is the
-/// remaining run time in milliseconds.
+/// places, again after its end was acknowledged or on a worker that lists it as done, a worker would exceed its
+/// capacity or the step's limit of tasks per worker, a task that has crashed three workers would start three times
+/// more, or a step would start before the steps that it depends on are done. A resumable task that is stopped continues
+/// where it was; its checkpoint is the remaining run time in milliseconds.
 class CalledWorkers
 {
 public:
     struct Worker {
         workflow::WorkerIdentity identity;
         bool cut = false; ///< The network loses orders and answers.
+        bool answersLost = false; ///< The network loses answers; orders are carried out, and reports arrive.
         base::TimePoint downUntil{}; ///< After a crash: when the next incarnation answers.
         bool failsAll = false;
+        bool isDraining = false; ///< Stated in its reports.
         std::chrono::milliseconds clockOffset{0};
         std::uint64_t nextEnd = 1;
         std::uint64_t epoch = 0;
         base::TimePoint leaseUntil{};
+        std::uint64_t lapsedEnds = 0; ///< Ends below this number were not acknowledged before a lapse of the lease.
         std::uint64_t sequence = 0;
         struct Run {
             std::uint32_t run = 0;
@@ -62,6 +65,7 @@
         std::chrono::milliseconds stopTime{0}; ///< From the order to stop until the run's end.
         std::chrono::milliseconds gangTimeout{3'000};
         std::chrono::milliseconds lease{10'000};
+        double clockRate = 1; ///< Of the workers' clocks.
     };
 
     explicit CalledWorkers(Options options) : options_(std::move(options))
@@ -80,6 +84,8 @@
     }
     /// Ends the worker's process and starts a new incarnation under the same id.
     void restart(const std::string &id, base::TimePoint now);
+    /// The same, and the new incarnation has another address.
+    void restartElsewhere(const std::string &id, base::TimePoint now);
     /// Crashes the worker's process. The next incarnation answers after Options::downTime.
     void crash(const std::string &id, base::TimePoint now);
     /// Changes what the worker reports as its capacity. After it has shrunk, orders may count on the old one for
@@ -112,6 +118,11 @@
     {
         return starts_;
     }
+    /// Returns the number of runs started after a run of their task had ended as done.
+    std::uint64_t startsAfterDone() const
+    {
+        return startsAfterDone_;
+    }
     /// Returns the number of crashes of workers.
     std::uint64_t crashes() const
     {
@@ -130,6 +141,8 @@
     using EndId = std::tuple<std::string, std::int64_t, std::uint64_t>;
 
     std::chrono::milliseconds readClock(const Worker &worker, base::TimePoint now) const;
+    std::chrono::milliseconds scaled(base::TimePoint now) const;
+    std::chrono::nanoseconds localTime(std::chrono::milliseconds length) const;
     std::chrono::milliseconds runTimeOf(const workflow::TaskRef &task, const Worker &worker) const;
     void end(Worker &worker,
              const workflow::TaskRef &task,
@@ -161,6 +174,7 @@
     std::map<workflow::TaskRef, std::uint32_t> startsAfterCrashes_; ///< Starts after the third crash.
     std::uint64_t crashes_ = 0;
     std::uint64_t starts_ = 0;
+    std::uint64_t startsAfterDone_ = 0;
     std::uint64_t incompleteGangEnds_ = 0;
     std::int64_t nextBorn_ = 1;
 };
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -72,6 +72,7 @@
     /// False if a list is missing, may be cut short or has rows that can't be read: a run may be there, or have ended
     /// there, without being listed.
     bool isComplete = true;
+    bool areAllEndsListed = true; ///< False if the list of ends is missing or may be cut short.
 };
 
 /// A query to the eligibility service, sent through a gateway.
--- a/src/workflow/worker.h
+++ b/src/workflow/worker.h
@@ -56,6 +56,7 @@
     std::string task; ///< Text form of its TaskRef.
     std::uint32_t run = 0;
     std::string checkpoint;
+    std::uint32_t progressPercent = 0; ///< Of its work; 0 while a member of a gang waits for the others.
 };
 
 enum class RunOutcome : std::uint8_t {
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -3,6 +3,7 @@
 #include "fakes/called_workers.h"
 #include "workflow/job_manager.h"
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -25,6 +26,9 @@
         std::uint64_t seed = 1;
         double lostAnswerShare = 0; ///< Share of orders without an answer.
         double lateEffectShare = 0; ///< Share of unanswered orders that take effect seconds later.
+        double lostPollShare = 0; ///< Share of polls without an answer; some are carried out late.
+        std::chrono::milliseconds maxJitter{0}; ///< Answers may take up to this time longer and overtake each other.
+        std::chrono::milliseconds commitDelay{20}; ///< Longer on a slow disk.
         std::uint64_t gateways = 1; ///< Gateways to the eligibility service.
         std::chrono::milliseconds serviceTime{28}; ///< Per query, including queries that have timed out.
         std::chrono::milliseconds answerDelay{0}; ///< From the service's answer until the manager handles it.
@@ -55,12 +59,52 @@
         }
         leading_ = true;
     }
+    /// Commits an entry before all others.
+    void proposeFirst(const workflow::LogEntry &entry)
+    {
+        log_.push_front({entry, now, false});
+    }
+    /// Returns the worker of a proposed start of the job, or nothing if none is waiting to be committed.
+    std::optional<workflow::WorkerNumber> proposedWorker(workflow::JobKey job) const
+    {
+        for (const Proposal &proposal : log_) {
+            const auto *const entry = std::get_if<workflow::StartsEntry>(&proposal.entry);
+            if (entry != nullptr && entry->starts.front().task.job == job) {
+                return entry->starts.front().worker;
+            }
+        }
+        return std::nullopt;
+    }
+    /// Returns the number of entries with starts of the job that wait to be committed.
+    std::size_t proposedStarts(workflow::JobKey job) const
+    {
+        return static_cast<std::size_t>(std::count_if(log_.begin(), log_.end(), [job](const Proposal &proposal) {
+            const auto *const entry = std::get_if<workflow::StartsEntry>(&proposal.entry);
+            return entry != nullptr && entry->starts.front().task.job == job;
+        }));
+    }
     void dropProposals()
     {
         log_.clear();
     }
-    /// The same leader starts again from the committed state.
+    /// Delays the commit of what is proposed so far, and so of all later proposals.
+    void delayProposals(std::chrono::milliseconds delay)
+    {
+        for (Proposal &proposal : log_) {
+            proposal.commitAt += delay;
+        }
+    }
+    /// The same leader starts again once all entries that it has proposed are committed.
     void leadAgain()
+    {
+        if (!manager->isLeading()) {
+            return; // It is about to.
+        }
+        manager->stepDown();
+        log_.push_back({workflow::ForgetEntry{}, now + options_.commitDelay, true});
+    }
+    /// The same leader starts again although entries that it has proposed may still be committed.
+    void leadAgainAtOnce()
     {
         pendingPolls_.clear();
         manager->startLeading(state, epoch_, now, wall());
@@ -120,8 +164,16 @@
     // ManagerPort.
     bool propose(const workflow::LogEntry &entry) override
     {
+        if (refuses && refuses(entry)) {
+            return false;
+        }
+        if (drops && drops(entry)) {
+            return true;
+        }
         // Encodes and decodes the entry as on the disk.
-        log_.push_back({*workflow::decodeEntry(workflow::encodeEntry(entry)), now + CommitDelay});
+        const std::string encoded = workflow::encodeEntry(entry);
+        largestEntry = std::max(largestEntry, encoded.size());
+        log_.push_back({*workflow::decodeEntry(encoded), now + options_.commitDelay, false});
         return true;
     }
     void start(workflow::WorkerNumber worker,
@@ -163,6 +215,21 @@
         if (poll.born != identity.born) {
             poll.order.acknowledged = 0; // A new connection acknowledges nothing.
         }
+        if ((losesPoll && losesPoll(order)) || (options_.lostPollShare > 0 && chance(options_.lostPollShare))) {
+            if (options_.lateEffectShare > 0 && chance(options_.lateEffectShare)) {
+                scheduleEffect(now + std::chrono::milliseconds(2'000 + random_() % 6'000), [this, poll] {
+                    const std::string &id = poll.identity.id;
+                    if (workers.worker(id).identity.born == poll.born && reaches(poll.identity)) {
+                        workers.poll(id, poll.order, now);
+                    }
+                });
+            }
+            workflow::PollAnswer answer;
+            answer.number = order.number;
+            schedule(now + order.wait + OrderTimeout,
+                     [this, poll, answer] { manager->onPollAnswer(poll.worker, answer, now); });
+            return;
+        }
         pendingPolls_.push_back(poll);
     }
     void queryEligibility(const workflow::EligibilityQuery &query) override
@@ -199,6 +266,12 @@
     /// Whether start orders of a task get lost without an answer; none does if unset.
     std::function<bool(const workflow::TaskRef &)> losesStart;
 
+    /// Whether a poll gets lost without an answer; none does if unset.
+    std::function<bool(const workflow::PollOrder &)> losesPoll;
+
+    /// Whether the log refuses an entry; it takes all if unset.
+    std::function<bool(const workflow::LogEntry &)> refuses;
+
     /// Service time of a query; `Options::serviceTime` for all if unset.
     std::function<std::chrono::milliseconds(const workflow::EligibilityQuery &)> serviceTimeOf;
 
@@ -212,7 +285,10 @@
     fakes::CalledWorkers workers;
     std::unique_ptr<workflow::JobManager> manager;
     std::vector<std::chrono::nanoseconds> tickTimes; ///< In real time.
+    /// Whether the log takes an entry, but never commits it; it commits all if unset.
+    std::function<bool(const workflow::LogEntry &)> drops;
     std::uint64_t pollsSent = 0;
+    std::size_t largestEntry = 0; ///< Size of the largest proposed entry.
     std::uint64_t queries = 0;
     std::uint64_t expiredTickets = 0; ///< Start orders whose ticket had expired.
     std::uint64_t lateAnswers = 0; ///< Answers after the timeout of their query.
@@ -221,7 +297,6 @@
 
 private:
     static constexpr std::chrono::milliseconds Delay{2};
-    static constexpr std::chrono::milliseconds CommitDelay{20};
     static constexpr std::chrono::milliseconds OrderTimeout{700};
     static constexpr std::chrono::milliseconds ReportInterval{1'500};
 
@@ -236,6 +311,7 @@
     struct Proposal {
         workflow::LogEntry entry;
         base::TimePoint commitAt;
+        bool startsLeader = false; ///< Once it is committed.
     };
 
     // The text of a ticket is the time at which the service issued it.
@@ -251,6 +327,12 @@
     {
         return std::chrono::duration_cast<workflow::WallTime>(now.time_since_epoch());
     }
+    std::chrono::milliseconds jitter()
+    {
+        return options_.maxJitter.count() == 0 ? options_.maxJitter
+                                               : std::chrono::milliseconds(static_cast<std::int64_t>(
+                                                   random_() % static_cast<std::uint64_t>(options_.maxJitter.count())));
+    }
     bool chance(double share)
     {
         return std::uniform_real_distribution<double>(0, 1)(random_) < share;
@@ -276,8 +358,8 @@
             if (chance(options_.lateEffectShare)) {
                 const std::chrono::milliseconds delay(2'000 + random_() % 6'000);
                 // The order is delayed inside the worker and lost if that restarts.
-                scheduleEffect(now + delay, [this, id, effect, born = workers.worker(id).identity.born] {
-                    if (workers.worker(id).identity.born == born && workers.isReachable(id, now)) {
+                scheduleEffect(now + delay, [this, id, identity, effect, born = workers.worker(id).identity.born] {
+                    if (workers.worker(id).identity.born == born && reaches(identity)) {
                         effect();
                     }
                 });
@@ -285,33 +367,42 @@
             schedule(now + OrderTimeout, [done] { done(workflow::OrderAnswer{}); });
             return;
         }
-        scheduleEffect(now + Delay,
-                       [=, this, generation = generation_, sent = now, born = workers.worker(id).identity.born] {
-                           fakes::CalledWorkers::Worker &worker = workers.worker(id);
-                           if (now < worker.downUntil) {
-                               scheduleEffect(now + Delay, [this, done, generation] {
-                                   if (generation == generation_) {
-                                       done(workflow::OrderAnswer{workflow::OrderOutcome::NoAnswer, {}, false});
-                                   }
-                               });
-                               return;
-                           }
-                           // A connection to an earlier incarnation does not reach the next one.
-                           if (!workers.isReachable(id, now) || worker.identity.born != born) {
-                               scheduleEffect(sent + OrderTimeout, [this, done, generation] {
-                                   if (generation == generation_) {
-                                       done(workflow::OrderAnswer{});
-                                   }
-                               });
-                               return;
-                           }
-                           const workflow::OrderAnswer answer = effect();
-                           scheduleEffect(now + Delay, [this, done, answer, generation] {
-                               if (generation == generation_) {
-                                   done(answer);
-                               }
-                           });
-                       });
+        scheduleEffect(
+            now + Delay, [=, this, generation = generation_, sent = now, born = workers.worker(id).identity.born] {
+                fakes::CalledWorkers::Worker &worker = workers.worker(id);
+                if (now < worker.downUntil) {
+                    scheduleEffect(now + Delay, [this, done, generation] {
+                        if (generation == generation_) {
+                            done(workflow::OrderAnswer{workflow::OrderOutcome::NoAnswer, {}, false});
+                        }
+                    });
+                    return;
+                }
+                // A connection to an earlier incarnation does not reach the next one.
+                if (!reaches(identity) || worker.identity.born != born) {
+                    scheduleEffect(sent + OrderTimeout, [this, done, generation] {
+                        if (generation == generation_) {
+                            done(workflow::OrderAnswer{});
+                        }
+                    });
+                    return;
+                }
+                workflow::OrderAnswer answer = effect();
+                const bool isLost = worker.answersLost;
+                answer = isLost ? workflow::OrderAnswer{} : answer;
+                scheduleEffect(isLost ? sent + OrderTimeout : now + Delay + jitter(), [this, done, answer, generation] {
+                    if (generation == generation_) {
+                        done(answer);
+                    }
+                });
+            });
+    }
+
+    /// Returns whether an order to this identity's address gets to the worker.
+    bool reaches(const workflow::WorkerIdentity &identity)
+    {
+        return workers.isReachable(identity.id, now)
+            && workers.worker(identity.id).identity.address == identity.address;
     }
 
     void stepPolls()
@@ -324,7 +415,10 @@
             answer.number = poll.order.number;
             if (now < poll.arrivesAt) {
                 pendingPolls_.push_back(poll);
-            } else if (!workers.isReachable(poll.identity.id, now) || worker.identity.born != poll.born) {
+            } else if (!reaches(poll.identity) || worker.identity.born != poll.born || worker.answersLost) {
+                if (worker.answersLost) {
+                    workers.poll(poll.identity.id, poll.order, now);
+                }
                 if (now < poll.answerBy + OrderTimeout) {
                     pendingPolls_.push_back(poll);
                 } else {
@@ -340,7 +434,8 @@
                 if (answer.ended.empty() && now < poll.answerBy) {
                     pendingPolls_.push_back(poll);
                 } else {
-                    schedule(now + Delay, [this, poll, answer] { manager->onPollAnswer(poll.worker, answer, now); });
+                    schedule(now + Delay + jitter(),
+                             [this, poll, answer] { manager->onPollAnswer(poll.worker, answer, now); });
                 }
             }
         }
@@ -357,11 +452,14 @@
         }
         stepPolls();
         while (!log_.empty() && log_.front().commitAt <= now && leading_) {
-            const workflow::LogEntry entry = std::move(log_.front().entry);
+            const Proposal proposal = std::move(log_.front());
             log_.pop_front();
             std::vector<workflow::StateEvent> changes;
-            state.apply(entry, changes);
-            manager->onEntryApplied(entry, changes, now, wall());
+            state.apply(proposal.entry, changes);
+            manager->onEntryApplied(proposal.entry, changes, now, wall());
+            if (proposal.startsLeader) {
+                leadAgainAtOnce();
+            }
         }
         if (leading_) {
             manager->setLeaseEnd(now + std::chrono::milliseconds{500});
