Bound the checkpoints of an entry of the log

What callers could see: with one listed end whose checkpoint is larger than an entry may be, the log refuses the entry, the leader starts again from the log and proposes it anew, for ever.

Checkpoints of over 64 KiB are dropped where they are read, and entries hold 256 KiB of them; a worker lists what is left again.

--- a/src/platform/worker_answers.cpp
+++ b/src/platform/worker_answers.cpp
@@ -15,6 +15,7 @@
 using workflow::OrderOutcome;
 
 constexpr std::size_t MaxListedEnds = 500; ///< Workers list no more ends at a time.
+constexpr std::size_t MaxCheckpointBytes = std::size_t{64} * 1024; ///< The run of a longer one starts from scratch.
 
 OrderOutcome parseOutcome(int status, const Json &body)
 {
@@ -95,10 +96,20 @@
     return cell.get<Number>();
 }
 
+// A checkpoint is part of a log entry, whose size is limited.
+std::string checkpointAt(const Json &row, std::size_t position)
+{
+    std::string checkpoint = row.size() > position ? textAt(row, position) : std::string();
+    return checkpoint.size() <= MaxCheckpointBytes ? checkpoint : std::string();
+}
+
 // Columns: task, run, checkpoint, percent.
 workflow::RunningTask decodeRunning(const Json &row)
 {
-    return {textAt(row, 0), numberAt<std::uint32_t>(row, 1), row.size() > 2 ? textAt(row, 2) : std::string()};
+    return {textAt(row, 0),
+            numberAt<std::uint32_t>(row, 1),
+            checkpointAt(row, 2),
+            row.size() > 3 && row[3].is_number_unsigned() ? numberAt<std::uint32_t>(row, 3) : 0};
 }
 
 // Columns: number, task, run, outcome, checkpoint.
@@ -112,7 +123,7 @@
             textAt(row, 1),
             numberAt<std::uint32_t>(row, 2),
             *outcome,
-            row.size() > 4 ? textAt(row, 4) : std::string()};
+            checkpointAt(row, 4)};
 }
 
 std::pair<std::string, std::string> decodeEligibleWorker(const Json &row)
@@ -195,7 +206,8 @@
             const bool running = decodeRows(body, "running", worker, decodeRunning, pollAnswer.running);
             const bool ended = decodeRows(body, "ended", worker, decodeEnded, pollAnswer.ended);
             const bool isCut = arrayField(body, "ended").size() >= MaxListedEnds;
-            pollAnswer.isComplete = running && ended && !isCut && body.contains("running") && body.contains("ended");
+            pollAnswer.areAllEndsListed = !isCut && body.contains("ended");
+            pollAnswer.isComplete = running && ended && pollAnswer.areAllEndsListed && body.contains("running");
         }
         pollAnswer.outcome = outcome;
     } catch (const FormatError &error) {
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint32_t MaxStartCalls = 2;
 constexpr std::chrono::milliseconds ReportTimeout{10'000}; ///< Six missed reports.
 constexpr std::chrono::milliseconds LeaseMargin{200}; ///< For rounding and the delay of a worker's last answer.
+constexpr std::size_t MaxCheckpointBytesPerEntry = std::size_t{256} * 1024; ///< The log refuses entries of 768 KiB.
 
 } // namespace
 
@@ -252,8 +253,10 @@
     }
     WorkerGoneEntry entry;
     entry.worker = number;
+    std::size_t checkpointBytes = 0;
     for (const auto &[task, run] : worker.runs) {
-        if (!run.checkpoint.empty()) {
+        checkpointBytes += run.checkpoint.size();
+        if (!run.checkpoint.empty() && checkpointBytes <= MaxCheckpointBytesPerEntry) {
             entry.saved.push_back({task, run.checkpoint});
         }
     }
@@ -668,10 +671,15 @@
     entry.worker = number;
     entry.lastEndNumber = worker.proposedEndNumber;
     entry.at = wall_;
+    std::size_t checkpointBytes = 0;
     for (const EndedTask &ended : answer.ended) {
         if (ended.number <= worker.proposedEndNumber) {
             continue;
         }
+        checkpointBytes += ended.checkpoint.size();
+        if (checkpointBytes > MaxCheckpointBytesPerEntry && !entry.ends.empty()) {
+            break; // The worker lists the others again.
+        }
         entry.lastEndNumber = std::max(entry.lastEndNumber, ended.number);
         const auto task = parseTaskRef(ended.task);
         const JobRecord *const job = task ? state_->findJob(task->job) : nullptr;
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -195,11 +195,14 @@
 // list 500 at a time, or a list was missing.
 TEST(PlatformFormat, ListsThatMayBeCutShortAreIncomplete)
 {
-    const auto isComplete = [](const std::string &lists) {
+    const auto parse = [](const std::string &lists) {
         const std::string body = fmt::format(R"({{"clock_ms":5,"born":7{}}})", lists);
-        const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, {}, {}});
+        auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, {}, {}});
         EXPECT_EQ(answer.outcome, workflow::OrderOutcome::Done) << lists;
-        return answer.isComplete;
+        return answer;
+    };
+    const auto isComplete = [&](const std::string &lists) {
+        return parse(lists).isComplete;
     };
     const auto ends = [](int count) {
         std::string rows;
@@ -214,6 +217,39 @@
     EXPECT_FALSE(isComplete(R"(,"ended":[])"));
     EXPECT_FALSE(isComplete(R"(,"running":[])"));
     EXPECT_FALSE(isComplete(""));
+    EXPECT_TRUE(parse(fmt::format(R"(,"ended":[{}])", ends(499))).areAllEndsListed);
+    EXPECT_FALSE(parse(fmt::format(R"(,"ended":[{}])", ends(500))).areAllEndsListed);
+    EXPECT_FALSE(parse(R"(,"running":[])").areAllEndsListed);
+}
+
+// Guards against a leader that starts again from the log without end: an end with a checkpoint larger than an entry of
+// the log may be was refused each time.
+TEST(PlatformFormat, CheckpointsTooLargeForTheLogAreDropped)
+{
+    const std::string large(900'000, 'c');
+    const std::string body = fmt::format(
+        R"({{"clock_ms":5,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"{0}",41]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"stopped","{0}"]]}})",
+        large);
+    const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, {}, {}});
+    ASSERT_EQ(answer.running.size(), 1U);
+    ASSERT_EQ(answer.ended.size(), 1U);
+    EXPECT_EQ(answer.running[0].checkpoint, "");
+    EXPECT_EQ(answer.ended[0].checkpoint, "");
+}
+
+// Guards against a gang at work that counts as one that waits for its members.
+TEST(PlatformFormat, RowsOfRunningTasksTellTheirProgress)
+{
+    const auto progress = [](const std::string &row) {
+        const std::string body = fmt::format(R"({{"clock_ms":5,"born":7,"running":[{}],"ended":[]}})", row);
+        const auto answer = platform::parsePollAnswer("i-1", 1, http::ClientResponse{200, {}, body, {}, {}});
+        EXPECT_EQ(answer.running.size(), 1U) << row;
+        return answer.running.empty() ? 0 : answer.running.front().progressPercent;
+    };
+    EXPECT_EQ(progress(R"(["5c0e7a21d94b36f8.0.1.17",2,"",41,1500])"), 41U);
+    EXPECT_EQ(progress(R"(["5c0e7a21d94b36f8.0.1.17",2,"",0])"), 0U);
+    EXPECT_EQ(progress(R"(["5c0e7a21d94b36f8.0.1.17",2])"), 0U);
+    EXPECT_EQ(progress(R"(["5c0e7a21d94b36f8.0.1.17",2,"","much"])"), 0U);
 }
 
 // Guards against a worker that counts as silent, so that its tasks move, because of one odd row in its lists.
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -85,6 +85,10 @@
         simulation.workers.setCapacity("w0", {milliCpu, 1'000'000, 0}, 2s, simulation.now);
         simulation.run(2s);
     }
+    static std::string workerOf(const ManagerSimulation &simulation, const workflow::TaskRef &task)
+    {
+        return simulation.state.workers().at(simulation.state.findTask(task)->worker).identity.id;
+    }
     static ManagerSimulation::Options longRuns()
     {
         ManagerSimulation::Options options;
@@ -738,3 +742,24 @@
     simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 1, JobPhase::Completed); }, 8s));
 }
+
+// Guards against a leader that starts again from the log without end: many ends with checkpoints made an entry that the
+// log refused each time.
+TEST_F(WorkflowManager, EndsWithLargeCheckpointsAreRecordedInSeveralEntries)
+{
+    constexpr std::uint32_t Tasks = 40;
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1);
+    simulation.submit(Key, job({step(Tasks, 100)}), policy());
+    simulation.run(1s);
+    ASSERT_EQ(simulation.workers.running(), Tasks);
+    simulation.workers.worker("w0").cut = true;
+    simulation.run(6s);
+    for (workflow::EndedTask &ended : simulation.workers.worker("w0").ended) {
+        ended.checkpoint.assign(50'000, 'c');
+    }
+    simulation.workers.worker("w0").cut = false;
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_LT(simulation.largestEntry, 768U * 1024U);
+    EXPECT_EQ(simulation.workers.starts(), Tasks);
+}
