Start the job manager again only after all of its own entries

When the log refuses an entry, or a full disk ends and resumes a leadership within its term, the job manager started again from the state of the log while its earlier placements were still to be committed. It placed the same tasks again, with the same run numbers, and orderCommittedStarts compared the run but not the worker, so both orders went out; what was committed from before had no reservation.

The manager proposes an entry without effect and starts the job manager once that is committed: all earlier entries of the term are in the state then, as TermStart ensures it for a new term. orderCommittedStarts compares the worker, reserves what it did not propose, and orders nothing twice.

The random tests draw restarts now.

--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -275,8 +275,9 @@
     longestDelay_ = std::max(longestDelay_, std::chrono::steady_clock::now() - std::exchange(timerDue_, {}));
     if (restartDue_ && jobs_.isLeading() && std::chrono::steady_clock::now() >= earliestRestart_) {
         base::logWarning("entries_not_committed").with("term", status_.term);
-        startLeading();
+        jobs_.stepDown();
     }
+    resumeLeading();
     const base::TimePoint begin = base::BootClock::now();
     workerCalls_.expectWorkers(jobs_.workers().size());
     jobs_.tick(begin, wallNow());
@@ -504,9 +505,7 @@
     if (jobs_.isLeading() && (!leading || status.term != termBefore)) {
         stopLeading("no longer leader of the term");
     }
-    if (leading && startedTerm_ == status.term && !jobs_.isLeading()) {
-        startLeading();
-    }
+    resumeLeading();
     jobs_.setLeaseEnd(status.leaseEnd.value_or(base::TimePoint{}));
     if (leaderChanged || membersChanged) {
         broadcastTopology();
@@ -542,6 +541,32 @@
     return true;
 }
 
+// Starts the job manager if this replica leads. A job manager that has led in this term has proposed entries that may
+// still be committed, so the next one starts after an entry that follows all of them in the log.
+void ManagerService::resumeLeading()
+{
+    const bool leads = status_.role == coordination::Role::Leader && startedTerm_ == status_.term;
+    if (!leads || jobs_.isLeading() || isBarrierPending_) {
+        return;
+    }
+    if (ledTerm_ != status_.term) {
+        startLeading();
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now < earliestRestart_) {
+        return;
+    }
+    earliestRestart_ = now + MinRestartInterval;
+    isBarrierPending_ = proposeEntry(workflow::ForgetEntry{}, [this, term = status_.term](ProposalOutcome outcome) {
+        isBarrierPending_ = false;
+        if (outcome == ProposalOutcome::Committed && status_.role == coordination::Role::Leader && status_.term == term
+            && !jobs_.isLeading()) {
+            startLeading();
+        }
+    });
+}
+
 // The job manager would wait forever for an entry that is never committed. So it is restarted from the committed state
 // when a proposed entry fails.
 bool ManagerService::propose(const workflow::LogEntry &entry)
@@ -560,6 +585,7 @@
     }
     jobs_.setLeaseEnd(status_.leaseEnd.value_or(base::TimePoint{}));
     restartDue_ = false;
+    ledTerm_ = status_.term;
     earliestRestart_ = std::chrono::steady_clock::now() + MinRestartInterval;
     armTimer(DispatchDelay);
 }
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -102,6 +102,7 @@
     void applyEntry(const coordination::Entry &entry);
     void resolvePending(const coordination::Entry &entry);
     void updateStatus(const LogStatus &status);
+    void resumeLeading();
     void startLeading();
     void stopLeading(std::string_view reason);
     /// Reports proposed entries as neither committed nor refused.
@@ -202,6 +203,8 @@
     std::unordered_map<std::uint64_t, protocol::ChannelPtr> channels_;
     std::unordered_map<const protocol::Channel *, std::uint64_t> channelNumbers_;
     coordination::Term startedTerm_ = 0; ///< Latest term whose TermStart entry has been applied.
+    coordination::Term ledTerm_ = 0; ///< Latest term in which the job manager has led.
+    bool isBarrierPending_ = false; ///< An entry is proposed after which the job manager may lead again.
     std::chrono::steady_clock::time_point timerDue_{}; ///< Zero if `timer_` is not armed.
     std::uint64_t nextChannel_ = 1;
     boost::asio::steady_timer timer_;
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -207,31 +207,64 @@
     return run;
 }
 
+bool JobManager::isPlaced(const StartsEntry::Start &start) const
+{
+    const TaskRecord *const task = state_->findTask(start.task);
+    return task != nullptr && task->phase == TaskPhase::Placed && task->run == start.run
+        && task->worker == start.worker;
+}
+
+// The worker may have ended or shrunk between proposal and commit.
+bool JobManager::canStart(const StartsEntry::Start &start) const
+{
+    return isPlaced(start) && !workers_.at(start.worker).retired && !ledger_.isExceeded(start.worker);
+}
+
+// Returns the first members of the gangs of which a member can't start: the others would wait for it in vain.
+std::set<TaskRef> JobManager::findBrokenGangs(const StartsEntry &entry) const
+{
+    std::set<TaskRef> broken;
+    for (const StartsEntry::Start &start : entry.starts) {
+        if (isGangMember(start.task) && !canStart(start)) {
+            broken.insert(state_->findJob(start.task.job)->crashUnitOf(start.task));
+        }
+    }
+    return broken;
+}
+
 // Sends the start orders of committed placements and releases the reservations of rejected ones.
 void JobManager::orderCommittedStarts(const StartsEntry &entry, base::TimePoint now)
 {
+    const std::set<TaskRef> brokenGangs = findBrokenGangs(entry);
     for (const StartsEntry::Start &start : entry.starts) {
-        const TaskRecord *const task = state_->findTask(start.task);
-        const bool placed = task != nullptr && task->phase == TaskPhase::Placed && task->run == start.run;
         const auto reservation = reservations_.find(start.task);
-        if (!placed) {
+        if (!isPlaced(start)) {
             if (reservation != reservations_.end() && reservation->second.worker == start.worker) {
                 unreserve(start.task);
                 updateReadySteps(start.task.job);
             }
             continue;
         }
-        if (isGangMember(start.task)) {
-            gangStarts_.addMember(state_->findJob(start.task.job)->crashUnitOf(start.task), start.run, start.task, now);
-        }
         WorkerView &worker = workers_.at(start.worker);
+        if (findRun(start.worker, start.task, start.run) != nullptr) {
+            continue; // Placed by an earlier entry.
+        }
         LiveRun &run = worker.runs[start.task] = makeRun(start.task, start.run);
-        run.ticket = reservation == reservations_.end() ? std::string() : reservation->second.ticket;
-        // The worker may have ended or shrunk between proposal and commit.
-        if (worker.retired || ledger_.isExceeded(start.worker)) {
+        if (reservation == reservations_.end() || reservation->second.worker != start.worker) {
+            // Proposed before this leader started again from the log.
+            unreserve(start.task);
+            adoptReservation(start.task, start.worker, run.reserved);
+        } else {
+            run.ticket = reservation->second.ticket;
+        }
+        const TaskRef gang = state_->findJob(start.task.job)->crashUnitOf(start.task);
+        if (!canStart(start) || brokenGangs.contains(gang)) {
             proposeNotStarted(start.task, run); // No start order has been or will be sent.
             continue;
         }
+        if (isGangMember(start.task)) {
+            gangStarts_.addMember(gang, start.run, start.task, now);
+        }
         sendStart(start.worker, worker, start.task, run, now);
         reviewPolls(start.worker, worker, now);
         updateReadySteps(start.task.job);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -161,6 +161,10 @@
     void handleEvent(const StateEvent &event, base::TimePoint now);
     LiveRun makeRun(const TaskRef &task, std::uint32_t number) const;
     void orderCommittedStarts(const StartsEntry &entry, base::TimePoint now);
+    bool isPlaced(const StartsEntry::Start &start) const;
+    bool canStart(const StartsEntry::Start &start) const;
+    std::set<TaskRef> findBrokenGangs(const StartsEntry &entry) const;
+    void adoptGangs(JobKey key, const JobRecord &job, base::TimePoint now);
     void updateReadySteps(JobKey key);
     void stopJob(JobKey key, base::TimePoint now);
     void stopStep(JobKey key, std::size_t position, base::TimePoint now);
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -461,8 +461,27 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, 1, JobPhase::Completed); }, 5s));
 }
 
-// Injects lost and delayed orders, restarts and disconnections of workers, and changes of leader. The fake workers
-// assert that no task runs twice, no worker exceeds its capacity and steps run in order. All jobs must end.
+// Guards against a task that runs in two places: a leader that had started again from the log placed it once more while
+// its first placement was still to be committed, and sent both orders, which had the same run number.
+TEST_F(WorkflowManager, PlacementsFromBeforeARestartFromTheLogAreStartedOnce)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.proposedWorker(Key).has_value(); }, 1s));
+    const std::string first = simulation.state.workers().at(*simulation.proposedWorker(Key)).identity.id;
+    simulation.delayProposals(300ms);
+    simulation.leadAgainAtOnce();
+    simulation.workers.worker(first).cut = true;
+    simulation.run(250ms);
+    simulation.workers.worker(first).cut = false;
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 20s));
+    EXPECT_EQ(simulation.workers.starts(), 1U);
+}
+
+// Injects lost and delayed orders, restarts and disconnections of workers, changes of leader, and leaders that start
+// again from the log while their proposals are on their way. The fake workers assert that no task runs twice, no worker
+// exceeds its capacity and steps run in order. All jobs must end.
 RC_GTEST_PROP(WorkflowManagerRandom, KeepsItsGuaranteesUnderFaults, ())
 {
     ManagerSimulation::Options options;
@@ -470,8 +489,9 @@
     options.lostAnswerShare = 0.05;
     options.lateEffectShare = 0.5;
     options.workers.runTime = 700ms;
-    ManagerSimulation simulation(options);
     std::mt19937_64 random(options.seed);
+    options.commitDelay = std::chrono::milliseconds(20 + random() % 200);
+    ManagerSimulation simulation(options);
     for (int number = 0; number < 5; ++number) {
         simulation.workers.add(
             "w" + std::to_string(number), 16'000, "rack" + std::to_string(number % 2), simulation.now);
@@ -505,6 +525,9 @@
         case 3:
             simulation.cancel(1 + random() % key);
             break;
+        case 4:
+            simulation.leadAgain();
+            break;
         default:
             break;
         }
@@ -763,3 +786,70 @@
     EXPECT_LT(simulation.largestEntry, 768U * 1024U);
     EXPECT_EQ(simulation.workers.starts(), Tasks);
 }
+
+// A leader that starts again from the log proposes a start once more, to the same worker: the second entry changes
+// nothing, but its run was begun anew, as if no order had gone out.
+TEST_F(WorkflowManager, StartThatIsProposedTwiceIsStoppedWithItsJob)
+{
+    int tried = 0;
+    for (int offset = 0; offset < 50; offset += 2) {
+        ManagerSimulation::Options options = longRuns();
+        options.commitDelay = 60ms;
+        ManagerSimulation simulation(options);
+        addWorkers(simulation, 1);
+        simulation.run(std::chrono::milliseconds(offset));
+        simulation.submit(Key, job({step(1, 1'000)}), policy());
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.proposedStarts(Key) == 1; }, 1s));
+        simulation.leadAgainAtOnce();
+        if (!simulation.runUntil([&] { return simulation.proposedStarts(Key) == 2; }, 58ms)) {
+            continue;
+        }
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 100ms));
+        if (simulation.proposedStarts(Key) != 1) {
+            continue;
+        }
+        ++tried;
+        simulation.proposeFirst(workflow::CancelEntry{
+            Key, std::chrono::duration_cast<workflow::WallTime>(simulation.now.time_since_epoch())});
+        simulation.workers.worker("w0").cut = true;
+        simulation.runUntil([&] { return simulation.proposedStarts(Key) == 0; }, 100ms);
+        simulation.workers.worker("w0").cut = false;
+        EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 0; }, 3s)) << offset;
+        EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Cancelled); }, 3s)) << offset;
+    }
+    EXPECT_GT(tried, 0);
+}
+
+// The same: the refusal of the second order doesn't prove that the first one had no effect.
+TEST_F(WorkflowManager, StartThatIsProposedTwiceIsNotReleasedWhileItsFirstOrderIsOpen)
+{
+    int tried = 0;
+    for (int offset = 0; offset < 50; offset += 2) {
+        ManagerSimulation::Options options = longRuns();
+        options.commitDelay = 60ms;
+        ManagerSimulation simulation(options);
+        addWorkers(simulation, 1);
+        simulation.run(std::chrono::milliseconds(offset));
+        simulation.submit(Key, job({step(1, 1'000)}), policy());
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.proposedStarts(Key) == 1; }, 1s));
+        simulation.leadAgainAtOnce();
+        if (!simulation.runUntil([&] { return simulation.proposedStarts(Key) == 2; }, 58ms)) {
+            continue;
+        }
+        ++tried;
+        int orders = 0;
+        simulation.losesStart = [&](const workflow::TaskRef &) {
+            ++orders;
+            return true;
+        };
+        const workflow::TaskRef task{Key, 0, 0, 0};
+        simulation.runUntil([&] { return simulation.proposedStarts(Key) == 0; }, 100ms);
+        ASSERT_EQ(simulation.state.findTask(task)->run, 1U);
+        EXPECT_EQ(orders, 1) << offset;
+        simulation.manager->onStartAnswer(
+            1, task, 1, {workflow::OrderOutcome::Unhealthy, std::nullopt, true, {}}, simulation.now);
+        simulation.run(100ms);
+        EXPECT_TRUE(simulation.state.findTask(task)->phase == workflow::TaskPhase::Placed || orders == 1) << offset;
+    }
+    EXPECT_GT(tried, 0);
+}
