Record ends only in the order in which the worker listed them

What callers saw: a task that had ended as done, and whose end was acknowledged, was started again (TWICE). The log may refuse an entry after it has taken it from the leader (a full disk, too much that isn't committed). If that was an entry with ends and a later one of the same worker was committed, its last number covered the lost ends: they were acknowledged, the worker forgot them, the runs were not listed any more and counted as never started. The lease was valid all the while.

Each entry names the number that it follows, and counts only if all ends up to it are recorded.

--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -670,6 +670,7 @@
     EndsEntry entry;
     entry.worker = number;
     entry.lastEndNumber = worker.proposedEndNumber;
+    entry.previousEndNumber = worker.proposedEndNumber;
     entry.at = wall_;
     std::size_t checkpointBytes = 0;
     for (const EndedTask &ended : answer.ended) {
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -101,8 +101,10 @@
     WallTime at{0};
     /// Runs that may have been there when the worker crashed. They stay placed: their release is recorded separately.
     std::vector<RunRef> crashed;
+    /// The entry counts only if all ends up to this number are recorded: an earlier entry may have been refused.
+    std::uint64_t previousEndNumber = 0;
 
-    MSGPACK_DEFINE(worker, lastEndNumber, ends, at, crashed)
+    MSGPACK_DEFINE(worker, lastEndNumber, ends, at, crashed, previousEndNumber)
 };
 
 /// Deletes the records of jobs that ended long ago.
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -195,7 +195,7 @@
 void State::applyBody(const EndsEntry &entry, std::vector<StateEvent> &events)
 {
     const auto worker = workers_.find(entry.worker);
-    if (worker == workers_.end()) {
+    if (worker == workers_.end() || worker->second.lastEndNumber < entry.previousEndNumber) {
         return;
     }
     worker->second.lastEndNumber = std::max(worker->second.lastEndNumber, entry.lastEndNumber);
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -787,6 +787,36 @@
     EXPECT_EQ(simulation.workers.starts(), Tasks);
 }
 
+// Guards against a task that is started again after its end was acknowledged: the log had refused the entry with that
+// end, and the next entry of the same worker covered its number.
+TEST_F(WorkflowManager, EndsOfARefusedEntryAreNotAcknowledged)
+{
+    ManagerSimulation::Options options;
+    options.workers.runTimeOf = [](const workflow::TaskRef &task, const std::string &) {
+        return task.index == 0 ? 400ms : 650ms;
+    };
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 1);
+    // The worker is polled often while it isn't known whether a run is there.
+    simulation.loseRows = true;
+    simulation.losesStart = [](const workflow::TaskRef &task) {
+        return task.job == Key + 1;
+    };
+    simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
+    simulation.run(1'600ms);
+    int dropped = 0;
+    simulation.drops = [&](const workflow::LogEntry &entry) {
+        return std::holds_alternative<workflow::EndsEntry>(entry) && dropped++ == 0;
+    };
+    simulation.submit(Key, job({step(2, 1'000)}), policy());
+    simulation.run(2s);
+    ASSERT_GT(dropped, 1);
+    simulation.loseRows = false;
+    simulation.leadAgain();
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 20s));
+    EXPECT_EQ(simulation.workers.starts(), 2U);
+}
+
 // A leader that starts again from the log proposes a start once more, to the same worker: the second entry changes
 // nothing, but its run was begun anew, as if no order had gone out.
 TEST_F(WorkflowManager, StartThatIsProposedTwiceIsStoppedWithItsJob)
