Take over the gangs of an earlier leader, and start none in part

What callers saw: members of a gang that wait until they give up (GANG). A new leader had nobody who watched gangs that its predecessor had placed; a placement that was rejected in part was ordered for the rest, and those alone counted as the whole gang.

A new leader stops gangs that are not placed as a whole, and watches the others until all members are confirmed or one tells of progress.

NewLeaderStopsAGangThatIsNotWhole and GangThatIsPlacedInPartIsNotStarted failed before with members that gave up; NewLeaderLetsAGangAtWorkGoOn guards against stopping too much.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -51,6 +51,8 @@
         updateReadySteps(key);
         if (job.hasEnded()) {
             stopJob(key, now);
+        } else {
+            adoptGangs(key, job, now);
         }
     }
     base::logInfo("leading")
@@ -315,6 +317,26 @@
     }
 }
 
+// An earlier leader may have been lost while it was starting or stopping a gang. One that isn't placed as a whole will
+// never be; of the others it isn't known yet whether all members are there.
+void JobManager::adoptGangs(JobKey key, const JobRecord &job, base::TimePoint now)
+{
+    for (std::size_t position = 0; position < job.steps.size(); ++position) {
+        const StepRecord &step = job.steps[position];
+        if (!job.specOf(position).gang || step.placed == 0) {
+            continue;
+        }
+        if (step.placed < step.tasks.size()) {
+            stopStep(key, position, now);
+            continue;
+        }
+        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+            const TaskRef member = job.refOf(key, position, index);
+            gangStarts_.addMember(job.crashUnitOf(member), step.tasks[index].run, member, now);
+        }
+    }
+}
+
 // Members that are there wait for the others and do no work. One whose worker doesn't answer may keep them waiting
 // until they give up, so they are stopped as soon as it is clear that the run will hardly become whole in time.
 void JobManager::stopIncompleteGangs(base::TimePoint now)
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -796,6 +796,9 @@
         if (!running.checkpoint.empty()) {
             run->checkpoint = running.checkpoint;
         }
+        if (running.progressPercent > 0 && isGangMember(*task)) {
+            gangStarts_.remove(state_->findJob(task->job)->crashUnitOf(*task), running.run); // It is whole.
+        }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
             run->isTimed = run->stage == LiveRun::Stage::Starting;
             confirmStart(*task, *run, std::nullopt, now);
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -853,6 +853,61 @@
     }
 }
 
+// Guards against members of a gang that wait until they give up: its placement was rejected in part, since a worker was
+// removed before it was committed.
+TEST_F(WorkflowManager, GangThatIsPlacedInPartIsNotStarted)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    simulation.run(21ms);
+    simulation.proposeFirst(workflow::WorkerGoneEntry{1, {}});
+    simulation.workers.worker("w0").cut = true;
+    simulation.run(8s);
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+    simulation.workers.add("w2", 16'000, "rack0", simulation.now);
+    simulation.loseLeader();
+    simulation.lead();
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 5s));
+}
+
+// Guards against the same after a change of leader: the next one didn't know that a member had never started.
+TEST_F(WorkflowManager, NewLeaderStopsAGangThatIsNotWhole)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 4);
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        if (task.index == 0) {
+            simulation.workers.worker(workerOf(simulation, task)).cut = true;
+        }
+        return task.index == 0;
+    };
+    simulation.submit(Key, job({gang(3, 10'000)}), policy());
+    simulation.run(150ms);
+    ASSERT_EQ(simulation.workers.running(), 2U);
+    simulation.losesStart = {};
+    simulation.loseLeader();
+    simulation.run(100ms);
+    simulation.lead();
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 20s));
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against a gang at work that a new leader stops, since one of its workers doesn't answer.
+TEST_F(WorkflowManager, NewLeaderLetsAGangAtWorkGoOn)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 3);
+    simulation.submit(Key, job({gang(3, 10'000)}), policy());
+    simulation.run(500ms);
+    simulation.workers.worker("w0").cut = true;
+    simulation.loseLeader();
+    simulation.run(100ms);
+    simulation.lead();
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_EQ(simulation.workers.starts(), 3U);
+}
+
 // Guards against a leader that starts again from the log without end: many ends with checkpoints made an entry that the
 // log refused each time.
 TEST_F(WorkflowManager, EndsWithLargeCheckpointsAreRecordedInSeveralEntries)
