Ask the worker which incarnation it is when an answer seems odd

What callers saw: a sound worker was taken for replaced, its runs were stopped and counted as crashes. An answer to a start whose clock reading was more than a second off counted as proof of another incarnation; a report or an answer that was handled late looks the same.

The run becomes uncertain, and the next list names the incarnation. LateAnswerToAStartReplacesNoWorker failed before.

--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -544,7 +544,11 @@
     run->callInFlight = false;
     if (answer.outcome == OrderOutcome::Done) {
         if (answer.clock && !worker.retired && !worker.lease.isPlausible(*answer.clock, now)) {
-            retireWorker(number, worker, now);
+            // Of another incarnation, or handled late: the next list names the incarnation.
+            run->stage = LiveRun::Stage::Uncertain;
+            run->startUnanswered = true;
+            run->mayHaveStarted = true;
+            reviewPolls(number, worker, now);
             return;
         }
         recordAnswer(worker, answer.clock, now);
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -959,6 +959,29 @@
     EXPECT_EQ(simulation.workers.starts(), 2U);
 }
 
+// Guards against a sound worker that is taken for another incarnation, because an answer of it was handled late.
+TEST_F(WorkflowManager, LateAnswerToAStartReplacesNoWorker)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 1);
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    simulation.run(1s);
+    const auto clock = simulation.workers.report("w0", simulation.now).clock;
+    simulation.losesStart = [](const workflow::TaskRef &) {
+        return true;
+    };
+    simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
+    simulation.run(100ms);
+    const workflow::TaskRef task{Key + 1, 0, 0, 0};
+    ASSERT_NE(simulation.state.findTask(task), nullptr);
+    simulation.manager->onStartAnswer(1, task, 1, {workflow::OrderOutcome::Done, clock - 2s, true, {}}, simulation.now);
+    simulation.losesStart = {};
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 1, JobPhase::Completed); }, 10s));
+    EXPECT_EQ(simulation.workers.starts(), 2U);
+    EXPECT_EQ(simulation.state.workers().begin()->first, 1U);
+}
+
 // A worker whose removal the log refused at first may return as any other.
 TEST_F(WorkflowManager, EndsOfAWorkerWhoseRemovalWasRefusedAtFirstSettleTheirTasks)
 {
