Give up replaced workers that can't be reached

A worker restarted at another address; the stops of its earlier runs went to the old one for ever, as a replaced worker was never given up. The same if the next incarnation was lost right after its first report.

At another address no order in flight can reach the next incarnation, so the earlier one is gone at once. At the same address a replaced worker is given up like a silent one, when the lease that its successor may hold is over.

--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -74,11 +74,13 @@
         }
         if (sameId && report.worker.born == worker.identity.born) {
             known = true;
-        } else if (!worker.retired) {
-            retireWorker(number, worker, now);
-            known = known || sameId;
         } else {
+            retireWorker(number, worker, now);
             known = known || sameId;
+            // Orders in flight go to the earlier address, so none can reach the new incarnation.
+            if (sameId && worker.identity.address != report.worker.address && !worker.goneProposed) {
+                proposeGone(number, worker, "moved");
+            }
         }
     }
     return !known;
@@ -225,6 +227,8 @@
     }
     base::logInfo("worker_replaced").with("worker", worker.identity.id).with("number", number);
     noteCrash(number, worker);
+    // The next incarnation may have carried out orders in flight and hold a lease from then on.
+    worker.lease.assumeHeldUntil(now + maxLocalTime(limits_.workerLease));
     worker.pendingPolls.clear();
     for (auto &[task, run] : worker.runs) {
         if (run.stage != LiveRun::Stage::ReleaseProposed && run.stage != LiveRun::Stage::EndProposed) {
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -982,6 +982,32 @@
     EXPECT_EQ(simulation.state.workers().begin()->first, 1U);
 }
 
+// Guards against a job that stays running with nothing running: its worker has started again at another address, and
+// the stop of the earlier run was sent to the old one for ever.
+TEST_F(WorkflowManager, TasksOfAWorkerThatRestartsAtAnotherAddressAreStartedAgain)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    simulation.run(500ms);
+    simulation.workers.restartElsewhere(workerOf(simulation, {Key, 0, 0, 0}), simulation.now);
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
+}
+
+// The same for one whose next incarnation reports once and is lost.
+TEST_F(WorkflowManager, TasksOfAWorkerWhoseNextIncarnationIsLostAreStartedAgain)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    simulation.run(500ms);
+    const std::string id = workerOf(simulation, {Key, 0, 0, 0});
+    simulation.workers.restart(id, simulation.now);
+    simulation.manager->onReport(simulation.workers.report(id, simulation.now), simulation.now);
+    simulation.workers.worker(id).cut = true;
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 25s));
+}
+
 // A worker whose removal the log refused at first may return as any other.
 TEST_F(WorkflowManager, EndsOfAWorkerWhoseRemovalWasRefusedAtFirstSettleTheirTasks)
 {
