Propose a refused release again, whatever call is in flight

What callers could see: a run that stays placed, and a gang that waits, until the next leader. The log refused the release of a run while a second stop was on its way; the answer to that stop was ignored, and the run counted as having a call in flight for ever.

Found by the random test with entries that are refused (KeepsItsGuaranteesWhenWorkersReturnWithSlowClocks), whose case passes now.

--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -497,6 +497,7 @@
 void JobManager::proposeNotStarted(const TaskRef &task, LiveRun &run)
 {
     run.stage = LiveRun::Stage::ReleaseProposed;
+    run.callInFlight = false; // The answer to a call in flight is ignored now.
     port_.propose(NotStartedEntry{{{task, run.run}}});
 }
 
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -1008,6 +1008,70 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 25s));
 }
 
+// Draws what makes a worker's knowledge and a leader's differ, on workers that are nearly full, so that tasks wait when
+// a worker returns: workers silent for about as long as their lease, one way or both, leaders lost or started again
+// from the log meanwhile, with proposals on their way, orders carried out late, ends not acknowledged yet.
+RC_GTEST_PROP(WorkflowManagerRandom, KeepsItsGuaranteesWhenWorkersReturn, ())
+{
+    ManagerSimulation::Options options;
+    options.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+    options.lostAnswerShare = 0.03;
+    options.lateEffectShare = 0.5;
+    options.workers.stopTime = 200ms;
+    std::mt19937_64 random(options.seed);
+    options.commitDelay = std::chrono::milliseconds(20 + random() % 200);
+    options.workers.runTimeOf = [](const workflow::TaskRef &task, const std::string &) {
+        return std::chrono::milliseconds(300 + 400 * (task.job % 7));
+    };
+    ManagerSimulation simulation(options);
+    for (int number = 0; number < 3; ++number) {
+        simulation.workers.add(
+            "w" + std::to_string(number), 12'000, "rack" + std::to_string(number % 2), simulation.now);
+    }
+    simulation.lead();
+    workflow::JobKey key = 0;
+    const auto submit = [&] {
+        workflow::StepSpec first = random() % 3 == 0 ? gang(2 + random() % 3, 4'000) : step(1 + random() % 5, 3'000);
+        first.checkpointing = random() % 2 == 0;
+        simulation.submit(++key, job({first}), policy());
+    };
+    for (int round = 0; round < 8; ++round) {
+        for (int count = 0; count < 3; ++count) {
+            submit();
+            simulation.run(std::chrono::milliseconds(random() % 300));
+        }
+        fakes::CalledWorkers::Worker &worker = simulation.workers.worker("w" + std::to_string(random() % 3));
+        (random() % 3 == 0 ? worker.answersLost : worker.cut) = true;
+        const std::chrono::milliseconds silence(8'000 + random() % 6'000);
+        const std::chrono::milliseconds untilLoss(random() % 14'000);
+        simulation.run(std::min(silence, untilLoss));
+        switch (random() % 4) {
+        case 0:
+        case 1:
+            simulation.loseLeader();
+            simulation.run(std::chrono::milliseconds(random() % 1'500));
+            simulation.lead();
+            break;
+        case 2:
+            simulation.leadAgain();
+            break;
+        default:
+            break;
+        }
+        submit();
+        simulation.run(silence - std::min(silence, untilLoss));
+        worker.cut = false;
+        worker.answersLost = false;
+        simulation.run(std::chrono::milliseconds(random() % 2'000));
+    }
+    const auto allEnded = [&] {
+        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
+            return item.second.hasEnded() && item.second.placed == 0;
+        });
+    };
+    RC_ASSERT(simulation.runUntil(allEnded, 90s));
+}
+
 // A worker whose removal the log refused at first may return as any other.
 TEST_F(WorkflowManager, EndsOfAWorkerWhoseRemovalWasRefusedAtFirstSettleTheirTasks)
 {
@@ -1181,6 +1245,78 @@
     EXPECT_NE(state.findJob(Key)->phase, JobPhase::Failed);
 }
 
+// The same with clocks as slow as they may be, and with polls that are carried out late or whose answers overtake each
+// other.
+RC_GTEST_PROP(WorkflowManagerRandom, KeepsItsGuaranteesWhenWorkersReturnWithSlowClocks, ())
+{
+    ManagerSimulation::Options options;
+    options.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+    options.lostAnswerShare = 0.03;
+    options.lateEffectShare = 0.5;
+    options.workers.stopTime = 200ms;
+    options.workers.clockRate = 0.98;
+    options.lostPollShare = 0.02;
+    options.maxJitter = 40ms;
+    options.commitDelay = std::chrono::milliseconds(10 + options.seed % 80);
+    std::mt19937_64 random(options.seed);
+    options.workers.runTimeOf = [](const workflow::TaskRef &task, const std::string &) {
+        return std::chrono::milliseconds(300 + 400 * (task.job % 7));
+    };
+    ManagerSimulation simulation(options);
+    for (int number = 0; number < 3; ++number) {
+        simulation.workers.add(
+            "w" + std::to_string(number), 12'000, "rack" + std::to_string(number % 2), simulation.now);
+    }
+    simulation.refuses = [&](const workflow::LogEntry &) {
+        return random() % 20 == 0;
+    };
+    simulation.lead();
+    workflow::JobKey key = 0;
+    const auto submit = [&] {
+        if (random() % 4 == 0) {
+            simulation.leadAgain();
+        }
+        workflow::StepSpec first = random() % 3 == 0 ? gang(2 + random() % 3, 4'000) : step(1 + random() % 5, 3'000);
+        first.checkpointing = random() % 2 == 0;
+        first.maxPerWorker = !first.gang && first.count <= 3 && random() % 3 == 0 ? 1 : 0;
+        const auto refuses = std::exchange(simulation.refuses, {});
+        simulation.submit(++key, job({first}), policy());
+        simulation.refuses = refuses;
+    };
+    for (int round = 0; round < 8; ++round) {
+        for (int count = 0; count < 3; ++count) {
+            submit();
+            simulation.run(std::chrono::milliseconds(random() % 300));
+        }
+        fakes::CalledWorkers::Worker &worker = simulation.workers.worker("w" + std::to_string(random() % 3));
+        (random() % 3 == 0 ? worker.answersLost : worker.cut) = true;
+        const std::chrono::milliseconds silence(8'000 + random() % 6'000);
+        const std::chrono::milliseconds untilLoss(random() % 14'000);
+        simulation.run(std::min(silence, untilLoss));
+        if (random() % 2 == 0) {
+            simulation.loseLeader();
+            simulation.run(std::chrono::milliseconds(random() % 1'500));
+            simulation.lead();
+        }
+        submit();
+        simulation.run(silence - std::min(silence, untilLoss));
+        worker.cut = false;
+        worker.answersLost = false;
+        if (random() % 4 == 0) {
+            const std::string id = "w" + std::to_string(random() % 3);
+            random() % 2 == 0 ? simulation.workers.restart(id, simulation.now)
+                              : simulation.workers.restartElsewhere(id, simulation.now);
+        }
+        simulation.run(std::chrono::milliseconds(random() % 2'000));
+    }
+    const auto allEnded = [&] {
+        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
+            return item.second.hasEnded() && item.second.placed == 0;
+        });
+    };
+    RC_ASSERT(simulation.runUntil(allEnded, 90s));
+}
+
 // Guards against a sound worker that is never used again: the long poll of its last run got lost, while short ones told
 // all there was to tell, and nothing was left to ask it.
 TEST_F(WorkflowManager, IdleWorkerWhoseLastPollGotLostIsUsedAgain)
