--- a/fakes/fake_cluster.cpp
+++ b/fakes/fake_cluster.cpp
@@ -56,6 +56,8 @@
     settings.log.self = ReplicaId{number, nextGeneration_++};
     settings.log.seed = options_.seed * 1000 + nextGeneration_;
     settings.log.retainedBytes = options_.retainedBytes;
+    settings.log.electionTimeout = options_.electionTimeout;
+    settings.log.electionJitter = options_.electionJitter;
     settings.log.snapshotChunkBytes = 300;
     settings.log.snapshotWindowBytes = 900;
     settings.log.maxInFlightBytes = 2000;
--- a/fakes/fake_cluster.h
+++ b/fakes/fake_cluster.h
@@ -30,6 +30,8 @@
         std::size_t retainedBytes = 500;
         std::size_t segmentBytes = 1500;
         std::chrono::milliseconds snapshotDelay{0}; ///< From the application's state until its snapshot is saved.
+        std::chrono::milliseconds electionTimeout{1'000};
+        std::chrono::milliseconds electionJitter{1'000};
         std::uint32_t spares = 0; ///< Additional nodes with empty disks. If not 0, any node may join.
     };
     using Value = std::uint64_t;
--- a/tests/coordination_log_test.cpp
+++ b/tests/coordination_log_test.cpp
@@ -731,3 +731,30 @@
     }
     EXPECT_GT(handovers, 0);
 }
+
+// Guards against a configuration that nobody answers for after all replicas have lost their power: several of them
+// start elections at about the same time, and when messages are slow, as on busy managers, none of them gets its votes
+// before the next one starts. The timeouts are those of the managers; 4 s is the time in which the others have to know
+// again.
+TEST(ReplicatedLog, aLeaderIsElectedInTimeAfterTheLossOfAllPowerWhileMessagesAreSlow)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        FakeCluster::Options options{5, seed};
+        options.spares = 1;
+        options.electionTimeout = 700ms;
+        options.electionJitter = 500ms;
+        FakeCluster cluster(options);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 5s));
+        cluster.run(1s);
+        for (std::uint32_t node = 1; node <= 5; ++node) {
+            cluster.losePower(node);
+        }
+        cluster.network().setFaults({0, 0, 150ms, 300ms});
+        cluster.run(900ms);
+        for (std::uint32_t node = 1; node <= 5; ++node) {
+            cluster.start(node);
+            cluster.run(60ms);
+        }
+        EXPECT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, 4s)) << "seed " << seed;
+    }
+}
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -893,6 +893,26 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against a gang that counts as whole although a member was lost again before the last one was there.
+TEST_F(WorkflowManager, GangThatLosesAMemberBeforeTheLastOneStartsIsStoppedBeforeItsMembersGiveUp)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 3);
+    std::string lost;
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        return task.index == 1 && lost.empty();
+    };
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 1s));
+    simulation.run(100ms);
+    const workflow::TaskRecord &first = *simulation.state.findTask({Key, 0, 0, 0});
+    lost = simulation.state.workers().at(first.worker).identity.id;
+    simulation.workers.crash(lost, simulation.now);
+    simulation.workers.worker(lost).cut = true;
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 30s));
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
 // Guards against a gang at work that a new leader stops, since one of its workers doesn't answer.
 TEST_F(WorkflowManager, NewLeaderLetsAGangAtWorkGoOn)
 {
