--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -55,6 +55,13 @@
     return result;
 }
 
+bool haveAllJobsEnded(const ManagerSimulation &simulation)
+{
+    const auto &jobs = simulation.state.jobs();
+    return std::all_of(
+        jobs.begin(), jobs.end(), [](const auto &item) { return item.second.hasEnded() && item.second.placed == 0; });
+}
+
 class WorkflowManager : public testing::Test
 {
 protected:
@@ -538,12 +545,7 @@
     for (const std::string &id : simulation.ids()) {
         simulation.workers.worker(id).cut = false;
     }
-    const auto allEnded = [&] {
-        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
-            return item.second.hasEnded() && item.second.placed == 0;
-        });
-    };
-    RC_ASSERT(simulation.runUntil(allEnded, 60s));
+    RC_ASSERT(simulation.runUntil([&] { return haveAllJobsEnded(simulation); }, 60s));
 }
 
 // Guards against a worker that is overfilled because its capacity has shrunk since it joined.
@@ -663,12 +665,7 @@
     for (std::size_t worker = 0; worker < Workers; ++worker) {
         setCapacity(worker, {16'000, 1'000'000, 0});
     }
-    const auto allEnded = [&] {
-        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
-            return item.second.hasEnded() && item.second.placed == 0;
-        });
-    };
-    RC_ASSERT(simulation.runUntil(allEnded, 60s));
+    RC_ASSERT(simulation.runUntil([&] { return haveAllJobsEnded(simulation); }, 60s));
 }
 
 // Guards against a run that is started again elsewhere because the row that lists it could not be read.
@@ -1084,12 +1081,7 @@
         worker.answersLost = false;
         simulation.run(std::chrono::milliseconds(random() % 2'000));
     }
-    const auto allEnded = [&] {
-        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
-            return item.second.hasEnded() && item.second.placed == 0;
-        });
-    };
-    RC_ASSERT(simulation.runUntil(allEnded, 90s));
+    RC_ASSERT(simulation.runUntil([&] { return haveAllJobsEnded(simulation); }, 90s));
 }
 
 // A worker whose removal the log refused at first may return as any other.
@@ -1329,12 +1321,7 @@
         }
         simulation.run(std::chrono::milliseconds(random() % 2'000));
     }
-    const auto allEnded = [&] {
-        return std::all_of(simulation.state.jobs().begin(), simulation.state.jobs().end(), [](const auto &item) {
-            return item.second.hasEnded() && item.second.placed == 0;
-        });
-    };
-    RC_ASSERT(simulation.runUntil(allEnded, 90s));
+    RC_ASSERT(simulation.runUntil([&] { return haveAllJobsEnded(simulation); }, 90s));
 }
 
 // Guards against a sound worker that is never used again: the long poll of its last run got lost, while short ones told
