--- a/src/programs/yw_manager/log_thread.cpp
+++ b/src/programs/yw_manager/log_thread.cpp
@@ -107,10 +107,10 @@
 }
 
 // With a full disk the replica neither leads nor follows, whatever its role was.
-LogStatus LogThread::status() const
+workflow::LogStatus LogThread::status() const
 {
     const coordination::ReplicatedLog &log = log_.replica->log();
-    LogStatus status{log.role(), log.term(), log.leader(), log.leaseEnd(), {}};
+    workflow::LogStatus status{log.role(), log.term(), log.leader(), log.leaseEnd(), {}};
     if (log_.replica->isDiskFull()) {
         status.role = coordination::Role::Follower;
         status.leader = {};
@@ -133,24 +133,28 @@
         }
         diskFullLog_.update(log_.replica->isDiskFull());
         more = result->hasMore;
-        LogOutput output;
+        LogThreadOutput published;
+        published.messages = std::move(result->messages);
+        workflow::LogOutput &output = published.log;
         output.results = std::exchange(results_, {});
-        output.messages = std::move(result->messages);
         output.snapshot = std::move(result->snapshot);
         output.committed = std::move(result->committed);
         output.status = status();
         if (log_.replica->isSnapshotDue() && !output.committed.empty() && !requestedState_.valid()) {
             requestedIndex_ = output.committed.back().index;
-            output.stateRequest = std::make_shared<std::promise<std::string>>();
-            requestedState_ = output.stateRequest->get_future();
+            const auto state = std::make_shared<std::promise<std::string>>();
+            requestedState_ = state->get_future();
+            output.takeState = [state](std::string bytes) {
+                state->set_value(std::move(bytes));
+            };
         }
-        const bool changed = !output.results.empty() || !output.messages.empty() || output.snapshot
+        const bool changed = !output.results.empty() || !published.messages.empty() || output.snapshot
             || !output.committed.empty() || output.status.role != published_.role
             || output.status.leader != published_.leader || output.status.term != published_.term
             || output.status.leaseEnd != published_.leaseEnd || output.status.members != published_.members;
         if (changed) {
             published_ = output.status;
-            if (!publish(std::move(output))) {
+            if (!publish(std::move(published))) {
                 return true;
             }
         }
@@ -176,7 +180,7 @@
     return saved.has_value();
 }
 
-bool LogThread::publish(LogOutput output)
+bool LogThread::publish(LogThreadOutput output)
 {
     while (!output_.tryPushFrom(output)) {
         if (stopping_) {
--- a/src/programs/yw_manager/log_thread.h
+++ b/src/programs/yw_manager/log_thread.h
@@ -5,6 +5,7 @@
 #include "coordination/file_log_storage.h"
 #include "coordination/replica.h"
 #include "store/disk_full_log.h"
+#include "workflow/log_output.h"
 
 #include <atomic>
 #include <functional>
@@ -22,7 +23,7 @@
 /// Input of the log thread.
 struct LogInput {
     struct Proposal {
-        std::uint64_t id = 0; ///< Returned in the ProposalResult.
+        std::uint64_t id = 0; ///< Returned in the workflow::ProposalResult.
         std::string data;
     };
     struct HandOverLeadership {
@@ -33,31 +34,10 @@
     std::variant<coordination::Message, Proposal, HandOverLeadership, SetNodes> payload;
 };
 
-/// Position of a proposed entry in the log.
-struct ProposalResult {
-    std::uint64_t id = 0;
-    std::optional<coordination::Position> position; ///< Empty if the replica refused the proposal.
-};
-
-/// Role of the replica and its view of the replica set.
-struct LogStatus {
-    coordination::Role role = coordination::Role::Joining;
-    coordination::Term term = 0;
-    coordination::ReplicaId leader;
-    std::optional<base::TimePoint> leaseEnd; ///< Set on a leader: no other replica can lead before.
-    std::vector<std::uint32_t> members; ///< Node numbers of the replica set.
-};
-
-/// Output of one flush of the replica. The fields are handled in the order of their declaration, `stateRequest` before
-/// `status`.
-struct LogOutput {
-    std::vector<ProposalResult> results;
+/// Output of one flush of the replica. The messages go first.
+struct LogThreadOutput {
     std::vector<coordination::Message> messages;
-    std::optional<std::string> snapshot; ///< Replaces the application's state.
-    std::vector<coordination::Entry> committed;
-    LogStatus status;
-    /// Set if the log thread wants the application's state after `committed`, to save it as a snapshot.
-    std::shared_ptr<std::promise<std::string>> stateRequest;
+    workflow::LogOutput log;
 };
 
 /// A replica with its storage.
@@ -85,7 +65,7 @@
     {
         return input_.tryPush(std::move(input));
     }
-    std::optional<LogOutput> tryPopOutput()
+    std::optional<LogThreadOutput> tryPopOutput()
     {
         return output_.tryPop();
     }
@@ -97,17 +77,17 @@
     void handle(LogInput &input);
     bool flush();
     bool saveRequestedState();
-    bool publish(LogOutput output);
-    LogStatus status() const;
+    bool publish(LogThreadOutput output);
+    workflow::LogStatus status() const;
 
     Open open_;
     OpenLog log_;
     std::function<void()> onOutput_;
     std::function<void(std::string)> onFailure_;
     base::BoundedQueue<LogInput> input_;
-    base::BoundedQueue<LogOutput> output_;
-    std::vector<ProposalResult> results_;
-    LogStatus published_; ///< Status of the last published output.
+    base::BoundedQueue<LogThreadOutput> output_;
+    std::vector<workflow::ProposalResult> results_;
+    workflow::LogStatus published_; ///< Status of the last published output.
     std::future<std::string> requestedState_; ///< Valid while the application makes it.
     coordination::Index requestedIndex_ = 0;
     store::DiskFullLog diskFullLog_;
--- a/src/programs/yw_manager/manager_service.cpp
+++ b/src/programs/yw_manager/manager_service.cpp
@@ -26,7 +26,6 @@
 constexpr std::size_t EntriesPerClockReading = 8;
 constexpr milliseconds DispatchDelay{5}; ///< Batches events that arrive together into one scheduling pass.
 constexpr milliseconds ForwardTimeout{700}; ///< Less than the 1 s after which callers try the next manager.
-constexpr milliseconds MinRestartInterval{500}; ///< Limits job manager restarts while a full disk rejects all entries.
 constexpr milliseconds RetryDelay{1'000}; ///< About the duration of an election.
 constexpr milliseconds HandoverTimeout{1'500};
 constexpr milliseconds HandoverPollInterval{5};
@@ -37,7 +36,6 @@
 /// Longer than one or two missed heartbeats, and than the time after which a VM counts as disconnected.
 constexpr milliseconds VoterReplacementDelay{3'000};
 constexpr std::size_t MaxLearners = 4; ///< Spare managers and managers that lost their disk.
-constexpr milliseconds MaxReadWait{1'000}; ///< Gateways wait no longer for a reply.
 constexpr std::uint64_t DiskReserveBytes = 8U << 20U;
 constexpr std::size_t SnapshotThresholdBytes = 4U << 20U; ///< Two snapshots and the log must fit on a small disk.
 
@@ -113,7 +111,7 @@
     , alive_(std::make_shared<ManagerService *>(this))
     , self_(ownManagerNumber(context.settings))
     , managers_(context, self_, [](std::uint32_t, const protocol::Frame &) {})
-    , jobs_(*this, managerLimits(context.settings))
+    , core_(*this, managerLimits(context.settings))
     , workerCalls_(context.io, context.work, [&context] { return context.descriptors.forCalls(); })
     , log_(startLog())
     , timer_(context.io)
@@ -147,11 +145,6 @@
     listener_.reset();
 }
 
-workflow::Unanswered ManagerService::unanswered(ProposalOutcome outcome)
-{
-    return {outcome == ProposalOutcome::Unknown, RetryDelay};
-}
-
 std::unique_ptr<LogThread> ManagerService::startLog()
 {
     const settings::ProcessSettings &settings = context_.settings;
@@ -195,7 +188,7 @@
 
 std::optional<std::string> ManagerService::notReadyReason() const
 {
-    return status_.leader.node != 0 ? std::nullopt : std::optional<std::string>("no leader is known");
+    return core_.status().leader.node != 0 ? std::nullopt : std::optional<std::string>("no leader is known");
 }
 
 std::size_t ManagerService::inProgress() const
@@ -213,8 +206,7 @@
 // timeout.
 void ManagerService::drain(std::function<void()> done)
 {
-    draining_ = true;
-    waitingReads_.answerAll();
+    core_.answerReadsAtOnce(base::BootClock::now());
     drainDeadline_ = std::chrono::steady_clock::now() + HandoverTimeout;
     log_->tryPush(LogInput{LogInput::HandOverLeadership{}});
     waitForHandover(std::move(done));
@@ -222,7 +214,7 @@
 
 void ManagerService::waitForHandover(std::function<void()> done)
 {
-    const bool leading = status_.role == coordination::Role::Leader;
+    const bool leading = core_.status().role == coordination::Role::Leader;
     if (!leading || std::chrono::steady_clock::now() >= drainDeadline_) {
         done();
         return;
@@ -235,21 +227,9 @@
     });
 }
 
-// The log may never commit what was proposed, for example if too few managers are connected.
 void ManagerService::answerPendingRequests()
 {
-    waitingReads_.answerAll();
-    failPendingEntries();
-    for (auto &[id, done] : std::exchange(proposals_, {})) {
-        if (done) {
-            done(ProposalOutcome::Unknown);
-        }
-    }
-}
-
-bool ManagerService::isLeader(base::TimePoint now) const
-{
-    return jobs_.isLeading() && status_.leaseEnd && now < *status_.leaseEnd;
+    core_.answerPendingRequests(base::BootClock::now());
 }
 
 void ManagerService::armTimer(milliseconds delay)
@@ -273,27 +253,22 @@
 {
     const base::DutyScope duty(base::Duty::Decisions);
     longestDelay_ = std::max(longestDelay_, std::chrono::steady_clock::now() - std::exchange(timerDue_, {}));
-    if (restartDue_ && jobs_.isLeading() && std::chrono::steady_clock::now() >= earliestRestart_) {
-        base::logWarning("entries_not_committed").with("term", status_.term);
-        jobs_.stepDown();
-    }
-    resumeLeading();
+    core_.review(base::BootClock::now(), wallNow());
     const base::TimePoint begin = base::BootClock::now();
-    workerCalls_.expectWorkers(jobs_.workers().size());
-    jobs_.tick(begin, wallNow());
-    waitingReads_.expire(begin);
+    workerCalls_.expectWorkers(core_.jobs().workers().size());
+    core_.jobs().tick(begin, wallNow());
     const base::TimePoint end = base::BootClock::now();
     recordTick(begin, end);
     reportDutyTime(end);
-    jobs_.recordTickTime(end - begin, end);
-    const auto wait = std::chrono::ceil<milliseconds>(jobs_.nextTick(end) - end);
+    core_.jobs().recordTickTime(end - begin, end);
+    const auto wait = std::chrono::ceil<milliseconds>(core_.jobs().nextTick(end) - end);
     armTimer(std::clamp(wait, DispatchDelay, TickInterval));
 }
 
 // Logs how much of the leader's time its decisions take. Calls, answers and reports wait while a decision is made.
 void ManagerService::recordTick(base::TimePoint begin, base::TimePoint end)
 {
-    if (!jobs_.isLeading()) {
+    if (!core_.jobs().isLeading()) {
         tickTimes_ = {};
         return;
     }
@@ -357,8 +332,7 @@
     const base::DutyScope duty(base::Duty::State);
     while (auto output = log_->tryPopOutput()) {
         sendMessages(output->messages);
-        updateLease(output->status);
-        unapplied_.push_back(std::move(*output));
+        core_.push(std::move(output->log));
     }
     queueApplication();
 }
@@ -377,16 +351,9 @@
     }
 }
 
-void ManagerService::updateLease(const LogStatus &status)
-{
-    const bool leading = status.role == coordination::Role::Leader && status.term == status_.term;
-    status_.leaseEnd = leading ? status.leaseEnd : std::nullopt;
-    jobs_.setLeaseEnd(status_.leaseEnd.value_or(base::TimePoint{}));
-}
-
 void ManagerService::queueApplication()
 {
-    if (unapplied_.empty() || std::exchange(isApplicationQueued_, true)) {
+    if (!core_.hasUnapplied() || std::exchange(isApplicationQueued_, true)) {
         return;
     }
     context_.work.post(base::WorkKind::State, [this, alive = alive_] {
@@ -402,191 +369,39 @@
 {
     const base::DutyScope duty(base::Duty::State);
     const auto end = std::chrono::steady_clock::now() + MaxApplicationTurn;
-    while (!unapplied_.empty()) {
-        LogOutput &output = unapplied_.front();
-        if (appliedEntries_ == 0) {
-            for (const ProposalResult &result : std::exchange(output.results, {})) {
-                handleProposalResult(result);
-            }
-            if (const auto snapshot = std::exchange(output.snapshot, std::nullopt)) {
-                auto restored = workflow::State::restore(*snapshot);
-                if (!restored) {
-                    throw std::runtime_error("cannot decode the job state of a snapshot: " + restored.error().message);
-                }
-                state_ = std::move(*restored);
-            }
-        }
-        while (appliedEntries_ < output.committed.size()) {
-            applyEntry(output.committed[appliedEntries_++]);
-            if (appliedEntries_ % EntriesPerClockReading == 0 && std::chrono::steady_clock::now() >= end) {
-                return;
-            }
+    do {
+        if (core_.apply(EntriesPerClockReading, base::BootClock::now(), wallNow())) {
+            armTimer(DispatchDelay);
         }
-        finishOutput(output);
-        unapplied_.pop_front();
-        appliedEntries_ = 0;
-    }
-}
-
-void ManagerService::finishOutput(LogOutput &output)
-{
-    if (output.stateRequest) {
-        output.stateRequest->set_value(state_.snapshot());
-    }
-    // The lease may have changed since, with an output that is not applied yet.
-    LogStatus status = output.status;
-    const LogStatus &newest = unapplied_.back().status;
-    const bool leads = newest.role == coordination::Role::Leader && newest.term == status.term;
-    status.leaseEnd = leads ? newest.leaseEnd : std::nullopt;
-    updateStatus(status);
+    } while (core_.hasUnapplied() && std::chrono::steady_clock::now() < end);
 }
 
-void ManagerService::handleProposalResult(const ProposalResult &result)
+void ManagerService::onStatus(const workflow::LogStatus &before, const workflow::LogStatus &status)
 {
-    auto node = proposals_.extract(result.id);
-    if (node.empty()) {
-        return;
-    }
-    if (result.position) {
-        pending_[result.position->index] = {result.position->term, std::move(node.mapped())};
-    } else if (node.mapped()) {
-        node.mapped()(ProposalOutcome::Refused);
-    }
-}
-
-void ManagerService::applyEntry(const coordination::Entry &entry)
-{
-    if (entry.kind == coordination::EntryKind::TermStart) {
-        startedTerm_ = entry.term;
-    } else if (entry.kind == coordination::EntryKind::Application) {
-        const auto decoded = workflow::decodeEntry(entry.data);
-        if (!decoded) {
-            throw std::runtime_error("cannot decode a committed log entry: " + decoded.error().message);
-        }
-        std::vector<workflow::StateEvent> events;
-        state_.apply(*decoded, events);
-        jobs_.onEntryApplied(*decoded, events, base::BootClock::now(), wallNow());
-        for (const workflow::StateEvent &event : events) {
-            if (event.kind == workflow::StateEvent::Kind::JobEnded) {
-                waitingReads_.onJobEnded(event.job);
-            }
-        }
-        armTimer(DispatchDelay);
-    }
-    resolvePending(entry);
-}
-
-// An entry of another term at the same index means that the proposed one will never be committed.
-void ManagerService::resolvePending(const coordination::Entry &entry)
-{
-    while (!pending_.empty() && pending_.begin()->first <= entry.index) {
-        auto node = pending_.extract(pending_.begin());
-        if (node.mapped().done) {
-            const bool committed = node.key() == entry.index && node.mapped().term == entry.term;
-            node.mapped().done(committed ? ProposalOutcome::Committed : ProposalOutcome::Unknown);
-        }
-    }
-}
-
-void ManagerService::updateStatus(const LogStatus &status)
-{
-    const bool leaderChanged = status.leader != status_.leader || status.term != status_.term;
-    const bool membersChanged = status.members != status_.members;
-    const coordination::Term termBefore = status_.term;
-    if (status.role != status_.role) {
+    if (status.role != before.role) {
         base::logInfo("log_role")
             .with("role", coordination::toString(status.role))
-            .with("before", coordination::toString(status_.role))
+            .with("before", coordination::toString(before.role))
             .with("term", status.term)
             .with("leader", status.leader.node == 0 ? "none" : daemon::managerIp(status.leader.node));
     }
-    status_ = status;
-    const bool leading = status.role == coordination::Role::Leader;
-    if (jobs_.isLeading() && (!leading || status.term != termBefore)) {
-        stopLeading("no longer leader of the term");
-    }
-    resumeLeading();
-    jobs_.setLeaseEnd(status.leaseEnd.value_or(base::TimePoint{}));
-    if (leaderChanged || membersChanged) {
+    if (status.leader != before.leader || status.term != before.term || status.members != before.members) {
         broadcastTopology();
     }
 }
 
-void ManagerService::stopLeading(std::string_view reason)
-{
-    base::logInfo("leadership_lost").with("reason", reason).with("term", status_.term);
-    jobs_.stepDown();
-    waitingReads_.answerAll();
-    failPendingEntries();
-}
-
-// The next leader decides whether these entries are committed, so their callers get no confirmation.
-void ManagerService::failPendingEntries()
-{
-    for (auto &[index, entry] : std::exchange(pending_, {})) {
-        if (entry.done) {
-            entry.done(ProposalOutcome::Unknown);
-        }
-    }
-}
-
-bool ManagerService::proposeEntry(const workflow::LogEntry &entry, CommitCallback done)
-{
-    const std::uint64_t id = nextProposalId_++;
-    if (status_.role != coordination::Role::Leader
-        || !log_->tryPush(LogInput{LogInput::Proposal{id, workflow::encodeEntry(entry)}})) {
-        return false;
-    }
-    proposals_[id] = std::move(done);
-    return true;
-}
-
-// Starts the job manager if this replica leads. A job manager that has led in this term has proposed entries that may
-// still be committed, so the next one starts after an entry that follows all of them in the log.
-void ManagerService::resumeLeading()
+bool ManagerService::pushProposal(std::uint64_t id, std::string data)
 {
-    const bool leads = status_.role == coordination::Role::Leader && startedTerm_ == status_.term;
-    if (!leads || jobs_.isLeading() || isBarrierPending_) {
-        return;
-    }
-    if (ledTerm_ != status_.term) {
-        startLeading();
-        return;
-    }
-    const auto now = std::chrono::steady_clock::now();
-    if (now < earliestRestart_) {
-        return;
-    }
-    earliestRestart_ = now + MinRestartInterval;
-    isBarrierPending_ = proposeEntry(workflow::ForgetEntry{}, [this, term = status_.term](ProposalOutcome outcome) {
-        isBarrierPending_ = false;
-        if (outcome == ProposalOutcome::Committed && status_.role == coordination::Role::Leader && status_.term == term
-            && !jobs_.isLeading()) {
-            startLeading();
-        }
-    });
-}
-
-// The job manager would wait forever for an entry that is never committed. So it is restarted from the committed state
-// when a proposed entry fails.
-bool ManagerService::propose(const workflow::LogEntry &entry)
-{
-    return proposeEntry(
-        entry, [this](ProposalOutcome outcome) { restartDue_ = restartDue_ || outcome != ProposalOutcome::Committed; });
+    return log_->tryPush(LogInput{LogInput::Proposal{id, std::move(data)}});
 }
 
-void ManagerService::startLeading()
+void ManagerService::onLeading()
 {
-    jobs_.startLeading(state_, status_.term, base::BootClock::now(), wallNow());
     for (const auto &[number, channel] : channels_) {
         if (channel->peer().role == protocol::Role::Gateway) {
-            jobs_.addGateway(number);
+            core_.jobs().addGateway(number);
         }
     }
-    jobs_.setLeaseEnd(status_.leaseEnd.value_or(base::TimePoint{}));
-    restartDue_ = false;
-    ledTerm_ = status_.term;
-    earliestRestart_ = std::chrono::steady_clock::now() + MinRestartInterval;
     armTimer(DispatchDelay);
 }
 
@@ -596,7 +411,7 @@
 {
     workerCalls_.start(
         identity, order, [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
-            jobs_.onStartAnswer(worker, task, run, answer, base::BootClock::now());
+            core_.jobs().onStartAnswer(worker, task, run, answer, base::BootClock::now());
         });
 }
 
@@ -606,7 +421,7 @@
 {
     workerCalls_.stop(
         identity, order, [this, worker, task = order.task, run = order.run](const workflow::OrderAnswer &answer) {
-            jobs_.onStopAnswer(worker, task, run, answer, base::BootClock::now());
+            core_.jobs().onStopAnswer(worker, task, run, answer, base::BootClock::now());
         });
 }
 
@@ -615,7 +430,7 @@
                           const workflow::PollOrder &order)
 {
     workerCalls_.poll(identity, order, [this, worker](const workflow::PollAnswer &answer) {
-        jobs_.onPollAnswer(worker, answer, base::BootClock::now());
+        core_.jobs().onPollAnswer(worker, answer, base::BootClock::now());
     });
 }
 
@@ -632,7 +447,7 @@
     if (!sent) {
         boost::asio::post(context_.io, [this, alive = alive_, number = query.number] {
             if (*alive != nullptr) {
-                jobs_.onEligibilityAnswer(number, std::nullopt, base::BootClock::now());
+                core_.jobs().onEligibilityAnswer(number, std::nullopt, base::BootClock::now());
             }
         });
     }
@@ -643,25 +458,16 @@
 {
     const base::TimePoint now = base::BootClock::now();
     ++requestCounts_.reports;
-    if (isLeader(now)) {
-        jobs_.onReport(report, now);
+    if (core_.isLeader(now)) {
+        core_.report(
+            report, now, [this, done = std::move(done)](const tl::expected<void, workflow::Unanswered> &result) {
+                if (result) {
+                    done(workflow::ReportWorkerReply{settings::toString(*context_.settings.listen.control)});
+                } else {
+                    done(tl::make_unexpected(result.error()));
+                }
+            });
         armTimer(DispatchDelay);
-        const workflow::ReportWorkerReply reply{settings::toString(*context_.settings.listen.control)};
-        if (!report.draining || state_.isDraining(report.worker)) {
-            done(reply);
-            return;
-        }
-        // Commits that the worker drains before acknowledging it, so that no later leader starts a task on the worker.
-        auto onResult = [reply, done](ProposalOutcome outcome) {
-            if (outcome == ProposalOutcome::Committed) {
-                done(reply);
-            } else {
-                done(tl::make_unexpected(unanswered(outcome)));
-            }
-        };
-        if (!proposeEntry(workflow::WorkerDrainingEntry{report.worker.id, report.worker.born}, std::move(onResult))) {
-            done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
-        }
         return;
     }
     const bool needsConfirmation = report.draining || report.leaving;
@@ -683,28 +489,11 @@
 {
     ++requestCounts_.configurationRequests;
     done = logConfigurationReply("put", std::move(done));
-    if (!isLeader(base::BootClock::now())) {
+    if (!core_.isLeader(base::BootClock::now())) {
         forwardToLeader("put", workflow::PutConfiguration{std::move(configuration)}, std::move(done));
         return;
     }
-    base::logInfo("configuration_offered")
-        .with("version", configuration.version)
-        .with("current_version", state_.configuration().version)
-        .with("routes", configuration.routes.size());
-    if (configuration.version <= state_.configuration().version) {
-        done(workflow::PutConfigurationReply{state_.configuration().version});
-        return;
-    }
-    auto onResult = [this, done](ProposalOutcome outcome) {
-        if (outcome == ProposalOutcome::Committed) {
-            done(workflow::PutConfigurationReply{state_.configuration().version});
-        } else {
-            done(tl::make_unexpected(unanswered(outcome)));
-        }
-    };
-    if (!proposeEntry(workflow::ConfigurationEntry{std::move(configuration)}, std::move(onResult))) {
-        done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
-    }
+    core_.putConfiguration(std::move(configuration), done);
 }
 
 void ManagerService::getConfiguration(
@@ -712,8 +501,9 @@
 {
     ++requestCounts_.configurationRequests;
     done = logConfigurationReply("get", std::move(done));
-    if (isLeader(base::BootClock::now())) {
-        done(workflow::GetConfigurationReply{state_.configuration().version, state_.configuration().text});
+    if (core_.isLeader(base::BootClock::now())) {
+        const workflow::Configuration &configuration = core_.state().configuration();
+        done(workflow::GetConfigurationReply{configuration.version, configuration.text});
         return;
     }
     forwardToLeader("get", workflow::GetConfiguration{}, std::move(done));
@@ -732,8 +522,8 @@
             .with("answered", reply.has_value())
             .with("version", reply ? reply->version : 0)
             .with("after_ms", taken.count())
-            .with("leading", jobs_.isLeading())
-            .with("leader", status_.leader.node == 0 ? "none" : daemon::managerIp(status_.leader.node));
+            .with("leading", core_.jobs().isLeading())
+            .with("leader", core_.status().leader.node == 0 ? "none" : daemon::managerIp(core_.status().leader.node));
         done(reply);
     };
 }
@@ -744,7 +534,7 @@
     const Request &request,
     std::function<void(tl::expected<typename Request::Reply, workflow::Unanswered>)> done)
 {
-    protocol::Peer *const leader = status_.leader.node == self_ ? nullptr : managers_.leader();
+    protocol::Peer *const leader = core_.status().leader.node == self_ ? nullptr : managers_.leader();
     if (leader == nullptr) {
         done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
         return;
@@ -774,7 +564,7 @@
     channels_[number] = channel;
     context_.descriptors.setChannels(channels_.size());
     if (channel->peer().role == protocol::Role::Gateway) {
-        jobs_.addGateway(number);
+        core_.jobs().addGateway(number);
     }
     boost::asio::post(context_.io, [this, alive = alive_, channel] {
         if (*alive != nullptr) {
@@ -787,7 +577,7 @@
 {
     const auto found = channelNumbers_.find(channel.get());
     if (found != channelNumbers_.end()) {
-        jobs_.removeGateway(found->second, base::BootClock::now());
+        core_.jobs().removeGateway(found->second, base::BootClock::now());
         channels_.erase(found->second);
         channelNumbers_.erase(found);
         context_.descriptors.setChannels(channels_.size());
@@ -796,12 +586,12 @@
 
 void ManagerService::sendTopology(const protocol::ChannelPtr &channel)
 {
-    channel->notify(workflow::Topology{status_.leader.node, status_.term, status_.members});
+    channel->notify(workflow::Topology{core_.status().leader.node, core_.status().term, core_.status().members});
 }
 
 void ManagerService::broadcastTopology()
 {
-    const workflow::Topology topology{status_.leader.node, status_.term, status_.members};
+    const workflow::Topology topology{core_.status().leader.node, core_.status().term, core_.status().members};
     managers_.updateTopology(topology);
     for (const auto &[number, channel] : channels_) {
         channel->notify(topology);
@@ -900,7 +690,7 @@
 void ManagerService::onRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame)
 {
     using protocol::MessageType;
-    if (refusing_ || !isLeader(base::BootClock::now())) {
+    if (refusing_ || !core_.isLeader(base::BootClock::now())) {
         replyNotLeader(channel, frame.correlation, base::Verdict::NotRun);
         return;
     }
@@ -932,104 +722,10 @@
                        workflow::QueueReply{QueueOutcome::Malformed, {}, 0, {}, request.error().message});
         return;
     }
-    const workflow::QueueRoute *const route = state_.configuration().findRoute(request->host, request->path);
-    if (route == nullptr) {
-        // Without a configuration the queues are unknown, so the queue may exist.
-        const auto outcome = state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
-        base::logInfo("queue_unknown")
-            .with("host", request->host)
-            .with("path", request->path)
-            .with("configuration", state_.configuration().version);
-        channel->reply(frame.correlation, workflow::QueueReply{outcome, {}, 0, RetryDelay, "no such queue"});
-        return;
-    }
-    const std::string rest = request->path.substr(route->pathPrefix.size());
-    if (rest.empty() && request->verb == workflow::QueueVerb::Read) {
-        channel->reply(
-            frame.correlation,
-            workflow::QueueReply{
-                QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, base::BootClock::now()), {}, {}});
-        return;
-    }
-    const auto key = workflow::parseJobKey(rest);
-    if (request->verb == workflow::QueueVerb::Submit) {
-        const auto fault = !key ? std::optional<std::string>("the job id must be 16 hexadecimal digits")
-            : request->job      ? workflow::findFault(*request->job)
-                                : std::optional<std::string>("the request contains no job");
-        if (fault) {
-            channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::Malformed, {}, 0, {}, *fault});
-            return;
-        }
-        submitJob(channel, frame.correlation, *key, route->policy, std::move(*request->job));
-        return;
-    }
-    const workflow::JobRecord *const job = key ? state_.findJob(*key) : nullptr;
-    if (job == nullptr) {
-        channel->reply(frame.correlation, workflow::QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
-    } else if (request->verb == workflow::QueueVerb::Read) {
-        readJob(channel, frame.correlation, *key, request->wait);
-    } else {
-        cancelJob(channel, frame.correlation, *key);
-    }
-}
-
-// A manager that has stopped leading meanwhile may not know the job's end, so it doesn't reply with a state.
-void ManagerService::readJob(const protocol::ChannelPtr &channel,
-                             std::uint64_t correlation,
-                             workflow::JobKey key,
-                             milliseconds wait)
-{
-    auto reply = [this, key, done = makeReplyCallback<workflow::QueueReply>(channel, correlation)] {
-        const workflow::JobRecord *const job = state_.findJob(key);
-        if (!isLeader(base::BootClock::now()) || job == nullptr) {
-            done(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
-            return;
-        }
-        done(workflow::QueueReply{workflow::QueueOutcome::State, job->phase, 0, {}, {}});
-    };
-    const bool mayWait =
-        state_.findJob(key)->phase == workflow::JobPhase::Running && wait > milliseconds{0} && !draining_;
-    if (!mayWait || !waitingReads_.add(key, base::BootClock::now() + std::min(wait, MaxReadWait), reply)) {
-        reply();
-    }
-}
-
-void ManagerService::submitJob(const protocol::ChannelPtr &channel,
-                               std::uint64_t correlation,
-                               workflow::JobKey key,
-                               const workflow::QueuePolicy &policy,
-                               workflow::JobSpec spec)
-{
-    auto reply = makeReplyCallback<workflow::QueueReply>(channel, correlation);
-    if (state_.findJob(key) != nullptr) {
-        reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
-        return;
-    }
-    proposeAndReply(workflow::AcceptEntry{key, std::move(spec), policy, wallNow()}, reply);
-}
-
-void ManagerService::cancelJob(const protocol::ChannelPtr &channel, std::uint64_t correlation, workflow::JobKey key)
-{
-    auto reply = makeReplyCallback<workflow::QueueReply>(channel, correlation);
-    if (state_.findJob(key)->hasEnded()) {
-        reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
-        return;
-    }
-    proposeAndReply(workflow::CancelEntry{key, wallNow()}, reply);
-}
-
-void ManagerService::proposeAndReply(const workflow::LogEntry &entry, const QueueReplyCallback &reply)
-{
-    const bool taken = proposeEntry(entry, [reply](ProposalOutcome outcome) {
-        if (outcome == ProposalOutcome::Committed) {
-            reply(workflow::QueueReply{workflow::QueueOutcome::Accepted, {}, 0, {}, {}});
-        } else {
-            reply(tl::make_unexpected(unanswered(outcome)));
-        }
-    });
-    if (!taken) {
-        reply(tl::make_unexpected(workflow::Unanswered{false, RetryDelay}));
-    }
+    core_.handle(std::move(*request),
+                 base::BootClock::now(),
+                 wallNow(),
+                 makeReplyCallback<workflow::QueueReply>(channel, frame.correlation));
 }
 
 void ManagerService::onEligibilityAnswer(const protocol::Frame &frame)
@@ -1039,9 +735,9 @@
         base::logWarning("eligibility_answer_unreadable").with("reason", answer.error().message);
         return;
     }
-    jobs_.onEligibilityAnswer(answer->query,
-                              answer->answered ? workflow::EligibilityRows(answer->rows) : std::nullopt,
-                              base::BootClock::now());
+    core_.jobs().onEligibilityAnswer(answer->query,
+                                     answer->answered ? workflow::EligibilityRows(answer->rows) : std::nullopt,
+                                     base::BootClock::now());
     armTimer(DispatchDelay);
 }
 
--- a/src/programs/yw_manager/manager_service.h
+++ b/src/programs/yw_manager/manager_service.h
@@ -7,17 +7,14 @@
 #include "platform/control_api.h"
 #include "platform/worker_client.h"
 #include "protocol/listener.h"
-#include "workflow/job_manager.h"
+#include "workflow/manager_core.h"
 #include "workflow/platform_interface.h"
-#include "workflow/waiting_reads.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,7 +27,7 @@
 /// A manager: one replica of the replicated log. While it is the leader, it schedules all jobs.
 class ManagerService
     : public daemon::Service
-    , private workflow::ManagerPort
+    , private workflow::CorePort
     , private workflow::ControlHandler
 {
 public:
@@ -49,21 +46,12 @@
     void reload(const settings::ProcessSettings &settings) override;
 
 private:
-    enum class ProposalOutcome : std::uint8_t {
-        Committed,
-        Refused, ///< The log did not take the entry, which will have no effect.
-        Unknown, ///< The entry may be committed later, by this leader or the next.
-    };
-    using CommitCallback = std::function<void(ProposalOutcome)>;
-    using QueueReplyCallback = std::function<void(tl::expected<workflow::QueueReply, workflow::Unanswered>)>;
-    /// A proposed entry that has a position in the log but is not committed yet.
-    struct PendingEntry {
-        coordination::Term term = 0;
-        CommitCallback done;
-    };
+    using QueueReplyCallback = workflow::ManagerCore::Done<workflow::QueueReply>;
 
-    // ManagerPort.
-    bool propose(const workflow::LogEntry &entry) override;
+    // CorePort.
+    bool pushProposal(std::uint64_t id, std::string data) override;
+    void onLeading() override;
+    void onStatus(const workflow::LogStatus &before, const workflow::LogStatus &status) override;
     void start(workflow::WorkerNumber worker,
                const workflow::WorkerIdentity &identity,
                const workflow::StartOrder &order) override;
@@ -85,32 +73,15 @@
     void getConfiguration(
         std::function<void(tl::expected<workflow::GetConfigurationReply, workflow::Unanswered>)> done) override;
 
-    // Replicated log and leadership.
+    // Replicated log.
     std::unique_ptr<LogThread> startLog();
-    static workflow::Unanswered unanswered(ProposalOutcome outcome);
     void handlePendingOutput();
     void sendMessages(const std::vector<coordination::Message> &messages);
-    /// Applies a new end of the leader lease, or the loss of leadership, before the entries of its output are.
-    void updateLease(const LogStatus &status);
-    /// Queues the application of the oldest output that has not been applied yet.
+    /// Queues the application of outputs that have not been applied yet.
     void queueApplication();
     /// Applies outputs for a limited time.
     void applyOutputs();
-    /// Finishes an output whose entries are applied.
-    void finishOutput(LogOutput &output);
-    void handleProposalResult(const ProposalResult &result);
-    void applyEntry(const coordination::Entry &entry);
-    void resolvePending(const coordination::Entry &entry);
-    void updateStatus(const LogStatus &status);
-    void resumeLeading();
-    void startLeading();
-    void stopLeading(std::string_view reason);
-    /// Reports proposed entries as neither committed nor refused.
-    void failPendingEntries();
-    /// Proposes an entry. Returns false, without calling `done`, if it could not be handed to the log.
-    bool proposeEntry(const workflow::LogEntry &entry, CommitCallback done);
-    /// Returns whether this manager leads and its leader lease is valid at `now`.
-    bool isLeader(base::TimePoint now) const;
+
     /// Schedules onTimer() after `delay`, unless it is due earlier already.
     void armTimer(std::chrono::milliseconds delay);
     void onTimer();
@@ -124,18 +95,6 @@
     /// Handles a request as an item of the work queue, unless it has waited there until its sender has given up.
     void queueRequest(base::WorkKind kind, const protocol::ChannelPtr &channel, protocol::Frame frame);
     void onQueueRequest(const protocol::ChannelPtr &channel, const protocol::Frame &frame);
-    void readJob(const protocol::ChannelPtr &channel,
-                 std::uint64_t correlation,
-                 workflow::JobKey key,
-                 std::chrono::milliseconds wait);
-    void submitJob(const protocol::ChannelPtr &channel,
-                   std::uint64_t correlation,
-                   workflow::JobKey key,
-                   const workflow::QueuePolicy &policy,
-                   workflow::JobSpec spec);
-    void cancelJob(const protocol::ChannelPtr &channel, std::uint64_t correlation, workflow::JobKey key);
-    /// Proposes an entry and replies once it is committed or has failed.
-    void proposeAndReply(const workflow::LogEntry &entry, const QueueReplyCallback &reply);
     /// Replies that this manager does not lead. `verdict` says whether the request may still take effect.
     void replyNotLeader(const protocol::ChannelPtr &channel, std::uint64_t correlation, base::Verdict verdict);
     void onEligibilityAnswer(const protocol::Frame &frame);
@@ -187,24 +146,13 @@
     std::shared_ptr<ManagerService *> alive_;
     std::uint32_t self_ = 0;
     daemon::ManagerConnections managers_;
-    workflow::State state_;
-    workflow::JobManager jobs_;
-    workflow::WaitingReads waitingReads_;
+    workflow::ManagerCore core_;
     platform::WorkerClient workerCalls_;
     std::unique_ptr<LogThread> log_;
-    LogStatus status_;
-    std::uint64_t nextProposalId_ = 1;
-    std::deque<LogOutput> unapplied_; ///< Outputs whose messages have been sent.
-    std::size_t appliedEntries_ = 0; ///< Of the first one of `unapplied_`.
     bool isApplicationQueued_ = false;
-    std::map<std::uint64_t, CommitCallback> proposals_; ///< By proposal id: handed to the log thread, no result yet.
-    std::map<coordination::Index, PendingEntry> pending_; ///< By log index.
-    /// Accepted connections by number; `jobs_` knows a gateway by this number.
+    /// Accepted connections by number; the job manager knows a gateway by this number.
     std::unordered_map<std::uint64_t, protocol::ChannelPtr> channels_;
     std::unordered_map<const protocol::Channel *, std::uint64_t> channelNumbers_;
-    coordination::Term startedTerm_ = 0; ///< Latest term whose TermStart entry has been applied.
-    coordination::Term ledTerm_ = 0; ///< Latest term in which the job manager has led.
-    bool isBarrierPending_ = false; ///< An entry is proposed after which the job manager may lead again.
     std::chrono::steady_clock::time_point timerDue_{}; ///< Zero if `timer_` is not armed.
     std::uint64_t nextChannel_ = 1;
     boost::asio::steady_timer timer_;
@@ -213,15 +161,12 @@
     std::optional<protocol::Listener> listener_;
     std::optional<platform::ControlApi> control_;
     std::size_t inProgress_ = 0; ///< Requests without a reply yet.
-    std::chrono::steady_clock::time_point earliestRestart_{}; ///< Rate limit of job manager restarts.
     TickTimes tickTimes_;
     DutyTimes reportedTimes_; ///< As of the last report.
     base::TimePoint nextDutyReport_{};
     RequestCounts requestCounts_;
     std::chrono::steady_clock::duration longestDelay_{0}; ///< Of the timer since the last report.
-    bool draining_ = false;
     bool refusing_ = false; ///< Requests of gateways and other managers are refused.
-    bool restartDue_ = false; ///< An entry of the job manager was not committed.
 };
 
 } // namespace yuccawheel::manager
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -87,13 +87,11 @@
 /// Pairs of worker id and ticket text; nothing if the query was not answered.
 using EligibilityRows = std::optional<std::vector<std::pair<std::string, std::string>>>;
 
-/// Side effects of the job manager. Answers are delivered later, never from within a call.
-class ManagerPort
+/// Orders to workers and queries. Answers are delivered later, never from within a call.
+class OrderPort
 {
 public:
-    virtual ~ManagerPort() = default;
-    /// Proposes an entry to the log. Returns false if the log accepts none at the moment.
-    virtual bool propose(const LogEntry &entry) = 0;
+    virtual ~OrderPort() = default;
     virtual void start(WorkerNumber worker, const WorkerIdentity &identity, const StartOrder &order) = 0;
     virtual void stop(WorkerNumber worker, const WorkerIdentity &identity, const StopOrder &order) = 0;
     virtual void poll(WorkerNumber worker, const WorkerIdentity &identity, const PollOrder &order) = 0;
@@ -102,4 +100,12 @@
     virtual void forget(const WorkerIdentity &identity) = 0;
 };
 
+/// Side effects of the job manager.
+class ManagerPort : public OrderPort
+{
+public:
+    /// Proposes an entry to the log. Returns false if the log accepts none at the moment.
+    virtual bool propose(const LogEntry &entry) = 0;
+};
+
 } // namespace yuccawheel::workflow
