Give up what was proposed when a leader that waits to start again loses its term

What callers would see: no manager schedules any more, and requests are refused, until some other manager is elected. A leader whose entry was refused starts its job manager again after a barrier entry. If it lost its leadership meanwhile, that entry stayed pending, since only a job manager that leads failed what was pending; leading again with a shorter log, the manager waited for an index that nothing could reach. Entries are failed whenever the term is lost now. LeaderStartsAfterTheBarrierOfAnEarlierTermIsLost failed before.

--- a/src/workflow/manager_core.cpp
+++ b/src/workflow/manager_core.cpp
@@ -141,8 +141,8 @@
 {
     const LogStatus before = std::exchange(status_, status);
     port_.onStatus(before, status);
-    const bool leading = status.role == coordination::Role::Leader;
-    if (jobs_.isLeading() && (!leading || status.term != before.term)) {
+    const bool led = before.role == coordination::Role::Leader;
+    if (led && (status.role != coordination::Role::Leader || status.term != before.term)) {
         stopLeading("no longer leader of the term");
     }
     resumeLeading(now, wall);
@@ -152,7 +152,7 @@
 void ManagerCore::stopLeading(std::string_view reason)
 {
     base::logInfo("leadership_lost").with("reason", reason).with("term", status_.term);
-    jobs_.stepDown();
+    jobs_.stepDown(); // It may be waiting for a barrier, and not lead.
     waitingReads_.answerAll();
     failPendingEntries();
 }
