--- a/bench/yw_bench.cpp
+++ b/bench/yw_bench.cpp
@@ -1,5 +1,6 @@
 #include "command.h"
 #include "decisions.h"
+#include "managers.h"
 #include "place.h"
 #include "policy.h"
 #include "replay.h"
@@ -38,6 +39,7 @@
     Command{"state", "measure the replicated log: appends, elections, recovery", yuccawheel::bench::runState},
     Command{"scale", "measure how cost grows with the size of the cluster", yuccawheel::bench::runScale},
     Command{"decisions", "measure what the leader's decisions cost at several sizes", yuccawheel::bench::runDecisions},
+    Command{"managers", "search for broken guarantees of whole managers", yuccawheel::bench::runManagers},
     Command{"soak", "measure CPU, memory and traffic of running daemons", yuccawheel::bench::runSoak},
 };
 
--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -123,6 +123,11 @@
     {
         return startsAfterDone_;
     }
+    /// Returns whether a run of the task, or of another member of its gang, has ended as done.
+    bool isDone(const workflow::TaskRef &task) const
+    {
+        return done_.contains(representativeOf(task));
+    }
     /// Returns the number of crashes of workers.
     std::uint64_t crashes() const
     {
--- a/fakes/fake_network.h
+++ b/fakes/fake_network.h
@@ -83,6 +83,10 @@
         return deliveries;
     }
 
+    bool hasMessages() const
+    {
+        return !queue_.empty();
+    }
     std::uint64_t sent() const
     {
         return sent_;
