Count the crashes under one run of a gang once

Callers saw a sound job shown as failed: a gang whose workers crash together, for example with their rack, counted each worker, and three crashes give a gang up. A run of a gang counts one crash now, as one of its failures does. GangWhoseWorkersCrashTogetherIsStartedAgain failed before.

--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -319,8 +319,7 @@
     }
     for (auto &[task, location] : units) {
         CrashCount &crashes = location.spec->gang ? location.step->crashes : location.task->crashes;
-        ++crashes.total;
-        crashes.alone += units.size() == 1 ? 1 : 0;
+        crashes.record(location.task->run, units.size() == 1);
         updateJobPhase(task.job, *location.job, entry.at, events);
     }
 }
--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -98,6 +98,21 @@
 
 } // namespace
 
+// Guards against a gang that is given up, and its job failed, because several of its workers crashed at once.
+TEST(WorkflowCrash, GangWhoseWorkersCrashTogetherIsStartedAgain)
+{
+    CrashSimulation crashes(4);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(4, 10'000, true), false);
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 4; }, 1s));
+    simulation.run(50ms);
+    for (const std::string &worker : simulation.ids()) {
+        simulation.workers.crash(worker, simulation.now);
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 60s));
+    crashes.expectOnlyCrashingJobsFailed();
+}
+
 // Guards against a task that crashes one worker after the other for as long as its job lasts.
 TEST(WorkflowCrash, TaskThatCrashesItsWorkersIsGivenUpAndThoseBesideItComplete)
 {
