Send no start to a worker that has begun to drain

A start without an answer was sent again, and one that was committed after the drain was sent, although the drain had been acknowledged. Such a start is released if no order went out, else a poll finds out.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -222,10 +222,14 @@
         && task->worker == start.worker;
 }
 
-// The worker may have ended or shrunk between proposal and commit.
+// The worker may have ended, shrunk or begun to drain between proposal and commit.
 bool JobManager::canStart(const StartsEntry::Start &start) const
 {
-    return isPlaced(start) && !workers_.at(start.worker).retired && !ledger_.isExceeded(start.worker);
+    if (!isPlaced(start)) {
+        return false;
+    }
+    const WorkerView &worker = workers_.at(start.worker);
+    return !worker.retired && !worker.draining && !ledger_.isExceeded(start.worker);
 }
 
 // Returns the first members of the gangs of which a member can't start: the others would wait for it in vain.
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -306,7 +306,13 @@
     }
     switch (run.stage) {
     case LiveRun::Stage::Starting:
-        sendStart(number, worker, task, run, now);
+        if (!worker.draining) {
+            sendStart(number, worker, task, run, now);
+        } else if (run.startCalls == 0) {
+            proposeNotStarted(task, run); // No start order has been or will be sent.
+        } else {
+            run.stage = LiveRun::Stage::Uncertain;
+        }
         break;
     case LiveRun::Stage::Stopping:
         sendStop(number, worker, task, run, now);
