Keep what a refused entry would have said: late ends and capacities

A task was placed again after the leader had read that it was done, while that end was on its way to the log; with the entry refused it would have started again. Tasks whose end is proposed aren't placed, and reported capacities are kept for the term.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -29,6 +29,11 @@
 void JobManager::startLeading(const State &state, std::uint64_t epoch, base::TimePoint now, WallTime wall)
 {
     stepDown();
+    GangStarts earlierStarts = std::exchange(gangStarts_, {});
+    if (epoch != epoch_) {
+        reportedCapacities_.clear();
+        earlierStarts = {};
+    }
     state_ = &state;
     epoch_ = epoch;
     wall_ = wall;
@@ -81,7 +86,7 @@
     joining_.clear();
     pendingQueries_.clear();
     startedJobs_.clear();
-    gangStarts_.clear();
+    proposedLateEnds_.clear();
     queryIndexes_.clear();
     dispatch_.reset();
     nextFullDispatch_ = {};
@@ -110,6 +115,7 @@
             reviewPolls(worker->first, worker->second, now);
         }
     }
+        std::erase_if(proposedLateEnds_, [ends](const auto &item) { return item.second == ends->worker; });
     dispatchDue_ = true;
 }
 
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -222,6 +222,8 @@
     void recordAnswer(WorkerView &worker, std::optional<std::chrono::milliseconds> clock, base::TimePoint now);
     void recordTimeout(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void onLeaving(const WorkerIdentity &leaving);
+    /// Returns the capacity that the worker has last reported in this term, or else the one that the log holds.
+    placement::Resources currentCapacity(const WorkerIdentity &worker) const;
     void updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported);
     void noteCrash(WorkerNumber number, WorkerView &worker);
     bool proposeCrash(WorkerNumber number, WorkerView &worker);
@@ -278,6 +280,15 @@
     WorkerSpeedTracker speeds_;
     std::map<std::uint64_t, PendingQuery> pendingQueries_;
     std::map<std::string, double> eligibleShare_; ///< By queue: moving average of the share of eligible workers.
+    /// Tasks, or first members of gangs, of which a worker has listed a run as done that was given up, until that end
+    /// is committed.
+    std::map<TaskRef, WorkerNumber> proposedLateEnds_;
+    struct ReportedCapacity {
+        std::int64_t born = 0;
+        placement::Resources capacity;
+    };
+    /// By worker id: capacities that the log may not hold yet. Kept while this manager leads in one term.
+    std::map<std::string, ReportedCapacity> reportedCapacities_;
     struct QueryIndex {
         base::TimePoint madeAt{};
         std::optional<CapacityIndex> byFreeCpu;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -26,12 +26,13 @@
 {
     WorkerView &worker = workers_[number];
     worker.identity = record.identity;
+    worker.identity.capacity = currentCapacity(record.identity);
     directory_.add(number, record.identity);
     worker.proposedEndNumber = record.lastEndNumber;
     worker.lastReport = now;
     worker.draining = record.draining;
     ledger_.grow(number + 1);
-    ledger_.setReportedCapacity(number, record.identity.capacity);
+    ledger_.setReportedCapacity(number, worker.identity.capacity);
     dispatchDue_ = true;
     return worker;
 }
@@ -55,6 +56,7 @@
     speeds_.removeWorker(number);
     base::logInfo("worker_gone").with("worker", found->second.identity.id).with("number", number);
     port_.forget(found->second.identity);
+    reportedCapacities_.erase(found->second.identity.id);
     directory_.remove(number, found->second.identity);
     workers_.erase(found);
     dispatchDue_ = true;
@@ -144,6 +146,13 @@
     }
 }
 
+placement::Resources JobManager::currentCapacity(const WorkerIdentity &worker) const
+{
+    const auto reported = reportedCapacities_.find(worker.id);
+    return reported != reportedCapacities_.end() && reported->second.born == worker.born ? reported->second.capacity
+                                                                                         : worker.capacity;
+}
+
 // The log gets the new capacity too, because the next leader may place tasks before the worker reports to it.
 void JobManager::updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported)
 {
@@ -156,6 +165,7 @@
             .with("millicores_before", worker.identity.capacity.milliCpu)
             .with("reserved_millicores", ledger_.reserved(number).milliCpu);
         worker.identity.capacity = reported;
+        reportedCapacities_[worker.identity.id] = {worker.identity.born, reported};
         ledger_.setReportedCapacity(number, reported);
         dispatchDue_ = true;
     }
@@ -754,8 +764,15 @@
             .with("ran_ms", timed ? ran.count() : -1)
             .with("estimated_ms", job == nullptr ? -1 : job->spec.steps[task->step].estimatedRunTime.count());
     }
-    if (entry.lastEndNumber > worker.proposedEndNumber && port_.propose(entry)) {
-        worker.proposedEndNumber = entry.lastEndNumber;
+    if (entry.lastEndNumber <= worker.proposedEndNumber || !port_.propose(entry)) {
+        return;
+    }
+    worker.proposedEndNumber = entry.lastEndNumber;
+    for (const EndsEntry::End &end : entry.ends) {
+        const JobRecord *const job = state_->findJob(end.task.job);
+        if (job != nullptr && end.outcome == RunOutcome::Done && findRun(number, end.task, end.run) == nullptr) {
+            proposedLateEnds_[job->crashUnitOf(end.task)] = number;
+        }
     }
 }
 
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -1197,6 +1197,76 @@
     EXPECT_GT(tried, 0);
 }
 
+// Guards against a task that is placed again although the leader has read that it is done: that end was proposed, but
+// not committed yet.
+TEST_F(WorkflowManager, TaskWhoseEndIsProposedIsNotPlaced)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 1);
+    simulation.workers.add("small", 500, "rack0", simulation.now);
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    simulation.run(200ms);
+    ASSERT_EQ(simulation.workers.running(), 1U);
+    simulation.workers.worker("w0").cut = true;
+    simulation.run(16s);
+    ASSERT_EQ(simulation.state.findTask({Key, 0, 0, 0})->phase, workflow::TaskPhase::Waiting);
+    bool isProposed = false;
+    simulation.refuses = [&](const workflow::LogEntry &entry) {
+        const auto *const ends = std::get_if<workflow::EndsEntry>(&entry);
+        isProposed = isProposed || (ends != nullptr && !ends->ends.empty());
+        return false;
+    };
+    simulation.workers.worker("w0").cut = false;
+    ASSERT_TRUE(simulation.runUntil([&] { return isProposed; }, 5s));
+    simulation.delayProposals(300ms);
+    simulation.workers.setCapacity("small", {16'000, 1'000'000, 0}, 0ms, simulation.now);
+    simulation.manager->onReport(simulation.workers.report("small", simulation.now), simulation.now);
+    simulation.run(200ms);
+    EXPECT_EQ(simulation.proposedStarts(Key), 0U);
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 5s));
+    EXPECT_EQ(simulation.workers.starts(), 1U);
+}
+
+// Guards against an overfilled worker: it had shrunk, the log refused the entry that says so, and the leader that
+// started again from the log took it for as large as before.
+TEST_F(WorkflowManager, LeaderThatStartsAgainRemembersThatAWorkerHasShrunk)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 1);
+    simulation.run(1'500ms);
+    simulation.drops = [](const workflow::LogEntry &entry) {
+        return std::holds_alternative<workflow::WorkerJoinedEntry>(entry);
+    };
+    simulation.workers.setCapacity("w0", {1'000, 1'000'000, 0}, 1'600ms, simulation.now);
+    simulation.run(1'650ms);
+    simulation.leadAgainAtOnce();
+    simulation.submit(Key, job({step(1, 4'000)}), policy());
+    simulation.run(5s);
+    EXPECT_EQ(simulation.workers.starts(), 0U);
+}
+
+// Guards against a start on a worker whose drain was acknowledged: the order before had got no answer.
+TEST_F(WorkflowManager, UnansweredStartIsNotSentAgainToAWorkerThatDrains)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 2);
+    std::uint64_t orders = 0;
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        static_cast<void>(task);
+        return ++orders == 1;
+    };
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return orders == 1; }, 1s));
+    const std::string drained =
+        simulation.state.workers().at(simulation.state.findTask({Key, 0, 0, 0})->worker).identity.id;
+    fakes::CalledWorkers::Worker &worker = simulation.workers.worker(drained);
+    worker.isDraining = true;
+    simulation.propose(workflow::WorkerDrainingEntry{drained, worker.identity.born});
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
+    EXPECT_TRUE(worker.ended.empty());
+    EXPECT_EQ(worker.nextEnd, 1U);
+}
+
 // A worker that drains may be given up meanwhile; a report from before, which arrives late, doesn't make it ready.
 TEST_F(WorkflowManager, DrainingWorkerThatReturnsGetsNoTask)
 {
