Take a gang for whole only if its members were there at one time

A member that was confirmed counted as there from then on, whatever became of its worker, so the gang was no longer watched once the last one was confirmed. A confirmation that is older than the last start is renewed now; a member whose worker doesn't answer is confirmed again; the others are stopped at once when a worker is replaced; and a leader that starts again from the log keeps the time since when the members wait.

--- a/src/workflow/gang_starts.cpp
+++ b/src/workflow/gang_starts.cpp
@@ -1,10 +1,19 @@
 #include "workflow/gang_starts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawheel::workflow
 {
 
+namespace
+{
+
+/// Members that were seen within this time count as there together. Orders of a large gang take a while.
+constexpr std::chrono::milliseconds MaxConfirmationAge{200};
+
+} // namespace
+
 void GangStarts::addMember(const TaskRef &gang, std::uint32_t run, const TaskRef &member, base::TimePoint now)
 {
     Start &start = starts_[gang];
@@ -28,19 +37,43 @@
     }
 }
 
-std::optional<GangStarts::Summary> GangStarts::recordConfirmation(const TaskRef &gang,
-                                                                  std::uint32_t run,
-                                                                  const TaskRef &member,
-                                                                  std::optional<base::TimePoint> sentAt,
-                                                                  base::TimePoint now)
+GangStarts::Confirmation GangStarts::recordConfirmation(const TaskRef &gang,
+                                                        std::uint32_t run,
+                                                        const TaskRef &member,
+                                                        std::optional<base::TimePoint> sentAt,
+                                                        base::TimePoint seenAt,
+                                                        base::TimePoint now)
 {
     Start *const start = find(gang, run);
     if (start == nullptr || start->unconfirmed.erase(member) == 0) {
-        return std::nullopt;
+        return {};
     }
     start->lastSentAt = std::max(start->lastSentAt, sentAt.value_or(start->lastSentAt));
     start->lastConfirmedAt = now;
-    return start->unconfirmed.empty() ? remove(gang, run) : std::nullopt;
+    if (!start->seenAt.contains(member)) {
+        start->lastStartSeenAt = std::max(start->lastStartSeenAt, seenAt);
+    }
+    start->seenAt[member] = seenAt;
+    Confirmation result;
+    if (!start->unconfirmed.empty()) {
+        return result;
+    }
+    for (const auto &[other, time] : start->seenAt) {
+        if (start->lastStartSeenAt - time > MaxConfirmationAge) {
+            result.outdated.push_back(other);
+            start->unconfirmed.insert(other);
+        }
+    }
+    if (result.outdated.empty() && !std::exchange(start->wasWhole, true)) {
+        result.summary = summarize(*start);
+    }
+    return result;
+}
+
+bool GangStarts::recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member)
+{
+    Start *const start = find(gang, run);
+    return start != nullptr && start->seenAt.contains(member) && start->unconfirmed.insert(member).second;
 }
 
 std::optional<GangStarts::Summary> GangStarts::remove(const TaskRef &gang, std::uint32_t run)
@@ -49,28 +82,40 @@
     if (start == nullptr) {
         return std::nullopt;
     }
-    const Summary summary = summarize(*start);
+    const auto summary = start->wasWhole ? std::nullopt : std::optional(summarize(*start));
     starts_.erase(gang);
     return summary;
 }
 
-std::vector<TaskRef> GangStarts::committedBy(base::TimePoint before) const
+std::vector<TaskRef> GangStarts::incompleteSince(base::TimePoint before) const
 {
     std::vector<TaskRef> gangs;
     for (const auto &[gang, start] : starts_) {
-        if (start.committedAt <= before) {
+        if (start.committedAt <= before && !start.unconfirmed.empty()) {
             gangs.push_back(gang);
         }
     }
     return gangs;
 }
 
+std::optional<base::TimePoint> GangStarts::committedAt(const TaskRef &gang, std::uint32_t run) const
+{
+    const Start *const start = find(gang, run);
+    return start == nullptr ? std::nullopt : std::optional(start->committedAt);
+}
+
 GangStarts::Start *GangStarts::find(const TaskRef &gang, std::uint32_t run)
 {
     const auto found = starts_.find(gang);
     return found == starts_.end() || found->second.run != run ? nullptr : &found->second;
 }
 
+const GangStarts::Start *GangStarts::find(const TaskRef &gang, std::uint32_t run) const
+{
+    const auto found = starts_.find(gang);
+    return found == starts_.end() || found->second.run != run ? nullptr : &found->second;
+}
+
 GangStarts::Summary GangStarts::summarize(const Start &start)
 {
     const auto sinceCommit = [&start](base::TimePoint time) {
--- a/src/workflow/gang_starts.h
+++ b/src/workflow/gang_starts.h
@@ -14,8 +14,9 @@
 namespace yuccawheel::workflow
 {
 
-/// Runs of gangs whose members this leader has placed and not all workers have confirmed yet. Members that are there
-/// hold capacity and do nothing until the last one is.
+/// Runs of gangs that this leader has placed and that aren't known to work yet. Members that are there hold capacity
+/// and do nothing until all of them are there at one time, so a confirmation counts only for about the time it was
+/// made.
 class GangStarts
 {
 public:
@@ -33,22 +34,27 @@
     void addMember(const TaskRef &gang, std::uint32_t run, const TaskRef &member, base::TimePoint now);
     /// Records that an order to start a member goes out.
     void recordOrder(const TaskRef &gang, std::uint32_t run, const TaskRef &member, base::TimePoint now);
-    /// Records that a member is on its worker; `sentAt`, if known, is when its order was written. Returns the summary
-    /// of the run if it is whole now; it is no longer tracked then.
-    std::optional<Summary> recordConfirmation(const TaskRef &gang,
-                                              std::uint32_t run,
-                                              const TaskRef &member,
-                                              std::optional<base::TimePoint> sentAt,
-                                              base::TimePoint now);
-    /// Stops tracking a run, because one of its members has ended or will not start. Returns its summary if it was
-    /// tracked.
+    struct Confirmation {
+        std::optional<Summary> summary; ///< Set if the run is whole now.
+        std::vector<TaskRef> outdated; ///< Members that were there too long ago and must be confirmed once more.
+    };
+    /// Records that a member was on its worker at `seenAt`; `sentAt`, if known, is when its order was written.
+    Confirmation recordConfirmation(const TaskRef &gang,
+                                    std::uint32_t run,
+                                    const TaskRef &member,
+                                    std::optional<base::TimePoint> sentAt,
+                                    base::TimePoint seenAt,
+                                    base::TimePoint now);
+    /// Records that a member may be on its worker no longer. Returns whether it has to be confirmed once more.
+    bool recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member);
+    /// Stops tracking a run, because it works, or one of its members has ended or will not start. Returns its summary
+    /// if it was tracked and never whole.
     std::optional<Summary> remove(const TaskRef &gang, std::uint32_t run);
-    /// Returns the first members of the gangs whose placement was committed at `before` or earlier.
-    std::vector<TaskRef> committedBy(base::TimePoint before) const;
-    void clear()
-    {
-        starts_.clear();
-    }
+    /// Returns the first members of the gangs that aren't whole and whose placement was committed at `before` or
+    /// earlier.
+    std::vector<TaskRef> incompleteSince(base::TimePoint before) const;
+    /// Returns when the placement of a run was committed, if it is tracked.
+    std::optional<base::TimePoint> committedAt(const TaskRef &gang, std::uint32_t run) const;
 
 private:
     struct Start {
@@ -60,10 +66,14 @@
         std::size_t orders = 0;
         std::set<TaskRef> unordered;
         std::set<TaskRef> unconfirmed;
+        std::map<TaskRef, base::TimePoint> seenAt; ///< Of the members that were confirmed, the latest time.
+        base::TimePoint lastStartSeenAt{}; ///< When the member that was there last was first seen.
         std::size_t members = 0;
+        bool wasWhole = false;
     };
 
     Start *find(const TaskRef &gang, std::uint32_t run);
+    const Start *find(const TaskRef &gang, std::uint32_t run) const;
     static Summary summarize(const Start &start);
 
     std::map<TaskRef, Start> starts_; ///< By the first member of the gang.
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -57,7 +57,7 @@
         if (job.hasEnded()) {
             stopJob(key, now);
         } else {
-            adoptGangs(key, job, now);
+            adoptGangs(key, job, earlierStarts, now);
         }
     }
     base::logInfo("leading")
@@ -328,8 +328,9 @@
 }
 
 // An earlier leader may have been lost while it was starting or stopping a gang. One that isn't placed as a whole will
-// never be; of the others it isn't known yet whether all members are there.
-void JobManager::adoptGangs(JobKey key, const JobRecord &job, base::TimePoint now)
+// never be; of the others it isn't known yet whether all members are there. Members go on waiting while a leader starts
+// again from the log, so it keeps the time since when.
+void JobManager::adoptGangs(JobKey key, const JobRecord &job, const GangStarts &earlier, base::TimePoint now)
 {
     for (std::size_t position = 0; position < job.steps.size(); ++position) {
         const StepRecord &step = job.steps[position];
@@ -342,7 +343,9 @@
         }
         for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
             const TaskRef member = job.refOf(key, position, index);
-            gangStarts_.addMember(job.crashUnitOf(member), step.tasks[index].run, member, now);
+            const TaskRef gang = job.crashUnitOf(member);
+            const std::uint32_t run = step.tasks[index].run;
+            gangStarts_.addMember(gang, run, member, earlier.committedAt(gang, run).value_or(now));
         }
     }
 }
@@ -352,7 +355,7 @@
 void JobManager::stopIncompleteGangs(base::TimePoint now)
 {
     const auto limit = std::chrono::duration_cast<base::Duration>(limits_.gangTimeout * MaxGangStartShare);
-    for (const TaskRef &gang : gangStarts_.committedBy(now - limit)) {
+    for (const TaskRef &gang : gangStarts_.incompleteSince(now - limit)) {
         logBrokenStart(gang);
         stopGang(gang, now);
     }
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -164,7 +164,7 @@
     bool isPlaced(const StartsEntry::Start &start) const;
     bool canStart(const StartsEntry::Start &start) const;
     std::set<TaskRef> findBrokenGangs(const StartsEntry &entry) const;
-    void adoptGangs(JobKey key, const JobRecord &job, base::TimePoint now);
+    void adoptGangs(JobKey key, const JobRecord &job, const GangStarts &earlier, base::TimePoint now);
     void updateReadySteps(JobKey key);
     void stopJob(JobKey key, base::TimePoint now);
     void stopStep(JobKey key, std::size_t position, base::TimePoint now);
@@ -245,7 +245,14 @@
     void confirmStart(const TaskRef &task,
                       LiveRun &run,
                       std::optional<std::chrono::milliseconds> sentAfter,
+                      base::TimePoint seenAt,
                       base::TimePoint now);
+    /// Records that a member of a gang was on its worker at `seenAt`.
+    void confirmMember(const TaskRef &member,
+                       LiveRun &run,
+                       std::optional<base::TimePoint> sentAt,
+                       base::TimePoint seenAt,
+                       base::TimePoint now);
     /// Logs how the run of a gang began, if a member ends before all of them were confirmed.
     void logBrokenStart(const TaskRef &member);
     void stopIncompleteGangs(base::TimePoint now);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -248,6 +248,9 @@
             run.nextCall = now;
         }
     }
+    for (const auto &[task, run] : worker.runs) {
+        stopGang(task, now);
+    }
     if (worker.runs.empty()) {
         proposeGone(number, worker, "replaced");
     }
@@ -347,7 +350,7 @@
     }
     const bool uncertain = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &item) {
         const LiveRun &run = item.second;
-        return run.stage == LiveRun::Stage::Uncertain
+        return run.stage == LiveRun::Stage::Uncertain || run.isDoubted
             || (run.stage == LiveRun::Stage::Stopping && run.stopAnsweredAt.has_value());
     });
     const auto record = state_->workers().find(number);
@@ -466,6 +469,7 @@
 void JobManager::confirmStart(const TaskRef &task,
                               LiveRun &run,
                               std::optional<std::chrono::milliseconds> sentAfter,
+                              base::TimePoint seenAt,
                               base::TimePoint now)
 {
     run.stage = LiveRun::Stage::Running;
@@ -473,12 +477,29 @@
     run.runningSince = now;
     run.callInFlight = false;
     startedJobs_.insert(task.job);
-    if (!isGangMember(task)) {
-        return;
+    if (isGangMember(task)) {
+        confirmMember(task, run, sentAfter ? std::optional(run.orderedAt + *sentAfter) : std::nullopt, seenAt, now);
+    }
+}
+
+void JobManager::confirmMember(const TaskRef &member,
+                               LiveRun &run,
+                               std::optional<base::TimePoint> sentAt,
+                               base::TimePoint seenAt,
+                               base::TimePoint now)
+{
+    const TaskRef gang = state_->findJob(member.job)->crashUnitOf(member);
+    run.isDoubted = false;
+    const GangStarts::Confirmation confirmation =
+        gangStarts_.recordConfirmation(gang, run.run, member, sentAt, seenAt, now);
+    for (const TaskRef &other : confirmation.outdated) {
+        const WorkerNumber number = state_->findTask(other)->worker;
+        if (LiveRun *const outdated = findRun(number, other, run.run)) {
+            outdated->isDoubted = true;
+            reviewPolls(number, workers_.at(number), now);
+        }
     }
-    const TaskRef gang = state_->findJob(task.job)->crashUnitOf(task);
-    const auto sentAt = sentAfter ? std::optional(run.orderedAt + *sentAfter) : std::nullopt;
-    if (const auto summary = gangStarts_.recordConfirmation(gang, run.run, task, sentAt, now)) {
+    if (const auto &summary = confirmation.summary) {
         base::logInfo("gang_started")
             .with("gang", toString(gang))
             .with("run", run.run)
@@ -550,6 +571,12 @@
             .with("lease_left_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(worker.lease.expiresBy() - now).count());
     }
+    for (auto &[task, run] : worker.runs) {
+        if (run.stage == LiveRun::Stage::Running && isGangMember(task)) {
+            const TaskRef gang = state_->findJob(task.job)->crashUnitOf(task);
+            run.isDoubted = gangStarts_.recordDoubt(gang, run.run, task) || run.isDoubted;
+        }
+    }
     worker.lastTimeout = now;
     worker.nextPollAt = now + (worker.runs.empty() ? IdleRetryInterval : RetryInterval);
 }
@@ -574,7 +601,7 @@
         }
         recordAnswer(worker, answer.clock, now);
         run->isTimed = true;
-        confirmStart(task, *run, answer.sentAfter, now);
+        confirmStart(task, *run, answer.sentAfter, run->orderedAt, now);
         reviewPolls(number, worker, now);
         return;
     }
@@ -833,7 +860,9 @@
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
             run->isTimed = run->stage == LiveRun::Stage::Starting;
-            confirmStart(*task, *run, std::nullopt, now);
+            confirmStart(*task, *run, std::nullopt, std::max(sentAt, run->orderedAt), now);
+        } else if (run->stage == LiveRun::Stage::Running && run->isDoubted) {
+            confirmMember(*task, *run, std::nullopt, sentAt, now);
         }
     }
     for (const EndedTask &ended : answer.ended) {
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -42,6 +42,7 @@
     std::uint32_t startCalls = 0;
     bool callInFlight = false;
     bool startUnanswered = false; ///< An unanswered start order may still take effect.
+    bool isDoubted = false; ///< Confirmed, but a poll has to find out whether it is still there.
     bool mayHaveStarted = false; ///< The worker has confirmed the run, or may have without an answer.
 };
 
