--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -110,12 +110,12 @@
     if (const auto *starts = std::get_if<StartsEntry>(&entry)) {
         orderCommittedStarts(*starts, now);
     } else if (const auto *ends = std::get_if<EndsEntry>(&entry)) {
+        std::erase_if(proposedLateEnds_, [ends](const auto &item) { return item.second == ends->worker; });
         const auto worker = workers_.find(ends->worker);
         if (worker != workers_.end()) {
             reviewPolls(worker->first, worker->second, now);
         }
     }
-        std::erase_if(proposedLateEnds_, [ends](const auto &item) { return item.second == ends->worker; });
     dispatchDue_ = true;
 }
 
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -280,13 +280,6 @@
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
     std::map<std::string, std::size_t> pendingJobs_; ///< By queue, as of the last count.
     base::TimePoint nextPendingCount_{};
-    std::unordered_set<JobKey> startedJobs_; ///< Jobs of which a run has been confirmed by a worker.
-    GangStarts gangStarts_;
-    std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
-    EligibilityGateways gateways_;
-    WorkerSpeedTracker speeds_;
-    std::map<std::uint64_t, PendingQuery> pendingQueries_;
-    std::map<std::string, double> eligibleShare_; ///< By queue: moving average of the share of eligible workers.
     /// Tasks, or first members of gangs, of which a worker has listed a run as done that was given up, until that end
     /// is committed.
     std::map<TaskRef, WorkerNumber> proposedLateEnds_;
@@ -296,6 +289,13 @@
     };
     /// By worker id: capacities that the log may not hold yet. Kept while this manager leads in one term.
     std::map<std::string, ReportedCapacity> reportedCapacities_;
+    std::unordered_set<JobKey> startedJobs_; ///< Jobs of which a run has been confirmed by a worker.
+    GangStarts gangStarts_;
+    std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
+    EligibilityGateways gateways_;
+    WorkerSpeedTracker speeds_;
+    std::map<std::uint64_t, PendingQuery> pendingQueries_;
+    std::map<std::string, double> eligibleShare_; ///< By queue: moving average of the share of eligible workers.
     struct QueryIndex {
         base::TimePoint madeAt{};
         std::optional<CapacityIndex> byFreeCpu;
