--- a/fakes/manager_cluster.h
+++ b/fakes/manager_cluster.h
@@ -174,6 +174,7 @@
     void answerPoll(const PendingPoll &poll, const workflow::PollAnswer &answer);
     void stepReports();
     void report(const std::string &worker, std::uint32_t manager);
+    void tryNextManager(const std::string &worker, std::chrono::milliseconds delay);
     void deliverReport(Node &node, const workflow::WorkerReport &report, bool forwarded);
     void send(const Request &request);
     void handleReply(Request request,
