Know a job by its id after its route was removed

A caller whose first request had no answer was told 404 by the resend, though its job ran: the route was looked up before the job, and a configuration without the route had come between. Reads and cancels got 404 too. Where a route with a shorter prefix took its place they got 400 and 410. By the protocol a 404 tells that there is no such queue, which a caller takes for a refusal, and an accepted job must stay known.

A known job is now found by the end of the path, with or without a route, as jobs have one space of ids for all queues. Requests for unknown jobs are refused as before. JobIsKnownAfterItsRouteIsRemoved and JobIsKnownAfterAShorterRouteReplacesItsRoute failed before.

--- a/src/workflow/manager_core.cpp
+++ b/src/workflow/manager_core.cpp
@@ -19,6 +19,11 @@
 constexpr milliseconds RetryDelay{1'000}; ///< About the duration of an election.
 constexpr milliseconds MaxReadWait{1'000}; ///< Gateways wait no longer for a reply.
 
+std::optional<std::string> findFault(const QueueRequest &submission)
+{
+    return submission.job ? workflow::findFault(*submission.job) : "the request contains no job";
+}
+
 } // namespace
 
 ManagerCore::ManagerCore(CorePort &port, ManagerLimits limits) : port_(port), jobs_(*this, limits)
@@ -242,6 +247,15 @@
 void ManagerCore::handle(QueueRequest request, base::TimePoint now, WallTime wall, const Done<QueueReply> &done)
 {
     const QueueRoute *const route = state_.configuration().findRoute(request.host, request.path);
+    const auto rest = std::string_view(request.path).substr(route != nullptr ? route->pathPrefix.size() : 0);
+    if (route != nullptr && rest.empty() && request.verb == QueueVerb::Read) {
+        done(QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, now), {}, {}});
+        return;
+    }
+    if (const auto known = findKnownJob(rest)) {
+        handleKnown(*known, request, now, wall, done);
+        return;
+    }
     if (route == nullptr) {
         // Without a configuration the queues are unknown, so the queue may exist.
         const auto outcome = state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
@@ -252,30 +266,39 @@
         done(QueueReply{outcome, {}, 0, RetryDelay, "no such queue"});
         return;
     }
-    const std::string rest = request.path.substr(route->pathPrefix.size());
-    if (rest.empty() && request.verb == QueueVerb::Read) {
-        done(QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, now), {}, {}});
+    if (request.verb != QueueVerb::Submit) {
+        done(QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
         return;
     }
     const auto key = parseJobKey(rest);
-    if (request.verb == QueueVerb::Submit) {
-        const auto fault = !key ? std::optional<std::string>("the job id must be 16 hexadecimal digits")
-            : request.job       ? findFault(*request.job)
-                                : std::optional<std::string>("the request contains no job");
-        if (fault) {
-            done(QueueReply{QueueOutcome::Malformed, {}, 0, {}, *fault});
-            return;
-        }
-        submitJob(*key, route->policy, std::move(*request.job), wall, done);
+    const auto fault =
+        key ? findFault(request) : std::optional<std::string>("the job id must be 16 hexadecimal digits");
+    if (fault) {
+        done(QueueReply{QueueOutcome::Malformed, {}, 0, {}, *fault});
         return;
     }
-    const JobRecord *const job = key ? state_.findJob(*key) : nullptr;
-    if (job == nullptr) {
-        done(QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
-    } else if (request.verb == QueueVerb::Read) {
-        readJob(*key, request.wait, now, done);
+    proposeAndReply(AcceptEntry{*key, std::move(*request.job), route->policy, wall}, done);
+}
+
+// A job outlives its route, which is then unknown or replaced by one with a shorter prefix, so its id alone identifies
+// it.
+std::optional<JobKey> ManagerCore::findKnownJob(std::string_view path) const
+{
+    const auto key = parseJobKey(path.substr(path.rfind('/') + 1));
+    return key && state_.findJob(*key) != nullptr ? key : std::nullopt;
+}
+
+void ManagerCore::handleKnown(
+    JobKey key, const QueueRequest &request, base::TimePoint now, WallTime wall, const Done<QueueReply> &done)
+{
+    if (request.verb == QueueVerb::Read) {
+        readJob(key, request.wait, now, done);
+    } else if (request.verb == QueueVerb::Cancel) {
+        cancelJob(key, wall, done);
+    } else if (const auto fault = findFault(request)) {
+        done(QueueReply{QueueOutcome::Malformed, {}, 0, {}, *fault});
     } else {
-        cancelJob(*key, wall, done);
+        done(QueueReply{QueueOutcome::Accepted, {}, 0, {}, {}});
     }
 }
 
@@ -297,16 +320,6 @@
     }
 }
 
-void ManagerCore::submitJob(
-    JobKey key, const QueuePolicy &policy, JobSpec spec, WallTime wall, const Done<QueueReply> &done)
-{
-    if (state_.findJob(key) != nullptr) {
-        done(QueueReply{QueueOutcome::Accepted, {}, 0, {}, {}});
-        return;
-    }
-    proposeAndReply(AcceptEntry{key, std::move(spec), policy, wall}, done);
-}
-
 void ManagerCore::cancelJob(JobKey key, WallTime wall, const Done<QueueReply> &done)
 {
     if (state_.findJob(key)->hasEnded()) {
--- a/src/workflow/manager_core.h
+++ b/src/workflow/manager_core.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -138,8 +139,11 @@
     bool proposeEntry(const LogEntry &entry, CommitCallback done);
     /// Proposes an entry and replies once it is committed or has failed.
     void proposeAndReply(const LogEntry &entry, const Done<QueueReply> &done);
+    /// Returns the key of the known job that a path, or its rest after the prefix of a route, ends with.
+    std::optional<JobKey> findKnownJob(std::string_view path) const;
+    void handleKnown(
+        JobKey key, const QueueRequest &request, base::TimePoint now, WallTime wall, const Done<QueueReply> &done);
     void readJob(JobKey key, std::chrono::milliseconds wait, base::TimePoint now, const Done<QueueReply> &done);
-    void submitJob(JobKey key, const QueuePolicy &policy, JobSpec spec, WallTime wall, const Done<QueueReply> &done);
     void cancelJob(JobKey key, WallTime wall, const Done<QueueReply> &done);
 
     CorePort &port_;
--- a/tests/workflow_core_test.cpp
+++ b/tests/workflow_core_test.cpp
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,11 +14,16 @@
 using namespace std::chrono_literals;
 using coordination::EntryKind;
 using coordination::Role;
+using workflow::QueueOutcome;
+using workflow::QueueVerb;
 
 namespace
 {
 
+using Reply = tl::expected<workflow::QueueReply, workflow::Unanswered>;
+
 constexpr workflow::WallTime Wall{1'000'000};
+constexpr workflow::JobKey Key = 0x5c0e7a21d94b36f8;
 
 /// Records what a core proposes; the test decides what becomes of it.
 class RecordingPort : public workflow::CorePort
@@ -121,6 +128,50 @@
         port_.proposals.erase(port_.proposals.begin());
         return id;
     }
+    void commit(coordination::Term term, coordination::Index index, const workflow::LogEntry &entry)
+    {
+        workflow::LogOutput committed = output(Role::Leader, term);
+        committed.committed.push_back({index, term, EntryKind::Application, workflow::encodeEntry(entry)});
+        apply(std::move(committed));
+    }
+    static workflow::Configuration configuration(std::uint64_t version, const std::vector<std::string> &prefixes)
+    {
+        workflow::Configuration result;
+        result.version = version;
+        result.services.push_back({"service", false, false});
+        for (const std::string &prefix : prefixes) {
+            result.routes.push_back({"host", prefix, 3s, {}});
+            result.routes.back().policy.queue = prefix;
+            result.routes.back().policy.service = "service";
+        }
+        return result;
+    }
+    static workflow::JobSpec job()
+    {
+        workflow::JobSpec spec;
+        spec.steps.emplace_back().count = 1;
+        return spec;
+    }
+    /// Returns the reply, or nothing if there is none yet.
+    std::shared_ptr<std::optional<Reply>> send(workflow::QueueVerb verb, const std::string &path)
+    {
+        workflow::QueueRequest request;
+        request.verb = verb;
+        request.host = "host";
+        request.path = path;
+        if (verb == workflow::QueueVerb::Submit) {
+            request.job = job();
+        }
+        auto result = std::make_shared<std::optional<Reply>>();
+        core_.handle(std::move(request), now_, Wall, [result](Reply reply) { *result = std::move(reply); });
+        return result;
+    }
+    /// Returns the outcome of a request that is answered at once, and not by "unanswered".
+    std::optional<QueueOutcome> outcomeOf(QueueVerb verb, const std::string &path)
+    {
+        const auto reply = send(verb, path);
+        return *reply && **reply ? std::optional((*reply)->value().outcome) : std::nullopt;
+    }
 
     base::TimePoint now_{std::chrono::hours(1)};
     RecordingPort port_;
@@ -149,4 +200,54 @@
     EXPECT_TRUE(core_.jobs().isLeading());
 }
 
+// Guards against a caller that takes a job for refused (404) while it runs: its first request had no answer, and its
+// route was removed before the resend.
+TEST_F(WorkflowCore, JobIsKnownAfterItsRouteIsRemoved)
+{
+    lead(1, 1);
+    commit(1, 2, workflow::ConfigurationEntry{configuration(1, {"/a/"})});
+    commit(1, 3, workflow::AcceptEntry{Key, job(), configuration(1, {"/a/"}).routes[0].policy, Wall});
+    commit(1, 4, workflow::ConfigurationEntry{configuration(2, {"/b/"})});
+
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a/5c0e7a21d94b36f8"), QueueOutcome::Accepted);
+    EXPECT_EQ(outcomeOf(QueueVerb::Read, "/a/5c0e7a21d94b36f8"), QueueOutcome::State);
+    EXPECT_TRUE(port_.proposals.empty());
+    const auto cancelled = send(QueueVerb::Cancel, "/a/5c0e7a21d94b36f8");
+    EXPECT_FALSE(*cancelled);
+    EXPECT_EQ(port_.proposals.size(), 1U);
+
+    for (const QueueVerb verb : {QueueVerb::Submit, QueueVerb::Read, QueueVerb::Cancel}) {
+        EXPECT_EQ(outcomeOf(verb, "/a/0000000000000001"), QueueOutcome::NoSuchQueue);
+    }
+    EXPECT_EQ(outcomeOf(QueueVerb::Read, "/a/"), QueueOutcome::NoSuchQueue);
+    EXPECT_EQ(port_.proposals.size(), 1U);
+}
+
+// Guards against a 400 or 410 for a running job whose route was removed, by a route with a shorter prefix.
+TEST_F(WorkflowCore, JobIsKnownAfterAShorterRouteReplacesItsRoute)
+{
+    lead(1, 1);
+    commit(1, 2, workflow::ConfigurationEntry{configuration(1, {"/a/"})});
+    commit(1, 3, workflow::AcceptEntry{Key, job(), configuration(1, {"/a/"}).routes[0].policy, Wall});
+    commit(1, 4, workflow::ConfigurationEntry{configuration(2, {"/"})});
+
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a/5c0e7a21d94b36f8"), QueueOutcome::Accepted);
+    EXPECT_EQ(outcomeOf(QueueVerb::Read, "/a/5c0e7a21d94b36f8"), QueueOutcome::State);
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a/0000000000000001"), QueueOutcome::Malformed);
+    EXPECT_EQ(outcomeOf(QueueVerb::Read, "/a/0000000000000001"), QueueOutcome::NoSuchJob);
+    EXPECT_TRUE(port_.proposals.empty());
+}
+
+// Guards against jobs that are known only by the last part of their path between slashes.
+TEST_F(WorkflowCore, PrefixesNeedNotEndWithASlash)
+{
+    lead(1, 1);
+    commit(1, 2, workflow::ConfigurationEntry{configuration(1, {"/a-", "/5c0e7a21d94b36f8"})});
+    commit(1, 3, workflow::AcceptEntry{Key, job(), configuration(1, {"/a-"}).routes[0].policy, Wall});
+
+    EXPECT_EQ(outcomeOf(QueueVerb::Read, "/a-5c0e7a21d94b36f8"), QueueOutcome::State);
+    EXPECT_EQ(outcomeOf(QueueVerb::Read, "/5c0e7a21d94b36f8"), QueueOutcome::Pending);
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a-ff5c0e7a21d94b36f8"), QueueOutcome::Malformed);
+}
+
 } // namespace
