Refuse no request for a job whose submission is undecided

A resend was told 404, and a cancel or read 404 or 410, though the first submission was still on its way to the log and was accepted right after: its entry followed that of a configuration without its route, and only committed jobs were looked at. A refusal must stay true, so such requests are left unanswered until the log has decided, and gateways send them again. Resends with a route are proposed again as before, which makes no second job.

NoRequestIsRefusedWhileASubmissionOfItsJobIsUndecided and RequestsAreRefusedOnceTheSubmissionIs failed before.

--- a/src/workflow/manager_core.cpp
+++ b/src/workflow/manager_core.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -19,6 +20,13 @@
 constexpr milliseconds RetryDelay{1'000}; ///< About the duration of an election.
 constexpr milliseconds MaxReadWait{1'000}; ///< Gateways wait no longer for a reply.
 
+// A job outlives its route, which is then unknown or replaced by one with a shorter prefix, so its id alone identifies
+// it.
+std::optional<JobKey> findJobKey(std::string_view path)
+{
+    return parseJobKey(path.substr(path.rfind('/') + 1));
+}
+
 std::optional<std::string> findFault(const QueueRequest &submission)
 {
     return submission.job ? workflow::findFault(*submission.job) : "the request contains no job";
@@ -252,8 +260,15 @@
         done(QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, now), {}, {}});
         return;
     }
-    if (const auto known = findKnownJob(rest)) {
-        handleKnown(*known, request, now, wall, done);
+    const auto named = findJobKey(rest);
+    if (named && state_.findJob(*named) != nullptr) {
+        handleKnown(*named, request, now, wall, done);
+        return;
+    }
+    const auto key = route != nullptr ? parseJobKey(rest) : std::nullopt;
+    const bool isSubmission = key && request.verb == QueueVerb::Submit;
+    if (named && undecided_.contains(*named) && !isSubmission) {
+        done(tl::make_unexpected(Unanswered{true, RetryDelay}));
         return;
     }
     if (route == nullptr) {
@@ -270,22 +285,18 @@
         done(QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
         return;
     }
-    const auto key = parseJobKey(rest);
     const auto fault =
         key ? findFault(request) : std::optional<std::string>("the job id must be 16 hexadecimal digits");
     if (fault) {
         done(QueueReply{QueueOutcome::Malformed, {}, 0, {}, *fault});
         return;
     }
-    proposeAndReply(AcceptEntry{*key, std::move(*request.job), route->policy, wall}, done);
-}
-
-// A job outlives its route, which is then unknown or replaced by one with a shorter prefix, so its id alone identifies
-// it.
-std::optional<JobKey> ManagerCore::findKnownJob(std::string_view path) const
-{
-    const auto key = parseJobKey(path.substr(path.rfind('/') + 1));
-    return key && state_.findJob(*key) != nullptr ? key : std::nullopt;
+    const auto undecided = undecided_.insert(*key);
+    proposeAndReply(AcceptEntry{*key, std::move(*request.job), route->policy, wall},
+                    [this, undecided, done](tl::expected<QueueReply, Unanswered> reply) {
+                        undecided_.erase(undecided);
+                        done(std::move(reply));
+                    });
 }
 
 void ManagerCore::handleKnown(
--- a/src/workflow/manager_core.h
+++ b/src/workflow/manager_core.h
@@ -13,7 +13,7 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -139,8 +139,6 @@
     bool proposeEntry(const LogEntry &entry, CommitCallback done);
     /// Proposes an entry and replies once it is committed or has failed.
     void proposeAndReply(const LogEntry &entry, const Done<QueueReply> &done);
-    /// Returns the key of the known job that a path, or its rest after the prefix of a route, ends with.
-    std::optional<JobKey> findKnownJob(std::string_view path) const;
     void handleKnown(
         JobKey key, const QueueRequest &request, base::TimePoint now, WallTime wall, const Done<QueueReply> &done);
     void readJob(JobKey key, std::chrono::milliseconds wait, base::TimePoint now, const Done<QueueReply> &done);
@@ -158,6 +156,7 @@
     std::size_t appliedEntries_ = 0; ///< Of the first one of `unapplied_`.
     std::map<std::uint64_t, CommitCallback> proposals_; ///< By proposal id: handed to the log, no result yet.
     std::map<coordination::Index, PendingEntry> pending_; ///< By log index.
+    std::multiset<JobKey> undecided_; ///< Jobs of submissions that are proposed and neither committed nor refused.
     coordination::Term startedTerm_ = 0; ///< Latest term whose TermStart entry has been applied.
     coordination::Term ledTerm_ = 0; ///< Latest term in which the job manager has led.
     bool isBarrierPending_ = false; ///< An entry is proposed after which the job manager may lead again.
--- a/tests/workflow_core_test.cpp
+++ b/tests/workflow_core_test.cpp
@@ -250,4 +250,59 @@
     EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a-ff5c0e7a21d94b36f8"), QueueOutcome::Malformed);
 }
 
+// Guards against a 404 or 410 for a job that is accepted right after: its entry followed that of the configuration
+// without its route and was not decided yet.
+TEST_F(WorkflowCore, NoRequestIsRefusedWhileASubmissionOfItsJobIsUndecided)
+{
+    lead(1, 1);
+    commit(1, 2, workflow::ConfigurationEntry{configuration(1, {"/a/"})});
+    const auto first = send(QueueVerb::Submit, "/a/5c0e7a21d94b36f8");
+    ASSERT_EQ(port_.proposals.size(), 1U);
+    const auto cancelled = send(QueueVerb::Cancel, "/a/5c0e7a21d94b36f8");
+    workflow::LogOutput accepted = output(Role::Leader, 1);
+    accepted.results.push_back({port_.proposals[0].first, coordination::Position{4, 1}});
+    apply(std::move(accepted));
+    commit(1, 3, workflow::ConfigurationEntry{configuration(2, {"/b/"})});
+    const auto resent = send(QueueVerb::Submit, "/a/5c0e7a21d94b36f8");
+    const auto read = send(QueueVerb::Read, "/a/5c0e7a21d94b36f8");
+
+    for (const auto &reply : {cancelled, resent, read}) {
+        ASSERT_TRUE(*reply);
+        ASSERT_FALSE(**reply);
+        EXPECT_TRUE((*reply)->error().mayTakeEffect);
+    }
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a/0000000000000001"), QueueOutcome::NoSuchQueue);
+    EXPECT_EQ(port_.proposals.size(), 1U);
+
+    ASSERT_FALSE(*first);
+    workflow::LogOutput committed = output(Role::Leader, 1);
+    committed.committed.push_back({4, 1, EntryKind::Application, port_.proposals[0].second});
+    apply(std::move(committed));
+    ASSERT_TRUE(*first && **first);
+    EXPECT_EQ((*first)->value().outcome, QueueOutcome::Accepted);
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a/5c0e7a21d94b36f8"), QueueOutcome::Accepted);
+}
+
+// Guards against a job that is never refused again after its undecided submission was.
+TEST_F(WorkflowCore, RequestsAreRefusedOnceTheSubmissionIs)
+{
+    lead(1, 1);
+    commit(1, 2, workflow::ConfigurationEntry{configuration(1, {"/a/"})});
+    const auto first = send(QueueVerb::Submit, "/a/5c0e7a21d94b36f8");
+    const auto second = send(QueueVerb::Submit, "/a/5c0e7a21d94b36f8");
+    ASSERT_EQ(port_.proposals.size(), 2U);
+    commit(1, 3, workflow::ConfigurationEntry{configuration(2, {"/b/"})});
+    workflow::LogOutput refused = output(Role::Leader, 1);
+    refused.results.push_back({takeProposal(), std::nullopt});
+    apply(std::move(refused));
+    ASSERT_TRUE(*first);
+    EXPECT_FALSE((*first)->error().mayTakeEffect);
+    EXPECT_FALSE(outcomeOf(QueueVerb::Submit, "/a/5c0e7a21d94b36f8"));
+    refused = output(Role::Leader, 1);
+    refused.results.push_back({takeProposal(), std::nullopt});
+    apply(std::move(refused));
+    EXPECT_TRUE(*second);
+    EXPECT_EQ(outcomeOf(QueueVerb::Submit, "/a/5c0e7a21d94b36f8"), QueueOutcome::NoSuchQueue);
+}
+
 } // namespace
