Forget drained workers that have been silent for long

The entry is there for a draining worker that was given up and returns: reports from before its drain, which arrive late, and a new leader must not make it ready. The leader now has the entry deleted (in ForgetEntry) if no incarnation of the id is known and the leader has heard nothing from it for ten minutes; a worker that still drains reports, and stays known. The entry says which incarnation is meant, so all replicas delete the same and no later drain is lost.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds ReviewInterval{50}; ///< Half of the shortest timeout checked, 100 ms.
 constexpr int OtherWorkShare = 2; ///< Time between two decisions, in multiples of the time that the first one took.
 constexpr std::chrono::milliseconds JobRetention{150'000}; ///< Callers may read states for 120 s; plus a margin.
+/// Reports from before the drain arrive seconds late; managers that were paused may pass them on some minutes late.
+constexpr std::chrono::minutes DrainRetention{10};
 constexpr std::chrono::milliseconds ForgetInterval{5'000};
 constexpr std::chrono::milliseconds PendingCountInterval{500}; ///< A quarter of the age that readers accept.
 constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
@@ -32,6 +34,7 @@
     GangStarts earlierStarts = std::exchange(gangStarts_, {});
     if (epoch != epoch_) {
         reportedCapacities_.clear();
+        drainedHeardAt_.clear();
         earlierStarts = {};
     }
     state_ = &state;
@@ -384,7 +387,7 @@
     }
 }
 
-void JobManager::forgetOldJobs(base::TimePoint now)
+void JobManager::forgetOldRecords(base::TimePoint now)
 {
     if (now < nextForget_) {
         return;
@@ -397,11 +400,27 @@
             entry.jobs.push_back(key);
         }
     }
-    if (!entry.jobs.empty()) {
+    entry.drained = silentDrainedWorkers(now);
+    if (!entry.jobs.empty() || !entry.drained.empty()) {
         port_.propose(entry);
     }
 }
 
+std::vector<ForgetEntry::Drained> JobManager::silentDrainedWorkers(base::TimePoint now)
+{
+    std::erase_if(drainedHeardAt_, [this](const auto &item) { return !state_->drained().contains(item.first); });
+    std::vector<ForgetEntry::Drained> result;
+    for (const auto &[id, born] : state_->drained()) {
+        const auto heardAt = drainedHeardAt_.try_emplace(id, now).first;
+        if (!directory_.withId(id).empty()) {
+            heardAt->second = now;
+        } else if (now - heardAt->second > DrainRetention && result.size() < MaxForgottenPerEntry) {
+            result.push_back({id, born});
+        }
+    }
+    return result;
+}
+
 void JobManager::tick(base::TimePoint now, WallTime wall)
 {
     if (!isLeading()) {
@@ -415,7 +434,7 @@
         }
         stopIncompleteGangs(now);
         failOverdueQueries(now);
-        forgetOldJobs(now);
+        forgetOldRecords(now);
         dispatchDue_ = true;
     }
     if (now < nextDispatch_) {
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -170,7 +170,9 @@
     void stopStep(JobKey key, std::size_t position, base::TimePoint now);
     void stopTask(const TaskRef &task, base::TimePoint now);
     void stopGang(const TaskRef &member, base::TimePoint now);
-    void forgetOldJobs(base::TimePoint now);
+    void forgetOldRecords(base::TimePoint now);
+    /// Returns the drained incarnations that have been silent for so long that no report of theirs is on its way.
+    std::vector<ForgetEntry::Drained> silentDrainedWorkers(base::TimePoint now);
     void countPendingJobs();
 
     // Placement.
@@ -289,6 +291,8 @@
     };
     /// By worker id: capacities that the log may not hold yet. Kept while this manager leads in one term.
     std::map<std::string, ReportedCapacity> reportedCapacities_;
+    /// By worker id: when a drained worker was last heard of. Kept while this manager leads in one term.
+    std::map<std::string, base::TimePoint> drainedHeardAt_;
     std::unordered_set<JobKey> startedJobs_; ///< Jobs of which a run has been confirmed by a worker.
     GangStarts gangStarts_;
     std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -102,6 +102,9 @@
     if (!isLeading()) {
         return;
     }
+    if (const auto heardAt = drainedHeardAt_.find(report.worker.id); heardAt != drainedHeardAt_.end()) {
+        heardAt->second = now;
+    }
     if (report.leaving) {
         onLeaving(report.worker);
         return;
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -6,6 +6,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -107,11 +108,17 @@
     MSGPACK_DEFINE(worker, lastEndNumber, ends, at, crashed, previousEndNumber)
 };
 
-/// Deletes the records of jobs that ended long ago.
+/// Deletes the records of jobs that ended long ago, and of drained worker incarnations that are gone.
 struct ForgetEntry {
+    struct Drained {
+        std::string id;
+        std::int64_t born = 0;
+        MSGPACK_DEFINE(id, born)
+    };
     std::vector<JobKey> jobs;
+    std::vector<Drained> drained;
 
-    MSGPACK_DEFINE(jobs)
+    MSGPACK_DEFINE(jobs, drained)
 };
 
 /// Marks a worker as draining, because it will end soon.
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -69,6 +69,12 @@
     return const_cast<State *>(this)->locate(task).task; // NOLINT(cppcoreguidelines-pro-type-const-cast): only read
 }
 
+bool State::hasWorker(std::string_view id) const
+{
+    return std::any_of(
+        workers_.begin(), workers_.end(), [id](const auto &item) { return item.second.identity.id == id; });
+}
+
 bool State::isDraining(const WorkerIdentity &worker) const
 {
     const auto drained = drained_.find(worker.id);
@@ -333,6 +339,13 @@
             events.push_back({StateEvent::Kind::JobForgotten, key, {}, 0, std::nullopt});
         }
     }
+    // The worker may have returned, or a later incarnation may drain, between proposal and commit.
+    for (const ForgetEntry::Drained &worker : entry.drained) {
+        const auto found = drained_.find(worker.id);
+        if (found != drained_.end() && found->second == worker.born && !hasWorker(worker.id)) {
+            drained_.erase(found);
+        }
+    }
 }
 
 void State::applyBody(const WorkerDrainingEntry &entry, std::vector<StateEvent> &events)
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -172,6 +172,13 @@
     }
     /// Returns whether this worker incarnation is marked as draining.
     bool isDraining(const WorkerIdentity &worker) const;
+    /// Returns whether an incarnation with this id is known and not gone.
+    bool hasWorker(std::string_view id) const;
+    /// Returns the start times of the latest incarnations that are marked as draining, by worker id. They may be gone.
+    const std::map<std::string, std::int64_t> &drained() const
+    {
+        return drained_;
+    }
     /// Returns what the ends so far tell about run times.
     const RunTimeModel &runTimes() const
     {
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -1290,6 +1290,34 @@
     EXPECT_EQ(simulation.workers.starts(), 0U);
 }
 
+// Guards against a state that grows with each replaced worker: none that drained was ever forgotten.
+TEST_F(WorkflowManager, DrainedWorkersThatAreSilentAreForgotten)
+{
+    ManagerSimulation simulation({});
+    const std::size_t sizeBefore = simulation.state.snapshot().size();
+    addWorkers(simulation, 3);
+    for (const std::string id : {"w0", "w1"}) {
+        fakes::CalledWorkers::Worker &worker = simulation.workers.worker(id);
+        worker.isDraining = true;
+        simulation.propose(workflow::WorkerDrainingEntry{id, worker.identity.born});
+    }
+    simulation.run(100ms);
+    const workflow::WorkerIdentity silent = simulation.workers.worker("w0").identity;
+    const workflow::WorkerIdentity reporting = simulation.workers.worker("w1").identity;
+    simulation.workers.worker("w0").cut = true;
+    simulation.workers.worker("w2").cut = true;
+    simulation.run(5min);
+    EXPECT_TRUE(simulation.state.isDraining(silent));
+    simulation.run(6min);
+    EXPECT_FALSE(simulation.state.isDraining(silent));
+    EXPECT_TRUE(simulation.state.isDraining(reporting));
+
+    simulation.workers.worker("w1").cut = true;
+    simulation.run(11min);
+    EXPECT_TRUE(simulation.state.workers().empty());
+    EXPECT_LE(simulation.state.snapshot().size(), sizeBefore);
+}
+
 // Late failures of several members of one run are one failure of the gang.
 TEST_F(WorkflowManager, LateFailuresOfOneRunCountOnceForItsGang)
 {
--- a/tests/workflow_state_test.cpp
+++ b/tests/workflow_state_test.cpp
@@ -62,6 +62,12 @@
     MSGPACK_DEFINE(worker, lastEndNumber, ends, at)
 };
 
+/// Stored form of the version before drained workers were forgotten.
+struct EarlierForgetEntry {
+    std::vector<workflow::JobKey> jobs{Key};
+    MSGPACK_DEFINE(jobs)
+};
+
 template <typename Record, typename Earlier>
 Record decodeEarlier(const Earlier &earlier)
 {
@@ -350,6 +356,38 @@
     EXPECT_TRUE(restored->isDraining(draining));
 }
 
+// Guards against a state that grows with each replaced worker, and against one that forgets a drain too early.
+TEST_F(WorkflowState, DrainedWorkersAreForgottenOnceTheyAreGone)
+{
+    const auto isDraining = [this](const std::string &id, std::int64_t born) {
+        workflow::WorkerIdentity worker;
+        worker.id = id;
+        worker.born = born;
+        return state_.isDraining(worker);
+    };
+    const std::size_t sizeBefore = state_.snapshot().size();
+    for (int number = 0; number < 1'000; ++number) {
+        apply(workflow::WorkerDrainingEntry{"replaced" + std::to_string(number), 1});
+    }
+    apply(workflow::WorkerDrainingEntry{"w2", 2});
+    workflow::ForgetEntry forget;
+    for (int number = 0; number < 1'000; ++number) {
+        forget.drained.push_back({"replaced" + std::to_string(number), 1});
+    }
+    forget.drained.push_back({"w2", 2});
+    apply(workflow::WorkerDrainingEntry{"replaced0", 5});
+    apply(forget);
+    EXPECT_TRUE(isDraining("w2", 2)); // It isn't gone.
+    EXPECT_TRUE(isDraining("replaced0", 5)); // A later incarnation.
+    EXPECT_FALSE(isDraining("replaced1", 1));
+
+    apply(workflow::WorkerGoneEntry{2, {}});
+    EXPECT_TRUE(isDraining("w2", 2));
+    apply(workflow::ForgetEntry{{}, {{"w2", 2}, {"replaced0", 5}}});
+    EXPECT_FALSE(isDraining("w2", 2));
+    EXPECT_LT(state_.snapshot().size(), sizeBefore);
+}
+
 TEST_F(WorkflowState, KeysAndTasksHaveOneTextForm)
 {
     EXPECT_EQ(workflow::toString(workflow::JobKey{0xab}), "00000000000000ab");
@@ -392,6 +430,16 @@
     EXPECT_EQ(state.runTimes().expectedRunTime("queue", 100ms), 100ms);
 }
 
+// Guards against a log that a new version can't read.
+TEST(WorkflowStoredForm, ForgetEntriesWithoutWorkersStillLoad)
+{
+    const auto entry = decodeEarlier<workflow::ForgetEntry>(EarlierForgetEntry{});
+    EXPECT_EQ(entry.jobs, std::vector<workflow::JobKey>{Key});
+    EXPECT_TRUE(entry.drained.empty());
+    const auto earlier = decodeEarlier<EarlierForgetEntry>(workflow::ForgetEntry{{Key}, {{"w1", 1}}});
+    EXPECT_EQ(earlier.jobs, std::vector<workflow::JobKey>{Key});
+}
+
 // Guards against a new leader that takes callers' estimates as they are.
 TEST_F(WorkflowState, RunTimesOutliveSnapshots)
 {
