Handle requests of removed routes as refused again

What stays: while a submission is undecided, a read or cancellation isn't told that there is no such job.

--- a/src/workflow/manager_core.cpp
+++ b/src/workflow/manager_core.cpp
@@ -20,13 +20,6 @@
 constexpr milliseconds RetryDelay{1'000}; ///< About the duration of an election.
 constexpr milliseconds MaxReadWait{1'000}; ///< Gateways wait no longer for a reply.
 
-// A job outlives its route, which is then unknown or replaced by one with a shorter prefix, so its id alone identifies
-// it.
-std::optional<JobKey> findJobKey(std::string_view path)
-{
-    return parseJobKey(path.substr(path.rfind('/') + 1));
-}
-
 std::optional<std::string> findFault(const QueueRequest &submission)
 {
     return submission.job ? workflow::findFault(*submission.job) : "the request contains no job";
@@ -255,22 +248,6 @@
 void ManagerCore::handle(QueueRequest request, base::TimePoint now, WallTime wall, const Done<QueueReply> &done)
 {
     const QueueRoute *const route = state_.configuration().findRoute(request.host, request.path);
-    const auto rest = std::string_view(request.path).substr(route != nullptr ? route->pathPrefix.size() : 0);
-    if (route != nullptr && rest.empty() && request.verb == QueueVerb::Read) {
-        done(QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, now), {}, {}});
-        return;
-    }
-    const auto named = findJobKey(rest);
-    if (named && state_.findJob(*named) != nullptr) {
-        handleKnown(*named, request, now, wall, done);
-        return;
-    }
-    const auto key = route != nullptr ? parseJobKey(rest) : std::nullopt;
-    const bool isSubmission = key && request.verb == QueueVerb::Submit;
-    if (named && undecided_.contains(*named) && !isSubmission) {
-        done(tl::make_unexpected(Unanswered{true, RetryDelay}));
-        return;
-    }
     if (route == nullptr) {
         // Without a configuration the queues are unknown, so the queue may exist.
         const auto outcome = state_.configuration().version == 0 ? QueueOutcome::Refused : QueueOutcome::NoSuchQueue;
@@ -281,8 +258,22 @@
         done(QueueReply{outcome, {}, 0, RetryDelay, "no such queue"});
         return;
     }
+    const auto rest = std::string_view(request.path).substr(route->pathPrefix.size());
+    if (rest.empty() && request.verb == QueueVerb::Read) {
+        done(QueueReply{QueueOutcome::Pending, {}, jobs_.pendingJobs(route->policy.queue, now), {}, {}});
+        return;
+    }
+    const auto key = parseJobKey(rest);
+    if (key && state_.findJob(*key) != nullptr) {
+        handleKnown(*key, request, now, wall, done);
+        return;
+    }
     if (request.verb != QueueVerb::Submit) {
-        done(QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
+        if (key && undecided_.contains(*key)) {
+            done(tl::make_unexpected(Unanswered{true, RetryDelay}));
+        } else {
+            done(QueueReply{QueueOutcome::NoSuchJob, {}, 0, {}, {}});
+        }
         return;
     }
     const auto fault =
