Ask whole gangs once whether they work, and let those that do go on

Members waited for one that was lost just before the last one was there: a confirmation counts for 200 ms, and only the poll that was pending since then told of the loss, 2.7 s after the first start and too late for a second stop. And gangs that worked were stopped between 1.2 s and about 2 s after their placement, before a poll had told of their progress: after any call without an answer to one of their workers, and whenever their leader started again from the log.

A gang that is whole and of which no progress is known is now asked after 0.3 of its timeout. Two members are asked first, and progress of either settles it. If neither has any, all members are asked once; if all are there, the run is taken for whole for good, and otherwise it is stopped after 0.4 of the timeout as before. This costs up to two polls per run of a gang that works longer than 0.9 s, and one per worker if its progress is below 1% by then. A call without an answer has no effect on a run that is known to work.

--- a/src/workflow/gang_starts.cpp
+++ b/src/workflow/gang_starts.cpp
@@ -64,12 +64,36 @@
             start->unconfirmed.insert(other);
         }
     }
-    if (result.outdated.empty() && !std::exchange(start->wasWhole, true)) {
-        result.summary = summarize(*start);
+    if (result.outdated.empty()) {
+        if (!std::exchange(start->wasWhole, true)) {
+            result.summary = summarize(*start);
+        }
+        if (start->isChecked) {
+            starts_.erase(gang); // All members were there long after the last one had started.
+        }
     }
     return result;
 }
 
+// The first two that answer nearly always tell of progress, and the run is removed.
+std::vector<TaskRef> GangStarts::takeUnproven(base::TimePoint before, base::TimePoint now)
+{
+    std::vector<TaskRef> members;
+    for (auto &[gang, start] : starts_) {
+        if (start.committedAt > before || !start.wasWhole || !start.unconfirmed.empty()
+            || std::exchange(start.isChecked, true)) {
+            continue;
+        }
+        start.lastStartSeenAt = now;
+        for (const TaskRef &member : {start.seenAt.begin()->first, start.seenAt.rbegin()->first}) {
+            if (start.unconfirmed.insert(member).second) {
+                members.push_back(member);
+            }
+        }
+    }
+    return members;
+}
+
 bool GangStarts::recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member)
 {
     Start *const start = find(gang, run);
--- a/src/workflow/gang_starts.h
+++ b/src/workflow/gang_starts.h
@@ -45,6 +45,9 @@
                                     std::optional<base::TimePoint> sentAt,
                                     base::TimePoint seenAt,
                                     base::TimePoint now);
+    /// Returns the members of runs that are whole since before `before`, of which no poll has told yet that they work:
+    /// two each, to be confirmed once more. Each run is returned once.
+    std::vector<TaskRef> takeUnproven(base::TimePoint before, base::TimePoint now);
     /// Records that a member may be on its worker no longer. Returns whether it has to be confirmed once more.
     bool recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member);
     /// Stops tracking a run, because it works, or one of its members has ended or will not start. Returns its summary
@@ -70,6 +73,7 @@
         base::TimePoint lastStartSeenAt{}; ///< When the member that was there last was first seen.
         std::size_t members = 0;
         bool wasWhole = false;
+        bool isChecked = false; ///< Once whole, all members have to be confirmed once more.
     };
 
     Start *find(const TaskRef &gang, std::uint32_t run);
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
 // Share of the gang timeout after which a run that is not whole is stopped. The rest is left for the stop orders.
 constexpr double MaxGangStartShare = 0.4;
+// Share after which a gang that is whole is asked whether it works, early enough to stop it at the share above.
+constexpr double GangCheckShare = 0.3;
 
 } // namespace
 
@@ -361,6 +363,26 @@
     }
 }
 
+// A member may have been lost between its confirmation and the start of the last one. A poll that was pending since
+// tells that too late.
+void JobManager::checkUnprovenGangs(base::TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<base::Duration>(limits_.gangTimeout * GangCheckShare);
+    for (const TaskRef &member : gangStarts_.takeUnproven(now - age, now)) {
+        checkMember(member, now);
+    }
+}
+
+void JobManager::checkMember(const TaskRef &member, base::TimePoint now)
+{
+    const TaskRecord &record = *state_->findTask(member);
+    LiveRun *const run = findRun(record.worker, member, record.run);
+    if (run != nullptr && run->stage == LiveRun::Stage::Running) {
+        run->isDoubted = true;
+        reviewPolls(record.worker, workers_.at(record.worker), now);
+    }
+}
+
 void JobManager::stopStep(JobKey key, std::size_t position, base::TimePoint now)
 {
     const JobRecord &job = *state_->findJob(key);
@@ -413,6 +435,7 @@
         for (auto &[number, worker] : workers_) {
             reviewWorker(number, worker, now);
         }
+        checkUnprovenGangs(now);
         stopIncompleteGangs(now);
         failOverdueQueries(now);
         forgetOldJobs(now);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -256,6 +256,10 @@
     /// Logs how the run of a gang began, if a member ends before all of them were confirmed.
     void logBrokenStart(const TaskRef &member);
     void stopIncompleteGangs(base::TimePoint now);
+    /// Asks for members of gangs that are whole, but not yet known to work.
+    void checkUnprovenGangs(base::TimePoint now);
+    /// Has a poll find out whether a confirmed member is still there.
+    void checkMember(const TaskRef &member, base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -493,11 +493,7 @@
     const GangStarts::Confirmation confirmation =
         gangStarts_.recordConfirmation(gang, run.run, member, sentAt, seenAt, now);
     for (const TaskRef &other : confirmation.outdated) {
-        const WorkerNumber number = state_->findTask(other)->worker;
-        if (LiveRun *const outdated = findRun(number, other, run.run)) {
-            outdated->isDoubted = true;
-            reviewPolls(number, workers_.at(number), now);
-        }
+        checkMember(other, now);
     }
     if (const auto &summary = confirmation.summary) {
         base::logInfo("gang_started")
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -92,6 +92,11 @@
         simulation.workers.setCapacity("w0", {milliCpu, 1'000'000, 0}, 2s, simulation.now);
         simulation.run(2s);
     }
+    static bool isPlaced(const ManagerSimulation &simulation, const workflow::TaskRef &task)
+    {
+        const workflow::TaskRecord *const record = simulation.state.findTask(task);
+        return record != nullptr && record->phase == workflow::TaskPhase::Placed;
+    }
     static std::string workerOf(const ManagerSimulation &simulation, const workflow::TaskRef &task)
     {
         return simulation.state.workers().at(simulation.state.findTask(task)->worker).identity.id;
@@ -910,6 +915,59 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against members that wait for one that was lost just before the last one was there: only a poll that was
+// pending since then told, too late for a second stop.
+TEST_F(WorkflowManager, GangThatLosesAMemberShortlyBeforeTheLastOneStartsIsStoppedInTimeForASecondStop)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return isPlaced(simulation, {Key, 0, 0, 0}); }, 1s));
+    const std::string lost = workerOf(simulation, {Key, 0, 0, 0});
+    simulation.workers.worker(workerOf(simulation, {Key, 0, 0, 1})).downUntil = simulation.now + 4ms;
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 10ms));
+    simulation.run(2ms);
+    simulation.workers.crash(lost, simulation.now);
+    simulation.workers.worker(lost).cut = true;
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 200ms));
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 0; }, 2'000ms));
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against a gang at work that is stopped since one of its workers leaves a call unanswered before any poll has
+// told of its progress.
+TEST_F(WorkflowManager, GangAtWorkGoesOnThoughACallIsNotAnswered)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 3);
+    simulation.submit(Key, job({gang(3, 10'000)}), policy());
+    simulation.run(700ms);
+    ASSERT_EQ(simulation.workers.running(), 3U);
+    simulation.losesStart = [](const workflow::TaskRef &task) {
+        return task.job == Key + 1;
+    };
+    simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
+    simulation.run(1s);
+    simulation.losesStart = {};
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_EQ(simulation.workers.starts(), 4U);
+}
+
+// Guards against a gang at work that its leader stops when it starts again from the log.
+TEST_F(WorkflowManager, LeaderThatStartsAgainLetsAGangAtWorkGoOn)
+{
+    for (std::chrono::milliseconds phase{200}; phase < 2'200ms; phase += 10ms) {
+        ManagerSimulation simulation(longRuns());
+        addWorkers(simulation, 3);
+        simulation.submit(Key, job({gang(3, 10'000)}), policy());
+        simulation.run(phase);
+        ASSERT_EQ(simulation.workers.running(), 3U);
+        simulation.leadAgainAtOnce();
+        EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+        EXPECT_EQ(simulation.workers.starts(), 3U) << phase.count() << " ms";
+    }
+}
+
 // Guards against a gang at work that a new leader stops, since one of its workers doesn't answer.
 TEST_F(WorkflowManager, NewLeaderLetsAGangAtWorkGoOn)
 {
