Stop a gang when a worker lists the end of a member, not when the log has it

Members waited until they gave up for one whose end their leader had read: the others were stopped only once the log had committed the end, which takes longer than they wait while disks are slow.

The others are stopped as soon as the end is read; nothing is released before the log has it. A member that is listed as done shows that its run was whole, so it is watched no longer.

GangOfWhichAMemberEndsIsStoppedWithoutWaitingForTheLog failed before (one member gave up) and passes now.

--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -62,6 +62,11 @@
     worker.downUntil = now + options_.downTime;
 }
 
+void CalledWorkers::fail(const std::string &id, const TaskRef &task, const std::string &checkpoint)
+{
+    end(workers_.at(id), task, RunOutcome::Failed, checkpoint);
+}
+
 void CalledWorkers::setCapacity(const std::string &id,
                                 const placement::Resources &capacity,
                                 std::chrono::milliseconds notice,
--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -88,6 +88,8 @@
     void restartElsewhere(const std::string &id, base::TimePoint now);
     /// Crashes the worker's process. The next incarnation answers after Options::downTime.
     void crash(const std::string &id, base::TimePoint now);
+    /// Lets a run fail that is there, with its last checkpoint.
+    void fail(const std::string &id, const workflow::TaskRef &task, const std::string &checkpoint);
     /// Changes what the worker reports as its capacity. After it has shrunk, orders may count on the old one for
     /// `notice`.
     void setCapacity(const std::string &id,
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -258,6 +258,8 @@
     void stopIncompleteGangs(base::TimePoint now);
     /// Asks for members of gangs that are whole, but not yet known to work.
     void checkUnprovenGangs(base::TimePoint now);
+    /// Stops the other members of a gang of which a worker lists an end that the log may not have recorded yet.
+    void processEndOfMember(WorkerNumber number, const TaskRef &task, const EndedTask &ended, base::TimePoint now);
     /// Has a poll find out whether a confirmed member is still there.
     void checkMember(const TaskRef &member, base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -865,6 +865,7 @@
         const auto task = parseTaskRef(ended.task);
         if (task) {
             listed.try_emplace(*task, ended.run);
+            processEndOfMember(number, *task, ended, now);
         }
     }
     if (!answer.isComplete) {
@@ -892,4 +893,20 @@
     }
 }
 
+// The log may take longer to commit the end than the other members wait.
+void JobManager::processEndOfMember(WorkerNumber number,
+                                    const TaskRef &task,
+                                    const EndedTask &ended,
+                                    base::TimePoint now)
+{
+    if (findRun(number, task, ended.run) == nullptr || !isGangMember(task)) {
+        return;
+    }
+    if (ended.outcome == RunOutcome::Done) {
+        gangStarts_.remove(state_->findJob(task.job)->crashUnitOf(task), ended.run); // It was whole.
+    } else {
+        stopGang(task, now);
+    }
+}
+
 } // namespace yuccawheel::workflow
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -968,6 +968,25 @@
     }
 }
 
+// Guards against members that wait until they give up: that one of them had ended was read, but not acted on before the
+// slow log had committed it.
+TEST_F(WorkflowManager, GangOfWhichAMemberEndsIsStoppedWithoutWaitingForTheLog)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 3);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return isPlaced(simulation, {Key, 0, 0, 0}); }, 1s));
+    simulation.workers.worker(workerOf(simulation, {Key, 0, 0, 1})).downUntil = simulation.now + 4ms;
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 10ms));
+    simulation.run(2ms);
+    simulation.workers.fail(workerOf(simulation, {Key, 0, 0, 0}), {Key, 0, 0, 0}, {});
+    simulation.drops = [](const workflow::LogEntry &entry) {
+        return std::holds_alternative<workflow::EndsEntry>(entry);
+    };
+    simulation.run(5s);
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
 // Guards against a gang at work that a new leader stops, since one of its workers doesn't answer.
 TEST_F(WorkflowManager, NewLeaderLetsAGangAtWorkGoOn)
 {
