Don't take the progress of a checkpoint for the work of a gang

A member that resumes from a checkpoint may list the progress of that checkpoint while it waits for the others; the protocol doesn't say that it lists none. Its gang then counted as working, and was watched no longer, as soon as any poll of one of its workers was answered, such as for the end of another task there. The members waited until they gave up.

For a run that carries a checkpoint, only progress that rises from one list to the next counts.

GangThatResumesFromACheckpointIsStoppedBeforeItsMembersGiveUp failed before (one member gave up) with workers that list it so, and passes now. Whether real workers do was not seen.

--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -191,6 +191,7 @@
     run.spec = spec;
     run.presentSince = now;
     run.working = !spec.gang;
+    run.isResumed = !order.checkpoint.empty();
     run.endsAt = now
         + (order.checkpoint.empty() ? runTimeOf(order.task, worker)
                                     : std::chrono::milliseconds(std::stoll(order.checkpoint)));
@@ -265,7 +266,8 @@
     answer.isComplete = answer.areAllEndsListed;
     for (const auto &[task, run] : worker.runs) {
         const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.presentSince);
-        const std::uint32_t progress = run.working && ran > std::chrono::milliseconds{10} ? 1 : 0;
+        const std::uint32_t progress = (run.isResumed ? options_.progressOfCheckpoint : 0)
+            + (run.working && ran > std::chrono::milliseconds{10} ? 1 : 0);
         answer.running.push_back({toString(task), run.run, {}, progress});
     }
     return answer;
--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -44,6 +44,7 @@
             base::TimePoint presentSince{};
             base::TimePoint endsAt{}; ///< For a gang, valid once all members are present.
             bool working = false;
+            bool isResumed = false; ///< Started from a checkpoint.
             std::optional<base::TimePoint> stopsAt; ///< Set once a stop has been ordered.
         };
         std::map<workflow::TaskRef, Run> runs;
@@ -64,6 +65,7 @@
         std::chrono::milliseconds downTime{2'000}; ///< From a crash until the next incarnation answers.
         std::chrono::milliseconds stopTime{0}; ///< From the order to stop until the run's end.
         std::chrono::milliseconds gangTimeout{3'000};
+        std::uint32_t progressOfCheckpoint = 0; ///< Percentage that a run which resumes lists from its start.
         std::chrono::milliseconds lease{10'000};
         double clockRate = 1; ///< Of the workers' clocks.
     };
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -258,6 +258,8 @@
     void stopIncompleteGangs(base::TimePoint now);
     /// Asks for members of gangs that are whole, but not yet known to work.
     void checkUnprovenGangs(base::TimePoint now);
+    /// Returns whether what a worker lists shows that a member of a gang works.
+    bool hasProgressed(const TaskRef &task, LiveRun &run, std::uint32_t percent) const;
     /// Stops the other members of a gang of which a worker lists an end that the log may not have recorded yet.
     void processEndOfMember(WorkerNumber number, const TaskRef &task, const EndedTask &ended, base::TimePoint now);
     /// Has a poll find out whether a confirmed member is still there.
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -3,6 +3,7 @@
 #include "workflow/job_manager.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawheel::workflow
 {
@@ -851,7 +852,7 @@
         if (!running.checkpoint.empty()) {
             run->checkpoint = running.checkpoint;
         }
-        if (running.progressPercent > 0 && isGangMember(*task)) {
+        if (isGangMember(*task) && hasProgressed(*task, *run, running.progressPercent)) {
             gangStarts_.remove(state_->findJob(task->job)->crashUnitOf(*task), running.run); // It is whole.
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
@@ -893,6 +894,15 @@
     }
 }
 
+// A member that resumes may list the progress of its checkpoint while it waits for the others.
+bool JobManager::hasProgressed(const TaskRef &task, LiveRun &run, std::uint32_t percent) const
+{
+    if (state_->findTask(task)->checkpoint.empty()) {
+        return percent > 0;
+    }
+    return percent > std::exchange(run.listedPercent, percent).value_or(percent);
+}
+
 // The log may take longer to commit the end than the other members wait.
 void JobManager::processEndOfMember(WorkerNumber number,
                                     const TaskRef &task,
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -39,6 +39,7 @@
     base::TimePoint runningSince{}; ///< When the worker first confirmed the run to this leader.
     bool isTimed = false; ///< `runningSince` is when the run started.
     std::optional<base::TimePoint> stopAnsweredAt;
+    std::optional<std::uint32_t> listedPercent; ///< Latest progress listed, of a member of a gang that resumes.
     std::uint32_t startCalls = 0;
     bool callInFlight = false;
     bool startUnanswered = false; ///< An unanswered start order may still take effect.
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -968,6 +968,38 @@
     }
 }
 
+// Guards against members that wait until they give up: one that resumes from a checkpoint lists the progress of that
+// checkpoint while it waits, and its gang counted as working.
+TEST_F(WorkflowManager, GangThatResumesFromACheckpointIsStoppedBeforeItsMembersGiveUp)
+{
+    ManagerSimulation::Options options;
+    options.workers.progressOfCheckpoint = 40;
+    options.workers.runTimeOf = [](const workflow::TaskRef &task, const std::string &) {
+        return task.job == Key ? 6'000ms : 300ms;
+    };
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 4);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    simulation.run(500ms);
+    const std::string first = workerOf(simulation, {Key, 0, 0, 0});
+    ASSERT_EQ(simulation.workers.running(), 2U);
+    simulation.workers.fail(first, {Key, 0, 0, 0}, "300");
+    std::string lost;
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        if (task.job == Key && task.index == 1 && lost.empty()) {
+            lost = workerOf(simulation, task);
+            simulation.workers.worker(lost).cut = true;
+        }
+        return task.job == Key && task.index == 1 && workerOf(simulation, task) == lost;
+    };
+    ASSERT_TRUE(simulation.runUntil([&] { return !lost.empty(); }, 2s));
+    // Their ends let workers answer polls.
+    simulation.submit(Key + 1, job({step(16, 1'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 30s));
+    EXPECT_FALSE(lost.empty());
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
 // Guards against members that wait until they give up: that one of them had ended was read, but not acted on before the
 // slow log had committed it.
 TEST_F(WorkflowManager, GangOfWhichAMemberEndsIsStoppedWithoutWaitingForTheLog)
