Test the ways in which a gang loses a member that was there

Fifteen ways (failure, crash, restart, move, cut, lost answers, drain, a worker that shrinks or is given up, a stop by another, a new leader or a start from the log at the same time, refused releases), at seven times, with the order of another member held up for three times. No member on a worker that can be reached may wait until it gives up.

--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -1019,6 +1019,126 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against members that wait until they give up for one that was there and is no longer, whatever took it away
+// and when, while the order of the last one is held up.
+TEST_F(WorkflowManager, GangThatLosesAMemberInAnyWayIsStoppedBeforeItsMembersGiveUp)
+{
+    using Loss = std::function<void(ManagerSimulation &, const std::string &)>;
+    const workflow::TaskRef first{Key, 0, 0, 0};
+    const auto report = [](ManagerSimulation &simulation, const std::string &id) {
+        simulation.manager->onReport(simulation.workers.report(id, simulation.now), simulation.now);
+    };
+    const std::vector<std::pair<std::string, Loss>> losses{
+        {"failure",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.fail(id, first, {});
+         }},
+        {"crash",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.crash(id, simulation.now);
+         }},
+        {"restart",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restart(id, simulation.now);
+         }},
+        {"move",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restartElsewhere(id, simulation.now);
+         }},
+        {"reported move",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restartElsewhere(id, simulation.now);
+             report(simulation, id);
+         }},
+        {"cut",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).cut = true;
+         }},
+        {"lost answers",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).answersLost = true;
+         }},
+        {"drain",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).isDraining = true;
+             report(simulation, id);
+         }},
+        {"drain and end",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).isDraining = true;
+             report(simulation, id);
+             simulation.workers.stop(id, {first, 1, 1}, simulation.now);
+         }},
+        {"smaller worker",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.setCapacity(id, {1'000, 1'000'000, 0}, 0ms, simulation.now);
+             report(simulation, id);
+         }},
+        {"other stop",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.stop(id, {first, 1, 1}, simulation.now);
+         }},
+        {"restart and new leader",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restart(id, simulation.now);
+             simulation.loseLeader();
+             simulation.run(100ms);
+             simulation.lead();
+         }},
+        {"stop and start from the log",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.stop(id, {first, 1, 1}, simulation.now);
+             simulation.leadAgain();
+         }},
+        {"worker given up",
+         [&](auto &simulation, const auto &id) {
+             const workflow::WorkerNumber number = simulation.state.findTask(first)->worker;
+             simulation.workers.worker(id).cut = true;
+             simulation.proposeFirst(workflow::WorkerGoneEntry{number, {}});
+         }},
+        {"refused releases",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.fail(id, first, {});
+             simulation.refuses = [](const workflow::LogEntry &) {
+                 return true;
+             };
+         }},
+    };
+    for (const auto &[name, lose] : losses) {
+        for (const auto phase : {0ms, 1ms, 3ms, 10ms, 60ms, 300ms, 600ms}) {
+            for (const auto hold : {4ms, 60ms, 690ms}) {
+                ManagerSimulation simulation({});
+                addWorkers(simulation, 3);
+                simulation.submit(Key, job({gang(3, 10'000)}), policy());
+                ASSERT_TRUE(simulation.runUntil([&] { return isPlaced(simulation, first); }, 1s));
+                const std::string id = workerOf(simulation, first);
+                fakes::CalledWorkers::Worker &last = simulation.workers.worker(workerOf(simulation, {Key, 0, 0, 2}));
+                bool isHeld = hold > 4ms;
+                simulation.losesStart = [&](const workflow::TaskRef &task) {
+                    return task.index == 2 && isHeld;
+                };
+                last.downUntil = simulation.now + (isHeld ? 3ms : 4ms);
+                ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 2; }, 10ms));
+                simulation.run(phase);
+                if (simulation.workers.worker(id).runs.contains(first)) {
+                    lose(simulation, id); // It has not been done or stopped by then.
+                }
+                simulation.run(hold);
+                isHeld = false;
+                simulation.run(6s);
+                // No stop reaches a member that is cut off itself.
+                const fakes::CalledWorkers::Worker &worker = simulation.workers.worker(id);
+                const auto unreachable =
+                    std::count_if(worker.ended.begin(), worker.ended.end(), [&](const workflow::EndedTask &ended) {
+                        return worker.cut && ended.outcome == workflow::RunOutcome::GangIncomplete;
+                    });
+                EXPECT_EQ(simulation.workers.incompleteGangEnds(), static_cast<std::uint64_t>(unreachable))
+                    << name << " after " << phase.count() << " ms, held up " << hold.count() << " ms";
+            }
+        }
+    }
+}
+
 // Guards against a gang at work that a new leader stops, since one of its workers doesn't answer.
 TEST_F(WorkflowManager, NewLeaderLetsAGangAtWorkGoOn)
 {
