--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -258,6 +258,14 @@
     /// Logs how the run of a gang began, if a member ends before all of them were confirmed.
     void logBrokenStart(const TaskRef &member);
     void stopIncompleteGangs(base::TimePoint now);
+    /// Asks for members of gangs that are whole, but not yet known to work.
+    void checkUnprovenGangs(base::TimePoint now);
+    /// Returns whether what a worker lists shows that a member of a gang works.
+    bool hasProgressed(const TaskRef &task, LiveRun &run, std::uint32_t percent) const;
+    /// Stops the other members of a gang of which a worker lists an end that the log may not have recorded yet.
+    void processEndOfMember(WorkerNumber number, const TaskRef &task, const EndedTask &ended, base::TimePoint now);
+    /// Has a poll find out whether a confirmed member is still there.
+    void checkMember(const TaskRef &member, base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -3,6 +3,7 @@
 #include "workflow/job_manager.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawheel::workflow
 {
@@ -496,11 +497,7 @@
     const GangStarts::Confirmation confirmation =
         gangStarts_.recordConfirmation(gang, run.run, member, sentAt, seenAt, now);
     for (const TaskRef &other : confirmation.outdated) {
-        const WorkerNumber number = state_->findTask(other)->worker;
-        if (LiveRun *const outdated = findRun(number, other, run.run)) {
-            outdated->isDoubted = true;
-            reviewPolls(number, workers_.at(number), now);
-        }
+        checkMember(other, now);
     }
     if (const auto &summary = confirmation.summary) {
         base::logInfo("gang_started")
@@ -859,7 +856,7 @@
         if (!running.checkpoint.empty()) {
             run->checkpoint = running.checkpoint;
         }
-        if (running.progressPercent > 0 && isGangMember(*task)) {
+        if (isGangMember(*task) && hasProgressed(*task, *run, running.progressPercent)) {
             gangStarts_.remove(state_->findJob(task->job)->crashUnitOf(*task), running.run); // It is whole.
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
@@ -873,6 +870,7 @@
         const auto task = parseTaskRef(ended.task);
         if (task) {
             listed.try_emplace(*task, ended.run);
+            processEndOfMember(number, *task, ended, now);
         }
     }
     if (!answer.isComplete) {
@@ -900,4 +898,29 @@
     }
 }
 
+// A member that resumes may list the progress of its checkpoint while it waits for the others.
+bool JobManager::hasProgressed(const TaskRef &task, LiveRun &run, std::uint32_t percent) const
+{
+    if (state_->findTask(task)->checkpoint.empty()) {
+        return percent > 0;
+    }
+    return percent > std::exchange(run.listedPercent, percent).value_or(percent);
+}
+
+// The log may take longer to commit the end than the other members wait.
+void JobManager::processEndOfMember(WorkerNumber number,
+                                    const TaskRef &task,
+                                    const EndedTask &ended,
+                                    base::TimePoint now)
+{
+    if (findRun(number, task, ended.run) == nullptr || !isGangMember(task)) {
+        return;
+    }
+    if (ended.outcome == RunOutcome::Done) {
+        gangStarts_.remove(state_->findJob(task.job)->crashUnitOf(task), ended.run); // It was whole.
+    } else {
+        stopGang(task, now);
+    }
+}
+
 } // namespace yuccawheel::workflow
