Let searched workers be silent for longer than their leases

The search over whole managers never had a worker given up with runs on it: cuts seldom outlasted a lease, and each new leader waits for the leases of all workers again, so managers that are struck put it off.

Half of the cuts of workers and losses of their answers last 11 to 20 s now, and a third of the runs strikes no manager.

--- a/fakes/manager_faults.cpp
+++ b/fakes/manager_faults.cpp
@@ -489,6 +489,19 @@
         fault.share = 0.1 + static_cast<double>(below(50)) / 100;
         run.faults.push_back(fault);
     }
+    // In a third of the runs no manager is struck: each new leader waits for the leases of all workers, so where
+    // leaders are often lost, no worker is ever given up.
+    const bool areManagersSpared = !calm && below(3) == 0;
+    for (Fault &fault : run.faults) {
+        if (areManagersSpared && fault.kind <= FaultKind::LoseMessages) {
+            fault.kind = below(2) == 0 ? FaultKind::CutWorkers : FaultKind::LoseAnswers;
+        }
+        // Long enough for a worker to be given up, and to return with ends that it still lists.
+        const bool isOfWorkers = fault.kind == FaultKind::CutWorkers || fault.kind == FaultKind::LoseAnswers;
+        if (isOfWorkers && below(2) == 0) {
+            fault.length = milliseconds(11'000 + below(9'000));
+        }
+    }
     std::sort(
         run.faults.begin(), run.faults.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; });
     for (std::size_t number = 0; number < run.faults.size(); ++number) {
