Count the finish of a zone's task that comes after its lease

Callers saw repeatable tasks run again although a run had ended as finished: a worker out of reach beyond its tasks' leases lists the ends when it returns, the scheduler acknowledged them, and the planner dropped them as late. A worker that lists the ends of tasks of an earlier owner to a new owner met the same.

Cause: the planner took a released attempt for one whose end doesn't matter any more. Only the end of the attempt that holds the reservation counted.

A finished report now concludes its task index if that isn't concluded, whatever attempt it names, as attempt numbers are never used again. A waiting index leaves the queue; a later attempt is stopped (done_earlier), and keeps its reservation, without the job, until its worker reports its end, which counts for nothing. Members of a gang that are done don't start again. The success is a TaskDone that precedes the acknowledgement of its poll, so it is in the log before the worker forgets it. A worker's join carries the ends that it lists, because the planner may decide between the join and the first report. Services are unchanged, and so are late failures, which don't count.

--- a/src/placement/attempt_end_handler.cpp
+++ b/src/placement/attempt_end_handler.cpp
@@ -67,6 +67,50 @@
     }
 }
 
+// A worker that is out of reach beyond the lease may have ended the task before. Attempt numbers are never used again,
+// so the report is true however late it comes, and the task index counts as done from then on.
+void AttemptEndHandler::handleLateSuccess(const TaskId &task)
+{
+    const auto handle = zone_.jobs.find(task.job);
+    TaskSlot *const slot = handle ? zone_.jobs.slotOf(*handle, task.index) : nullptr;
+    if (slot == nullptr || slot->state == SlotState::Done || task.attempt >= slot->nextAttempt
+        || zone_.jobs.findLive(task) || zone_.jobs[*handle].spec.kind == JobKind::Service) {
+        return;
+    }
+    Job &job = zone_.jobs[*handle];
+    const std::uint32_t number = task.index - job.firstIndex;
+    withdraw(*handle, number);
+    slot->lastAttempt = task.attempt;
+    slot->started = true;
+    slot->ran = true;
+    ++job.successes;
+    job.failedOn.clear();
+    zone_.addDecisionNote(task.job, fmt::format("task {} was done by an attempt given up earlier", toString(task)));
+    zone_.concludeTask(*handle, number, base::Verdict::Ran, true);
+    if (job.spec.kind == JobKind::Gang) {
+        finishGangRollback(*handle);
+    }
+    zone_.finishIfDone(*handle);
+}
+
+// The later attempt goes on without its job, which may end first, and keeps its reservation until its worker reports
+// its end.
+void AttemptEndHandler::withdraw(JobHandle handle, std::uint32_t slotNumber)
+{
+    Job &job = zone_.jobs[handle];
+    const TaskSlot &slot = job.slots[slotNumber];
+    if (slot.live != NoHandle) {
+        const LiveTask later = zone_.releaseAttempt(slot.live);
+        const LiveHandle live = zone_.adoptAttempt(later.task, NoHandle, later.worker, later.reserved);
+        zone_.requestStop(live, StopReason::DoneEarlier, false);
+    }
+    std::erase(job.ready, slotNumber);
+    job.freshCount -= slot.state == SlotState::Fresh ? 1 : 0;
+    if (job.startableCount() == 0) {
+        zone_.queue.erase(handle);
+    }
+}
+
 void AttemptEndHandler::concludeCancelled(JobHandle handle, std::uint32_t slot, TaskState state)
 {
     const bool endedByItself = state == TaskState::Finished || state == TaskState::Failed;
--- a/src/placement/events.cpp
+++ b/src/placement/events.cpp
@@ -22,6 +22,8 @@
         return "consolidated";
     case StopReason::Missing:
         return "missing";
+    case StopReason::DoneEarlier:
+        return "done_earlier";
     }
     return "unknown";
 }
--- a/src/placement/events.h
+++ b/src/placement/events.h
@@ -35,7 +35,8 @@
 
 // Input events of the planner.
 
-/// A worker registered or registered again. `running` lists all tasks that it runs.
+/// A worker registered or registered again. `running` lists all tasks that it runs, `ended` the ends that it has not
+/// seen acknowledged; these count before the worker or any other one gets tasks.
 struct WorkerJoined {
     struct Held {
         TaskId task;
@@ -46,6 +47,7 @@
     std::string rack;
     Resources capacity;
     std::vector<Held> running;
+    std::vector<TaskReport> ended{};
 };
 /// A worker reported changes of its tasks.
 struct WorkerReported {
@@ -124,6 +126,7 @@
     GangRollback,
     Consolidated, ///< The task moves to another VM, so that this one becomes idle.
     Missing, ///< A worker that joined again does not list the task; its answer to the stop gives the task's state.
+    DoneEarlier, ///< An earlier attempt has done the task; the end of this one is not reported to anyone.
 };
 std::string_view toString(StopReason reason);
 
--- a/src/placement/worker_event_handler.cpp
+++ b/src/placement/worker_event_handler.cpp
@@ -30,6 +30,9 @@
     worker.liveness = Liveness::Up;
     resendStops(event.worker);
     applyCapacity(event.worker, event.capacity);
+    for (const TaskReport &ended : event.ended) {
+        handleReport(event.worker, ended);
+    }
     reconcileWithList(event);
     for (const WorkerJoined::Held &held : event.running) {
         adoptHeldTask(event.worker, held);
@@ -134,7 +137,12 @@
 {
     const auto live = findAttemptOn(worker, report.task);
     if (!live) {
-        // A report of an ended attempt of a known job is late and is ignored. Workers list their tasks when they join.
+        // The success of an attempt that was given up counts. Other reports of ended attempts of a known job are late
+        // and are ignored. Workers list their tasks when they join.
+        if (report.state == TaskState::Finished) {
+            endHandler_.handleLateSuccess(report.task);
+            return;
+        }
         const bool late = zone_.jobs.find(report.task.job) || zone_.endedJobs.count(report.task.job) != 0;
         if (report.state == TaskState::Running && !late) {
             zone_.outbox.emplace_back(StopTask{worker, report.task, StopReason::NotOurs, false});
--- a/src/programs/yw_scheduler/worker_hub.cpp
+++ b/src/programs/yw_scheduler/worker_hub.cpp
@@ -141,9 +141,11 @@
 // A full poll replaces the known state. Queued commands are dropped: the worker has not received them.
 bool WorkerHub::join(Worker &worker, const Poll &poll)
 {
-    placement::WorkerJoined joined{worker.id, worker.name, poll.rack, poll.capacity, {}};
+    placement::WorkerJoined joined{worker.id, worker.name, poll.rack, poll.capacity, {}, {}};
     for (const Poll::Task &task : poll.tasks) {
-        if (!isTerminal(task.report.state)) {
+        if (isTerminal(task.report.state)) {
+            joined.ended.push_back(task.report);
+        } else {
             joined.running.push_back({task.report.task, task.reserved});
         }
     }
--- a/tests/placement_planner_test.cpp
+++ b/tests/placement_planner_test.cpp
@@ -150,6 +150,151 @@
     EXPECT_EQ(commandsOf<TaskDone>().front().verdict, Verdict::MayHaveRun);
 }
 
+// Guards against starting a task again whose end came after its worker's leases had run out.
+TEST_F(PlannerTest, lateFinishOfAnExpiredWorkerCountsOnceWhileItsTaskWaits)
+{
+    join(0);
+    assign(job(1, 1, {1'000, 1'024, 0}));
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
+    planner.handle(WorkerLeasesExpired{0}, now);
+    decide();
+    join(0);
+    report(0, {1, 0, 0}, TaskState::Finished);
+    report(0, {1, 0, 0}, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    ASSERT_EQ(commandsOf<TaskDone>().size(), 1U);
+    EXPECT_EQ(commandsOf<TaskDone>().front().task, (TaskId{1, 0, 0}));
+    EXPECT_EQ(commandsOf<TaskDone>().front().verdict, Verdict::Ran);
+    EXPECT_TRUE(commandsOf<TaskDone>().front().succeeded);
+    EXPECT_EQ(commandsOf<JobShareDone>().size(), 1U);
+}
+
+// Guards against dropping the late end of a task that was placed again, and against letting both attempts count.
+TEST_F(PlannerTest, lateFinishStopsTheAttemptThatWasPlacedMeanwhile)
+{
+    join(0);
+    assign(job(1, 1, {40'000, 1'024, 0}));
+    decide();
+    planner.handle(WorkerLeasesExpired{0}, now);
+    join(1);
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
+    const TaskId second = commandsOf<StartTask>().front().task;
+    join(0);
+    report(0, {1, 0, 0}, TaskState::Finished);
+    decide();
+    ASSERT_EQ(commandsOf<TaskDone>().size(), 1U);
+    EXPECT_EQ(commandsOf<TaskDone>().front().task, (TaskId{1, 0, 0}));
+    EXPECT_TRUE(commandsOf<TaskDone>().front().succeeded);
+    ASSERT_EQ(commandsOf<StopTask>().size(), 1U);
+    EXPECT_EQ(commandsOf<StopTask>().front().task, second);
+    EXPECT_EQ(commandsOf<StopTask>().front().worker, 1U);
+    // The second attempt holds its reservation until it has ended.
+    planner.handle(WorkerDrain{0}, now);
+    assign(job(2, 1, {40'000, 1'024, 0}));
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    report(1, second, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(commandsOf<TaskDone>().empty());
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
+    EXPECT_EQ(commandsOf<StartTask>().front().task.job, 2U);
+}
+
+// Guards against dropping the end of a task whose own lease had run out while its worker kept others.
+TEST_F(PlannerTest, lateFinishOfATaskWhoseOwnLeaseHasExpiredCounts)
+{
+    join(0);
+    assign(job(1, 1, {1'000, 1'024, 0}));
+    decide();
+    planner.handle(WorkerUnreachable{0}, now);
+    report(0, {1, 0, 0}, TaskState::Stopped);
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    planner.handle(WorkerReachable{0}, now);
+    report(0, {1, 0, 0}, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    EXPECT_EQ(commandsOf<TaskDone>().size(), 1U);
+}
+
+// Guards against dropping ends that a worker lists to a new owner, which has no attempt of the task.
+TEST_F(PlannerTest, finishFromBeforeAChangeOfOwnerCounts)
+{
+    JobAssigned event;
+    event.spec = job(1, 2, {1'000, 1'024, 0});
+    event.count = 2;
+    event.recovered = true;
+    event.firstAttempt = 100;
+    planner.handle(event, now);
+    join(0);
+    report(0, {1, 0, 7}, TaskState::Finished);
+    planner.handle(RecoveryFinished{}, now);
+    report(0, {1, 1, 8}, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    EXPECT_EQ(commandsOf<TaskDone>().size(), 2U);
+    EXPECT_EQ(commandsOf<JobShareDone>().size(), 1U);
+}
+
+// Guards against giving a task again between a worker's join and its first report, which may be decided on apart.
+TEST_F(PlannerTest, endsThatAWorkerListsWhenItJoinsCountBeforeTasksAreGiven)
+{
+    join(0);
+    assign(job(1, 1, {1'000, 1'024, 0}));
+    decide();
+    planner.handle(WorkerLeasesExpired{0}, now);
+    decide();
+    planner.handle(WorkerJoined{0, "vm0", "r1", Capacity, {}, {{{1, 0, 0}, TaskState::Finished, {}}}}, now);
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    EXPECT_EQ(commandsOf<TaskDone>().size(), 1U);
+    report(0, {1, 0, 0}, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(commandsOf<TaskDone>().empty());
+}
+
+// Guards against starting a member of a gang again that was done before its worker's leases ran out.
+TEST_F(PlannerTest, lateFinishOfAGangMemberStartsOnlyTheOthersAgain)
+{
+    join(0);
+    join(1, "r2");
+    assign(job(1, 2, {40'000, 1'024, 0}, JobKind::Gang));
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 2U);
+    const StartTask lost = commandsOf<StartTask>()[0];
+    const StartTask other = commandsOf<StartTask>()[1];
+    planner.handle(WorkerLeasesExpired{lost.worker}, now);
+    decide();
+    join(lost.worker, lost.worker == 0 ? "r1" : "r2");
+    report(lost.worker, lost.task, TaskState::Finished);
+    report(other.worker, other.task, TaskState::Stopped);
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
+    EXPECT_EQ(commandsOf<StartTask>().front().task.index, other.task.index);
+    EXPECT_EQ(commandsOf<TaskDone>().size(), 1U);
+}
+
+// Guards against ending a replica of a service because of the late end of an earlier one.
+TEST_F(PlannerTest, lateFinishOfAServiceReplicaChangesNothing)
+{
+    join(0);
+    assign(job(1, 1, {1'000, 1'024, 0}, JobKind::Service));
+    decide();
+    planner.handle(WorkerLeasesExpired{0}, now);
+    join(1);
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
+    join(0);
+    report(0, {1, 0, 0}, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(commandsOf<StartTask>().empty());
+    EXPECT_TRUE(commandsOf<StopTask>().empty());
+    EXPECT_TRUE(commandsOf<TaskDone>().empty());
+}
+
 TEST_F(PlannerTest, newOwnerAdoptsRunningTasksAndDefersUnknownOnes)
 {
     JobAssigned event;
