--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -416,6 +416,12 @@
     }
     for (const WorkerNumber number : chosen) {
         isolation_.setAside(number, request.unit, until);
+        base::logInfo("worker_set_aside")
+            .with("worker", workers_.at(number).identity.id)
+            .with("for_task", toString(request.unit))
+            .with("runs", workers_.at(number).runs.size())
+            .with("set_aside", isolation_.setAsideWorkers())
+            .with("limit", limit);
     }
 }
 
