--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <set>
 
 using namespace yuccawheel;
@@ -270,6 +271,44 @@
     EXPECT_EQ(crashes.simulation.phaseOf(1), JobPhase::Completed);
 }
 
+// Guards against suspects that wait for each other's few workers while most of the room on all workers is free.
+TEST(WorkflowCrash, SuspectsGetMoreWorkersOfTheirOwnWhileMostRoomIsFree)
+{
+    constexpr std::uint32_t Workers = 20;
+    constexpr std::uint32_t Suspects = 60;
+    constexpr std::int64_t LoadMilliCpu = 1'000; // Of a task; a suspect needs twice as much.
+    CrashSimulation crashes(Workers);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(Suspects, 2 * LoadMilliCpu), false);
+    ASSERT_NO_FATAL_FAILURE(breakTwice(crashes, Suspects));
+    workflow::JobSpec load = job(Workers, LoadMilliCpu);
+    load.steps[0].maxPerWorker = 1;
+    std::map<std::uint32_t, std::chrono::milliseconds> waited;
+    std::chrono::milliseconds longestWait{0};
+    for (std::chrono::milliseconds passed{0}; passed < 60s && !simulation.state.findJob(1)->hasEnded(); ++passed) {
+        if (passed % 100ms == 0ms) {
+            crashes.submit(load, false);
+        }
+        simulation.run(1ms);
+        std::int64_t inUse = 0;
+        for (const auto &[id, worker] : simulation.workers.all()) {
+            for (const auto &[task, run] : worker.runs) {
+                inUse += run.spec.perTask.milliCpu;
+            }
+        }
+        const bool isMostRoomFree = inUse < Workers * WorkerMilliCpu / 2;
+        for (std::uint32_t index = 0; index < Suspects; ++index) {
+            const bool waits = simulation.state.findTask({1, 0, 0, index})->phase == workflow::TaskPhase::Waiting;
+            std::chrono::milliseconds &wait = waited[index];
+            wait = waits && isMostRoomFree ? wait + 1ms : 0ms;
+            longestWait = std::max(longestWait, wait);
+        }
+    }
+    RecordProperty("longest_wait_ms", std::to_string(longestWait.count()));
+    EXPECT_LT(longestWait, 3s);
+    EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
+}
+
 // Guards against counting a crash against a run whose start order never arrived.
 TEST(WorkflowCrash, RunThatWasNeverStartedIsNotToBlame)
 {
