Set aside a tenth of the workers at most for suspects again

The jobs lost were gangs of six and seven that were not among the suspects for which workers were set aside; shortly before, up to 29 of 48 were set aside.

--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -37,9 +37,7 @@
 // Covers a stop, the commit of its end and a retry of a lost order.
 constexpr std::chrono::milliseconds HoldDuration{900};
 constexpr std::chrono::milliseconds SetAsideDuration{1'000}; ///< Extended by each dispatch that still needs the worker.
-constexpr double MaxSetAsideShare = 0.1; ///< Of all workers, for suspects that have to run alone, under any load.
-// More workers may be set aside if the others would hold this many times what is reserved on all.
-constexpr double MinOpenCapacity = 1.5;
+constexpr double MaxSetAsideShare = 0.1; ///< Of all workers, for suspects that have to run alone.
 constexpr double InitialEligibleShare = 0.5; ///< Assumed until the first answer.
 constexpr double EligibleShareWeight = 0.1; ///< Weight of the newest answer in the moving average.
 // Tasks that the eligible workers known to a gang would hold, per task. With less, nearly all would have to be empty.
@@ -49,17 +47,6 @@
 constexpr std::size_t WantedEligibleSize = 4;
 constexpr double QueryOversampling = 1.5; ///< Expected eligible capacity per required task.
 
-/// Returns the share of a total that is reserved, of the resource of which it is largest.
-double reservedShare(const placement::Resources &reserved, const placement::Resources &total)
-{
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
-    };
-    return std::max({share(reserved.milliCpu, total.milliCpu),
-                     share(reserved.memoryMib, total.memoryMib),
-                     share(reserved.accelerators, total.accelerators)});
-}
-
 std::string stepName(JobKey key, const JobRecord &job, std::size_t position)
 {
     const std::size_t steps = job.spec.steps.size();
@@ -415,10 +402,7 @@
     std::sort(candidates.begin(), candidates.end());
     const std::int64_t needed = static_cast<std::int64_t>(request.waiting.size());
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
-    // Many suspects may wait at once, and what the load leaves free costs others nothing.
-    const double openShare = MinOpenCapacity * reservedShare(ledger_.totalReserved(), ledger_.totalCapacity());
-    const double setAsideShare = std::max(MaxSetAsideShare, 1 - openShare);
-    const auto limit = static_cast<std::size_t>(static_cast<double>(workers_.size()) * setAsideShare) + 1;
+    const auto limit = static_cast<std::size_t>(static_cast<double>(workers_.size()) * MaxSetAsideShare) + 1;
     std::vector<WorkerNumber> chosen;
     std::int64_t fitting = 0;
     for (const auto &[reserved, number] : candidates) {
