--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -14,11 +14,15 @@
 constexpr std::chrono::milliseconds ReviewInterval{50}; ///< Half of the shortest timeout checked, 100 ms.
 constexpr int OtherWorkShare = 2; ///< Time between two decisions, in multiples of the time that the first one took.
 constexpr std::chrono::milliseconds JobRetention{150'000}; ///< Callers may read states for 120 s; plus a margin.
+/// Reports from before the drain arrive seconds late; managers that were paused may pass them on some minutes late.
+constexpr std::chrono::minutes DrainRetention{10};
 constexpr std::chrono::milliseconds ForgetInterval{5'000};
 constexpr std::chrono::milliseconds PendingCountInterval{500}; ///< A quarter of the age that readers accept.
 constexpr std::size_t MaxForgottenPerEntry = 500; ///< Limits the entry size.
 // Share of the gang timeout after which a run that is not whole is stopped. The rest is left for the stop orders.
 constexpr double MaxGangStartShare = 0.4;
+// Share after which a gang that is whole is asked whether it works, early enough to stop it at the share above.
+constexpr double GangCheckShare = 0.3;
 
 } // namespace
 
@@ -29,6 +33,12 @@
 void JobManager::startLeading(const State &state, std::uint64_t epoch, base::TimePoint now, WallTime wall)
 {
     stepDown();
+    GangStarts earlierStarts = std::exchange(gangStarts_, {});
+    if (epoch != epoch_) {
+        reportedCapacities_.clear();
+        drainedHeardAt_.clear();
+        earlierStarts = {};
+    }
     state_ = &state;
     epoch_ = epoch;
     wall_ = wall;
@@ -52,7 +62,7 @@
         if (job.hasEnded()) {
             stopJob(key, now);
         } else {
-            adoptGangs(key, job, now);
+            adoptGangs(key, job, earlierStarts, now);
         }
     }
     base::logInfo("leading")
@@ -81,7 +91,7 @@
     joining_.clear();
     pendingQueries_.clear();
     startedJobs_.clear();
-    gangStarts_.clear();
+    proposedLateEnds_.clear();
     queryIndexes_.clear();
     dispatch_.reset();
     nextFullDispatch_ = {};
@@ -105,6 +115,7 @@
     if (const auto *starts = std::get_if<StartsEntry>(&entry)) {
         orderCommittedStarts(*starts, now);
     } else if (const auto *ends = std::get_if<EndsEntry>(&entry)) {
+        std::erase_if(proposedLateEnds_, [ends](const auto &item) { return item.second == ends->worker; });
         const auto worker = workers_.find(ends->worker);
         if (worker != workers_.end()) {
             reviewPolls(worker->first, worker->second, now);
@@ -222,10 +233,14 @@
         && task->worker == start.worker;
 }
 
-// The worker may have ended or shrunk between proposal and commit.
+// The worker may have ended, shrunk or begun to drain between proposal and commit.
 bool JobManager::canStart(const StartsEntry::Start &start) const
 {
-    return isPlaced(start) && !workers_.at(start.worker).retired && !ledger_.isExceeded(start.worker);
+    if (!isPlaced(start)) {
+        return false;
+    }
+    const WorkerView &worker = workers_.at(start.worker);
+    return !worker.retired && !worker.draining && !ledger_.isExceeded(start.worker);
 }
 
 // Returns the first members of the gangs of which a member can't start: the others would wait for it in vain.
@@ -318,8 +333,9 @@
 }
 
 // An earlier leader may have been lost while it was starting or stopping a gang. One that isn't placed as a whole will
-// never be; of the others it isn't known yet whether all members are there.
-void JobManager::adoptGangs(JobKey key, const JobRecord &job, base::TimePoint now)
+// never be; of the others it isn't known yet whether all members are there. Members go on waiting while a leader starts
+// again from the log, so it keeps the time since when.
+void JobManager::adoptGangs(JobKey key, const JobRecord &job, const GangStarts &earlier, base::TimePoint now)
 {
     for (std::size_t position = 0; position < job.steps.size(); ++position) {
         const StepRecord &step = job.steps[position];
@@ -332,7 +348,9 @@
         }
         for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
             const TaskRef member = job.refOf(key, position, index);
-            gangStarts_.addMember(job.crashUnitOf(member), step.tasks[index].run, member, now);
+            const TaskRef gang = job.crashUnitOf(member);
+            const std::uint32_t run = step.tasks[index].run;
+            gangStarts_.addMember(gang, run, member, earlier.committedAt(gang, run).value_or(now));
         }
     }
 }
@@ -342,12 +360,32 @@
 void JobManager::stopIncompleteGangs(base::TimePoint now)
 {
     const auto limit = std::chrono::duration_cast<base::Duration>(limits_.gangTimeout * MaxGangStartShare);
-    for (const TaskRef &gang : gangStarts_.committedBy(now - limit)) {
+    for (const TaskRef &gang : gangStarts_.incompleteSince(now - limit)) {
         logBrokenStart(gang);
         stopGang(gang, now);
     }
 }
 
+// A member may have been lost between its confirmation and the start of the last one. A poll that was pending since
+// tells that too late.
+void JobManager::checkUnprovenGangs(base::TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<base::Duration>(limits_.gangTimeout * GangCheckShare);
+    for (const TaskRef &member : gangStarts_.takeUnproven(now - age, now)) {
+        checkMember(member, now);
+    }
+}
+
+void JobManager::checkMember(const TaskRef &member, base::TimePoint now)
+{
+    const TaskRecord &record = *state_->findTask(member);
+    LiveRun *const run = findRun(record.worker, member, record.run);
+    if (run != nullptr && run->stage == LiveRun::Stage::Running) {
+        run->isDoubted = true;
+        reviewPolls(record.worker, workers_.at(record.worker), now);
+    }
+}
+
 void JobManager::stopStep(JobKey key, std::size_t position, base::TimePoint now)
 {
     const JobRecord &job = *state_->findJob(key);
@@ -371,7 +409,7 @@
     }
 }
 
-void JobManager::forgetOldJobs(base::TimePoint now)
+void JobManager::forgetOldRecords(base::TimePoint now)
 {
     if (now < nextForget_) {
         return;
@@ -384,11 +422,27 @@
             entry.jobs.push_back(key);
         }
     }
-    if (!entry.jobs.empty()) {
+    entry.drained = silentDrainedWorkers(now);
+    if (!entry.jobs.empty() || !entry.drained.empty()) {
         port_.propose(entry);
     }
 }
 
+std::vector<ForgetEntry::Drained> JobManager::silentDrainedWorkers(base::TimePoint now)
+{
+    std::erase_if(drainedHeardAt_, [this](const auto &item) { return !state_->drained().contains(item.first); });
+    std::vector<ForgetEntry::Drained> result;
+    for (const auto &[id, born] : state_->drained()) {
+        const auto heardAt = drainedHeardAt_.try_emplace(id, now).first;
+        if (!directory_.withId(id).empty()) {
+            heardAt->second = now;
+        } else if (now - heardAt->second > DrainRetention && result.size() < MaxForgottenPerEntry) {
+            result.push_back({id, born});
+        }
+    }
+    return result;
+}
+
 void JobManager::tick(base::TimePoint now, WallTime wall)
 {
     if (!isLeading()) {
@@ -400,9 +454,10 @@
         for (auto &[number, worker] : workers_) {
             reviewWorker(number, worker, now);
         }
+        checkUnprovenGangs(now);
         stopIncompleteGangs(now);
         failOverdueQueries(now);
-        forgetOldJobs(now);
+        forgetOldRecords(now);
         dispatchDue_ = true;
     }
     if (now < nextDispatch_) {
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -164,13 +164,15 @@
     bool isPlaced(const StartsEntry::Start &start) const;
     bool canStart(const StartsEntry::Start &start) const;
     std::set<TaskRef> findBrokenGangs(const StartsEntry &entry) const;
-    void adoptGangs(JobKey key, const JobRecord &job, base::TimePoint now);
+    void adoptGangs(JobKey key, const JobRecord &job, const GangStarts &earlier, base::TimePoint now);
     void updateReadySteps(JobKey key);
     void stopJob(JobKey key, base::TimePoint now);
     void stopStep(JobKey key, std::size_t position, base::TimePoint now);
     void stopTask(const TaskRef &task, base::TimePoint now);
     void stopGang(const TaskRef &member, base::TimePoint now);
-    void forgetOldJobs(base::TimePoint now);
+    void forgetOldRecords(base::TimePoint now);
+    /// Returns the drained incarnations that have been silent for so long that no report of theirs is on its way.
+    std::vector<ForgetEntry::Drained> silentDrainedWorkers(base::TimePoint now);
     void countPendingJobs();
 
     // Placement.
@@ -222,6 +224,8 @@
     void recordAnswer(WorkerView &worker, std::optional<std::chrono::milliseconds> clock, base::TimePoint now);
     void recordTimeout(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void onLeaving(const WorkerIdentity &leaving);
+    /// Returns the capacity that the worker has last reported in this term, or else the one that the log holds.
+    placement::Resources currentCapacity(const WorkerIdentity &worker) const;
     void updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported);
     void noteCrash(WorkerNumber number, WorkerView &worker);
     bool proposeCrash(WorkerNumber number, WorkerView &worker);
@@ -243,10 +247,25 @@
     void confirmStart(const TaskRef &task,
                       LiveRun &run,
                       std::optional<std::chrono::milliseconds> sentAfter,
+                      base::TimePoint seenAt,
                       base::TimePoint now);
+    /// Records that a member of a gang was on its worker at `seenAt`.
+    void confirmMember(const TaskRef &member,
+                       LiveRun &run,
+                       std::optional<base::TimePoint> sentAt,
+                       base::TimePoint seenAt,
+                       base::TimePoint now);
     /// Logs how the run of a gang began, if a member ends before all of them were confirmed.
     void logBrokenStart(const TaskRef &member);
     void stopIncompleteGangs(base::TimePoint now);
+    /// Asks for members of gangs that are whole, but not yet known to work.
+    void checkUnprovenGangs(base::TimePoint now);
+    /// Returns whether what a worker lists shows that a member of a gang works.
+    bool hasProgressed(const TaskRef &task, LiveRun &run, std::uint32_t percent) const;
+    /// Stops the other members of a gang of which a worker lists an end that the log may not have recorded yet.
+    void processEndOfMember(WorkerNumber number, const TaskRef &task, const EndedTask &ended, base::TimePoint now);
+    /// Has a poll find out whether a confirmed member is still there.
+    void checkMember(const TaskRef &member, base::TimePoint now);
     void proposeNotStarted(const TaskRef &task, LiveRun &run);
     void processRunningTasks(
         WorkerNumber number, WorkerView &worker, const PollAnswer &answer, base::TimePoint sentAt, base::TimePoint now);
@@ -271,6 +290,17 @@
     std::unordered_map<JobKey, base::TimePoint> arrivals_;
     std::map<std::string, std::size_t> pendingJobs_; ///< By queue, as of the last count.
     base::TimePoint nextPendingCount_{};
+    /// Tasks, or first members of gangs, of which a worker has listed a run as done that was given up, until that end
+    /// is committed.
+    std::map<TaskRef, WorkerNumber> proposedLateEnds_;
+    struct ReportedCapacity {
+        std::int64_t born = 0;
+        placement::Resources capacity;
+    };
+    /// By worker id: capacities that the log may not hold yet. Kept while this manager leads in one term.
+    std::map<std::string, ReportedCapacity> reportedCapacities_;
+    /// By worker id: when a drained worker was last heard of. Kept while this manager leads in one term.
+    std::map<std::string, base::TimePoint> drainedHeardAt_;
     std::unordered_set<JobKey> startedJobs_; ///< Jobs of which a run has been confirmed by a worker.
     GangStarts gangStarts_;
     std::map<std::string, WorkerReport> joining_; ///< By worker id: reported, but not committed yet.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -102,8 +102,9 @@
         return waiting;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        if (step.tasks[index].phase == TaskPhase::Waiting
-            && !reservations_.contains(job.refOf(key.job, key.position, index))) {
+        const TaskRef task = job.refOf(key.job, key.position, index);
+        if (step.tasks[index].phase == TaskPhase::Waiting && !reservations_.contains(task)
+            && !proposedLateEnds_.contains(job.crashUnitOf(task))) {
             waiting.push_back(index);
         }
     }
@@ -415,6 +416,12 @@
     }
     for (const WorkerNumber number : chosen) {
         isolation_.setAside(number, request.unit, until);
+        base::logInfo("worker_set_aside")
+            .with("worker", workers_.at(number).identity.id)
+            .with("for_task", toString(request.unit))
+            .with("runs", workers_.at(number).runs.size())
+            .with("set_aside", isolation_.setAsideWorkers())
+            .with("limit", limit);
     }
 }
 
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -3,6 +3,7 @@
 #include "workflow/job_manager.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawheel::workflow
 {
@@ -26,12 +27,13 @@
 {
     WorkerView &worker = workers_[number];
     worker.identity = record.identity;
+    worker.identity.capacity = currentCapacity(record.identity);
     directory_.add(number, record.identity);
     worker.proposedEndNumber = record.lastEndNumber;
     worker.lastReport = now;
     worker.draining = record.draining;
     ledger_.grow(number + 1);
-    ledger_.setReportedCapacity(number, record.identity.capacity);
+    ledger_.setReportedCapacity(number, worker.identity.capacity);
     dispatchDue_ = true;
     return worker;
 }
@@ -55,6 +57,7 @@
     speeds_.removeWorker(number);
     base::logInfo("worker_gone").with("worker", found->second.identity.id).with("number", number);
     port_.forget(found->second.identity);
+    reportedCapacities_.erase(found->second.identity.id);
     directory_.remove(number, found->second.identity);
     workers_.erase(found);
     dispatchDue_ = true;
@@ -100,6 +103,9 @@
     if (!isLeading()) {
         return;
     }
+    if (const auto heardAt = drainedHeardAt_.find(report.worker.id); heardAt != drainedHeardAt_.end()) {
+        heardAt->second = now;
+    }
     if (report.leaving) {
         onLeaving(report.worker);
         return;
@@ -144,6 +150,13 @@
     }
 }
 
+placement::Resources JobManager::currentCapacity(const WorkerIdentity &worker) const
+{
+    const auto reported = reportedCapacities_.find(worker.id);
+    return reported != reportedCapacities_.end() && reported->second.born == worker.born ? reported->second.capacity
+                                                                                         : worker.capacity;
+}
+
 // The log gets the new capacity too, because the next leader may place tasks before the worker reports to it.
 void JobManager::updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported)
 {
@@ -156,6 +169,7 @@
             .with("millicores_before", worker.identity.capacity.milliCpu)
             .with("reserved_millicores", ledger_.reserved(number).milliCpu);
         worker.identity.capacity = reported;
+        reportedCapacities_[worker.identity.id] = {worker.identity.born, reported};
         ledger_.setReportedCapacity(number, reported);
         dispatchDue_ = true;
     }
@@ -189,7 +203,7 @@
     for (const auto &[task, run] : worker.runs) {
         const bool mayBeStarting = run.stage == LiveRun::Stage::Starting && run.callInFlight;
         const bool hasEnded = run.stage == LiveRun::Stage::ReleaseProposed || run.stage == LiveRun::Stage::EndProposed;
-        if ((run.mayHaveStarted || mayBeStarting) && !hasEnded) {
+        if ((run.mayHaveStarted || mayBeStarting) && !hasEnded && !run.mayBeInSuccessor) {
             worker.crashedRuns.push_back({task, run.run});
         }
     }
@@ -238,6 +252,9 @@
             run.nextCall = now;
         }
     }
+    for (const auto &[task, run] : worker.runs) {
+        stopGang(task, now);
+    }
     if (worker.runs.empty()) {
         proposeGone(number, worker, "replaced");
     }
@@ -306,7 +323,13 @@
     }
     switch (run.stage) {
     case LiveRun::Stage::Starting:
-        sendStart(number, worker, task, run, now);
+        if (!worker.draining) {
+            sendStart(number, worker, task, run, now);
+        } else if (run.startCalls == 0) {
+            proposeNotStarted(task, run); // No start order has been or will be sent.
+        } else {
+            run.stage = LiveRun::Stage::Uncertain;
+        }
         break;
     case LiveRun::Stage::Stopping:
         sendStop(number, worker, task, run, now);
@@ -331,7 +354,7 @@
     }
     const bool uncertain = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &item) {
         const LiveRun &run = item.second;
-        return run.stage == LiveRun::Stage::Uncertain
+        return run.stage == LiveRun::Stage::Uncertain || (run.stage == LiveRun::Stage::Running && run.isDoubted)
             || (run.stage == LiveRun::Stage::Stopping && run.stopAnsweredAt.has_value());
     });
     const auto record = state_->workers().find(number);
@@ -450,6 +473,7 @@
 void JobManager::confirmStart(const TaskRef &task,
                               LiveRun &run,
                               std::optional<std::chrono::milliseconds> sentAfter,
+                              base::TimePoint seenAt,
                               base::TimePoint now)
 {
     run.stage = LiveRun::Stage::Running;
@@ -457,12 +481,25 @@
     run.runningSince = now;
     run.callInFlight = false;
     startedJobs_.insert(task.job);
-    if (!isGangMember(task)) {
-        return;
+    if (isGangMember(task)) {
+        confirmMember(task, run, sentAfter ? std::optional(run.orderedAt + *sentAfter) : std::nullopt, seenAt, now);
+    }
+}
+
+void JobManager::confirmMember(const TaskRef &member,
+                               LiveRun &run,
+                               std::optional<base::TimePoint> sentAt,
+                               base::TimePoint seenAt,
+                               base::TimePoint now)
+{
+    const TaskRef gang = state_->findJob(member.job)->crashUnitOf(member);
+    run.isDoubted = false;
+    const GangStarts::Confirmation confirmation =
+        gangStarts_.recordConfirmation(gang, run.run, member, sentAt, seenAt, now);
+    for (const TaskRef &other : confirmation.outdated) {
+        checkMember(other, now);
     }
-    const TaskRef gang = state_->findJob(task.job)->crashUnitOf(task);
-    const auto sentAt = sentAfter ? std::optional(run.orderedAt + *sentAfter) : std::nullopt;
-    if (const auto summary = gangStarts_.recordConfirmation(gang, run.run, task, sentAt, now)) {
+    if (const auto &summary = confirmation.summary) {
         base::logInfo("gang_started")
             .with("gang", toString(gang))
             .with("run", run.run)
@@ -534,6 +571,12 @@
             .with("lease_left_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(worker.lease.expiresBy() - now).count());
     }
+    for (auto &[task, run] : worker.runs) {
+        if (run.stage == LiveRun::Stage::Running && isGangMember(task)) {
+            const TaskRef gang = state_->findJob(task.job)->crashUnitOf(task);
+            run.isDoubted = gangStarts_.recordDoubt(gang, run.run, task) || run.isDoubted;
+        }
+    }
     worker.lastTimeout = now;
     worker.nextPollAt = now + (worker.runs.empty() ? IdleRetryInterval : RetryInterval);
 }
@@ -553,12 +596,13 @@
             run->stage = LiveRun::Stage::Uncertain;
             run->startUnanswered = true;
             run->mayHaveStarted = true;
+            run->mayBeInSuccessor = true;
             reviewPolls(number, worker, now);
             return;
         }
         recordAnswer(worker, answer.clock, now);
         run->isTimed = true;
-        confirmStart(task, *run, answer.sentAfter, now);
+        confirmStart(task, *run, answer.sentAfter, run->orderedAt, now);
         reviewPolls(number, worker, now);
         return;
     }
@@ -748,8 +792,15 @@
             .with("ran_ms", timed ? ran.count() : -1)
             .with("estimated_ms", job == nullptr ? -1 : job->spec.steps[task->step].estimatedRunTime.count());
     }
-    if (entry.lastEndNumber > worker.proposedEndNumber && port_.propose(entry)) {
-        worker.proposedEndNumber = entry.lastEndNumber;
+    if (entry.lastEndNumber <= worker.proposedEndNumber || !port_.propose(entry)) {
+        return;
+    }
+    worker.proposedEndNumber = entry.lastEndNumber;
+    for (const EndsEntry::End &end : entry.ends) {
+        const JobRecord *const job = state_->findJob(end.task.job);
+        if (job != nullptr && end.outcome == RunOutcome::Done && findRun(number, end.task, end.run) == nullptr) {
+            proposedLateEnds_[job->crashUnitOf(end.task)] = number;
+        }
     }
 }
 
@@ -805,18 +856,21 @@
         if (!running.checkpoint.empty()) {
             run->checkpoint = running.checkpoint;
         }
-        if (running.progressPercent > 0 && isGangMember(*task)) {
+        if (isGangMember(*task) && hasProgressed(*task, *run, running.progressPercent)) {
             gangStarts_.remove(state_->findJob(task->job)->crashUnitOf(*task), running.run); // It is whole.
         }
         if (run->stage == LiveRun::Stage::Starting || run->stage == LiveRun::Stage::Uncertain) {
             run->isTimed = run->stage == LiveRun::Stage::Starting;
-            confirmStart(*task, *run, std::nullopt, now);
+            confirmStart(*task, *run, std::nullopt, std::max(sentAt, run->orderedAt), now);
+        } else if (run->stage == LiveRun::Stage::Running && run->isDoubted) {
+            confirmMember(*task, *run, std::nullopt, sentAt, now);
         }
     }
     for (const EndedTask &ended : answer.ended) {
         const auto task = parseTaskRef(ended.task);
         if (task) {
             listed.try_emplace(*task, ended.run);
+            processEndOfMember(number, *task, ended, now);
         }
     }
     if (!answer.isComplete) {
@@ -844,4 +898,29 @@
     }
 }
 
+// A member that resumes may list the progress of its checkpoint while it waits for the others.
+bool JobManager::hasProgressed(const TaskRef &task, LiveRun &run, std::uint32_t percent) const
+{
+    if (state_->findTask(task)->checkpoint.empty()) {
+        return percent > 0;
+    }
+    return percent > std::exchange(run.listedPercent, percent).value_or(percent);
+}
+
+// The log may take longer to commit the end than the other members wait.
+void JobManager::processEndOfMember(WorkerNumber number,
+                                    const TaskRef &task,
+                                    const EndedTask &ended,
+                                    base::TimePoint now)
+{
+    if (findRun(number, task, ended.run) == nullptr || !isGangMember(task)) {
+        return;
+    }
+    if (ended.outcome == RunOutcome::Done) {
+        gangStarts_.remove(state_->findJob(task.job)->crashUnitOf(task), ended.run); // It was whole.
+    } else {
+        stopGang(task, now);
+    }
+}
+
 } // namespace yuccawheel::workflow
--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <set>
 
 using namespace yuccawheel;
@@ -96,8 +97,73 @@
     ManagerSimulation simulation;
 };
 
+/// Breaks two runs of all tasks of the job 1, so that each has to run alone next time.
+void breakTwice(CrashSimulation &crashes, std::uint32_t tasks)
+{
+    ManagerSimulation &simulation = crashes.simulation;
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        const auto areAllPlaced = [&] {
+            const workflow::JobRecord *const record = simulation.state.findJob(1);
+            return record != nullptr && record->placed == tasks && simulation.workers.running() == tasks;
+        };
+        ASSERT_TRUE(simulation.runUntil(areAllPlaced, 10s)) << run;
+        std::set<workflow::WorkerNumber> used;
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            used.insert(simulation.state.findTask({1, 0, 0, index})->worker);
+        }
+        simulation.run(100ms);
+        for (const workflow::WorkerNumber worker : used) {
+            simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+        }
+    }
+}
+
+/// Returns how long the job 1 takes to end while each worker runs other tasks, of `milliCpu` in all.
+std::chrono::milliseconds timeUnderLoad(CrashSimulation &crashes, std::uint32_t workers, std::int64_t milliCpu)
+{
+    constexpr std::chrono::milliseconds RunTime{400}; // Of fake tasks.
+    ManagerSimulation &simulation = crashes.simulation;
+    workflow::JobSpec load = job(workers, milliCpu / 4);
+    load.steps[0].maxPerWorker = 1;
+    std::chrono::milliseconds passed{0};
+    for (; passed < 60s && !simulation.state.findJob(1)->hasEnded(); passed += RunTime / 4) {
+        crashes.submit(load, false);
+        simulation.run(RunTime / 4);
+    }
+    return passed;
+}
+
 } // namespace
 
+// Guards against a job that fails for crashes of workers that had restarted before they got its tasks.
+TEST(WorkflowCrash, RunThatTheNextIncarnationStartedCountsNoCrash)
+{
+    CrashSimulation crashes(1);
+    ManagerSimulation &simulation = crashes.simulation;
+    simulation.run(3s); // The clock of the next incarnation starts anew, and differs by then.
+    simulation.workers.restart("w0", simulation.now);
+    crashes.submit(job(1, 1'000), false);
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 1s));
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 30s));
+    crashes.expectOnlyCrashingJobsFailed();
+    EXPECT_EQ(simulation.state.findJob(1)->steps[0].tasks[0].crashes.total, 0U);
+}
+
+// Guards against a gang that is given up, and its job failed, because several of its workers crashed at once.
+TEST(WorkflowCrash, GangWhoseWorkersCrashTogetherIsStartedAgain)
+{
+    CrashSimulation crashes(4);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(4, 10'000, true), false);
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 4; }, 1s));
+    simulation.run(50ms);
+    for (const std::string &worker : simulation.ids()) {
+        simulation.workers.crash(worker, simulation.now);
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 60s));
+    crashes.expectOnlyCrashingJobsFailed();
+}
+
 // Guards against a task that crashes one worker after the other for as long as its job lasts.
 TEST(WorkflowCrash, TaskThatCrashesItsWorkersIsGivenUpAndThoseBesideItComplete)
 {
@@ -206,6 +272,57 @@
     EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
 }
 
+// Guards against workers that stay set aside for a suspect that has been placed while other suspects wait for one.
+TEST(WorkflowCrash, SuspectsThatWaitTogetherTakeTurnsUnderLoad)
+{
+    constexpr std::uint32_t Workers = 20;
+    CrashSimulation crashes(Workers);
+    crashes.submit(job(30, 2'000), false);
+    ASSERT_NO_FATAL_FAILURE(breakTwice(crashes, 30));
+    const std::chrono::milliseconds time = timeUnderLoad(crashes, Workers, WorkerMilliCpu * 3 / 4);
+    RecordProperty("time_ms", std::to_string(time.count()));
+    EXPECT_LE(time, 10s);
+    EXPECT_EQ(crashes.simulation.phaseOf(1), JobPhase::Completed);
+}
+
+// Guards against suspects that wait for each other's few workers while most of the room on all workers is free.
+TEST(WorkflowCrash, SuspectsGetMoreWorkersOfTheirOwnWhileMostRoomIsFree)
+{
+    constexpr std::uint32_t Workers = 20;
+    constexpr std::uint32_t Suspects = 60;
+    constexpr std::int64_t LoadMilliCpu = 1'000; // Of a task; a suspect needs twice as much.
+    CrashSimulation crashes(Workers);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(Suspects, 2 * LoadMilliCpu), false);
+    ASSERT_NO_FATAL_FAILURE(breakTwice(crashes, Suspects));
+    workflow::JobSpec load = job(Workers, LoadMilliCpu);
+    load.steps[0].maxPerWorker = 1;
+    std::map<std::uint32_t, std::chrono::milliseconds> waited;
+    std::chrono::milliseconds longestWait{0};
+    for (std::chrono::milliseconds passed{0}; passed < 60s && !simulation.state.findJob(1)->hasEnded(); ++passed) {
+        if (passed % 100ms == 0ms) {
+            crashes.submit(load, false);
+        }
+        simulation.run(1ms);
+        std::int64_t inUse = 0;
+        for (const auto &[id, worker] : simulation.workers.all()) {
+            for (const auto &[task, run] : worker.runs) {
+                inUse += run.spec.perTask.milliCpu;
+            }
+        }
+        const bool isMostRoomFree = inUse < Workers * WorkerMilliCpu / 2;
+        for (std::uint32_t index = 0; index < Suspects; ++index) {
+            const bool waits = simulation.state.findTask({1, 0, 0, index})->phase == workflow::TaskPhase::Waiting;
+            std::chrono::milliseconds &wait = waited[index];
+            wait = waits && isMostRoomFree ? wait + 1ms : 0ms;
+            longestWait = std::max(longestWait, wait);
+        }
+    }
+    RecordProperty("longest_wait_ms", std::to_string(longestWait.count()));
+    EXPECT_LT(longestWait, 3s);
+    EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
+}
+
 // Guards against counting a crash against a run whose start order never arrived.
 TEST(WorkflowCrash, RunThatWasNeverStartedIsNotToBlame)
 {
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -92,6 +92,11 @@
         simulation.workers.setCapacity("w0", {milliCpu, 1'000'000, 0}, 2s, simulation.now);
         simulation.run(2s);
     }
+    static bool isPlaced(const ManagerSimulation &simulation, const workflow::TaskRef &task)
+    {
+        const workflow::TaskRecord *const record = simulation.state.findTask(task);
+        return record != nullptr && record->phase == workflow::TaskPhase::Placed;
+    }
     static std::string workerOf(const ManagerSimulation &simulation, const workflow::TaskRef &task)
     {
         return simulation.state.workers().at(simulation.state.findTask(task)->worker).identity.id;
@@ -910,6 +915,230 @@
     EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
 }
 
+// Guards against members that wait for one that was lost just before the last one was there: only a poll that was
+// pending since then told, too late for a second stop.
+TEST_F(WorkflowManager, GangThatLosesAMemberShortlyBeforeTheLastOneStartsIsStoppedInTimeForASecondStop)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 2);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return isPlaced(simulation, {Key, 0, 0, 0}); }, 1s));
+    const std::string lost = workerOf(simulation, {Key, 0, 0, 0});
+    simulation.workers.worker(workerOf(simulation, {Key, 0, 0, 1})).downUntil = simulation.now + 4ms;
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 10ms));
+    simulation.run(2ms);
+    simulation.workers.crash(lost, simulation.now);
+    simulation.workers.worker(lost).cut = true;
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 200ms));
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 0; }, 2'000ms));
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against a gang at work that is stopped since one of its workers leaves a call unanswered before any poll has
+// told of its progress.
+TEST_F(WorkflowManager, GangAtWorkGoesOnThoughACallIsNotAnswered)
+{
+    ManagerSimulation simulation(longRuns());
+    addWorkers(simulation, 3);
+    simulation.submit(Key, job({gang(3, 10'000)}), policy());
+    simulation.run(700ms);
+    ASSERT_EQ(simulation.workers.running(), 3U);
+    simulation.losesStart = [](const workflow::TaskRef &task) {
+        return task.job == Key + 1;
+    };
+    simulation.submit(Key + 1, job({step(1, 1'000)}), policy());
+    simulation.run(1s);
+    simulation.losesStart = {};
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+    EXPECT_EQ(simulation.workers.starts(), 4U);
+}
+
+// Guards against a gang at work that its leader stops when it starts again from the log.
+TEST_F(WorkflowManager, LeaderThatStartsAgainLetsAGangAtWorkGoOn)
+{
+    for (std::chrono::milliseconds phase{200}; phase < 2'200ms; phase += 10ms) {
+        ManagerSimulation simulation(longRuns());
+        addWorkers(simulation, 3);
+        simulation.submit(Key, job({gang(3, 10'000)}), policy());
+        simulation.run(phase);
+        ASSERT_EQ(simulation.workers.running(), 3U);
+        simulation.leadAgainAtOnce();
+        EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
+        EXPECT_EQ(simulation.workers.starts(), 3U) << phase.count() << " ms";
+    }
+}
+
+// Guards against members that wait until they give up: one that resumes from a checkpoint lists the progress of that
+// checkpoint while it waits, and its gang counted as working.
+TEST_F(WorkflowManager, GangThatResumesFromACheckpointIsStoppedBeforeItsMembersGiveUp)
+{
+    ManagerSimulation::Options options;
+    options.workers.progressOfCheckpoint = 40;
+    options.workers.runTimeOf = [](const workflow::TaskRef &task, const std::string &) {
+        return task.job == Key ? 6'000ms : 300ms;
+    };
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, 4);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    simulation.run(500ms);
+    const std::string first = workerOf(simulation, {Key, 0, 0, 0});
+    ASSERT_EQ(simulation.workers.running(), 2U);
+    simulation.workers.fail(first, {Key, 0, 0, 0}, "300");
+    std::string lost;
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        if (task.job == Key && task.index == 1 && lost.empty()) {
+            lost = workerOf(simulation, task);
+            simulation.workers.worker(lost).cut = true;
+        }
+        return task.job == Key && task.index == 1 && workerOf(simulation, task) == lost;
+    };
+    ASSERT_TRUE(simulation.runUntil([&] { return !lost.empty(); }, 2s));
+    // Their ends let workers answer polls.
+    simulation.submit(Key + 1, job({step(16, 1'000)}), policy());
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 30s));
+    EXPECT_FALSE(lost.empty());
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against members that wait until they give up: that one of them had ended was read, but not acted on before the
+// slow log had committed it.
+TEST_F(WorkflowManager, GangOfWhichAMemberEndsIsStoppedWithoutWaitingForTheLog)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 3);
+    simulation.submit(Key, job({gang(2, 10'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return isPlaced(simulation, {Key, 0, 0, 0}); }, 1s));
+    simulation.workers.worker(workerOf(simulation, {Key, 0, 0, 1})).downUntil = simulation.now + 4ms;
+    ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 1; }, 10ms));
+    simulation.run(2ms);
+    simulation.workers.fail(workerOf(simulation, {Key, 0, 0, 0}), {Key, 0, 0, 0}, {});
+    simulation.drops = [](const workflow::LogEntry &entry) {
+        return std::holds_alternative<workflow::EndsEntry>(entry);
+    };
+    simulation.run(5s);
+    EXPECT_EQ(simulation.workers.incompleteGangEnds(), 0U);
+}
+
+// Guards against members that wait until they give up for one that was there and is no longer, whatever took it away
+// and when, while the order of the last one is held up.
+TEST_F(WorkflowManager, GangThatLosesAMemberInAnyWayIsStoppedBeforeItsMembersGiveUp)
+{
+    using Loss = std::function<void(ManagerSimulation &, const std::string &)>;
+    const workflow::TaskRef first{Key, 0, 0, 0};
+    const auto report = [](ManagerSimulation &simulation, const std::string &id) {
+        simulation.manager->onReport(simulation.workers.report(id, simulation.now), simulation.now);
+    };
+    const std::vector<std::pair<std::string, Loss>> losses{
+        {"failure",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.fail(id, first, {});
+         }},
+        {"crash",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.crash(id, simulation.now);
+         }},
+        {"restart",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restart(id, simulation.now);
+         }},
+        {"move",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restartElsewhere(id, simulation.now);
+         }},
+        {"reported move",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restartElsewhere(id, simulation.now);
+             report(simulation, id);
+         }},
+        {"cut",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).cut = true;
+         }},
+        {"lost answers",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).answersLost = true;
+         }},
+        {"drain",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).isDraining = true;
+             report(simulation, id);
+         }},
+        {"drain and end",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.worker(id).isDraining = true;
+             report(simulation, id);
+             simulation.workers.stop(id, {first, 1, 1}, simulation.now);
+         }},
+        {"smaller worker",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.setCapacity(id, {1'000, 1'000'000, 0}, 0ms, simulation.now);
+             report(simulation, id);
+         }},
+        {"other stop",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.stop(id, {first, 1, 1}, simulation.now);
+         }},
+        {"restart and new leader",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.restart(id, simulation.now);
+             simulation.loseLeader();
+             simulation.run(100ms);
+             simulation.lead();
+         }},
+        {"stop and start from the log",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.stop(id, {first, 1, 1}, simulation.now);
+             simulation.leadAgain();
+         }},
+        {"worker given up",
+         [&](auto &simulation, const auto &id) {
+             const workflow::WorkerNumber number = simulation.state.findTask(first)->worker;
+             simulation.workers.worker(id).cut = true;
+             simulation.proposeFirst(workflow::WorkerGoneEntry{number, {}});
+         }},
+        {"refused releases",
+         [&](auto &simulation, const auto &id) {
+             simulation.workers.fail(id, first, {});
+             simulation.refuses = [](const workflow::LogEntry &) {
+                 return true;
+             };
+         }},
+    };
+    for (const auto &[name, lose] : losses) {
+        for (const auto phase : {0ms, 1ms, 3ms, 10ms, 60ms, 300ms, 600ms}) {
+            for (const auto hold : {4ms, 60ms, 690ms}) {
+                ManagerSimulation simulation({});
+                addWorkers(simulation, 3);
+                simulation.submit(Key, job({gang(3, 10'000)}), policy());
+                ASSERT_TRUE(simulation.runUntil([&] { return isPlaced(simulation, first); }, 1s));
+                const std::string id = workerOf(simulation, first);
+                fakes::CalledWorkers::Worker &last = simulation.workers.worker(workerOf(simulation, {Key, 0, 0, 2}));
+                bool isHeld = hold > 4ms;
+                simulation.losesStart = [&](const workflow::TaskRef &task) {
+                    return task.index == 2 && isHeld;
+                };
+                last.downUntil = simulation.now + (isHeld ? 3ms : 4ms);
+                ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == 2; }, 10ms));
+                simulation.run(phase);
+                if (simulation.workers.worker(id).runs.contains(first)) {
+                    lose(simulation, id); // It has not been done or stopped by then.
+                }
+                simulation.run(hold);
+                isHeld = false;
+                simulation.run(6s);
+                // No stop reaches a member that is cut off itself.
+                const fakes::CalledWorkers::Worker &worker = simulation.workers.worker(id);
+                const auto unreachable =
+                    std::count_if(worker.ended.begin(), worker.ended.end(), [&](const workflow::EndedTask &ended) {
+                        return worker.cut && ended.outcome == workflow::RunOutcome::GangIncomplete;
+                    });
+                EXPECT_EQ(simulation.workers.incompleteGangEnds(), static_cast<std::uint64_t>(unreachable))
+                    << name << " after " << phase.count() << " ms, held up " << hold.count() << " ms";
+            }
+        }
+    }
+}
+
 // Guards against a gang at work that a new leader stops, since one of its workers doesn't answer.
 TEST_F(WorkflowManager, NewLeaderLetsAGangAtWorkGoOn)
 {
@@ -1197,6 +1426,76 @@
     EXPECT_GT(tried, 0);
 }
 
+// Guards against a task that is placed again although the leader has read that it is done: that end was proposed, but
+// not committed yet.
+TEST_F(WorkflowManager, TaskWhoseEndIsProposedIsNotPlaced)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 1);
+    simulation.workers.add("small", 500, "rack0", simulation.now);
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    simulation.run(200ms);
+    ASSERT_EQ(simulation.workers.running(), 1U);
+    simulation.workers.worker("w0").cut = true;
+    simulation.run(16s);
+    ASSERT_EQ(simulation.state.findTask({Key, 0, 0, 0})->phase, workflow::TaskPhase::Waiting);
+    bool isProposed = false;
+    simulation.refuses = [&](const workflow::LogEntry &entry) {
+        const auto *const ends = std::get_if<workflow::EndsEntry>(&entry);
+        isProposed = isProposed || (ends != nullptr && !ends->ends.empty());
+        return false;
+    };
+    simulation.workers.worker("w0").cut = false;
+    ASSERT_TRUE(simulation.runUntil([&] { return isProposed; }, 5s));
+    simulation.delayProposals(300ms);
+    simulation.workers.setCapacity("small", {16'000, 1'000'000, 0}, 0ms, simulation.now);
+    simulation.manager->onReport(simulation.workers.report("small", simulation.now), simulation.now);
+    simulation.run(200ms);
+    EXPECT_EQ(simulation.proposedStarts(Key), 0U);
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 5s));
+    EXPECT_EQ(simulation.workers.starts(), 1U);
+}
+
+// Guards against an overfilled worker: it had shrunk, the log refused the entry that says so, and the leader that
+// started again from the log took it for as large as before.
+TEST_F(WorkflowManager, LeaderThatStartsAgainRemembersThatAWorkerHasShrunk)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 1);
+    simulation.run(1'500ms);
+    simulation.drops = [](const workflow::LogEntry &entry) {
+        return std::holds_alternative<workflow::WorkerJoinedEntry>(entry);
+    };
+    simulation.workers.setCapacity("w0", {1'000, 1'000'000, 0}, 1'600ms, simulation.now);
+    simulation.run(1'650ms);
+    simulation.leadAgainAtOnce();
+    simulation.submit(Key, job({step(1, 4'000)}), policy());
+    simulation.run(5s);
+    EXPECT_EQ(simulation.workers.starts(), 0U);
+}
+
+// Guards against a start on a worker whose drain was acknowledged: the order before had got no answer.
+TEST_F(WorkflowManager, UnansweredStartIsNotSentAgainToAWorkerThatDrains)
+{
+    ManagerSimulation simulation({});
+    addWorkers(simulation, 2);
+    std::uint64_t orders = 0;
+    simulation.losesStart = [&](const workflow::TaskRef &task) {
+        static_cast<void>(task);
+        return ++orders == 1;
+    };
+    simulation.submit(Key, job({step(1, 1'000)}), policy());
+    ASSERT_TRUE(simulation.runUntil([&] { return orders == 1; }, 1s));
+    const std::string drained =
+        simulation.state.workers().at(simulation.state.findTask({Key, 0, 0, 0})->worker).identity.id;
+    fakes::CalledWorkers::Worker &worker = simulation.workers.worker(drained);
+    worker.isDraining = true;
+    simulation.propose(workflow::WorkerDrainingEntry{drained, worker.identity.born});
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
+    EXPECT_TRUE(worker.ended.empty());
+    EXPECT_EQ(worker.nextEnd, 1U);
+}
+
 // A worker that drains may be given up meanwhile; a report from before, which arrives late, doesn't make it ready.
 TEST_F(WorkflowManager, DrainingWorkerThatReturnsGetsNoTask)
 {
@@ -1220,6 +1519,34 @@
     EXPECT_EQ(simulation.workers.starts(), 0U);
 }
 
+// Guards against a state that grows with each replaced worker: none that drained was ever forgotten.
+TEST_F(WorkflowManager, DrainedWorkersThatAreSilentAreForgotten)
+{
+    ManagerSimulation simulation({});
+    const std::size_t sizeBefore = simulation.state.snapshot().size();
+    addWorkers(simulation, 3);
+    for (const std::string id : {"w0", "w1"}) {
+        fakes::CalledWorkers::Worker &worker = simulation.workers.worker(id);
+        worker.isDraining = true;
+        simulation.propose(workflow::WorkerDrainingEntry{id, worker.identity.born});
+    }
+    simulation.run(100ms);
+    const workflow::WorkerIdentity silent = simulation.workers.worker("w0").identity;
+    const workflow::WorkerIdentity reporting = simulation.workers.worker("w1").identity;
+    simulation.workers.worker("w0").cut = true;
+    simulation.workers.worker("w2").cut = true;
+    simulation.run(5min);
+    EXPECT_TRUE(simulation.state.isDraining(silent));
+    simulation.run(6min);
+    EXPECT_FALSE(simulation.state.isDraining(silent));
+    EXPECT_TRUE(simulation.state.isDraining(reporting));
+
+    simulation.workers.worker("w1").cut = true;
+    simulation.run(11min);
+    EXPECT_TRUE(simulation.state.workers().empty());
+    EXPECT_LE(simulation.state.snapshot().size(), sizeBefore);
+}
+
 // Late failures of several members of one run are one failure of the gang.
 TEST_F(WorkflowManager, LateFailuresOfOneRunCountOnceForItsGang)
 {
