Give members of gangs time to answer, and count a gang's failure once

A gang that works could be stopped in the tick in which it was asked whether it works, and by a leader that starts again from the log; a gang that is being stopped was watched anew by such a leader. A run of a gang counted as two failures if a worker that was given up listed its end later. A submission beside an undecided one of the same job was told that it has not run.

--- a/src/workflow/gang_starts.cpp
+++ b/src/workflow/gang_starts.cpp
@@ -84,7 +84,7 @@
             || std::exchange(start.isChecked, true)) {
             continue;
         }
-        start.lastStartSeenAt = now;
+        start.lastStartSeenAt = start.askedAt = now;
         for (const TaskRef &member : {start.seenAt.begin()->first, start.seenAt.rbegin()->first}) {
             if (start.unconfirmed.insert(member).second) {
                 members.push_back(member);
@@ -94,10 +94,36 @@
     return members;
 }
 
-bool GangStarts::recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member)
+bool GangStarts::recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member, base::TimePoint now)
 {
     Start *const start = find(gang, run);
-    return start != nullptr && start->seenAt.contains(member) && start->unconfirmed.insert(member).second;
+    if (start == nullptr || !start->seenAt.contains(member) || !start->unconfirmed.insert(member).second) {
+        return false;
+    }
+    start->askedAt = now;
+    return true;
+}
+
+void GangStarts::recordQuestion(const TaskRef &gang, std::uint32_t run, base::TimePoint now)
+{
+    if (Start *const start = find(gang, run)) {
+        start->askedAt = now;
+    }
+}
+
+std::optional<GangStarts::Summary> GangStarts::recordStop(const TaskRef &gang, std::uint32_t run)
+{
+    Start *const start = find(gang, run);
+    if (start == nullptr || std::exchange(start->isStopping, true) || start->wasWhole) {
+        return std::nullopt;
+    }
+    return summarize(*start);
+}
+
+bool GangStarts::isStopping(const TaskRef &gang, std::uint32_t run) const
+{
+    const Start *const start = find(gang, run);
+    return start != nullptr && start->isStopping;
 }
 
 std::optional<GangStarts::Summary> GangStarts::remove(const TaskRef &gang, std::uint32_t run)
@@ -106,16 +132,17 @@
     if (start == nullptr) {
         return std::nullopt;
     }
-    const auto summary = start->wasWhole ? std::nullopt : std::optional(summarize(*start));
+    const auto summary = start->wasWhole || start->isStopping ? std::nullopt : std::optional(summarize(*start));
     starts_.erase(gang);
     return summary;
 }
 
-std::vector<TaskRef> GangStarts::incompleteSince(base::TimePoint before) const
+std::vector<TaskRef> GangStarts::incompleteSince(base::TimePoint before, base::TimePoint askedBefore) const
 {
     std::vector<TaskRef> gangs;
     for (const auto &[gang, start] : starts_) {
-        if (start.committedAt <= before && !start.unconfirmed.empty()) {
+        if (start.committedAt <= before && start.askedAt <= askedBefore && !start.unconfirmed.empty()
+            && !start.isStopping) {
             gangs.push_back(gang);
         }
     }
--- a/src/workflow/gang_starts.h
+++ b/src/workflow/gang_starts.h
@@ -49,13 +49,19 @@
     /// two each, to be confirmed once more. Each run is returned once.
     std::vector<TaskRef> takeUnproven(base::TimePoint before, base::TimePoint now);
     /// Records that a member may be on its worker no longer. Returns whether it has to be confirmed once more.
-    bool recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member);
+    bool recordDoubt(const TaskRef &gang, std::uint32_t run, const TaskRef &member, base::TimePoint now);
     /// Stops tracking a run, because it works, or one of its members has ended or will not start. Returns its summary
     /// if it was tracked and never whole.
     std::optional<Summary> remove(const TaskRef &gang, std::uint32_t run);
-    /// Returns the first members of the gangs that aren't whole and whose placement was committed at `before` or
-    /// earlier.
-    std::vector<TaskRef> incompleteSince(base::TimePoint before) const;
+    /// Records that workers are asked at `now` whether the members of a run are there.
+    void recordQuestion(const TaskRef &gang, std::uint32_t run, base::TimePoint now);
+    /// Records that the members of a run are being stopped. It stays tracked until one of them has ended. Returns its
+    /// summary if it was never whole.
+    std::optional<Summary> recordStop(const TaskRef &gang, std::uint32_t run);
+    bool isStopping(const TaskRef &gang, std::uint32_t run) const;
+    /// Returns the first members of the gangs that aren't whole nor being stopped, whose placement was committed at
+    /// `before` or earlier, and whose members weren't asked for again after `askedBefore`.
+    std::vector<TaskRef> incompleteSince(base::TimePoint before, base::TimePoint askedBefore) const;
     /// Returns when the placement of a run was committed, if it is tracked.
     std::optional<base::TimePoint> committedAt(const TaskRef &gang, std::uint32_t run) const;
 
@@ -72,7 +78,9 @@
         std::map<TaskRef, base::TimePoint> seenAt; ///< Of the members that were confirmed, the latest time.
         base::TimePoint lastStartSeenAt{}; ///< When the member that was there last was first seen.
         std::size_t members = 0;
+        base::TimePoint askedAt{}; ///< When members were last asked for again.
         bool wasWhole = false;
+        bool isStopping = false;
         bool isChecked = false; ///< Once whole, all members have to be confirmed once more.
     };
 
--- a/src/workflow/manager_core.cpp
+++ b/src/workflow/manager_core.cpp
@@ -284,8 +284,11 @@
     }
     const auto undecided = undecided_.insert(*key);
     proposeAndReply(AcceptEntry{*key, std::move(*request.job), route->policy, wall},
-                    [this, undecided, done](tl::expected<QueueReply, Unanswered> reply) {
+                    [this, undecided, key = *key, done](tl::expected<QueueReply, Unanswered> reply) {
                         undecided_.erase(undecided);
+                        if (!reply && undecided_.contains(key)) {
+                            reply.error().mayTakeEffect = true; // An earlier submission of the job.
+                        }
                         done(std::move(reply));
                     });
 }
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -171,7 +171,11 @@
     for (const TaskRef &task : placed) {
         TaskLocation location = locate(task);
         YW_INVARIANT(location.task != nullptr, "a placed task exists");
-        if (!location.task->doneEarlier) {
+        const bool isSettled = location.spec->gang && location.step->lastFailedRun == location.task->run;
+        if (location.spec->longRunning) {
+            location.task->unresolvedRuns.clear(); // Only the end of the latest run can tell anything.
+        }
+        if (!location.task->doneEarlier && !isSettled) {
             location.task->unresolvedRuns.push_back(location.task->run);
         }
         releaseTask(task, location, std::nullopt, events);
@@ -266,12 +270,6 @@
     }
     if (end.outcome == RunOutcome::Failed) {
         recordFailure(location, end.run);
-        if (location.spec->gang) {
-            // Members that failed in the same run are one failure.
-            for (TaskRecord &member : location.step->tasks) {
-                std::erase(member.unresolvedRuns, end.run);
-            }
-        }
     }
     const std::vector<TaskRecord> &tasks = location.step->tasks;
     const bool isLatest = location.spec->gang
@@ -407,10 +405,17 @@
 void State::recordFailure(TaskLocation &location, std::uint32_t run)
 {
     ++location.task->failures;
-    if (location.spec->gang && location.step->lastFailedRun != run) {
+    if (!location.spec->gang) {
+        return;
+    }
+    if (location.step->lastFailedRun != run) {
         location.step->lastFailedRun = std::max(location.step->lastFailedRun, run);
         ++location.step->failures;
     }
+    // Members that failed in the same run are one failure, also those whose worker lists the end later.
+    for (TaskRecord &member : location.step->tasks) {
+        std::erase(member.unresolvedRuns, run);
+    }
 }
 
 // All members of a gang must resume from the same checkpoint, so one member's checkpoint is set for all.
--- a/tests/workflow_state_test.cpp
+++ b/tests/workflow_state_test.cpp
@@ -322,6 +322,22 @@
     }
 }
 
+// Guards against a run of a gang that counts as two failures: a member's worker was given up, and lists its end after
+// that of another member, or after later runs.
+TEST_F(WorkflowState, FailureOfAGangIsNotCountedAgainWhenAWorkerReturns)
+{
+    accept(2, true);
+    place(0, 1, 1);
+    place(1, 1, 2);
+    end(0, 1, 1, RunOutcome::Failed);
+    workflow::WorkerGoneEntry gone;
+    gone.worker = 2;
+    apply(gone);
+    EXPECT_EQ(task(1).phase, TaskPhase::Waiting);
+    EXPECT_TRUE(task(1).unresolvedRuns.empty());
+    EXPECT_EQ(state_.findJob(Key)->steps[0].failures, 1U);
+}
+
 TEST_F(WorkflowState, MembersOfAGangResumeFromTheSameCheckpoint)
 {
     accept(2, true);
