--- a/bench/managers.cpp
+++ b/bench/managers.cpp
@@ -236,6 +236,7 @@
     ManagerRun run = fakes::drawRun(seed);
     if (!kept.empty()) {
         std::vector<fakes::Fault> faults;
+        faults.reserve(kept.size());
         for (const std::size_t number : kept) {
             faults.push_back(run.faults.at(number));
         }
