--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -430,6 +430,7 @@
         return;
     }
     nextForget_ = now + ForgetInterval;
+    std::erase_if(lateLeases_, [now](const auto &item) { return item.second.until <= now; });
     ForgetEntry entry;
     for (const auto &[key, job] : state_->jobs()) {
         if (job.hasEnded() && job.placed == 0 && wall_ - job.endedAt > JobRetention
@@ -445,7 +446,6 @@
 
 std::vector<ForgetEntry::Drained> JobManager::silentDrainedWorkers(base::TimePoint now)
 {
-    std::erase_if(lateLeases_, [now](const auto &item) { return item.second.until <= now; });
     std::erase_if(drainedHeardAt_, [this](const auto &item) { return !state_->drained().contains(item.first); });
     std::vector<ForgetEntry::Drained> result;
     for (const auto &[id, born] : state_->drained()) {
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -102,9 +102,11 @@
         return waiting;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase != TaskPhase::Waiting) {
+            continue;
+        }
         const TaskRef task = job.refOf(key.job, key.position, index);
-        if (step.tasks[index].phase == TaskPhase::Waiting && !reservations_.contains(task)
-            && !proposedLateEnds_.contains(job.crashUnitOf(task))) {
+        if (!reservations_.contains(task) && !proposedLateEnds_.contains(job.crashUnitOf(task))) {
             waiting.push_back(index);
         }
     }
