Soak managers with workers that leave, move, stand still, refuse, lose answers and are late

The soak of processes could not have: its workers never left, never refused an order, never lost an answer, saw no fencing token, stopped at once, had exact clocks, and their links were never silent for longer than a lease.

Workers of the soak now do all of that, under the id and at the address of an earlier one or not.

One check is narrower: an end that was not acknowledged before its worker's lease expired counts as not taken note of, also if nothing ran there as it expired.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -1,8 +1,9 @@
 """Randomised soak of managers and gateways as separate processes, with called workers, callers and operators.
 
 Faults come in series and overlap: processes are killed, terminated, paused and reloaded, managers lose their disks,
-workers crash, and their links are delayed, reset or silenced in one or both directions. Callers keep their connections
-until the gateway closes them. Everything is checked from outside, by what callers, operators and workers see."""
+workers crash, move, stand still, drain and leave, refuse orders, lose answers, carry orders out late and send reports
+late, and their links are delayed, reset or silenced in one or both directions. Callers keep their connections until the
+gateway closes them. Everything is checked from outside, by what callers, operators and workers see."""
 
 import collections
 import http.client
@@ -29,6 +30,9 @@
 SETTLE_S = 90  # For all accepted jobs to complete after the last fault
 REQUEST_TIMEOUT_MS = 3000  # Less than the gateways' drain limit
 GANG_TIMEOUT_S = 3.0
+STOP_S = 0.2  # A run goes on for this long after it was told to stop.
+CLOCK_RATES = (0.98, 1.0)  # Of workers
+MAX_LEAVE_S = 3.0  # A worker that leaves waits no longer for an acknowledgement.
 READ_MARGIN_S = 0.3  # A request sent this long before its gateway's end has been read.
 CLOSE_RACE_S = 0.05  # A connection that ends sooner after a request may have been closed before.
 
@@ -86,8 +90,10 @@
         if outcome == "done":
             self._done.add(task)
             self._done_ends[worker.name][number] = task
-        elif outcome == "lapsed":
-            self._done_ends[worker.name].clear()
+
+    def lapsed(self, worker):
+        """Ends before this count as never taken note of."""
+        self._done_ends[worker.name].clear()
 
     def acknowledged(self, worker, last_seen):
         ends = self._done_ends[worker.name]
@@ -128,11 +134,11 @@
     """A worker behind a relay. Tasks run as long as their job's text says; members of a gang from when all are present,
     and they end together."""
 
-    def __init__(self, ip, managers, name, observer, lock):
-        self.relay = Relay((ip, 0), None)
+    def __init__(self, ip, managers, name, observer, lock, clock_rate, relay=None):
+        self.relay = relay or Relay((ip, 0), None)
         self.complete = set()  # Tasks of gangs of which all members are present
         super().__init__(ip, managers, name, cpu=WORKER_MILLI_CPU, observer=observer, lock=lock,
-                         link=self.relay.address)
+                         link=self.relay.address, stop_s=STOP_S, clock_rate=clock_rate)
         self.relay.target = self.address
 
     def run_time(self, order):
@@ -165,8 +171,24 @@
             self.observer.crashed(runs)
             self.complete.clear()
             super().crash(down_s)
-            for task, (run, _) in runs.items():
-                self._end_others(self.observer.gang_members(task), run, "broken")
+            self._end_gangs(runs)
+
+    def move(self, down_s):
+        """Crashes. The next incarnation has another address."""
+        self.crash(down_s)
+        self.relay.close()
+        self.relay = Relay((self.relay.address[0], 0), self.address)
+        self.link = self.relay.address
+
+    def _end_with_process(self):
+        runs = dict(self.runs)
+        self.complete.clear()
+        super()._end_with_process()
+        self._end_gangs(runs)
+
+    def _end_gangs(self, runs):
+        for task, (run, _) in runs.items():
+            self._end_others(self.observer.gang_members(task), run, "broken")
 
     def _end_others(self, members, run, outcome):
         for worker in self.observer.workers:
@@ -232,8 +254,8 @@
         for number in range(gateways):
             self.gateways.append(self._start_gateway(f"{net}.{GATEWAYS_FROM + number}", inner, seeds))
         self.observer.workers = self.workers
-        for number in range(workers):
-            self.workers.append(SoakWorker(fake_ip, self.control, f"i-{number}", self.observer, self.lock))
+        for _ in range(workers):
+            self._add_worker(self.random.choice(CLOCK_RATES))
         wait_until(lambda: self._put(1), "the configuration is accepted")
         for gateway in self.gateways:
             wait_until(lambda at=gateway: self._read_state(at, 0) == 410, "every gateway reaches the leader")
@@ -249,6 +271,11 @@
         with self.lock:
             self.violations.append(text)
 
+    def _add_worker(self, clock_rate, relay=None):
+        with self.lock:
+            self.workers.append(SoakWorker(self.service.address[0], self.control, f"i-{len(self.workers)}",
+                                           self.observer, self.lock, clock_rate, relay))
+
     # Processes
 
     def _start_manager(self, ip, ports, seeds):
@@ -325,12 +352,33 @@
         time.sleep(for_s)
         worker.relay.delay_s = 0.0
 
+    @staticmethod
+    def _set_for(worker, for_s, **attributes):
+        for name, value in attributes.items():
+            setattr(worker, name, value)
+        time.sleep(for_s)
+        for name in attributes:
+            setattr(worker, name, 0.0)
+
+    def _replace_worker(self, worker, drain_s, down_s, clock_rate, same_address, lose_acknowledgement):
+        """Has a worker leave. Another one takes its place, with another id."""
+        if worker.draining:
+            return
+        worker.leave(drain_s, MAX_LEAVE_S, lose_acknowledgement)
+        time.sleep(down_s)
+        if same_address:
+            worker.relay.reset()
+        self._add_worker(clock_rate, worker.relay if same_address else None)
+
     def _random_fault(self):
         """Returns the name and the action of the next fault. All choices come from the seed."""
         draw = self.random
         manager, gateway = draw.choice(self.managers), draw.choice(self.gateways)
-        worker, any_daemon = draw.choice(self.workers), draw.choice(self.managers + self.gateways)
-        down_s, pause_s, link_s = draw.uniform(0.1, 2), draw.uniform(0.2, 3), draw.uniform(0.3, 4)
+        worker = draw.choice([worker for worker in self.workers if not worker.closed])
+        any_daemon = draw.choice(self.managers + self.gateways)
+        down_s, pause_s, link_s = draw.uniform(0.1, 2), draw.uniform(0.2, 3), draw.uniform(0.3, 8)
+        clock_rate = draw.choice(CLOCK_RATES)
+        same_address, lose_acknowledgement = draw.random() < 0.5, draw.random() < 0.5
         direction = draw.choice(["both", "forward", "backward"])
         return draw.choice([
             ("manager killed", lambda: self._restart_killed(manager, down_s)),
@@ -341,9 +389,18 @@
             ("gateway terminated", lambda: self._restart_terminated(gateway, down_s)),
             ("gateway paused", lambda: self._pause(gateway, pause_s)),
             ("worker crashed", lambda: worker.crash(down_s)),
+            ("worker moved", lambda: worker.move(down_s)),
+            ("worker paused", lambda: worker.pause(link_s)),
+            ("reports late", lambda: self._set_for(worker, pause_s, report_delay_s=link_s)),
             ("worker link silenced", lambda: self._lose_link(worker, direction, link_s)),
             ("worker link delayed", lambda: self._delay_link(worker, pause_s / 10, link_s)),
             ("worker link reset", worker.relay.reset),
+            ("worker leaves", lambda: self._replace_worker(worker, pause_s / 10, down_s, clock_rate, same_address,
+                                                           lose_acknowledgement)),
+            ("orders refused", lambda: self._set_for(worker, down_s, refused_share=1.0)),
+            ("answers lost", lambda: self._set_for(worker, pause_s / 3, unanswered_share=1.0)),
+            ("worker grey", lambda: self._set_for(worker, link_s, refused_share=0.4, unanswered_share=0.4)),
+            ("orders late", lambda: self._set_for(worker, pause_s / 3, late_s=link_s)),
             ("all managers killed", lambda: self._kill_all_managers(down_s)),
             ("disk lost", lambda: self._lose_disk(manager)),
         ])
