Test processes with a worker that leaves, and with a start whose answer is lost

What callers saw, reported from machines: one task ran on two workers at once, both started by one leader without a change of leader, no order late.

A worker that said that it leaves went on while the acknowledgement was on its way, and its runs were released as the report was read. A start order whose connection was closed without an answer was sent again by the connection pool, and the refusal of the second one released the run that the first one had started.

--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -9,6 +9,8 @@
 import subprocess
 import sys
 import tempfile
+import threading
+import time
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "fakes"))
@@ -17,6 +19,7 @@
 
 MANAGERS = 3
 GATEWAY_HOST = 9
+REFUSAL_S = 0.5  # Long enough for a task to be placed elsewhere.
 
 
 def settings(role, ip, ports, seeds, folder, extra):
@@ -112,6 +115,33 @@
         return [start for worker in self.workers for start in worker.starts]
 
 
+class DoubleRuns:
+    """Observes workers, and lists the tasks that are started while they run on another one."""
+
+    def __init__(self, workers):
+        self.found = []
+        self._workers = workers
+        lock = threading.RLock()
+        for worker in workers:
+            worker.lock = lock
+            worker.observer = self
+
+    def started(self, worker, task):
+        for other in self._workers:
+            other.end_due_runs()
+            if other is not worker and task in other.runs:
+                self.found.append(f"{task} is started on {worker.name} while it runs on {other.name}")
+
+    def ended(self, worker, number, task, outcome):
+        pass
+
+    def acknowledged(self, worker, last_seen):
+        pass
+
+    def lapsed(self, worker):
+        pass
+
+
 class CalledWorkersTest(CalledWorkersCase):
     def test_jobs_run_once_through_a_change_of_leader(self):
         step = {"count": 4, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}
@@ -284,6 +314,53 @@
         for manager in self.managers:
             manager.resume()
 
+    def start_one_task(self, key, run_s):
+        """Submits a job of one task and waits until it runs. Returns the worker that runs it."""
+        for worker in self.workers:
+            worker.run_s = run_s
+        self.submit(key, [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300}])
+        start = (f"{key:016x}.0.0.0", 1)
+        return wait_until(lambda: next((worker for worker in self.workers if start in worker.starts), None),
+                          "the task is started")
+
+    # Guards against a task that runs twice at once: the runs of a worker that said that it leaves were placed elsewhere
+    # while it went on, as the acknowledgement was still on its way.
+    def test_tasks_of_a_worker_that_leaves_start_nowhere_else_before_they_end(self):
+        doubles = DoubleRuns(self.workers)
+        leaving = self.start_one_task(1, run_s=3)
+        leaving.silent = True
+        leaving.send_report("leave", {"born": leaving.born})
+        self.wait_state(1, "completed")
+        self.assertEqual(doubles.found, [])
+
+    # Guards against a task that runs twice at once: its start order was sent again after the connection had been closed
+    # without an answer, and the refusal of the second one was taken for both.
+    def test_task_whose_start_was_carried_out_unanswered_and_then_refused_starts_nowhere_else(self):
+        self.start_one_task(1, run_s=0.1)  # Leaves connections open.
+        self.wait_state(1, "completed")
+        doubles = DoubleRuns(self.workers)
+        lossy = []
+
+        def lose_first_answer(worker):
+            original = worker.carry_out
+
+            def carry_out(path, body):
+                answer = original(path, body)
+                if path == "/run-start" and not lossy:
+                    lossy.append(worker)
+                    worker.refused_share = worker.unanswered_share = 1.0
+                return answer
+
+            worker.carry_out = carry_out
+
+        for worker in self.workers:
+            lose_first_answer(worker)
+        worker = self.start_one_task(2, run_s=3)
+        time.sleep(REFUSAL_S)
+        worker.refused_share = worker.unanswered_share = 0.0
+        self.wait_state(2, "completed")
+        self.assertEqual(doubles.found, [])
+
     def test_stopped_processes_exit_with_success(self):
         self.assertEqual(self.gateway.terminate(), 0)
         for manager in self.managers:
