--- a/fakes/called_worker.py
+++ b/fakes/called_worker.py
@@ -147,7 +147,8 @@
             self._tell("restarted")
 
     def leave(self, drain_s, max_wait_s, lose_acknowledgement=False):
-        """Drains, and goes on until its last report is acknowledged, or for `max_wait_s`. Then all runs end with it."""
+        """Drains, and goes on until its last report is acknowledged, or for `max_wait_s`, also if the acknowledgement gets
+        lost. Then all runs end with it."""
         self.draining = True
         self.drain_acknowledged.wait(max_wait_s)
         time.sleep(drain_s)
@@ -266,18 +267,20 @@
                 else:
                     self.carry_out(path, body)
 
-    def _is_fenced(self, body):
+    def _admit(self, body):
+        """Returns whether an order's fencing token is not lower than an earlier one, and remembers it."""
         fence = body.get("fencing_token", 0)
         if self.fence is not None and fence < self.fence:
-            return True
+            return False
         self.fence = fence
-        return False
+        return True
 
     def carry_out(self, path, body):
+        """Carries out a start or stop order. Returns the status and the body of the answer."""
         with self.lock:
             self.end_due_runs()
             answer = {"clock_ms": self.clock()}
-            if self._is_fenced(body):
+            if not self._admit(body):
                 return 409, dict(answer, reason="fence")
             self._extend_lease(body)
             task, run = body["task"], body["run"]
@@ -312,7 +315,7 @@
     def _take_poll(self, body):
         """Renews the lease and forgets the ends that are acknowledged. Returns whether the fence allows it."""
         self.end_due_runs()
-        if self._is_fenced(body):
+        if not self._admit(body):
             return False
         self._extend_lease(body)
         self._tell("acknowledged", body["last_seen"])
