Share what tests of leaving workers and of unanswered calls repeat

Three tests of workers that leave or are lost had one set-up, as had two tests of calls that end unanswered, and the soak and the process test one check for tasks that run elsewhere. A comment "the same for" had come to stand three tests behind the one it refers to; that test is back beside it.

No functional change: each test keeps its steps, bounds and expectations.

--- a/fakes/called_worker.py
+++ b/fakes/called_worker.py
@@ -147,8 +147,8 @@
             self._tell("restarted")
 
     def leave(self, drain_s, max_wait_s, lose_acknowledgement=False):
-        """Drains, and goes on until its last report is acknowledged, or for `max_wait_s`, also if the acknowledgement gets
-        lost. Then all runs end with it."""
+        """Drains, and goes on until its last report is acknowledged, or for `max_wait_s`, also if the acknowledgement
+        gets lost. Then all runs end with it."""
         self.draining = True
         self.drain_acknowledged.wait(max_wait_s)
         time.sleep(drain_s)
@@ -254,6 +254,7 @@
         return answer
 
     def _carry_out_late(self, path, body):
+        """Carries out an order later, also in the next incarnation if that has the same address."""
         link = self.link
         time.sleep(self.late_s)
         self.paused.wait()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -33,6 +33,16 @@
 CLAIM_PORT = 20000
 
 
+def running_elsewhere(workers, worker, task):
+    """Returns the called workers other than `worker` on which a task runs. Their common lock must be held."""
+    found = []
+    for other in workers:
+        other.end_due_runs()
+        if other is not worker and task in other.runs:
+            found.append(other)
+    return found
+
+
 def wait_until(condition, what, timeout=OVERALL_TIMEOUT_S):
     """Waits until `condition()` is true and returns its value."""
     end = time.monotonic() + timeout
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -17,7 +17,7 @@
 import threading
 import time
 
-from cluster import BIN, FAKE_HOST, Process, claim_network, free_addresses, request, wait_until
+from cluster import BIN, FAKE_HOST, Process, claim_network, free_addresses, request, running_elsewhere, wait_until
 from called_worker import CalledWorker, EligibilityService
 from relay import Relay
 
@@ -68,10 +68,8 @@
             self.violation(f"{worker.name} is told to start {task}, which nobody has submitted")
             return
         self.starts[key] += 1
-        for other in self.workers:
-            other.end_due_runs()
-            if other is not worker and task in other.runs:
-                self.violation(f"{task} is started on {worker.name} while it runs on {other.name}")
+        for other in running_elsewhere(self.workers, worker, task):
+            self.violation(f"{task} is started on {worker.name} while it runs on {other.name}")
         if task in self._acknowledged:
             self.violation(f"{task} is started on {worker.name} after its end was acknowledged")
         for name, ends in self._done_ends.items():
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -122,9 +122,12 @@
     EXPECT_TRUE(later && later->has_value()) << "later calls open a connection";
 }
 
-// Guards against a task that is started twice: its start order was sent again on a new connection, to the next
-// incarnation of a worker that had carried out the first one.
-TEST(CallPool, CallThatMayNotBeRepeatedIsSentOnce)
+namespace
+{
+
+/// Calls a server twice on one connection, and returns the outcome of the second call. The server answers the first one
+/// and closes the connection once it has read the second one; if `closesPort`, it accepts no other.
+Answer callThatEndsUnanswered(const http::ClientRequest &request, bool closesPort)
 {
     using boost::asio::ip::tcp;
     boost::asio::io_context serverIo;
@@ -132,17 +135,21 @@
     const std::uint16_t port = acceptor.local_endpoint().port();
     std::thread server([&] {
         tcp::socket socket = acceptor.accept();
-        std::string request;
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        std::string received;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n");
         boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
-        request.clear();
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        received.clear();
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n");
+        if (closesPort) {
+            acceptor.close();
+        }
+        socket.close();
     });
     boost::asio::io_context io(1);
     http::CallPool pool(io, {"127.0.0.1", port}, http::CallPoolOptions{1});
     const auto call = [&] {
         std::optional<Answer> answer;
-        pool.call({"POST", "/", {}, {}, false}, 30s, [&answer](Answer given) { answer = std::move(given); });
+        pool.call(request, 30s, [&answer](Answer given) { answer = std::move(given); });
         while (!answer) {
             io.restart();
             io.run_one_for(10ms);
@@ -150,8 +157,19 @@
         return *answer;
     };
     EXPECT_TRUE(call().has_value());
-    const Answer unanswered = call(); // A second attempt would connect and wait, as nobody accepts it.
+    Answer unanswered = call();
     server.join();
+    return unanswered;
+}
+
+} // namespace
+
+// Guards against a task that is started twice: its start order was sent again on a new connection, to the next
+// incarnation of a worker that had carried out the first one.
+TEST(CallPool, CallThatMayNotBeRepeatedIsSentOnce)
+{
+    // A second attempt would connect and wait, as nobody accepts it.
+    const Answer unanswered = callThatEndsUnanswered({"POST", "/", {}, {}, false}, false);
     ASSERT_FALSE(unanswered.has_value());
     EXPECT_EQ(unanswered.error().verdict, base::Verdict::MayHaveRun);
     EXPECT_LT(unanswered.error().timing.endedAfter, 30s);
@@ -161,34 +179,7 @@
 // connection, which the closed port refused.
 TEST(CallPool, CallMayHaveRunIfItsServerEndsBeforeAnswering)
 {
-    using boost::asio::ip::tcp;
-    boost::asio::io_context serverIo;
-    tcp::acceptor acceptor(serverIo, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    std::thread server([&] {
-        tcp::socket socket = acceptor.accept();
-        std::string request;
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
-        boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
-        request.clear();
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
-        acceptor.close();
-        socket.close();
-    });
-    boost::asio::io_context io(1);
-    http::CallPool pool(io, {"127.0.0.1", port}, http::CallPoolOptions{1});
-    const auto call = [&] {
-        std::optional<Answer> answer;
-        pool.call({"GET", "/", {}, ""}, 30s, [&answer](Answer given) { answer = std::move(given); });
-        while (!answer) {
-            io.restart();
-            io.run_one_for(10ms);
-        }
-        return *answer;
-    };
-    EXPECT_TRUE(call().has_value());
-    const Answer unanswered = call();
-    server.join();
+    const Answer unanswered = callThatEndsUnanswered({"GET", "/", {}, ""}, true);
     ASSERT_FALSE(unanswered.has_value());
     EXPECT_EQ(unanswered.error().verdict, base::Verdict::MayHaveRun);
 }
--- a/tests/process_called_workers_test.py
+++ b/tests/process_called_workers_test.py
@@ -15,7 +15,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "fakes"))
 from called_worker import CalledWorker, EligibilityService  # noqa: E402
-from cluster import BIN, FAKE_HOST, Process, claim_network, free_addresses, request, wait_until  # noqa: E402
+from cluster import (BIN, FAKE_HOST, Process, claim_network, free_addresses, request, running_elsewhere,  # noqa: E402
+                     wait_until)
 
 MANAGERS = 3
 GATEWAY_HOST = 9
@@ -127,10 +128,8 @@
             worker.observer = self
 
     def started(self, worker, task):
-        for other in self._workers:
-            other.end_due_runs()
-            if other is not worker and task in other.runs:
-                self.found.append(f"{task} is started on {worker.name} while it runs on {other.name}")
+        for other in running_elsewhere(self._workers, worker, task):
+            self.found.append(f"{task} is started on {worker.name} while it runs on {other.name}")
 
     def ended(self, worker, number, task, outcome):
         pass
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -107,6 +107,14 @@
         options.workers.runTime = 6s;
         return options;
     }
+    /// Has the task of `Key` run for half a second on one of two workers. Returns that worker.
+    std::string runTaskOnOneOfTwo(ManagerSimulation &simulation)
+    {
+        addWorkers(simulation, 2);
+        simulation.submit(Key, job({step(1, 1'000)}), policy());
+        simulation.run(500ms);
+        return workerOf(simulation, {Key, 0, 0, 0});
+    }
     static bool ended(const ManagerSimulation &simulation, workflow::JobKey key, JobPhase phase)
     {
         const workflow::JobRecord *const record = simulation.state.findJob(key);
@@ -1233,22 +1241,27 @@
 TEST_F(WorkflowManager, TasksOfAWorkerThatRestartsAtAnotherAddressAreStartedAgain)
 {
     ManagerSimulation simulation(longRuns());
-    addWorkers(simulation, 2);
-    simulation.submit(Key, job({step(1, 1'000)}), policy());
-    simulation.run(500ms);
-    simulation.workers.restartElsewhere(workerOf(simulation, {Key, 0, 0, 0}), simulation.now);
+    simulation.workers.restartElsewhere(runTaskOnOneOfTwo(simulation), simulation.now);
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
 }
 
+// The same for one whose next incarnation reports once and is lost.
+TEST_F(WorkflowManager, TasksOfAWorkerWhoseNextIncarnationIsLostAreStartedAgain)
+{
+    ManagerSimulation simulation(longRuns());
+    const std::string id = runTaskOnOneOfTwo(simulation);
+    simulation.workers.restart(id, simulation.now);
+    simulation.manager->onReport(simulation.workers.report(id, simulation.now), simulation.now);
+    simulation.workers.worker(id).cut = true;
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 25s));
+}
+
 // Guards against two runs of a task at the same time: a worker that leaves goes on for some seconds if the
 // acknowledgement gets lost, and its tasks were started elsewhere at once.
 TEST_F(WorkflowManager, TasksOfAWorkerThatLeavesAreStoppedBeforeTheyStartElsewhere)
 {
     ManagerSimulation simulation(longRuns());
-    addWorkers(simulation, 2);
-    simulation.submit(Key, job({step(1, 1'000)}), policy());
-    simulation.run(500ms);
-    const std::string id = workerOf(simulation, {Key, 0, 0, 0});
+    const std::string id = runTaskOnOneOfTwo(simulation);
     simulation.workers.worker(id).isDraining = true;
     simulation.run(2s);
     simulation.manager->onReport(simulation.workers.finalReport(id), simulation.now);
@@ -1263,10 +1276,7 @@
 TEST_F(WorkflowManager, TasksOfAWorkerThatLeavesSilentlyWaitForItsLease)
 {
     ManagerSimulation simulation(longRuns());
-    addWorkers(simulation, 2);
-    simulation.submit(Key, job({step(1, 1'000)}), policy());
-    simulation.run(500ms);
-    const std::string id = workerOf(simulation, {Key, 0, 0, 0});
+    const std::string id = runTaskOnOneOfTwo(simulation);
     simulation.workers.worker(id).cut = true;
     simulation.manager->onReport(simulation.workers.finalReport(id), simulation.now);
     simulation.run(5s);
@@ -1294,20 +1304,6 @@
     EXPECT_EQ(simulation.workers.startsAfterDone(), 0U);
 }
 
-// The same for one whose next incarnation reports once and is lost.
-TEST_F(WorkflowManager, TasksOfAWorkerWhoseNextIncarnationIsLostAreStartedAgain)
-{
-    ManagerSimulation simulation(longRuns());
-    addWorkers(simulation, 2);
-    simulation.submit(Key, job({step(1, 1'000)}), policy());
-    simulation.run(500ms);
-    const std::string id = workerOf(simulation, {Key, 0, 0, 0});
-    simulation.workers.restart(id, simulation.now);
-    simulation.manager->onReport(simulation.workers.report(id, simulation.now), simulation.now);
-    simulation.workers.worker(id).cut = true;
-    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 25s));
-}
-
 // Draws what makes a worker's knowledge and a leader's differ, on workers that are nearly full, so that tasks wait when
 // a worker returns: workers silent for about as long as their lease, one way or both, leaders lost or started again
 // from the log meanwhile, with proposals on their way, orders carried out late, ends not acknowledged yet.
