Weigh crashes of workers by what else may have caused them

Cause: each crash raised the suspicion by one, however usual crashes were. Two made a task or gang run alone, three were final, or five in any case. Only a third of all workers within 2 s was an excuse, for a task that was alone; a gang on ten workers was as suspect as a task on one.

Change: each unit has a probability that it crashes its workers, and each crash changes it by Bayes' rule. Other explanations are crashes of other workers (over 1 s to 1 min, less those that suspects explain, times the unit's workers) and the other units there. A unit that crashes its workers does so after a time at work that is as probable in milliseconds as in hours, and of the same order in later runs; the leader proposes between which bounds that time was. Sound tasks that are hit by waves have mostly run for long. A job fails at 0.8 after three crashes or 0.3 after five, one of them alone. Floating point is kept to operations that give the same result on all processors.

The stand-in closes the connections of a process that crashes, as a real one does, and gives incarnations start times. `breakTwice` crashes the workers 20 ms after the start: what crashes later and all at once is no strong suspect any more. The bounds of its two tests are unchanged.

WavesOfCrashesAreNotBlamedOnTasks failed before: both jobs failed.

--- a/fakes/called_workers.cpp
+++ b/fakes/called_workers.cpp
@@ -25,7 +25,7 @@
 CalledWorkers::add(const std::string &id, std::int64_t milliCpu, const std::string &rack, base::TimePoint now)
 {
     Worker worker;
-    worker.identity = {id, nextBorn_++, "10.0.0.1:" + std::to_string(workers_.size() + 1), "service", "zone", {}, {}};
+    worker.identity = {id, nextBorn(now), "10.0.0.1:" + std::to_string(workers_.size() + 1), "service", "zone", {}, {}};
     worker.identity.capacity = {milliCpu, 1'000'000, 0};
     worker.identity.labels = {"kind", rack};
     worker.clockOffset =
@@ -39,7 +39,7 @@
     Worker &old = workers_.at(id);
     Worker worker;
     worker.identity = old.identity;
-    worker.identity.born = nextBorn_++;
+    worker.identity.born = nextBorn(now);
     worker.cut = old.cut;
     worker.earlierFence = std::max(old.fence, old.earlierFence);
     worker.clockOffset = -scaled(now);
@@ -49,7 +49,7 @@
 void CalledWorkers::restartElsewhere(const std::string &id, base::TimePoint now)
 {
     restart(id, now);
-    workers_.at(id).identity.address = "10.0.1.1:" + std::to_string(nextBorn_);
+    workers_.at(id).identity.address = "10.0.1.1:" + std::to_string(lastBorn_);
 }
 
 void CalledWorkers::crash(const std::string &id, base::TimePoint now)
@@ -59,8 +59,17 @@
     while (!worker.runs.empty()) {
         end(worker, worker.runs.begin()->first, RunOutcome::GangBroken);
     }
-    restart(id, now);
-    worker.downUntil = now + options_.downTime;
+    const base::TimePoint restartsAt = now + options_.downTime;
+    restart(id, restartsAt);
+    worker.clockOffset = -scaled(now);
+    worker.downUntil = restartsAt;
+}
+
+std::int64_t CalledWorkers::nextBorn(base::TimePoint now)
+{
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    lastBorn_ = std::max(lastBorn_ + 1, sinceEpoch.count());
+    return lastBorn_;
 }
 
 void CalledWorkers::fail(const std::string &id, const TaskRef &task, const std::string &checkpoint)
--- a/fakes/called_workers.h
+++ b/fakes/called_workers.h
@@ -160,6 +160,8 @@
     /// Worker id, start time of the incarnation (`born`) and number of the end.
     using EndId = std::tuple<std::string, std::int64_t, std::uint64_t>;
 
+    /// Returns the start time of an incarnation that starts now. Two never have the same.
+    std::int64_t nextBorn(base::TimePoint now);
     std::chrono::milliseconds readClock(const Worker &worker, base::TimePoint now) const;
     std::chrono::milliseconds scaled(base::TimePoint now) const;
     std::chrono::nanoseconds localTime(std::chrono::milliseconds length) const;
@@ -196,7 +198,7 @@
     std::uint64_t starts_ = 0;
     std::uint64_t startsAfterDone_ = 0;
     std::uint64_t incompleteGangEnds_ = 0;
-    std::int64_t nextBorn_ = 1;
+    std::int64_t lastBorn_ = 0;
 };
 
 } // namespace yuccawheel::fakes
--- a/src/workflow/crash_count.h
+++ b/src/workflow/crash_count.h
@@ -2,6 +2,9 @@
 
 #include "protocol/codec.h"
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace yuccawheel::workflow
@@ -10,63 +13,126 @@
 /// How a task that may crash its workers is kept apart from others.
 enum class Suspicion : std::uint8_t {
     None,
-    Low, ///< A worker has crashed: goes where a crash costs least, beside no other suspect if possible.
+    Low, ///< Goes where a crash costs least, beside no other suspect if possible.
     High, ///< Runs alone, so that the next crash shows whether it is to blame.
 };
 
-/// Runs of a task, or of a gang, that ended since a worker crashed. Nothing tells which of the tasks on a crashed
-/// worker is to blame, so each of them counts the crash until it has run to its end.
+/// What may have crashed a worker under a task or a gang, in crashes per second.
+struct CrashCauses {
+    double unit = 0; ///< The unit, if it is one that crashes its workers.
+    double others = 0; ///< Other units on the worker, as probable as it is that they do, and the worker itself.
+};
+
+/// How long a run had been at work when its worker crashed, as far as the worker's answers tell.
+struct TimeAtWork {
+    std::chrono::milliseconds atLeast{0};
+    std::chrono::milliseconds atMost{std::chrono::seconds(1)};
+
+    MSGPACK_DEFINE(atLeast, atMost)
+};
+
+/// Runs of a task, or of a gang, that ended since a worker crashed, and how probable they make it that the unit crashes
+/// each worker it runs on. Nothing tells which unit on a crashed worker is to blame, or whether any is, so a crash
+/// counts the less, the more there is that explains it as well.
 struct CrashCount {
     std::uint32_t total = 0;
     std::uint32_t alone = 0; ///< While no task of another step ran there, nor another task unless both are of one gang.
     std::uint32_t lastRun = 0; ///< Latest run that is counted.
     bool wasLastAlone = false; ///< It is counted in `alone`.
-    std::uint32_t unsettledRun = 0; ///< Latest run that is counted in `alone` without a verdict yet; else 0.
-    bool isToBlame = false; ///< A crash while it was alone has no other explanation.
+    std::uint32_t unsettledRun = 0; ///< Latest run that is counted without a verdict yet; else 0.
+    bool isToBlame = false; ///< By the verdicts so far.
+    double blame = Prior; ///< Probability that the unit crashes its workers, by the verdicts so far.
+    double suspected = Prior; ///< The same with the crash that has no verdict yet, by what is known of it.
+    TimeAtWork lastTimeAtWork; ///< In the latest run that is counted.
 
     /// Counts a crash during a run. Workers may crash together for a cause of their own, so those under one run of a
-    /// gang are one crash.
-    void record(std::uint32_t run, bool isAlone)
+    /// gang are one crash. Returns whether it is the first of the run.
+    bool record(std::uint32_t run, bool isAlone, const TimeAtWork &timeAtWork, const CrashCauses &causes)
     {
-        if (run > lastRun) {
+        const bool isFirst = run > lastRun;
+        if (isFirst) {
             lastRun = run;
+            lastTimeAtWork = timeAtWork;
+            unsettledRun = run;
             wasLastAlone = false;
             ++total;
+            suspected = afterCrash(suspected, causes);
         }
         if (isAlone && !wasLastAlone && run == lastRun) {
             wasLastAlone = true;
-            unsettledRun = run;
             ++alone;
         }
+        return isFirst;
     }
-    /// Records whether many other workers crashed when one did during a run, while the unit was alone there.
-    void settle(std::uint32_t run, bool isCommon)
+    /// Records the verdict on a crash, once all crashes at about that time are known.
+    void settle(std::uint32_t run, const CrashCauses &causes)
     {
-        isToBlame = isToBlame || !isCommon;
+        blame = afterCrash(blame, causes);
+        isToBlame = isToBlame || blame >= (total < ManyCrashes ? MinFinalBlame : MinBlameOfMany);
         if (run == unsettledRun) {
             unsettledRun = 0;
+            suspected = blame;
         }
     }
 
-    /// Returns whether no further run is worth a worker. At least one crash must have no other explanation, unless
-    /// there are too many for a coincidence.
+    /// Returns how often the unit crashes its workers after this time at work, per second, if it does so. The first
+    /// time, milliseconds are as probable as hours; later on, times of the same order.
+    double crashRateAfter(const TimeAtWork &time) const
+    {
+        const bool isAsBefore = total > 0 && time.atLeast <= SimilarFactor * (lastTimeAtWork.atMost + Resolution)
+            && lastTimeAtWork.atLeast <= SimilarFactor * (time.atMost + Resolution);
+        const double rate = 1 / ((isAsBefore ? MagnitudesAsBefore : Magnitudes) * typicalSeconds(time));
+        const std::chrono::duration<double> span = time.atMost - time.atLeast + Resolution;
+        return std::min(rate, 1 / span.count());
+    }
+
+    /// Returns whether no further run is worth a worker. At least one crash must have no other unit to explain it.
     bool isFinal() const
     {
-        return (total >= MaxCrashes && isToBlame) || (total >= MaxCommonCrashes && alone > 0);
+        return total >= MinFinalCrashes && alone > 0 && isToBlame;
     }
     /// Returns whether the next verdict may make the count final, so that no run should start before.
     bool isUndecided() const
     {
-        return total >= MaxCrashes && unsettledRun != 0;
+        return total >= MinFinalCrashes && unsettledRun != 0;
     }
     Suspicion suspicion() const
     {
-        return total == 0 ? Suspicion::None : total == 1 ? Suspicion::Low : Suspicion::High;
+        return suspected < MinSuspected            ? Suspicion::None
+            : total < 2 || suspected < MinIsolated ? Suspicion::Low
+                                                   : Suspicion::High;
+    }
+
+    MSGPACK_DEFINE(total, alone, lastRun, wasLastAlone, unsettledRun, isToBlame, blame, suspected, lastTimeAtWork)
+
+private:
+    // The logarithmic mean of both bounds, by a good approximation: replicas have to compute the same, which they do
+    // with basic operations and roots only.
+    static double typicalSeconds(const TimeAtWork &time)
+    {
+        const double low = std::chrono::duration<double>(time.atLeast + Resolution).count();
+        const double high = std::chrono::duration<double>(std::max(time.atMost, time.atLeast) + Resolution).count();
+        return (2 * std::sqrt(low * high) + (low + high) / 2) / 3;
+    }
+    // Bayes' rule. That a unit has survived something is no reason to trust it more than any other.
+    static double afterCrash(double before, const CrashCauses &causes)
+    {
+        const double toBlame = before * causes.unit;
+        return std::max(Prior, toBlame / (toBlame + (1 - before) * causes.others));
     }
-    static constexpr std::uint32_t MaxCrashes = 3;
-    static constexpr std::uint32_t MaxCommonCrashes = 5;
 
-    MSGPACK_DEFINE(total, alone, lastRun, wasLastAlone, unsettledRun, isToBlame)
+    static constexpr std::uint32_t MinFinalCrashes = 3;
+    static constexpr std::uint32_t ManyCrashes =
+        5; ///< Each further one costs a worker, so that less certainty is enough.
+    static constexpr std::chrono::milliseconds Resolution{20}; ///< Of times at work.
+    static constexpr double Magnitudes = 18; ///< Natural logarithm of the span from milliseconds to a day.
+    static constexpr int SimilarFactor = 4;
+    static constexpr double MagnitudesAsBefore = 2.8; ///< The same of the span of similar times.
+    static constexpr double Prior = 0.01;
+    static constexpr double MinSuspected = 0.02;
+    static constexpr double MinIsolated = 0.15;
+    static constexpr double MinFinalBlame = 0.8;
+    static constexpr double MinBlameOfMany = 0.3;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -181,6 +181,17 @@
         updateReadySteps(event.job);
         break;
     }
+    case StateEvent::Kind::UnitSuspected: {
+        const JobRecord &job = *state_->findJob(event.job);
+        const CrashCount &crashes =
+            job.crashesOf(job.positionOf(event.task.occurrence, event.task.step), event.task.index);
+        base::logInfo("crash_weighed")
+            .with("task", toString(event.task))
+            .with("crashes", crashes.total)
+            .with("alone", crashes.alone)
+            .with("blame", crashes.blame);
+        break;
+    }
     case StateEvent::Kind::TaskDoneEarlier:
         base::logInfo("task_done_earlier").with("task", toString(event.task));
         stopTask(event.task, now);
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -231,7 +231,8 @@
     /// Returns the capacity that the worker has last reported in this term, or else the one that the log holds.
     placement::Resources currentCapacity(const WorkerIdentity &worker) const;
     void updateCapacity(WorkerNumber number, WorkerView &worker, const placement::Resources &reported);
-    void noteCrash(WorkerNumber number, WorkerView &worker);
+    void noteCrash(WorkerNumber number, WorkerView &worker, base::TimePoint now);
+    TimeAtWork timeAtWork(const WorkerView &worker, const TaskRef &task, const LiveRun &run, base::TimePoint now) const;
     bool proposeCrash(WorkerNumber number, WorkerView &worker);
     void retireWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void handleOtherIncarnation(WorkerNumber number, WorkerView &worker, base::TimePoint now);
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds IdleRetryInterval{1'000}; ///< After an unanswered poll of a worker without runs.
 constexpr std::chrono::milliseconds StopInterval{500}; ///< Exceeds the 400 ms that a stop may take.
 constexpr std::uint32_t MaxStartCalls = 2;
+constexpr int LongestTimeAtWork = 2; ///< In multiples of the expected run time.
+constexpr std::chrono::hours UnknownTimeAtWork{1};
 constexpr std::chrono::milliseconds ReportTimeout{10'000}; ///< Six missed reports.
 constexpr unsigned FenceIncarnationBits = 20; ///< The term takes the others.
 constexpr std::chrono::milliseconds LeaseMargin{200}; ///< For rounding and the delay of a worker's last answer.
@@ -227,7 +229,7 @@
 
 // Counts a crash against the runs that were there: the incarnation has ended without leaving. The end of a worker that
 // was draining is planned, and of one that is merely silent it isn't known whether it has ended.
-void JobManager::noteCrash(WorkerNumber number, WorkerView &worker)
+void JobManager::noteCrash(WorkerNumber number, WorkerView &worker, base::TimePoint now)
 {
     const auto record = state_->workers().find(number);
     if (worker.draining || record == state_->workers().end() || record->second.crashed) {
@@ -238,11 +240,36 @@
         const bool hasEnded = run.stage == LiveRun::Stage::ReleaseProposed || run.stage == LiveRun::Stage::EndProposed;
         if ((run.mayHaveStarted || mayBeStarting) && !hasEnded && !run.mayBeInSuccessor) {
             worker.crashedRuns.push_back({task, run.run});
+            worker.timesAtWork.push_back(timeAtWork(worker, task, run, now));
         }
     }
     proposeCrash(number, worker);
 }
 
+// The worker crashed between its last answer and the first call that failed. By then the run had ended if it had been
+// there for much longer than expected.
+TimeAtWork
+JobManager::timeAtWork(const WorkerView &worker, const TaskRef &task, const LiveRun &run, base::TimePoint now) const
+{
+    const auto since = [&run](base::TimePoint time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max(time - run.runningSince, base::Duration{0}));
+    };
+    const bool isConfirmed = run.runningSince != base::TimePoint{};
+    const JobRecord &job = *state_->findJob(task.job);
+    const StepSpec &spec = job.spec.steps[task.step];
+    TimeAtWork time;
+    time.atLeast = isConfirmed ? since(worker.lastHeard) : std::chrono::milliseconds{0};
+    time.atMost = std::max(time.atLeast,
+                           spec.longRunning ? UnknownTimeAtWork
+                                            : LongestTimeAtWork
+                                   * state_->runTimes().expectedRunTime(job.policy.queue, spec.estimatedRunTime));
+    if (isConfirmed && run.isTimed) {
+        time.atMost = std::clamp(since(worker.failedCalls > 0 ? worker.silentSince : now), time.atLeast, time.atMost);
+    }
+    return time;
+}
+
 // Returns false if the log accepts no entries at the moment.
 bool JobManager::proposeCrash(WorkerNumber number, WorkerView &worker)
 {
@@ -253,6 +280,7 @@
     entry.worker = number;
     entry.at = wall_;
     entry.crashed = worker.crashedRuns;
+    entry.timesAtWork = worker.timesAtWork;
     if (!port_.propose(entry)) {
         return false;
     }
@@ -262,6 +290,7 @@
         .with("runs", worker.crashedRuns.size())
         .with("first_task", toString(worker.crashedRuns.front().task));
     worker.crashedRuns.clear();
+    worker.timesAtWork.clear();
     return true;
 }
 
@@ -273,7 +302,7 @@
         return;
     }
     base::logInfo("worker_replaced").with("worker", worker.identity.id).with("number", number);
-    noteCrash(number, worker);
+    noteCrash(number, worker, now);
     // The next incarnation may have carried out orders in flight and hold a lease from then on.
     worker.lease.assumeHeldUntil(now + maxLocalTime(limits_.workerLease));
     worker.pendingPolls.clear();
@@ -611,6 +640,7 @@
 void JobManager::recordTimeout(WorkerNumber number, WorkerView &worker, base::TimePoint now)
 {
     if (worker.failedCalls++ == 0) {
+        worker.silentSince = now;
         base::logWarning("worker_does_not_answer")
             .with("worker", worker.identity.id)
             .with("number", number)
--- a/src/workflow/log_entry.h
+++ b/src/workflow/log_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "workflow/configuration.h"
+#include "workflow/crash_count.h"
 #include "workflow/job.h"
 #include "workflow/worker.h"
 
@@ -105,8 +106,10 @@
     std::vector<RunRef> crashed;
     /// The entry counts only if all ends up to this number are recorded: an earlier entry may have been refused.
     std::uint64_t previousEndNumber = 0;
+    /// Of each of the crashed runs.
+    std::vector<TimeAtWork> timesAtWork;
 
-    MSGPACK_DEFINE(worker, lastEndNumber, ends, at, crashed, previousEndNumber)
+    MSGPACK_DEFINE(worker, lastEndNumber, ends, at, crashed, previousEndNumber, timesAtWork)
 };
 
 /// Deletes the records of jobs that ended long ago, and of drained worker incarnations that are gone.
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -5,6 +5,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace yuccawheel::workflow
@@ -324,33 +325,101 @@
     }
     worker.crashed = true;
     std::map<TaskRef, TaskLocation> units; // By the unit that the crash is counted against.
-    for (const RunRef &run : entry.crashed) {
+    std::map<TaskRef, TimeAtWork> timesAtWork;
+    for (std::size_t index = 0; index < entry.crashed.size(); ++index) {
+        const RunRef &run = entry.crashed[index];
         const TaskLocation location = locate(run.task);
         if (location.task != nullptr && location.task->phase == TaskPhase::Placed && location.task->run == run.run
             && location.task->worker == entry.worker && !location.task->doneEarlier) {
-            units[location.job->crashUnitOf(run.task)] = location;
+            const TaskRef unit = location.job->crashUnitOf(run.task);
+            units[unit] = location;
+            if (index < entry.timesAtWork.size()) {
+                timesAtWork[unit] = entry.timesAtWork[index];
+            }
         }
     }
     RecentCrashes::Crash crash;
     crash.at = entry.at;
-    for (auto &[task, location] : units) {
-        CrashCount &crashes = location.crashes();
+    for (const auto &[task, location] : units) {
         crash.units.push_back({task, location.task->run});
-        crashes.record(location.task->run, units.size() == 1);
-        updateJobPhase(task.job, *location.job, entry.at, events);
+        crash.workers.push_back(countWorkers(location));
+        crash.crashRates.push_back(location.crashes().crashRateAfter(timesAtWork[task]));
+    }
+    const RecentCrashes::Suspects suspects = recentCrashes_.suspectsOf(crash, workers_.size());
+    const std::vector<CrashCauses> causes =
+        explain(crash, suspects, [](const CrashCount &count) { return count.suspected; });
+    crash.unexplained = 1; // Until it is settled: others at about that time may follow.
+    for (std::size_t index = 0; index < suspects.size(); ++index) {
+        const RunRef &unit = suspects[index].unit;
+        const TaskLocation location = locate(unit.task);
+        if (!location.crashes().record(unit.run, suspects.size() == 1, timesAtWork[unit.task], causes[index])) {
+            crash.workers[index] = 0;
+        }
+        updateJobPhase(unit.task.job, *location.job, entry.at, events);
     }
     recentCrashes_.add(std::move(crash));
 }
 
-void State::settleCrashes(WallTime now, std::vector<StateEvent> &events)
+// Returns what may have caused a crash, for each of the units that were on the worker.
+template <typename BlameOf>
+std::vector<CrashCauses>
+State::explain(RecentCrashes::Crash &crash, const RecentCrashes::Suspects &suspects, BlameOf blameOf)
+{
+    std::vector<CrashCauses> causes;
+    double explained = 0;
+    double ownCause = 0;
+    for (const RecentCrashes::Suspect &suspect : suspects) {
+        const TaskLocation location = locate(suspect.unit.task);
+        const bool mayCrash = location.task != nullptr && !location.task->isDone();
+        const double probable = mayCrash ? blameOf(location.crashes()) * suspect.crashRate : 0;
+        causes.push_back({suspect.crashRate, suspect.otherCrashes * suspect.workers - probable});
+        explained += probable;
+        ownCause = std::max(ownCause, suspect.otherCrashes);
+    }
+    for (CrashCauses &each : causes) {
+        each.others += explained;
+    }
+    crash.unexplained = suspects.empty() ? 1 : ownCause / (ownCause + explained);
+    return causes;
+}
+
+// Returns the number of workers that a task, or the members of its gang, are placed on.
+std::uint32_t State::countWorkers(const TaskLocation &location)
 {
-    for (const RecentCrashes::Verdict &verdict : recentCrashes_.settle(now, workers_.size())) {
-        const TaskLocation location = locate(verdict.unit.task);
-        if (location.task != nullptr) {
-            location.crashes().settle(verdict.unit.run, verdict.isCommon);
-            updateJobPhase(verdict.unit.task.job, *location.job, now, events);
+    if (!location.spec->gang) {
+        return 1;
+    }
+    std::set<WorkerNumber> workers;
+    for (const TaskRecord &member : location.step->tasks) {
+        if (member.phase == TaskPhase::Placed && member.run == location.task->run) {
+            workers.insert(member.worker);
         }
     }
+    return static_cast<std::uint32_t>(workers.size());
+}
+
+void State::settleCrashes(WallTime now, std::vector<StateEvent> &events)
+{
+    const auto decide = [&](RecentCrashes::Crash &crash, const RecentCrashes::Suspects &suspects) {
+        const std::vector<CrashCauses> causes =
+            explain(crash, suspects, [](const CrashCount &count) { return count.blame; });
+        for (std::size_t index = 0; index < suspects.size(); ++index) {
+            const RunRef &unit = suspects[index].unit;
+            const TaskLocation location = locate(unit.task);
+            if (location.task != nullptr && suspects[index].isCounted) {
+                location.crashes().settle(unit.run, causes[index]);
+                if (location.crashes().suspicion() != Suspicion::None) {
+                    events.push_back({StateEvent::Kind::UnitSuspected,
+                                      unit.task.job,
+                                      unit.task,
+                                      location.task->worker,
+                                      std::nullopt});
+                }
+                updateJobPhase(unit.task.job, *location.job, now, events);
+            }
+        }
+    };
+    recentCrashes_.settle(now, workers_.size(), decide);
 }
 
 void State::applyBody(const ForgetEntry &entry, std::vector<StateEvent> &events)
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -101,12 +101,13 @@
     {
         return specOf(position).gang ? steps[position].crashes : steps[position].tasks[index].crashes;
     }
-    /// Returns whether a worker has crashed under a task of the step.
+    /// Returns whether any task of the step, which is no gang, is under suspicion.
     bool hasSuspects(std::size_t position) const
     {
         const StepRecord &step = steps[position];
-        return std::any_of(
-            step.tasks.begin(), step.tasks.end(), [](const TaskRecord &task) { return task.crashes.total > 0; });
+        return std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskRecord &task) {
+            return task.crashes.suspicion() != Suspicion::None;
+        });
     }
     /// Returns the unit that crashes are counted against: the task, or the first member of its gang.
     TaskRef crashUnitOf(const TaskRef &task) const
@@ -142,6 +143,7 @@
         WorkerGone,
         WorkerDraining,
         JobForgotten,
+        UnitSuspected, ///< A crash has been decided on, and `task`, or its gang, may have caused it.
     };
     Kind kind = Kind::ConfigurationChanged;
     JobKey job = 0;
@@ -237,6 +239,10 @@
     void recordFailure(TaskLocation &location, std::uint32_t run);
     /// Decides on crashes of the last seconds, and fails jobs whose tasks are to blame for theirs.
     void settleCrashes(WallTime now, std::vector<StateEvent> &events);
+    static std::uint32_t countWorkers(const TaskLocation &location);
+    template <typename BlameOf>
+    std::vector<CrashCauses>
+    explain(RecentCrashes::Crash &crash, const RecentCrashes::Suspects &suspects, BlameOf blameOf);
     void recordCrash(const EndsEntry &entry, WorkerRecord &worker, std::vector<StateEvent> &events);
     void recordCheckpoint(TaskLocation &location, const std::string &checkpoint);
     void endJob(JobKey key, JobRecord &job, JobPhase phase, WallTime at, std::vector<StateEvent> &events);
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -67,6 +67,7 @@
     base::TimePoint nextPollAt{};
     base::TimePoint lastReport{};
     base::TimePoint lastHeard{}; ///< Latest report or answer to this leader.
+    base::TimePoint silentSince{}; ///< When the first call after the latest answer failed.
     base::TimePoint lastTimeout{}; ///< When the latest call without an answer was given up.
     /// Last number of the first whole list of ends that this leader has read; 0 if it was empty.
     std::optional<std::uint64_t> firstListedEnd;
@@ -77,6 +78,7 @@
     bool retired = false; ///< The incarnation has ended or was replaced by another worker at its id or address.
     bool goneProposed = false;
     std::vector<RunRef> crashedRuns; ///< Runs that were there when it crashed, until that is proposed to the log.
+    std::vector<TimeAtWork> timesAtWork; ///< Of each of them.
 
     bool hasPendingPoll(bool quick) const
     {
--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -45,7 +45,8 @@
 class CrashSimulation
 {
 public:
-    explicit CrashSimulation(std::size_t workers, std::uint64_t seed = 1) : simulation(makeOptions(seed))
+    explicit CrashSimulation(std::size_t workers, std::uint64_t seed = 1, std::chrono::milliseconds runTime = 400ms)
+        : simulation(makeOptions(seed, runTime))
     {
         for (std::size_t number = 0; number < workers; ++number) {
             simulation.workers.add("w" + std::to_string(number), WorkerMilliCpu, "rack", simulation.now);
@@ -80,10 +81,11 @@
     }
 
 private:
-    ManagerSimulation::Options makeOptions(std::uint64_t seed)
+    ManagerSimulation::Options makeOptions(std::uint64_t seed, std::chrono::milliseconds runTime)
     {
         ManagerSimulation::Options options;
         options.seed = seed;
+        options.workers.runTime = runTime;
         options.workers.crashes = [this](const workflow::TaskRef &task) {
             return crashing_.contains(task.job);
         };
@@ -97,7 +99,7 @@
     ManagerSimulation simulation;
 };
 
-/// Breaks two runs of all tasks of the job 1, so that each has to run alone next time.
+/// Breaks two runs of all tasks of the job 1 as they begin, so that each has to run alone next time.
 void breakTwice(CrashSimulation &crashes, std::uint32_t tasks)
 {
     ManagerSimulation &simulation = crashes.simulation;
@@ -111,7 +113,7 @@
         for (std::uint32_t index = 0; index < tasks; ++index) {
             used.insert(simulation.state.findTask({1, 0, 0, index})->worker);
         }
-        simulation.run(100ms);
+        simulation.run(20ms);
         for (const workflow::WorkerNumber worker : used) {
             simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
         }
@@ -164,6 +166,33 @@
     crashes.expectOnlyCrashingJobsFailed();
 }
 
+// Guards against sound jobs that fail because nearly a third of all workers crashes thrice: each wave breaks the wide
+// gang, and hits the same single tasks, which have their workers to themselves.
+TEST(WorkflowCrash, WavesOfCrashesAreNotBlamedOnTasks)
+{
+    constexpr std::uint32_t Singles = 10;
+    constexpr std::uint32_t Members = 10;
+    constexpr std::uint32_t CrashesOfEach = 3;
+    CrashSimulation crashes(Singles + Members, 1, 20s);
+    ManagerSimulation &simulation = crashes.simulation;
+    crashes.submit(job(Singles, WorkerMilliCpu), false);
+    crashes.submit(job(Members, WorkerMilliCpu, true), false);
+    for (int wave = 1; wave <= 3; ++wave) {
+        ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == Singles + Members; }, 15s))
+            << wave;
+        simulation.run(wave * 1s);
+        for (const workflow::JobKey key : {1, 2}) {
+            for (std::uint32_t index = 0; index < CrashesOfEach; ++index) {
+                const workflow::WorkerNumber worker = simulation.state.findTask({key, 0, 0, index})->worker;
+                simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+            }
+        }
+        simulation.run(100ms);
+    }
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 60s));
+    crashes.expectOnlyCrashingJobsFailed();
+}
+
 // Guards against a task that crashes one worker after the other for as long as its job lasts.
 TEST(WorkflowCrash, TaskThatCrashesItsWorkersIsGivenUpAndThoseBesideItComplete)
 {
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -414,6 +414,9 @@
             answer.number = poll.order.number;
             if (now < poll.arrivesAt) {
                 pendingPolls_.push_back(poll);
+            } else if (now < worker.downUntil && !worker.cut) {
+                // The connections of a process that crashes are closed.
+                schedule(now + Delay, [this, poll, answer] { manager->onPollAnswer(poll.worker, answer, now); });
             } else if (!reaches(poll.identity) || worker.identity.born != poll.born || worker.answersLost) {
                 if (worker.answersLost) {
                     workers.poll(poll.identity.id, poll.order, now);
