Take the capacity of a joining worker from its latest report

What callers saw: nothing yet. A worker that shrinks after the report that it joins with, and reports that before the log has committed its joining, is given tasks by its earlier capacity until its next report (LIMIT).

Cause: once the worker has joined, the leader takes its clock and its sequence number from the latest report, but its capacity from the log, that is from the first one.

The capacity comes from the latest report too, and is proposed to the log if that holds another.

WorkerThatShrinksWhileItJoinsGetsNoMoreThanItHolds failed before: "the runs on a worker must fit in its capacity". The 75 tests of workflow_manager_test pass.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -198,6 +198,7 @@
             worker.reportSequence = report.sequence;
             worker.lastReport = now;
             worker.lastHeard = now;
+            updateCapacity(event.worker, worker, report.worker.capacity);
         }
         base::logInfo("worker_joined")
             .with("worker", record.identity.id)
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -601,6 +601,21 @@
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 10s));
 }
 
+// Guards against a worker that is overfilled because it has shrunk between the report that it joined with and the
+// commit.
+TEST_F(WorkflowManager, WorkerThatShrinksWhileItJoinsGetsNoMoreThanItHolds)
+{
+    constexpr auto Notice = 1'550ms; // One report and a little more.
+    ManagerSimulation simulation(longRuns());
+    simulation.submit(Key, job({step(4, 4'000)}), policy());
+    simulation.workers.add("w0", 16'000, "rack0", simulation.now);
+    simulation.lead();
+    simulation.run(5ms);
+    simulation.delayProposals(Notice);
+    simulation.workers.setCapacity("w0", {8'000, 1'000'000, 0}, Notice, simulation.now);
+    EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 60s));
+}
+
 // Guards against managers that abort one after the other: a worker that holds less than is reserved on it was taken as
 // free for tasks that ask for none of what it lacks.
 TEST_F(WorkflowManager, ShrunkenWorkerGetsNoTaskThatAsksForNothing)
