--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -209,6 +209,7 @@
             worker.reportSequence = report.sequence;
             worker.lastReport = now;
             worker.lastHeard = now;
+            updateCapacity(event.worker, worker, report.worker.capacity);
         }
         base::logInfo("worker_joined")
             .with("worker", record.identity.id)
@@ -258,7 +259,7 @@
         return false;
     }
     const WorkerView &worker = workers_.at(start.worker);
-    return !worker.retired && !worker.draining && !ledger_.isExceeded(start.worker);
+    return !worker.retired && !worker.draining && worker.isCapacityReported && !ledger_.isExceeded(start.worker);
 }
 
 // Returns the first members of the gangs of which a member can't start: the others would wait for it in vain.
