Weigh a VM's failures by how usual failures are on all

Callers of the zone's own interface saw a fault that all VMs shared, such as a service that tasks depend on, take all VMs out of use: three failures in a row quarantine a VM for 60 s, doubling to an hour, whatever happened on the others. Nothing bounds how many are quarantined, so tasks assigned after the fault found no VM.

Cause: consecutive failures are taken as evidence against the VM without asking how usual they are. With three quarters of all tasks failing, three in a row are expected everywhere.

base::UsualFailures keeps the share of recent tasks that failed on VMs that are neither quarantined nor on probation. Tasks are judged as before.

tasksThatFailOnAllWorkersDoNotQuarantineThem failed before: "Expected: (commandsOf<StartTask>().size()) >= (Workers * TasksPerWorker * 3 / 4), actual: 0 vs 120"; it passes now. workerThatFailsEveryTaskIsQuarantinedBesideUsualFailures passes on both and holds the other side: a VM that fails everything while a fifth of the tasks elsewhere fail.

placement_planner_test (22) and placement_state_test (1) pass.

--- a/src/placement/attempt_end_handler.cpp
+++ b/src/placement/attempt_end_handler.cpp
@@ -126,7 +126,7 @@
     Job &job = zone_.jobs[task.job];
     ++job.successes;
     job.failedOn.clear();
-    zone_.workers[task.worker].health.recordSuccess();
+    zone_.workers[task.worker].health.recordSuccess(zone_.usualFailures);
     zone_.updateIndexes(task.worker);
     if (!job.slots[slot].checkpointed && task.session == zone_.workers[task.worker].session) {
         const auto runTime = std::chrono::duration_cast<std::chrono::milliseconds>(zone_.now - task.startedAt);
@@ -182,7 +182,7 @@
     if (job.isSuspect()) {
         return;
     }
-    if (worker.health.recordFailure(task.job, job.successes > 0, zone_.now)) {
+    if (worker.health.recordFailure(task.job, job.successes > 0, zone_.usualFailures, zone_.now)) {
         zone_.quarantinedWorkers.push_back(task.worker);
         worker.quarantineReason = fmt::format("{} failures in a row counted, the last one of job {} {}",
                                               worker.health.consecutiveFailures(),
--- a/src/placement/worker_health.cpp
+++ b/src/placement/worker_health.cpp
@@ -5,8 +5,9 @@
 namespace yuccawheel::placement
 {
 
-// Consecutive failures of one job that has never succeeded may be the job's own fault, so they count once.
-bool WorkerHealth::recordFailure(JobHandle job, bool jobHasSucceeded, base::TimePoint now)
+// Consecutive failures of one job that has never succeeded may be the job's own fault, so they count once. Runs on
+// workers that have been quarantined tell little about the others, so they don't count as usual.
+bool WorkerHealth::recordFailure(JobHandle job, bool jobHasSucceeded, base::UsualFailures &usual, base::TimePoint now)
 {
     if (state_ == State::Quarantined) {
         return false;
@@ -16,20 +17,29 @@
     }
     ++consecutiveFailures_;
     lastJob_ = job;
-    if (state_ == State::Healthy && consecutiveFailures_ < QuarantineFailures) {
+    failureWeight_ += usual.weightOfFailure();
+    if (state_ == State::Healthy) {
+        usual.recordFailure();
+    }
+    if (failureWeight_ < QuarantineWeight) {
         return false;
     }
     state_ = State::Quarantined;
+    failureWeight_ = QuarantineWeight - 1; // One failure on probation is enough while failures are rare.
     quarantinedUntil_ = now + nextQuarantine_;
     nextQuarantine_ = std::min<base::Duration>(nextQuarantine_ * 2, MaxQuarantine);
     successes_ = 0;
     return true;
 }
 
-void WorkerHealth::recordSuccess()
+void WorkerHealth::recordSuccess(base::UsualFailures &usual)
 {
+    if (state_ == State::Healthy) {
+        usual.recordSuccess();
+    }
     consecutiveFailures_ = 0;
     lastJob_ = 0xffffffff;
+    failureWeight_ = 0;
     if (state_ == State::Probation && ++successes_ >= ProbationSuccesses) {
         state_ = State::Healthy;
         nextQuarantine_ = InitialQuarantine;
--- a/src/placement/worker_health.h
+++ b/src/placement/worker_health.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/usual_failures.h"
 #include "placement/work_queue.h"
 
 #include <chrono>
@@ -10,7 +11,7 @@
 {
 
 /// Health of one worker, judged by how its tasks end: quarantine after several consecutive failures, then probation
-/// with one task at a time.
+/// with one task at a time. The more usual failures are on all workers, the more of them it takes.
 class WorkerHealth
 {
 public:
@@ -31,8 +32,8 @@
     }
     /// Records a failure that may be the worker's fault; `jobHasSucceeded` means that tasks of the job have succeeded.
     /// Returns true if the failure quarantines the worker.
-    bool recordFailure(JobHandle job, bool jobHasSucceeded, base::TimePoint now);
-    void recordSuccess();
+    bool recordFailure(JobHandle job, bool jobHasSucceeded, base::UsualFailures &usual, base::TimePoint now);
+    void recordSuccess(base::UsualFailures &usual);
     /// Changes an expired quarantine to probation. Returns true if it did.
     bool expire(base::TimePoint now);
     /// Returns whether a failure on this worker is probably not the task's fault.
@@ -47,7 +48,7 @@
     }
 
 private:
-    static constexpr int QuarantineFailures = 3;
+    static constexpr double QuarantineWeight = 3; ///< Failures that quarantine a worker while failures are rare.
     static constexpr int SuspectFailures = 2;
     static constexpr int ProbationSuccesses = 2;
     static constexpr std::chrono::seconds InitialQuarantine{60};
@@ -55,6 +56,7 @@
 
     State state_ = State::Healthy;
     int consecutiveFailures_ = 0;
+    double failureWeight_ = 0; ///< Of the consecutive failures, as evidence against the worker.
     int successes_ = 0; ///< During this probation.
     JobHandle lastJob_ = 0xffffffff;
     base::TimePoint quarantinedUntil_;
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -98,6 +98,7 @@
     std::priority_queue<Retry, std::vector<Retry>, std::greater<>> retries;
     std::vector<WorkerId> dirtyWorkers; ///< Workers that may have gained room since the last decision.
     std::vector<WorkerId> quarantinedWorkers;
+    base::UsualFailures usualFailures; ///< Of tasks on workers that aren't quarantined or on probation.
     std::vector<WorkerId> drainingWorkers;
     std::vector<TaskId> pendingCheckpoints; ///< Attempts whose stop waits for a checkpoint.
     std::unordered_multimap<JobId, LiveHandle> unclaimed; ///< Attempts on workers whose share isn't assigned yet.
--- a/tests/placement_planner_test.cpp
+++ b/tests/placement_planner_test.cpp
@@ -492,3 +492,52 @@
     ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
     EXPECT_EQ(commandsOf<StartTask>().front().task.job, 2U);
 }
+
+// Guards against workers quarantined for a fault that all of them share, which leaves later tasks no room.
+TEST_F(PlannerTest, tasksThatFailOnAllWorkersDoNotQuarantineThem)
+{
+    constexpr WorkerId Workers = 20;
+    constexpr std::uint32_t TasksPerWorker = 8;
+    const Resources size{Capacity.milliCpu / TasksPerWorker, 1'024, 0};
+    for (WorkerId worker = 0; worker < Workers; ++worker) {
+        join(worker);
+    }
+    assign(job(1, 2'000, size));
+    std::uint32_t ends = 0;
+    for (int round = 0; round < 10; ++round) {
+        decide(1s);
+        for (const StartTask &start : commandsOf<StartTask>()) {
+            const bool fails = round >= 2 && ++ends % 4 != 0;
+            report(start.worker, start.task, fails ? TaskState::Failed : TaskState::Finished);
+        }
+    }
+    planner.handle(JobCancelled{1}, now);
+    decide();
+    assign(job(2, Workers * TasksPerWorker, size));
+    decide();
+    EXPECT_GE(commandsOf<StartTask>().size(), Workers * TasksPerWorker * 3 / 4);
+}
+
+// Guards against a failing worker that is kept in use because some failures are usual on the others.
+TEST_F(PlannerTest, workerThatFailsEveryTaskIsQuarantinedBesideUsualFailures)
+{
+    constexpr WorkerId Workers = 20;
+    constexpr WorkerId Failing = 7;
+    const Resources size{Capacity.milliCpu / 2, 1'024, 0};
+    for (WorkerId worker = 0; worker < Workers; ++worker) {
+        join(worker);
+    }
+    assign(job(1, 2'000, size));
+    std::uint32_t ends = 0;
+    std::uint32_t failedThere = 0;
+    for (int round = 0; round < 30; ++round) {
+        decide(1s);
+        for (const StartTask &start : commandsOf<StartTask>()) {
+            const bool fails = start.worker == Failing || ++ends % 5 == 0;
+            failedThere += start.worker == Failing ? 1 : 0;
+            report(start.worker, start.task, fails ? TaskState::Failed : TaskState::Finished);
+        }
+    }
+    EXPECT_GE(failedThere, 3U);
+    EXPECT_LE(failedThere, 8U) << "of 60";
+}
