--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -286,6 +286,7 @@
     std::uint64_t epoch_ = 0;
     base::TimePoint leaseEnd_{};
     WallTime wall_{0};
+    base::UsualFailures usualFailures_; ///< Of runs on workers that haven't been quarantined.
     WorkerViews workers_;
     WorkerDirectory directory_; ///< Of `workers_`.
     placement::Ledger ledger_;
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -264,6 +264,33 @@
     EXPECT_LT(simulation.workers.starts(), 60U + 15U) << "few runs are placed on the failing worker";
 }
 
+// Guards against workers quarantined for the failures of jobs that fail everywhere, which leave sound jobs no room.
+TEST_F(WorkflowManager, JobsThatFailEverywhereDoNotQuarantineTheWorkers)
+{
+    constexpr std::size_t Workers = 20;
+    ManagerSimulation simulation({});
+    addWorkers(simulation, Workers);
+    std::size_t quarantined = 0;
+    workflow::JobKey key = 0;
+    const auto submit = [&](bool fails) {
+        workflow::JobSpec spec = job({step(1, 4'000)});
+        spec.payload = fails ? "poison" : "payload";
+        simulation.submit(++key, spec, policy());
+    };
+    for (int round = 0; round < 80; ++round) {
+        for (int number = 0; number < 8; ++number) {
+            submit(number % 2 == 0);
+        }
+        simulation.run(100ms);
+        const auto count =
+            std::count_if(simulation.manager->workers().begin(),
+                          simulation.manager->workers().end(),
+                          [&](const auto &entry) { return !entry.second.health.canAccept(simulation.now, 0); });
+        quarantined = std::max(quarantined, static_cast<std::size_t>(count));
+    }
+    EXPECT_LE(quarantined, Workers / 4);
+}
+
 TEST_F(WorkflowManager, TaskLimitPerWorkerIncludesProposedPlacements)
 {
     ManagerSimulation simulation({});
