Count queries that time out together as one

Callers of queues with an eligibility service waited long after a short outage of the service: in virtual time, one gateway and 20 steps, no task started within 20 s after an outage of 2 s; with four gateways after 10.8 s.

Cause: each query that timed out lengthened its gateway's back-off, doubled from 0.5 to 4 s, and added to what was left. Queries that were pending together fail for one cause, but six of them counted as six failures in a row, 15.5 s in all.

Only the first of them lengthens the back-off now; the others add the time that the service may still need for them. A query that is sent after a back-off and times out doubles the next one, as before.

QueriesThatTimeOutTogetherAreOneOutage (1, 4 and 16 gateways, outages of 2, 6 and 13 s; all started 6 s later: the longest back-off and 2 s) failed before in seven of its nine cases, all but 16 gateways after 2 and 6 s; it passes now.

--- a/src/workflow/eligibility.cpp
+++ b/src/workflow/eligibility.cpp
@@ -99,10 +99,13 @@
     load.longQueries += serviceTime >= LongQuery ? 1 : 0;
 }
 
-void EligibilityGateways::finish(Load &load, std::chrono::microseconds serviceTime)
+bool EligibilityGateways::finish(Load &load, std::chrono::microseconds serviceTime)
 {
+    const bool sentBefore = load.queriesBeforeBackoff > 0;
+    load.queriesBeforeBackoff -= sentBefore ? 1 : 0;
     load.queries -= std::min(load.queries, 1U);
     load.longQueries -= serviceTime >= LongQuery ? std::min(load.longQueries, 1U) : 0;
+    return sentBefore;
 }
 
 void EligibilityGateways::recordAnswer(GatewayId gateway, std::chrono::microseconds serviceTime, base::TimePoint now)
@@ -119,6 +122,8 @@
     }
 }
 
+// Queries that were pending together fail for one cause, so only the first of them lengthens the back-off. The service
+// may still be processing each.
 void EligibilityGateways::recordTimeout(GatewayId gateway, std::chrono::microseconds serviceTime, base::TimePoint now)
 {
     const auto found = gateways_.find(gateway);
@@ -126,7 +131,11 @@
         return;
     }
     Load &load = found->second;
-    finish(load, serviceTime);
+    if (finish(load, serviceTime)) {
+        load.busyUntil = std::max(load.busyUntil, now) + serviceTime;
+        return;
+    }
+    load.queriesBeforeBackoff = load.queries;
     const auto backoff = InitialBackoff * (1U << std::min(load.timeoutsInRow, MaxDoublings));
     ++load.timeoutsInRow;
     load.busyUntil = std::max(load.busyUntil, now) + std::max<std::chrono::microseconds>(serviceTime, backoff);
--- a/src/workflow/eligibility.h
+++ b/src/workflow/eligibility.h
@@ -92,8 +92,10 @@
         std::uint32_t queries = 0;
         std::uint32_t longQueries = 0;
         std::uint32_t timeoutsInRow = 0;
+        std::uint32_t queriesBeforeBackoff = 0; ///< Pending queries that were sent before the latest back-off.
     };
-    static void finish(Load &load, std::chrono::microseconds serviceTime);
+    /// Returns whether the query was sent before the latest back-off.
+    static bool finish(Load &load, std::chrono::microseconds serviceTime);
 
     std::map<GatewayId, Load> gateways_;
 };
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -291,6 +291,30 @@
     EXPECT_LE(quarantined, Workers / 4);
 }
 
+// Guards against a gateway that backs off once for each query of one outage, which keeps steps without tickets long
+// after.
+TEST_F(WorkflowManager, QueriesThatTimeOutTogetherAreOneOutage)
+{
+    constexpr std::size_t Jobs = 20;
+    constexpr auto MaxBackoff = 4s;
+    for (const std::uint64_t gateways : {1, 4, 16}) {
+        for (const auto outage : {2s, 6s, 13s}) {
+            ManagerSimulation::Options options;
+            options.gateways = gateways;
+            ManagerSimulation simulation(options);
+            addWorkers(simulation, 8);
+            simulation.dropQueries = true;
+            for (workflow::JobKey key = 1; key <= Jobs; ++key) {
+                simulation.submit(key, job({step(2, 1'000)}), checkedPolicy(20ms, 1ms));
+            }
+            simulation.run(outage);
+            simulation.dropQueries = false;
+            EXPECT_TRUE(simulation.runUntil([&] { return simulation.workers.starts() == 2 * Jobs; }, MaxBackoff + 2s))
+                << gateways << " gateways, " << outage.count() << " s";
+        }
+    }
+}
+
 TEST_F(WorkflowManager, TaskLimitPerWorkerIncludesProposedPlacements)
 {
     ManagerSimulation simulation({});
