Judge crashes by the latest verdict, and count what happens at one time once

A worker is now assumed to crash once an hour by itself. Only the latest verdict counts, which is never certain, and the fifth crash is final for what would have to run alone. Crashes of several workers under one run of a gang are compared with each other, and several runs of a task at one moment are one crash. Each unit keeps its own crashes, so that the log of all needs no units: settling costs a pass over the crashes of the last minute instead of one over all units on them. Bounds of the time at work start with the order to start.

--- a/src/workflow/crash_count.h
+++ b/src/workflow/crash_count.h
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace yuccawheel::workflow
 {
@@ -20,7 +22,8 @@
 /// What may have crashed a worker under a task or a gang, in crashes per second.
 struct CrashCauses {
     double unit = 0; ///< The unit, if it is one that crashes its workers.
-    double others = 0; ///< Other units on the worker, as probable as it is that they do, and the worker itself.
+    /// Other units on the worker, as probable as it is that they do, and causes of their own of all workers of the run.
+    double others = 0;
 };
 
 /// How long a run had been at work when its worker crashed, as far as the worker's answers tell.
@@ -40,16 +43,28 @@
     std::uint32_t lastRun = 0; ///< Latest run that is counted.
     bool wasLastAlone = false; ///< It is counted in `alone`.
     std::uint32_t unsettledRun = 0; ///< Latest run that is counted without a verdict yet; else 0.
-    bool isToBlame = false; ///< By the verdicts so far.
+    bool isToBlame = false; ///< By the latest verdict.
     double blame = Prior; ///< Probability that the unit crashes its workers, by the verdicts so far.
     double suspected = Prior; ///< The same with the crash that has no verdict yet, by what is known of it.
+    /// One of the crashes that are counted, the latest last.
+    struct OwnCrash {
+        std::chrono::milliseconds at{0}; ///< Wall-clock time.
+        double unexplained = 1; ///< Probability that no unit on the worker is to blame.
+        MSGPACK_DEFINE(at, unexplained)
+    };
+    std::vector<OwnCrash> ownCrashes;
     TimeAtWork lastTimeAtWork; ///< In the latest run that is counted.
 
-    /// Counts a crash during a run. Workers may crash together for a cause of their own, so those under one run of a
-    /// gang are one crash. Returns whether it is the first of the run.
-    bool record(std::uint32_t run, bool isAlone, const TimeAtWork &timeAtWork, const CrashCauses &causes)
+    /// Counts a crash at `at` during a run. Workers may crash together for a cause of their own, so those under one run
+    /// of a gang are one crash, and those at one time. Returns whether this one is counted.
+    bool record(std::uint32_t run,
+                bool isAlone,
+                const TimeAtWork &timeAtWork,
+                std::chrono::milliseconds at,
+                const CrashCauses &causes)
     {
-        const bool isFirst = run > lastRun;
+        const bool isFirst =
+            run > lastRun && (ownCrashes.empty() || std::chrono::abs(at - ownCrashes.back().at) > MinRestartTime);
         if (isFirst) {
             lastRun = run;
             lastTimeAtWork = timeAtWork;
@@ -57,6 +72,10 @@
             wasLastAlone = false;
             ++total;
             suspected = afterCrash(suspected, causes);
+            if (ownCrashes.size() == MaxOwnCrashes) {
+                ownCrashes.erase(ownCrashes.begin());
+            }
+            ownCrashes.push_back({at});
         }
         if (isAlone && !wasLastAlone && run == lastRun) {
             wasLastAlone = true;
@@ -65,12 +84,15 @@
         return isFirst;
     }
     /// Records the verdict on a crash, once all crashes at about that time are known.
-    void settle(std::uint32_t run, const CrashCauses &causes)
+    void settle(std::uint32_t run, std::chrono::milliseconds at, double unexplained, const CrashCauses &causes)
     {
+        for (OwnCrash &crash : ownCrashes) {
+            crash.unexplained = crash.at == at ? unexplained : crash.unexplained;
+        }
         blame = afterCrash(blame, causes);
-        isToBlame = isToBlame || blame >= (total < ManyCrashes ? MinFinalBlame : MinBlameOfMany);
-        if (run == unsettledRun) {
-            unsettledRun = 0;
+        isToBlame = blame >= (total < ManyCrashes ? MinFinalBlame : MinIsolated);
+        unsettledRun = run == unsettledRun ? 0 : unsettledRun;
+        if (unsettledRun == 0) {
             suspected = blame;
         }
     }
@@ -103,7 +125,8 @@
                                                    : Suspicion::High;
     }
 
-    MSGPACK_DEFINE(total, alone, lastRun, wasLastAlone, unsettledRun, isToBlame, blame, suspected, lastTimeAtWork)
+    MSGPACK_DEFINE(
+        total, alone, lastRun, wasLastAlone, unsettledRun, isToBlame, blame, suspected, lastTimeAtWork, ownCrashes)
 
 private:
     // The logarithmic mean of both bounds, by a good approximation: replicas have to compute the same, which they do
@@ -114,25 +137,28 @@
         const double high = std::chrono::duration<double>(std::max(time.atMost, time.atLeast) + Resolution).count();
         return (2 * std::sqrt(low * high) + (low + high) / 2) / 3;
     }
-    // Bayes' rule. That a unit has survived something is no reason to trust it more than any other.
+    // Bayes' rule. That a unit has survived something is no reason to trust it more than any other, and certainty could
+    // not be taken back.
     static double afterCrash(double before, const CrashCauses &causes)
     {
         const double toBlame = before * causes.unit;
-        return std::max(Prior, toBlame / (toBlame + (1 - before) * causes.others));
+        return std::clamp(toBlame / (toBlame + (1 - before) * causes.others), Prior, MaxBlame);
     }
 
     static constexpr std::uint32_t MinFinalCrashes = 3;
-    static constexpr std::uint32_t ManyCrashes =
-        5; ///< Each further one costs a worker, so that less certainty is enough.
+    // Each further crash costs a worker, so from this one on high suspicion is enough.
+    static constexpr std::uint32_t ManyCrashes = 5;
+    static constexpr std::size_t MaxOwnCrashes = 8;
+    static constexpr std::chrono::milliseconds MinRestartTime{100}; ///< From one crash to the next of the next run.
     static constexpr std::chrono::milliseconds Resolution{20}; ///< Of times at work.
     static constexpr double Magnitudes = 18; ///< Natural logarithm of the span from milliseconds to a day.
     static constexpr int SimilarFactor = 4;
     static constexpr double MagnitudesAsBefore = 2.8; ///< The same of the span of similar times.
-    static constexpr double Prior = 0.01;
+    static constexpr double Prior = 0.01; ///< Share of units that crash their workers, before any crash.
     static constexpr double MinSuspected = 0.02;
     static constexpr double MinIsolated = 0.15;
     static constexpr double MinFinalBlame = 0.8;
-    static constexpr double MinBlameOfMany = 0.3;
+    static constexpr double MaxBlame = 0.999;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds IdleRetryInterval{1'000}; ///< After an unanswered poll of a worker without runs.
 constexpr std::chrono::milliseconds StopInterval{500}; ///< Exceeds the 400 ms that a stop may take.
 constexpr std::uint32_t MaxStartCalls = 2;
-constexpr int LongestTimeAtWork = 2; ///< In multiples of the expected run time.
-constexpr std::chrono::hours UnknownTimeAtWork{1};
+constexpr int LongestTimeAtWorkFactor = 2; ///< In multiples of the expected run time.
+constexpr std::chrono::milliseconds LongestTimeAtWork = std::chrono::hours(24);
 constexpr std::chrono::milliseconds ReportTimeout{10'000}; ///< Six missed reports.
 constexpr unsigned FenceIncarnationBits = 20; ///< The term takes the others.
 constexpr std::chrono::milliseconds LeaseMargin{200}; ///< For rounding and the delay of a worker's last answer.
@@ -252,27 +252,34 @@
     proposeCrash(number, worker);
 }
 
-// The worker crashed between its last answer and the first call that failed. By then the run had ended if it had been
-// there for much longer than expected.
+// The worker crashed between its last answer and the first call that failed. A run that an earlier leader has started
+// had most likely ended if it took much longer than expected; one that lasts doesn't end.
 TimeAtWork
 JobManager::timeAtWork(const WorkerView &worker, const TaskRef &task, const LiveRun &run, base::TimePoint now) const
 {
-    const auto since = [&run](base::TimePoint time) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::max(time - run.runningSince, base::Duration{0}));
+    const auto between = [](base::TimePoint from, base::TimePoint to) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(to - from, base::Duration{0}));
     };
+    const JobRecord *const job = state_->findJob(task.job);
+    if (job == nullptr) {
+        return {};
+    }
+    const StepSpec &spec = job->spec.steps[task.step];
     const bool isConfirmed = run.runningSince != base::TimePoint{};
-    const JobRecord &job = *state_->findJob(task.job);
-    const StepSpec &spec = job.spec.steps[task.step];
+    const base::TimePoint failedAt = worker.failedCalls > 0 ? worker.silentSince : now;
     TimeAtWork time;
-    time.atLeast = isConfirmed ? since(worker.lastHeard) : std::chrono::milliseconds{0};
-    time.atMost = std::max(time.atLeast,
-                           spec.longRunning ? UnknownTimeAtWork
-                                            : LongestTimeAtWork
-                                   * state_->runTimes().expectedRunTime(job.policy.queue, spec.estimatedRunTime));
-    if (isConfirmed && run.isTimed) {
-        time.atMost = std::clamp(since(worker.failedCalls > 0 ? worker.silentSince : now), time.atLeast, time.atMost);
-    }
+    time.atLeast = isConfirmed ? between(run.runningSince, worker.lastHeard) : std::chrono::milliseconds{0};
+    time.atMost = LongestTimeAtWork;
+    if (!spec.longRunning) {
+        time.atMost = std::min(time.atMost,
+                               LongestTimeAtWorkFactor
+                                   * state_->runTimes().expectedRunTime(job->policy.queue, spec.estimatedRunTime));
+    }
+    if (run.startCalls > 0) {
+        const bool isStartKnown = isConfirmed && run.isTimed;
+        time.atMost = std::min(time.atMost, between(isStartKnown ? run.runningSince : run.orderedAt, failedAt));
+    }
+    time.atMost = std::max(time.atMost, time.atLeast);
     return time;
 }
 
--- a/src/workflow/recent_crashes.cpp
+++ b/src/workflow/recent_crashes.cpp
@@ -22,8 +22,8 @@
                                      {NoticeSpread, NoticeSpread},
                                      {std::chrono::seconds(10), NoticeSpread},
                                      {std::chrono::minutes(1), NoticeSpread}}};
-// Crashes that are too rare to show.
-constexpr double MinCrashes = 0.5;
+// Of a worker, for causes that are too rare to have shown of late: one an hour.
+constexpr double MinCrashRate = 1.0 / (60 * 60);
 
 // The clock of the next leader may differ, and clocks may step.
 std::chrono::milliseconds distance(WallTime left, WallTime right)
@@ -31,14 +31,9 @@
     return left > right ? left - right : right - left;
 }
 
-bool isWithin(const RecentCrashes::Crash &other, const RecentCrashes::Crash &crash, const Span &span)
+bool isWithin(WallTime other, WallTime at, const Span &span)
 {
-    return distance(other.at, crash.at) <= (other.at > crash.at ? span.after : span.before);
-}
-
-bool hasUnit(const RecentCrashes::Crash &crash, const TaskRef &unit)
-{
-    return std::any_of(crash.units.begin(), crash.units.end(), [&unit](const RunRef &run) { return run.task == unit; });
+    return distance(other, at) <= (other > at ? span.after : span.before);
 }
 
 } // namespace
@@ -58,39 +53,32 @@
     std::erase_if(crashes_, [now](const Crash &crash) { return distance(now, crash.at) > Spans.back().before; });
 }
 
-RecentCrashes::Suspects RecentCrashes::suspectsOf(const Crash &crash, std::size_t workers) const
+RecentCrashes::Near RecentCrashes::near(const Crash &crash) const
 {
-    Suspects suspects;
-    for (std::size_t index = 0; index < crash.units.size(); ++index) {
-        // Snapshots of earlier versions have the units only.
-        Suspect &suspect = suspects.emplace_back();
-        suspect.unit = crash.units[index];
-        if (index < crash.workers.size()) {
-            suspect.workers = std::max(crash.workers[index], 1U);
-            suspect.isCounted = crash.workers[index] > 0;
-        }
-        suspect.crashRate =
-            index < crash.crashRates.size() ? crash.crashRates[index] : CrashCount().crashRateAfter(TimeAtWork());
-    }
-    const auto workerCount = static_cast<double>(std::max<std::size_t>(workers, 1));
+    Near result;
+    result.at_ = crash.at;
     for (const Span &span : Spans) {
-        std::vector<const Crash *> near;
+        double sum = 0;
         for (const Crash &other : crashes_) {
-            if (isWithin(other, crash, span)) {
-                near.push_back(&other);
-            }
+            sum += &other != &crash && isWithin(other.at, crash.at, span) ? other.unexplained : 0;
         }
-        const std::chrono::duration<double> length = span.before + span.after;
-        for (Suspect &suspect : suspects) {
-            // Its own unit would explain other crashes as well.
-            double others = &span == &Spans.back() ? MinCrashes : 0;
-            for (const Crash *const other : near) {
-                others += hasUnit(*other, suspect.unit.task) ? 0 : other->unexplained;
-            }
-            suspect.otherCrashes = std::max(suspect.otherCrashes, others / (workerCount * length.count()));
+        result.sums_.push_back(sum);
+    }
+    return result;
+}
+
+double RecentCrashes::Near::rateWithout(const std::vector<CrashCount::OwnCrash> &own, std::size_t workers) const
+{
+    double rate = MinCrashRate;
+    for (std::size_t index = 0; index < sums_.size(); ++index) {
+        double others = sums_[index];
+        for (const CrashCount::OwnCrash &crash : own) {
+            others -= crash.at != at_ && isWithin(crash.at, at_, Spans.at(index)) ? crash.unexplained : 0;
         }
+        const std::chrono::duration<double> length = Spans.at(index).before + Spans.at(index).after;
+        rate = std::max(rate, others / (static_cast<double>(std::max<std::size_t>(workers, 1)) * length.count()));
     }
-    return suspects;
+    return rate;
 }
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/recent_crashes.h
+++ b/src/workflow/recent_crashes.h
@@ -19,7 +19,7 @@
 public:
     struct Crash {
         WallTime at{0}; ///< When it was noticed.
-        std::vector<RunRef> units; ///< Tasks that were there; the first member stands for a gang.
+        std::vector<RunRef> units; ///< Until it is settled: tasks that were there; the first member stands for a gang.
         bool isSettled = false;
         /// Of each unit: the workers that its run was on, or zero if another crash is counted for that run.
         std::vector<std::uint32_t> workers;
@@ -27,14 +27,20 @@
         double unexplained = 1; ///< Probability that no unit on the worker is to blame.
         MSGPACK_DEFINE(at, units, isSettled, workers, crashRates, unexplained)
     };
-    struct Suspect {
-        RunRef unit;
-        std::uint32_t workers = 1; ///< That its run was on.
-        bool isCounted = true; ///< The crash is the one that is counted for its run.
-        double crashRate = 0; ///< By CrashCount::crashRateAfter().
-        double otherCrashes = 0; ///< Crashes per second of a worker, by what other workers did at about that time.
+    /// Crashes near a point in time.
+    class Near
+    {
+    public:
+        /// Returns how often a worker crashes for a cause of its own, per second, by the crashes other than the unit's
+        /// own. `workers` is the number of all workers.
+        double rateWithout(const std::vector<CrashCount::OwnCrash> &own, std::size_t workers) const;
+
+    private:
+        friend class RecentCrashes;
+
+        WallTime at_{0};
+        std::vector<double> sums_; ///< Of each span: how many crashes no unit explains.
     };
-    using Suspects = std::vector<Suspect>;
 
     void add(Crash crash)
     {
@@ -42,10 +48,9 @@
     }
     /// Returns whether settle() has something to decide on at `now`.
     bool isDue(WallTime now) const;
-    /// Calls `decide(Crash &, const Suspects &)` for each crash when all others at about that time should be known.
-    /// `workers` is the number of all workers.
+    /// Calls `decide(Crash &)` for each crash when all others at about that time should be known.
     template <typename Decide>
-    void settle(WallTime now, std::size_t workers, Decide decide)
+    void settle(WallTime now, Decide decide)
     {
         if (!isDue(now)) {
             return;
@@ -53,13 +58,16 @@
         for (Crash &crash : crashes_) {
             if (isDue(crash, now)) {
                 crash.isSettled = true;
-                decide(crash, suspectsOf(crash, workers));
+                decide(crash);
+                crash.units.clear();
+                crash.workers.clear();
+                crash.crashRates.clear();
             }
         }
         forgetOld(now);
     }
-    /// Returns the suspects of a crash by what is known already.
-    Suspects suspectsOf(const Crash &crash, std::size_t workers) const;
+    /// Returns the other crashes near this one that have been added.
+    Near near(const Crash &crash) const;
 
     MSGPACK_DEFINE(crashes_)
 
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -345,14 +345,13 @@
         crash.workers.push_back(countWorkers(location));
         crash.crashRates.push_back(location.crashes().crashRateAfter(timesAtWork[task]));
     }
-    const RecentCrashes::Suspects suspects = recentCrashes_.suspectsOf(crash, workers_.size());
-    const std::vector<CrashCauses> causes =
-        explain(crash, suspects, [](const CrashCount &count) { return count.suspected; });
-    crash.unexplained = 1; // Until it is settled: others at about that time may follow.
-    for (std::size_t index = 0; index < suspects.size(); ++index) {
-        const RunRef &unit = suspects[index].unit;
+    const Explanation explanation = explain(crash, [](const CrashCount &count) { return count.suspected; });
+    for (std::size_t index = 0; index < crash.units.size(); ++index) {
+        const RunRef &unit = crash.units[index];
         const TaskLocation location = locate(unit.task);
-        if (!location.crashes().record(unit.run, suspects.size() == 1, timesAtWork[unit.task], causes[index])) {
+        const bool isAlone = crash.units.size() == 1;
+        if (!location.crashes().record(
+                unit.run, isAlone, timesAtWork[unit.task], entry.at, explanation.causes[index])) {
             crash.workers[index] = 0;
         }
         updateJobPhase(unit.task.job, *location.job, entry.at, events);
@@ -362,25 +361,32 @@
 
 // Returns what may have caused a crash, for each of the units that were on the worker.
 template <typename BlameOf>
-std::vector<CrashCauses>
-State::explain(RecentCrashes::Crash &crash, const RecentCrashes::Suspects &suspects, BlameOf blameOf)
+State::Explanation State::explain(const RecentCrashes::Crash &crash, BlameOf blameOf)
 {
-    std::vector<CrashCauses> causes;
+    const RecentCrashes::Near near = recentCrashes_.near(crash);
+    Explanation result;
     double explained = 0;
     double ownCause = 0;
-    for (const RecentCrashes::Suspect &suspect : suspects) {
-        const TaskLocation location = locate(suspect.unit.task);
+    for (std::size_t index = 0; index < crash.units.size(); ++index) {
+        const TaskLocation location = locate(crash.units[index].task);
+        // Snapshots of earlier versions have the units only.
+        const double crashRate =
+            index < crash.crashRates.size() ? crash.crashRates[index] : CrashCount().crashRateAfter(TimeAtWork());
+        const std::uint32_t workers = index < crash.workers.size() ? std::max(crash.workers[index], 1U) : 1;
         const bool mayCrash = location.task != nullptr && !location.task->isDone();
-        const double probable = mayCrash ? blameOf(location.crashes()) * suspect.crashRate : 0;
-        causes.push_back({suspect.crashRate, suspect.otherCrashes * suspect.workers - probable});
+        const double probable = mayCrash ? blameOf(location.crashes()) * crashRate : 0;
+        const double otherCrashes = near.rateWithout(location.task == nullptr ? std::vector<CrashCount::OwnCrash>()
+                                                                              : location.crashes().ownCrashes,
+                                                     workers_.size());
+        result.causes.push_back({crashRate, otherCrashes * workers - probable});
         explained += probable;
-        ownCause = std::max(ownCause, suspect.otherCrashes);
+        ownCause = std::max(ownCause, otherCrashes);
     }
-    for (CrashCauses &each : causes) {
+    for (CrashCauses &each : result.causes) {
         each.others += explained;
     }
-    crash.unexplained = suspects.empty() ? 1 : ownCause / (ownCause + explained);
-    return causes;
+    result.unexplained = crash.units.empty() ? 1 : ownCause / (ownCause + explained);
+    return result;
 }
 
 // Returns the number of workers that a task, or the members of its gang, are placed on.
@@ -400,26 +406,24 @@
 
 void State::settleCrashes(WallTime now, std::vector<StateEvent> &events)
 {
-    const auto decide = [&](RecentCrashes::Crash &crash, const RecentCrashes::Suspects &suspects) {
-        const std::vector<CrashCauses> causes =
-            explain(crash, suspects, [](const CrashCount &count) { return count.blame; });
-        for (std::size_t index = 0; index < suspects.size(); ++index) {
-            const RunRef &unit = suspects[index].unit;
+    recentCrashes_.settle(now, [&](RecentCrashes::Crash &crash) {
+        const Explanation explanation = explain(crash, [](const CrashCount &count) { return count.blame; });
+        crash.unexplained = explanation.unexplained;
+        for (std::size_t index = 0; index < crash.units.size(); ++index) {
+            const RunRef &unit = crash.units[index];
             const TaskLocation location = locate(unit.task);
-            if (location.task != nullptr && suspects[index].isCounted) {
-                location.crashes().settle(unit.run, causes[index]);
-                if (location.crashes().suspicion() != Suspicion::None) {
-                    events.push_back({StateEvent::Kind::UnitSuspected,
-                                      unit.task.job,
-                                      unit.task,
-                                      location.task->worker,
-                                      std::nullopt});
-                }
-                updateJobPhase(unit.task.job, *location.job, now, events);
+            const bool isCounted = index >= crash.workers.size() || crash.workers[index] > 0;
+            if (location.task == nullptr || !isCounted) {
+                continue;
             }
+            location.crashes().settle(unit.run, crash.at, explanation.unexplained, explanation.causes[index]);
+            if (location.crashes().suspicion() != Suspicion::None) {
+                events.push_back(
+                    {StateEvent::Kind::UnitSuspected, unit.task.job, unit.task, location.task->worker, std::nullopt});
+            }
+            updateJobPhase(unit.task.job, *location.job, now, events);
         }
-    };
-    recentCrashes_.settle(now, workers_.size(), decide);
+    });
 }
 
 void State::applyBody(const ForgetEntry &entry, std::vector<StateEvent> &events)
--- a/src/workflow/state.h
+++ b/src/workflow/state.h
@@ -240,9 +240,12 @@
     /// Decides on crashes of the last seconds, and fails jobs whose tasks are to blame for theirs.
     void settleCrashes(WallTime now, std::vector<StateEvent> &events);
     static std::uint32_t countWorkers(const TaskLocation &location);
+    struct Explanation {
+        std::vector<CrashCauses> causes; ///< For each of the units that were on the worker.
+        double unexplained = 1; ///< Probability that none of them is to blame.
+    };
     template <typename BlameOf>
-    std::vector<CrashCauses>
-    explain(RecentCrashes::Crash &crash, const RecentCrashes::Suspects &suspects, BlameOf blameOf);
+    Explanation explain(const RecentCrashes::Crash &crash, BlameOf blameOf);
     void recordCrash(const EndsEntry &entry, WorkerRecord &worker, std::vector<StateEvent> &events);
     void recordCheckpoint(TaskLocation &location, const std::string &checkpoint);
     void endJob(JobKey key, JobRecord &job, JobPhase phase, WallTime at, std::vector<StateEvent> &events);
