Let gangs ask for tickets behind others while most capacity is free

Cause: the first waiting gang that doesn't fit into what gangs may claim together, a quarter of the CPU capacity, closes admission for all behind it, also if those ahead can't start for want of something else and however much is free. Late gangs go last and stay behind it for ever.

Now a gang that isn't admitted asks for tickets, without claiming, while more than half of the CPU capacity is free, and the limit of claims grows to what is free beyond a quarter of the capacity.

The new test failed before: the small gang wasn't completed within 10 s.

--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -20,7 +20,9 @@
 {
 public:
     /// `limit` is the maximum that all gangs which claim capacity need together; only CPU is limited.
-    explicit CapacityClaims(const placement::Resources &limit) : available_(limit)
+    CapacityClaims(const placement::Resources &limit, bool isMostCapacityFree)
+        : available_(limit)
+        , isMostCapacityFree_(isMostCapacityFree)
     {
     }
 
@@ -39,6 +41,13 @@
         closed_ = closed_ || (admitted_ && need.milliCpu > available_.milliCpu);
         return !closed_;
     }
+    /// Returns whether a gang that needs this much may ask for tickets, which it needs to start. Without admission it
+    /// may while most capacity is free: those ahead of it that still don't start wait for something else than
+    /// capacity, maybe for ever.
+    bool mayQuery(const placement::Resources &need)
+    {
+        return askAdmission(need) || isMostCapacityFree_;
+    }
     /// Counts a gang's whole need against the limit.
     void admit(const placement::Resources &need)
     {
@@ -78,6 +87,7 @@
     std::map<WorkerNumber, Claim> claims_;
     placement::Resources available_;
     placement::Resources total_;
+    bool isMostCapacityFree_;
     bool admitted_ = false;
     bool closed_ = false;
 };
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -195,6 +195,7 @@
     void queryIfDue(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void setWorkersAside(const StepPlacer::Request &request, const Pass &pass);
     placement::Resources claimLimit() const;
+    double freeShare() const; ///< Of all CPU capacity.
     void holdCapacity(StepKey key, const ReadyStep &step, Pass &pass) const;
     static void releaseHold(StepKey key, Pass &pass);
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -33,7 +33,9 @@
 constexpr std::chrono::milliseconds MaxRelayDelay{50}; ///< Maximum delay of an answer on an idle network.
 constexpr std::chrono::milliseconds TicketMargin{150}; ///< Tickets are renewed this long before they expire.
 constexpr std::chrono::milliseconds LoadReportInterval{1'000}; ///< Finest resolution of the metrics collection.
-constexpr double MaxClaimedShare = 0.25; ///< Maximum share of CPU capacity held idle for waiting gangs.
+constexpr double MaxClaimedShare = 0.25; ///< Maximum share of CPU capacity held idle for waiting gangs under load.
+constexpr double UnclaimedFreeShare = 0.25; ///< Of CPU capacity. Gangs may claim all that is free beyond it.
+constexpr double MostShare = 0.5; ///< Of CPU capacity. Beyond it, most is free.
 // Covers a stop, the commit of its end and a retry of a lost order.
 constexpr std::chrono::milliseconds HoldDuration{900};
 constexpr std::chrono::milliseconds SetAsideDuration{1'000}; ///< Extended by each dispatch that still needs the worker.
@@ -239,7 +241,7 @@
 JobManager::Pass::Pass(const JobManager &manager, DispatchCost &dispatchCost, base::TimePoint time)
     : now(time)
     , cost(dispatchCost)
-    , claims(manager.claimLimit())
+    , claims(manager.claimLimit(), manager.freeShare() > MostShare)
     , planner(manager.workers_, manager.ledger_)
 {
     resume(manager, time);
@@ -301,10 +303,17 @@
         .with("workers_indexed", cost_.workersIndexed - before.workersIndexed);
 }
 
+// Capacity that nobody else needs costs nothing to claim.
 placement::Resources JobManager::claimLimit() const
 {
-    const placement::Resources &total = ledger_.totalCapacity();
-    return {static_cast<std::int64_t>(static_cast<double>(total.milliCpu) * MaxClaimedShare), 0, 0};
+    const double share = std::max(MaxClaimedShare, freeShare() - UnclaimedFreeShare);
+    return {static_cast<std::int64_t>(static_cast<double>(ledger_.totalCapacity().milliCpu) * share), 0, 0};
+}
+
+double JobManager::freeShare() const
+{
+    const std::int64_t total = ledger_.totalCapacity().milliCpu;
+    return total == 0 ? 0 : 1 - static_cast<double>(ledger_.totalReserved().milliCpu) / static_cast<double>(total);
 }
 
 // Skips steps that can neither start tasks nor ask for tickets in this pass, without looking at all their tasks. In a
@@ -323,7 +332,13 @@
     const StepSpec &spec = job.specOf(key.position);
     if (spec.gang) {
         const bool waits = record.placed == 0 && !reservations_.contains(job.refOf(key.job, key.position, 0));
-        return waits && pass.claims.askAdmission(reservationOf(spec) * spec.count);
+        const placement::Resources need = reservationOf(spec) * spec.count;
+        if (!waits || !pass.claims.mayQuery(need)) {
+            return false;
+        }
+        if (pass.claims.askAdmission(need)) {
+            return true; // It claims capacity even while it can't query.
+        }
     }
     return step.pendingQueries == 0 && pass.now >= step.nextQueryAt
         && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
@@ -552,8 +567,9 @@
 // Returns the workers to include in the next queries. Tickets of eligible workers with free capacity are renewed
 // together, so that they are valid at the same time. Unknown workers are added if the eligible ones lack capacity. The
 // first query also includes workers without free capacity, because eligibility is permanent while capacity changes.
-// Queries for a gang are sent only while it may claim capacity, and only if it knows too few eligible workers or could
-// start after the answer: queries in vain keep gateways busy that other steps need for their first tickets.
+// Queries for a gang are sent only while it may claim capacity or most is free, and only if it knows too few eligible
+// workers or could start after the answer: queries in vain keep gateways busy that other steps need for their first
+// tickets.
 std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass)
 {
     struct Candidate {
@@ -563,7 +579,7 @@
     const StepEligibility &eligibility = *request.eligibility;
     const StepSpec &spec = request.job.specOf(request.position);
     const std::size_t needed = request.waiting.size();
-    if (spec.gang && !pass.claims.askAdmission(reservationOf(spec) * static_cast<std::int64_t>(needed))) {
+    if (spec.gang && !pass.claims.mayQuery(reservationOf(spec) * static_cast<std::int64_t>(needed))) {
         return {};
     }
     const auto fittingTasksOn = [&](WorkerNumber number) {
--- a/tests/workflow_load_test.cpp
+++ b/tests/workflow_load_test.cpp
@@ -260,6 +260,39 @@
     EXPECT_GE(largest, all / 2);
 }
 
+// Guards against a gang that waits for ever behind a wide one that can't start, while most of the room is free.
+TEST(WorkflowLoad, GangStartsBehindAWideOneThatCannotWhileMostRoomIsFree)
+{
+    constexpr std::uint32_t Workers = 10;
+    constexpr workflow::JobKey Lasting = 1;
+    constexpr workflow::JobKey Wide = 2;
+    constexpr workflow::JobKey Small = 3;
+    ManagerSimulation::Options options;
+    options.workers.runTimeOf = [](const workflow::TaskRef &task, const std::string &) {
+        return task.job == Lasting ? std::chrono::milliseconds(1h) : 400ms;
+    };
+    ManagerSimulation simulation(options);
+    addWorkers(simulation, Workers);
+    workflow::JobSpec lasting = job(Workers, WorkerMilliCpu / 8, 400ms);
+    lasting.steps[0].maxPerWorker = 1;
+    simulation.submit(Lasting, lasting, policy("lasting", 0));
+    simulation.run(1s);
+    workflow::QueuePolicy gangs = policy("gangs", 1);
+    gangs.eligibility = workflow::EligibilityPolicy{10ms, 1ms, 1'500ms};
+    workflow::JobSpec wide = job(Workers / 2, WorkerMilliCpu, 400ms);
+    wide.steps[0].gang = true;
+    workflow::QueuePolicy wideGangs = gangs;
+    wideGangs.priority = 0;
+    wideGangs.target = 1h; // Never late, so that it stays ahead.
+    simulation.submit(Wide, wide, wideGangs);
+    simulation.run(1s);
+    workflow::JobSpec small = job(2, WorkerMilliCpu / 4, 400ms);
+    small.steps[0].gang = true;
+    simulation.submit(Small, small, gangs);
+    simulation.run(30ms); // Until it is committed.
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.phaseOf(Small) == workflow::JobPhase::Completed; }, 10s));
+}
+
 // Guards against jobs that count as too late for use, and go last, because their caller's estimate is far too low.
 TEST(WorkflowLoad, LowEstimateDoesNotMakeAJobTooLate)
 {
