--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -193,8 +193,6 @@
     std::size_t placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass);
     void placeSuspects(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void queryIfDue(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
-    std::size_t isolationLimit(const Pass &pass) const;
-    bool mayIsolate(const StepPlacer::Request &request, const std::vector<WorkerNumber> &chosen, const Pass &pass);
     void setWorkersAside(const StepPlacer::Request &request, const Pass &pass);
     placement::Resources claimLimit() const;
     double freeShare() const; ///< Of all CPU capacity.
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -39,9 +39,7 @@
 // Covers a stop, the commit of its end and a retry of a lost order.
 constexpr std::chrono::milliseconds HoldDuration{900};
 constexpr std::chrono::milliseconds SetAsideDuration{1'000}; ///< Extended by each dispatch that still needs the worker.
-constexpr double MaxIsolatedShare = 0.1; ///< Of all workers, for suspects that have to run alone, under load.
-// Of the CPU capacity. Suspects get more workers as long as this much is free on the others.
-constexpr double FreeShareBesideIsolated = 0.25;
+constexpr double MaxSetAsideShare = 0.1; ///< Of all workers, for suspects that have to run alone.
 constexpr double InitialEligibleShare = 0.5; ///< Assumed until the first answer.
 constexpr double EligibleShareWeight = 0.1; ///< Weight of the newest answer in the moving average.
 // Tasks that the eligible workers known to a gang would hold, per task. With less, nearly all would have to be empty.
@@ -402,54 +400,6 @@
     }
 }
 
-// Returns how many workers may be kept for suspects in all while others need what they use and claim now.
-std::size_t JobManager::isolationLimit(const Pass &pass) const
-{
-    const auto workers = static_cast<double>(workers_.size());
-    const auto total = static_cast<double>(ledger_.totalCapacity().milliCpu);
-    std::int64_t free =
-        ledger_.totalCapacity().milliCpu - ledger_.totalReserved().milliCpu - pass.claims.total().milliCpu;
-    const std::size_t isolated = isolation_.forEachIsolated([&](WorkerNumber number) {
-        if (workers_.contains(number)) {
-            free -= ledger_.free(number).milliCpu;
-        }
-    });
-    const double spare = total == 0 ? 0 : (static_cast<double>(free) / total - FreeShareBesideIsolated) * workers;
-    const auto limit = static_cast<std::size_t>(workers * MaxIsolatedShare) + 1;
-    if (isolation_.isFirstTooWide()) {
-        return limit; // It gets its workers once no more than these are kept for others.
-    }
-    return std::max(limit, isolated + static_cast<std::size_t>(std::max(spare, 0.0)));
-}
-
-// Returns whether a suspect may keep these workers for itself. Who has waited longest may exceed the limit if they are
-// empty anyway or most of the capacity is free, or a wide gang would wait for ever.
-bool JobManager::mayIsolate(const StepPlacer::Request &request,
-                            const std::vector<WorkerNumber> &chosen,
-                            const Pass &pass)
-{
-    const bool isFirst = isolation_.recordWaiting(request.unit, pass.now + SetAsideDuration);
-    // What is set aside for it and not chosen becomes free for others once it is placed.
-    const auto added = static_cast<std::size_t>(std::count_if(chosen.begin(), chosen.end(), [&](WorkerNumber number) {
-        return !isolation_.isIsolated(number) || isolation_.isSetAsideFor(number, request.unit);
-    }));
-    std::size_t isolated = 0;
-    isolation_.forEachIsolated(
-        [&](WorkerNumber number) { isolated += isolation_.isSetAsideFor(number, request.unit) ? 0 : 1; });
-    const bool areKept =
-        std::all_of(chosen.begin(), chosen.end(), [&](WorkerNumber number) { return isolation_.isIsolated(number); });
-    if (areKept || isolated + added <= isolationLimit(pass)) {
-        return true;
-    }
-    if (!isFirst) {
-        return false;
-    }
-    isolation_.recordTooWide();
-    const bool areEmpty = std::all_of(
-        chosen.begin(), chosen.end(), [&](WorkerNumber number) { return ledger_.reserved(number).isZero(); });
-    return isolated <= isolationLimit(pass) && (areEmpty || freeShare() > MostShare);
-}
-
 // Keeps the workers with the least on them free of other tasks, so that a suspect gets to run alone under load too.
 void JobManager::setWorkersAside(const StepPlacer::Request &request, const Pass &pass)
 {
@@ -464,15 +414,13 @@
     std::vector<std::pair<std::int64_t, WorkerNumber>> candidates;
     pass.placer->forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
         if (!isolation_.isSetAside(number)) {
-            // Tasks of lower urgency may use some of what is claimed, which doesn't matter here.
-            const auto claimed =
-                pass.claims.withheldCapacity(number, std::numeric_limits<std::int32_t>::min(), false).milliCpu;
-            candidates.emplace_back(ledger_.reserved(number).milliCpu + claimed, number);
+            candidates.emplace_back(ledger_.reserved(number).milliCpu, number);
         }
     });
     std::sort(candidates.begin(), candidates.end());
     const std::int64_t needed = static_cast<std::int64_t>(request.waiting.size());
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
+    const auto limit = static_cast<std::size_t>(static_cast<double>(workers_.size()) * MaxSetAsideShare) + 1;
     std::vector<WorkerNumber> chosen;
     std::int64_t fitting = 0;
     for (const auto &[reserved, number] : candidates) {
@@ -481,7 +429,7 @@
             fitting += amount.countFittingIn(ledger_.capacity(number));
         }
     }
-    if (fitting < needed || !mayIsolate(request, chosen, pass)) {
+    if (fitting < needed || isolation_.setAsideWorkers() + chosen.size() > limit) {
         return;
     }
     for (const WorkerNumber number : chosen) {
@@ -490,8 +438,8 @@
             .with("worker", workers_.at(number).identity.id)
             .with("for_task", toString(request.unit))
             .with("runs", workers_.at(number).runs.size())
-            .with("isolated", isolation_.forEachIsolated([](WorkerNumber) {}))
-            .with("limit", isolationLimit(pass));
+            .with("set_aside", isolation_.setAsideWorkers())
+            .with("limit", limit);
     }
 }
 
@@ -533,17 +481,6 @@
     const JobRecord &job = request.job;
     const StepSpec &spec = job.specOf(key.position);
     const std::vector<Assignment> assignments = pass.placer->place(request);
-    if (request.suspicion == Suspicion::High) {
-        std::vector<WorkerNumber> chosen;
-        for (const Assignment &assignment : assignments) {
-            if (chosen.empty() || chosen.back() != assignment.worker) {
-                chosen.push_back(assignment.worker);
-            }
-        }
-        if (!mayIsolate(request, chosen, pass)) {
-            return 0; // It would keep workers that others need.
-        }
-    }
     const std::vector<TaskRecord> &tasks = job.steps[key.position].tasks;
     std::uint32_t lastRun = 0;
     for (const TaskRecord &task : tasks) {
--- a/src/workflow/suspect_isolation.cpp
+++ b/src/workflow/suspect_isolation.cpp
@@ -2,18 +2,9 @@
 
 #include "base/invariant.h"
 
-#include <algorithm>
-
 namespace yuccawheel::workflow
 {
 
-namespace
-{
-
-constexpr std::chrono::milliseconds HandOverDuration{200}; ///< Covers the next dispatches.
-
-} // namespace
-
 void SuspectIsolation::remove(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion)
 {
     const auto found = workers_.find(worker);
@@ -28,33 +19,17 @@
     }
     tenants.isolated -= suspicion == Suspicion::High ? 1 : 0;
     if (--tenants.tasks == 0) {
-        if (suspicion == Suspicion::High && !waiting_.empty()) {
-            setAside_.try_emplace(worker, SetAside{std::nullopt, now_ + HandOverDuration});
-        }
         workers_.erase(found);
     }
 }
 
-bool SuspectIsolation::recordWaiting(const TaskRef &unit, base::TimePoint until)
-{
-    const auto found =
-        std::find_if(waiting_.begin(), waiting_.end(), [&unit](const Waiting &each) { return each.unit == unit; });
-    if (found == waiting_.end()) {
-        waiting_.push_back({unit, until, false});
-    } else {
-        found->until = until;
-    }
-    return waiting_.front().unit == unit;
-}
-
 bool SuspectIsolation::admits(WorkerNumber worker, const TaskRef &unit, Suspicion suspicion) const
 {
     if (suspicion == Suspicion::None && suspects_ == 0 && setAside_.empty()) {
         return true;
     }
     const auto aside = setAside_.find(worker);
-    if (aside != setAside_.end()
-        && !(aside->second.unit ? *aside->second.unit == unit : suspicion == Suspicion::High)) {
+    if (aside != setAside_.end() && !(aside->second.unit == unit)) {
         return false;
     }
     const auto found = workers_.find(worker);
