Share what the weighing of crashes repeats

A worker's health is set up where the worker is added, in place of both callers. Explaining a crash copies no list of crashes for each unit. The tests crash the workers of a job's tasks by one function.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -47,7 +47,6 @@
     wall_ = wall;
     for (const auto &[number, record] : state.workers()) {
         WorkerView &worker = addWorker(number, record, now);
-        worker.health = WorkerHealth(&usualFailures_);
         // The previous leader may have renewed the worker's lease until its own leader lease ended.
         worker.lease.assumeHeldUntil(now + limits_.leaderLease + maxLocalTime(limits_.workerLease));
         for (const TaskRef &task : record.placed) {
@@ -202,7 +201,6 @@
     case StateEvent::Kind::WorkerJoined: {
         const WorkerRecord &record = state_->workers().at(event.worker);
         WorkerView &worker = addWorker(event.worker, record, now);
-        worker.health = WorkerHealth(&usualFailures_);
         const auto joining = joining_.find(record.identity.id);
         if (joining != joining_.end() && joining->second.worker.born == record.identity.born) {
             const WorkerReport report = joining->second;
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -30,6 +30,7 @@
 {
     WorkerView &worker = workers_[number];
     worker.identity = record.identity;
+    worker.health = WorkerHealth(&usualFailures_);
     if (const ReportedCapacity *const reported = findReportedCapacity(record.identity)) {
         worker.identity.capacity = reported->capacity;
         worker.isCapacityReported = true;
--- a/src/workflow/state.cpp
+++ b/src/workflow/state.cpp
@@ -364,6 +364,7 @@
 State::Explanation State::explain(const RecentCrashes::Crash &crash, BlameOf blameOf)
 {
     const RecentCrashes::Near near = recentCrashes_.near(crash);
+    const CrashCount unknown;
     Explanation result;
     double explained = 0;
     double ownCause = 0;
@@ -371,13 +372,12 @@
         const TaskLocation location = locate(crash.units[index].task);
         // Snapshots of earlier versions have the units only.
         const double crashRate =
-            index < crash.crashRates.size() ? crash.crashRates[index] : CrashCount().crashRateAfter(TimeAtWork());
+            index < crash.crashRates.size() ? crash.crashRates[index] : unknown.crashRateAfter(TimeAtWork());
         const std::uint32_t workers = index < crash.workers.size() ? std::max(crash.workers[index], 1U) : 1;
         const bool mayCrash = location.task != nullptr && !location.task->isDone();
-        const double probable = mayCrash ? blameOf(location.crashes()) * crashRate : 0;
-        const double otherCrashes = near.rateWithout(location.task == nullptr ? std::vector<CrashCount::OwnCrash>()
-                                                                              : location.crashes().ownCrashes,
-                                                     workers_.size());
+        const CrashCount &count = location.task == nullptr ? unknown : location.crashes();
+        const double probable = mayCrash ? blameOf(count) * crashRate : 0;
+        const double otherCrashes = near.rateWithout(count.ownCrashes, workers_.size());
         result.causes.push_back({crashRate, otherCrashes * workers - probable});
         explained += probable;
         ownCause = std::max(ownCause, otherCrashes);
--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -65,6 +65,14 @@
         }
         simulation.submit(key, spec, policy());
     }
+    /// Crashes the workers of the first tasks of a job, each of which has a worker of its own.
+    void crashWorkersOf(workflow::JobKey key, std::uint32_t tasks)
+    {
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            const workflow::WorkerNumber worker = simulation.state.findTask({key, 0, 0, index})->worker;
+            simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+        }
+    }
     bool allEnded() const
     {
         for (workflow::JobKey key = 1; key <= lastKey_; ++key) {
@@ -187,10 +195,7 @@
             << wave;
         simulation.run(wave * 1s);
         for (const workflow::JobKey key : {1, 2}) {
-            for (std::uint32_t index = 0; index < CrashesOfEach; ++index) {
-                const workflow::WorkerNumber worker = simulation.state.findTask({key, 0, 0, index})->worker;
-                simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
-            }
+            crashes.crashWorkersOf(key, CrashesOfEach);
         }
         simulation.run(100ms);
     }
@@ -220,10 +225,7 @@
     for (const auto delay : {300ms, 4'000ms, 6'000ms, 5'000ms}) {
         ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == Workers; }, 30s));
         simulation.run(delay);
-        for (std::uint32_t index = 0; index < (delay == 300ms ? 1U : Workers * 3 / 10); ++index) {
-            const workflow::WorkerNumber worker = simulation.state.findTask({1, 0, 0, index})->worker;
-            simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
-        }
+        crashes.crashWorkersOf(1, delay == 300ms ? 1U : Workers * 3 / 10);
         simulation.run(100ms);
     }
     EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 120s));
@@ -240,10 +242,7 @@
     for (int wave = 1; wave <= 5; ++wave) {
         ASSERT_TRUE(simulation.runUntil([&] { return simulation.workers.running() == Workers; }, 30s)) << wave;
         simulation.run(5s);
-        for (std::uint32_t index = 0; index < Workers * 3 / 10; ++index) {
-            const workflow::WorkerNumber worker = simulation.state.findTask({1, 0, 0, index})->worker;
-            simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
-        }
+        crashes.crashWorkersOf(1, Workers * 3 / 10);
         simulation.run(100ms);
     }
     EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 120s));
