Review: drop the job that is shown as failed after three crashes

An issue quotes the users' pages: a task under which two executors have crashed may be given up, and its job shown as failed.

--- a/review/10/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec python3 "$(dirname "$(readlink -f "$0")")/case.py"
