Review: a late start order runs a task again that was done and recorded

The order is carried out by the next life of its worker, behind a cut, before that has had an order of its own. The stand-ins get a proxy that cuts a worker off and delivers an order late.

--- a/review/lib-2/small.py
+++ b/review/lib-2/small.py
@@ -19,6 +19,9 @@
 import tomllib
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from link import Link  # noqa: E402
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HERE = pathlib.Path(__file__).resolve().parent
 HOST = "queue.example"
@@ -110,7 +113,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yw-review-"))
         self.net = f"127.{random.randrange(2, 250)}.{random.randrange(1, 250)}"
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
-        self.processes, self.workers = [], {}
+        self.processes, self.workers, self.links = [], {}, {}
         ips = [f"{self.net}.{number + 1}" for number in range(managers)]
         inner, control = free_ports(ips[0], 2)
         self.control = [(ip, control) for ip in ips]
@@ -146,11 +149,18 @@
         self.processes.append(process)
         return process
 
-    def worker(self, name, kind="a", rack="r1", cpu=16000, service="svc"):
+    def worker(self, name, kind="a", rack="r1", cpu=16000, service="svc", linked=False):
+        """Starts an executor. One that is linked is called, and calls, through `self.links[name]`."""
         ip = f"{self.net}.{100 + len(self.workers)}"
         port = free_ports(ip, 1)[0]
-        control = ",".join(f"{at[0]}:{at[1]}" for at in self.control)
-        process = Process([sys.executable, HERE / "worker.py", ip, port, name, service, kind, rack, cpu, control,
+        control, said = self.control, f"{ip}:{port}"
+        if linked:
+            links = [Link((ip, 0), (ip, port)), *(Link((ip, 0), address) for address in self.control)]
+            self.links[name] = links
+            said = "%s:%d" % links[0].address
+            control = [link.address for link in links[1:]]
+        control = ",".join(f"{at[0]}:{at[1]}" for at in control)
+        process = Process([sys.executable, HERE / "worker.py", ip, port, said, name, service, kind, rack, cpu, control,
                            self.record_file], self.folder / f"{name}.log")
         self.processes.append(process)
         self.workers[name] = process
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -1,12 +1,13 @@
 #!/usr/bin/env python3
 """A stand-in for one executor, as a process of its own.
 
-Usage: worker.py IP PORT ID SERVICE KIND RACK CPU CONTROL,CONTROL,... RECORD
+Usage: worker.py IP PORT ADDRESS ID SERVICE KIND RACK CPU CONTROL,CONTROL,... RECORD
+ADDRESS is what it says of itself.
 
-The `task_spec` of a job is JSON: `run_ms` is how long a task works; without it, the task lasts. `fails_after_ms` lists
-when the first runs end `failed` by the task's own fault. Orders, leases, fences,
-numbered ends and check-ins follow the pages. Each event is appended to RECORD as a line of JSON. A restart of the
-process is a new lifetime under the same id, which knows nothing of the earlier one.
+The `task_spec` of a job is JSON: `run_ms` is how long a task works; without it, the task lasts. `fails_after_ms` lists when
+the first runs end `failed` by the task's own fault. Orders, leases, fences, numbered ends and check-ins follow the pages.
+Each event is appended to RECORD as a line of JSON. A restart of the process is a new lifetime under the same id, which
+knows nothing of the earlier one.
 """
 
 import asyncio
@@ -23,8 +24,8 @@
 
 
 class Worker:
-    def __init__(self, ip, port, name, service, kind, rack, cpu, control, record):
-        self.ip, self.port, self.name, self.service, self.kind, self.rack = ip, port, name, service, kind, rack
+    def __init__(self, address, name, service, kind, rack, cpu, control, record):
+        self.address, self.name, self.service, self.kind, self.rack = address, name, service, kind, rack
         self.cpu, self.control, self.record = cpu, control, record
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
@@ -99,6 +100,9 @@
             return 409, {"clock_ms": self.clock(), "reason": "fence"}
         self.fence = body.get("fencing_token", 0)
         self.extend(body)
+        for number, task, run, how, _ in self.ended:
+            if number <= body.get("last_seen", 0):
+                self.note("noted", task=task, run=run, how=how, number=number)
         self.ended = [row for row in self.ended if row[0] > body.get("last_seen", 0)]
         until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000
         while not self.ended and time.monotonic() < until:
@@ -137,7 +141,7 @@
         while True:
             self.sequence += 1
             body = json.dumps({
-                "service": self.service, "address": f"{self.ip}:{self.port}", "zone": "a", "version": "v1", "slots": 8,
+                "service": self.service, "address": self.address, "zone": "a", "version": "v1", "slots": 8,
                 "state": "ready", "cold_remaining_ms": 0, "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpu": 0},
                 "labels": [self.kind, self.rack], "clock_ms": self.clock(), "seq": self.sequence, "born": self.born})
             for _ in self.control:
@@ -156,9 +160,9 @@
 
 
 async def main():
-    ip, port, name, service, kind, rack, cpu, control, record = sys.argv[1:]
+    ip, port, address, name, service, kind, rack, cpu, control, record = sys.argv[1:]
     addresses = [(at.rsplit(":", 1)[0], int(at.rsplit(":", 1)[1])) for at in control.split(",")]
-    worker = Worker(ip, int(port), name, service, kind, rack, int(cpu), addresses, record)
+    worker = Worker(address, name, service, kind, rack, int(cpu), addresses, record)
     server = await asyncio.start_server(worker.serve, ip, int(port))
     worker.note("up")
     threading.Thread(target=worker.check_in, daemon=True).start()
