--- a/review/lib-2/small.py
+++ b/review/lib-2/small.py
@@ -88,14 +88,17 @@
 
 
 class Process:
-    def __init__(self, words, log, env=None):
-        self.words, self.log, self.env = [str(word) for word in words], log, env
+    lock = threading.Lock()
+    is_over = False  # Nothing is started once the case has ended, by no thread of it either.
+
+    def __init__(self, words, log):
+        self.words, self.log = [str(word) for word in words], log
         self.start()
 
     def start(self):
-        with open(self.log, "ab") as log:
-            self.child = subprocess.Popen(self.words, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                          env=self.env)
+        with Process.lock, open(self.log, "ab") as log:
+            if not Process.is_over:
+                self.child = subprocess.Popen(self.words, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
     def kill(self):
         if self.child.poll() is None:
@@ -122,12 +125,18 @@
         threading.Thread(target=self.advice.serve_forever, daemon=True).start()
         advice = "%s:%d" % self.advice.server_address
         common = dict(BASE, seeds=seeds, port_range=[inner, inner + 15], advice=advice)
-        self.managers = []
+        self.managers, self.callers, self.ready, self.gateways = [], [], [], []
+        try:
+            self.start(ips, inner, control, common, gateways)
+        except BaseException:
+            self.close()
+            raise
+
+    def start(self, ips, inner, control, common, gateways):
         for number, ip in enumerate(ips):
             fields = dict(common, node=f"core-a-{number + 1}", ip=ip, data_dir=str(self.folder / f"disk-{number + 1}"),
                           bind_addrs={"control": f"{ip}:{control}"})
             self.managers.append(self.program("manager", fields))
-        self.callers, self.ready, self.gateways = [], [], []
         for number in range(gateways):
             ip = f"{self.net}.{20 + number}"
             front, ready = [port for port in free_ports(ip, 3) if port != inner][:2]
@@ -229,9 +238,10 @@
             self.wait(lambda at=address: self.call(at, "GET", "/readyz")[0] == 200, "a gateway is ready", 20)
 
     def close(self):
+        with Process.lock:
+            Process.is_over = True
         for process in self.processes:
             process.kill()
-        self.advice.shutdown()
         if "KEEP" not in os.environ:
             shutil.rmtree(self.folder, ignore_errors=True)
 
