Claim capacity for gangs by when it is expected to come free

Cause: a claim asked what workers would hold if they were empty, without regard to time. What long-running tasks hold never comes free, so the gang claimed all that was free for ever. Evidence: from the gang's arrival on, each `load` line of the untouched code shows claimed_millicores=36000, which is all that isn't reserved. A trial in which all tasks may use claimed capacity starts the job, but lets a stream of small tasks overtake gangs.

Change: a gang claims only if it fits beside the long-running tasks. A claim knows when the gang is expected to start; tasks that end before may use it, and what older runs release by then isn't kept free now. As estimates may be wrong, backfill ends when the gang isn't started as first expected, and ends of what was let through make room for nothing more. While most capacity is free, overdue tasks go first for up to a minute. Long-running tasks restart without regard to claims.

--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -1,24 +1,42 @@
 #pragma once
 
+#include "base/clock.h"
 #include "placement/resources.h"
 #include "workflow/worker.h"
 
 #include <algorithm>
 #include <cstdint>
-#include <limits>
-#include <map>
+#include <unordered_map>
+#include <vector>
 
 namespace yuccawheel::workflow
 {
 
-/// Capacity that is kept free for waiting gangs, within one dispatch. Resumable tasks of lower urgency may use claimed
-/// capacity meanwhile, because the gang can preempt them later.
+/// What decides whether a waiting task may use capacity that gangs have claimed.
+struct ClaimedCapacityUser {
+    std::int32_t priority = 0;
+    bool resumable = false;
+    bool longRunning = false;
+    bool overdue = false; ///< It has waited for so long that it may not wait on beside free capacity.
+    base::TimePoint expectedEnd{}; ///< If it starts now.
+};
+
+/// Capacity that is kept free for waiting gangs, within one dispatch. Others may use claimed capacity meanwhile if that
+/// is unlikely to delay the gang, or if they would wait for too long.
 /// Load pattern: under a steady stream of small tasks, which take any capacity as soon as it is free, a gang that needs
 /// much capacity at once would never start. Many gangs that each collect a part would not start either, so only as many
 /// collect at a time as the limit holds whole.
 class CapacityClaims
 {
 public:
+    struct Claim {
+        placement::Resources amount; ///< Kept free now.
+        placement::Resources reserved; ///< All that the gang is to get on the worker, as other runs end.
+        std::int32_t priority = 0; ///< Of the gang. Less urgent resumable tasks can be preempted later.
+        base::TimePoint backfillUntil{}; ///< Tasks that are expected to end by then may use the capacity.
+        bool yieldsToOverdue = false;
+    };
+
     /// `limit` is the maximum that all gangs which claim capacity need together; only CPU is limited.
     CapacityClaims(const placement::Resources &limit, bool isMostCapacityFree)
         : available_(limit)
@@ -26,27 +44,29 @@
     {
     }
 
-    void claim(WorkerNumber worker, const placement::Resources &amount, std::int32_t priority)
+    void claim(WorkerNumber worker, const Claim &claim)
+    {
+        claims_[worker].claims.push_back(claim);
+        claims_[worker].reserved += claim.reserved;
+        total_ += claim.amount;
+    }
+    /// Returns whether a gang that needs this much may claim capacity.
+    bool admits(const placement::Resources &need) const
     {
-        Claim &claim = claims_[worker];
-        claim.amount += amount;
-        claim.priority = std::max(claim.priority, priority);
-        total_ += amount;
+        return !closed_ && (!admitted_ || need.milliCpu <= available_.milliCpu);
     }
-    /// Returns whether a gang that needs this much may claim capacity, and closes admission if it may not: small gangs
-    /// of lower rank would overtake a large one for ever. Waiting gangs have to ask in order of rank. One that exceeds
-    /// the limit by itself may claim if it is the first.
+    /// The same, and closes admission if it may not: small gangs of lower rank would overtake a large one for ever.
+    /// Waiting gangs have to ask in order of rank. One that exceeds the limit by itself may claim if it is the first.
     bool askAdmission(const placement::Resources &need)
     {
-        closed_ = closed_ || (admitted_ && need.milliCpu > available_.milliCpu);
+        closed_ = !admits(need);
         return !closed_;
     }
-    /// Returns whether a gang that needs this much may ask for tickets, which it needs to start. Without admission it
-    /// may while most capacity is free: those ahead of it that still don't start wait for something else than
-    /// capacity, maybe for ever.
-    bool mayQuery(const placement::Resources &need)
+    /// Whether most capacity is free. A gang without admission may ask for tickets then, which it needs to start: those
+    /// ahead of it that still don't start wait for something else than capacity, maybe for ever.
+    bool isMostCapacityFree() const
     {
-        return askAdmission(need) || isMostCapacityFree_;
+        return isMostCapacityFree_;
     }
     /// Counts a gang's whole need against the limit.
     void admit(const placement::Resources &need)
@@ -63,15 +83,26 @@
     {
         claims_[worker].held -= amount;
     }
-    /// Returns the capacity of a worker that tasks of this priority must leave free.
-    placement::Resources withheldCapacity(WorkerNumber worker, std::int32_t priority, bool resumable) const
+    /// Returns the capacity of a worker that a task must leave free.
+    placement::Resources withheldCapacity(WorkerNumber worker, const ClaimedCapacityUser &user) const
     {
         const auto found = claims_.find(worker);
         if (found == claims_.end()) {
             return {};
         }
-        const Claim &claim = found->second;
-        return resumable && priority > claim.priority ? claim.held : claim.held + claim.amount;
+        placement::Resources withheld = found->second.held;
+        for (const Claim &claim : found->second.claims) {
+            if (!mayUse(user, claim)) {
+                withheld += claim.amount;
+            }
+        }
+        return withheld;
+    }
+    /// Returns all that gangs are to get on a worker.
+    placement::Resources reservedCapacity(WorkerNumber worker) const
+    {
+        const auto found = claims_.find(worker);
+        return found == claims_.end() ? placement::Resources{} : found->second.held + found->second.reserved;
     }
     const placement::Resources &total() const
     {
@@ -79,12 +110,21 @@
     }
 
 private:
-    struct Claim {
-        placement::Resources amount;
+    struct WorkerClaims {
+        std::vector<Claim> claims;
+        placement::Resources reserved; ///< Sum of the claims.
         placement::Resources held;
-        std::int32_t priority = std::numeric_limits<std::int32_t>::min(); ///< Priority of the least urgent claim.
     };
-    std::map<WorkerNumber, Claim> claims_;
+
+    // A long-running task restarts at once, as its callers are waiting. There is no stream of them that could overtake
+    // a gang for ever.
+    static bool mayUse(const ClaimedCapacityUser &user, const Claim &claim)
+    {
+        return user.longRunning || (user.resumable && user.priority > claim.priority)
+            || user.expectedEnd <= claim.backfillUntil || (user.overdue && claim.yieldsToOverdue);
+    }
+
+    std::unordered_map<WorkerNumber, WorkerClaims> claims_;
     placement::Resources available_;
     placement::Resources total_;
     bool isMostCapacityFree_;
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -243,6 +243,8 @@
     run.reserved = reservationOf(step);
     run.priority = job.policy.priority;
     run.resumable = step.isResumable();
+    run.longRunning = step.longRunning;
+    run.expectedRunTime = state_->runTimes().expectedRunTime(job.policy.queue, step.estimatedRunTime);
     return run;
 }
 
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -109,6 +109,10 @@
         base::TimePoint nextQueryAt{};
         std::map<WorkerNumber, std::uint32_t> heldTasks; ///< For a gang: tasks whose capacity each worker is freeing.
         base::TimePoint heldUntil{}; ///< End of the hold on that capacity.
+        base::TimePoint waitingSince{}; ///< Since when tasks have waited without any being placed.
+        PreemptionPlanner::ClaimHistory claimHistory; ///< For a gang.
+        bool isBlocked = false; ///< For a gang: long-running tasks hold what it needs.
+        base::TimePoint nextBlockCheck{};
     };
     struct PendingQuery {
         StepKey step;
@@ -189,6 +193,9 @@
     std::vector<std::uint32_t> waitingTasks(const JobRecord &job, StepKey key) const;
     std::map<WorkerNumber, std::uint32_t> tasksByWorker(const JobRecord &job, StepKey key) const;
     bool canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const;
+    /// Returns whether a gang that needs this much may claim capacity. Admission is closed behind it if it may not,
+    /// unless it is blocked.
+    static bool askAdmission(const ReadyStep &step, const placement::Resources &need, Pass &pass);
     void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
     std::size_t placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass);
     void placeSuspects(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
@@ -204,7 +211,9 @@
     void
     recordReservation(const TaskRef &task, WorkerNumber worker, const placement::Resources &amount, std::string ticket);
     void unreserve(const TaskRef &task);
-    std::vector<WorkerNumber> workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass);
+    void claimCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
+    std::vector<WorkerNumber>
+    workersToQuery(const StepPlacer::Request &request, StepKey key, const ReadyStep &step, Pass &pass);
     /// Returns the workers by free CPU, with what this priority may preempt, for the choice of whom to ask. It may be
     /// slightly outdated and contain workers that are gone.
     const CapacityIndex &queryIndex(std::optional<std::int32_t> preemptingPriority, const Pass &pass);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -38,6 +38,9 @@
 constexpr double MostShare = 0.5; ///< Of CPU capacity. Beyond it, most is free.
 // Covers a stop, the commit of its end and a retry of a lost order.
 constexpr std::chrono::milliseconds HoldDuration{900};
+constexpr std::chrono::milliseconds BlockCheckInterval{1'000};
+// A task may not wait for 3 s beside free capacity for it while most capacity is free.
+constexpr std::chrono::milliseconds MaxWaitBesideFreeCapacity{2'000};
 constexpr std::chrono::milliseconds SetAsideDuration{1'000}; ///< Extended by each dispatch that still needs the worker.
 constexpr double MaxSetAsideShare = 0.1; ///< Of all workers, for suspects that have to run alone.
 constexpr double InitialEligibleShare = 0.5; ///< Assumed until the first answer.
@@ -333,17 +336,25 @@
     if (spec.gang) {
         const bool waits = record.placed == 0 && !reservations_.contains(job.refOf(key.job, key.position, 0));
         const placement::Resources need = reservationOf(spec) * spec.count;
-        if (!waits || !pass.claims.mayQuery(need)) {
+        if (!waits) {
             return false;
         }
-        if (pass.claims.askAdmission(need)) {
+        if (askAdmission(step, need, pass) || (step.isBlocked && pass.now >= step.nextBlockCheck)) {
             return true; // It claims capacity even while it can't query.
         }
+        if (!pass.claims.isMostCapacityFree()) {
+            return false;
+        }
     }
     return step.pendingQueries == 0 && pass.now >= step.nextQueryAt
         && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
 }
 
+bool JobManager::askAdmission(const ReadyStep &step, const placement::Resources &need, Pass &pass)
+{
+    return step.isBlocked ? pass.claims.admits(need) : pass.claims.askAdmission(need);
+}
+
 void JobManager::placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass)
 {
     const JobRecord &job = *state_->findJob(key.job);
@@ -358,6 +369,9 @@
     const StepSpec &spec = job.specOf(key.position);
     const StepEligibility *const eligibility = job.policy.eligibility ? &step.eligibility : nullptr;
     const bool mayPreempt = spec.gang && lateness == Rank::Lateness::OnTime;
+    if (step.waitingSince == base::TimePoint{}) {
+        step.waitingSince = pass.now;
+    }
     StepPlacer::Request request{job,
                                 key.position,
                                 waiting,
@@ -366,7 +380,9 @@
                                 slackOf(job, state_->runTimes()),
                                 mayPreempt,
                                 job.refOf(key.job, key.position, 0),
-                                spec.gang ? job.crashesOf(key.position, 0).suspicion() : Suspicion::None};
+                                spec.gang ? job.crashesOf(key.position, 0).suspicion() : Suspicion::None,
+                                state_->runTimes().expectedRunTime(job.policy.queue, spec.estimatedRunTime),
+                                pass.now - step.waitingSince >= MaxWaitBesideFreeCapacity};
     if (!spec.gang && job.hasSuspects(key.position)) {
         placeSuspects(request, key, step, pass);
         request.tasksByWorker = tasksByWorker(job, key);
@@ -377,6 +393,8 @@
     }
     if (!waiting.empty() && placeTasks(request, key, pass) > 0) {
         step.heldUntil = {}; // The gang has taken what was held for it.
+        step.waitingSince = {};
+        step.claimHistory = {};
         std::erase_if(waiting, [&](std::uint32_t index) {
             return reservations_.contains(job.refOf(key.job, key.position, index));
         });
@@ -460,7 +478,9 @@
                                           request.slack,
                                           false,
                                           request.job.refOf(key.job, key.position, index),
-                                          suspicion};
+                                          suspicion,
+                                          request.expectedRunTime,
+                                          request.overdue};
         if (placeTasks(suspect, key, pass) > 0) {
             continue;
         }
@@ -514,7 +534,7 @@
     if (now >= step.heldUntil) {
         const auto plan = request.mayPreempt ? pass.planner.plan(*pass.placer, request) : std::nullopt;
         if (!plan) {
-            pass.planner.claimCapacity(*pass.placer, request, pass.claims);
+            claimCapacity(request, key, step, pass);
             return;
         }
         for (const PreemptionPlanner::Preemption &preemption : plan->preemptions) {
@@ -536,6 +556,25 @@
     holdCapacity(key, step, pass);
 }
 
+void JobManager::claimCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass)
+{
+    const placement::Resources need =
+        reservationOf(request.job.specOf(request.position)) * static_cast<std::int64_t>(request.waiting.size());
+    const bool isCheckDue = pass.now >= step.nextBlockCheck;
+    if (!isCheckDue && (step.isBlocked || !askAdmission(step, need, pass))) {
+        return;
+    }
+    const bool wasBlocked = step.isBlocked;
+    step.isBlocked = !pass.planner.claimCapacity(*pass.placer, request, step.claimHistory, pass.claims, pass.now);
+    step.nextBlockCheck = pass.now + BlockCheckInterval;
+    if (step.isBlocked != wasBlocked) {
+        base::logInfo(step.isBlocked ? "gang_blocked" : "gang_unblocked")
+            .with("job", toString(key.job))
+            .with("step", key.position)
+            .with("needed_millicores", need.milliCpu);
+    }
+}
+
 // Holds exist from the start of a dispatch, as more urgent small tasks would take the capacity piece by piece and make
 // the preemption useless.
 void JobManager::holdCapacity(StepKey key, const ReadyStep &step, Pass &pass) const
@@ -570,7 +609,8 @@
 // Queries for a gang are sent only while it may claim capacity or most is free, and only if it knows too few eligible
 // workers or could start after the answer: queries in vain keep gateways busy that other steps need for their first
 // tickets.
-std::vector<WorkerNumber> JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, Pass &pass)
+std::vector<WorkerNumber>
+JobManager::workersToQuery(const StepPlacer::Request &request, StepKey key, const ReadyStep &step, Pass &pass)
 {
     struct Candidate {
         WorkerNumber worker = 0;
@@ -579,7 +619,8 @@
     const StepEligibility &eligibility = *request.eligibility;
     const StepSpec &spec = request.job.specOf(request.position);
     const std::size_t needed = request.waiting.size();
-    if (spec.gang && !pass.claims.mayQuery(reservationOf(spec) * static_cast<std::int64_t>(needed))) {
+    if (spec.gang && !askAdmission(step, reservationOf(spec) * static_cast<std::int64_t>(needed), pass)
+        && !pass.claims.isMostCapacityFree()) {
         return {};
     }
     const auto fittingTasksOn = [&](WorkerNumber number) {
@@ -695,7 +736,7 @@
 
 void JobManager::queryEligibility(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass)
 {
-    const std::vector<WorkerNumber> queried = workersToQuery(request, key, pass);
+    const std::vector<WorkerNumber> queried = workersToQuery(request, key, step, pass);
     const std::size_t queries = (queried.size() + MaxQueryWorkers - 1) / MaxQueryWorkers;
     for (std::size_t query = 0; query < queries; ++query) {
         const auto begin = static_cast<std::ptrdiff_t>(queried.size() * query / queries);
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -11,9 +11,38 @@
 constexpr std::uint32_t MaxRuns = 3; ///< From this run on, a task is no longer preempted, so that it makes progress.
 // A worker needs up to 400 ms to stop a task; then its end and the new start must be committed.
 constexpr std::chrono::milliseconds PreemptionTime{600};
+constexpr std::chrono::seconds CollectionTime{10}; ///< Most tasks take less.
+constexpr std::chrono::seconds MaxYieldTime{60}; ///< Overdue tasks may delay a gang for this long.
 
 } // namespace
 
+void PreemptionPlanner::ClaimHistory::note(base::TimePoint start, bool isMostCapacityFree, base::TimePoint now)
+{
+    if (since == base::TimePoint{}) {
+        since = now;
+        wasMostCapacityFree = isMostCapacityFree;
+    }
+    if (firstExpectedStart == base::TimePoint{} && start != base::TimePoint::max()) {
+        firstExpectedStart = start;
+    }
+}
+
+bool PreemptionPlanner::ClaimHistory::isOnSchedule(base::TimePoint now) const
+{
+    return firstExpectedStart == base::TimePoint{} || now < firstExpectedStart;
+}
+
+// Under load, capacity becomes free because the gang collects it.
+bool PreemptionPlanner::ClaimHistory::isRelaxed(bool isMostCapacityFree, base::TimePoint now) const
+{
+    return isMostCapacityFree && (wasMostCapacityFree || now - since >= CollectionTime);
+}
+
+bool PreemptionPlanner::ClaimHistory::yieldsToOverdue(bool isMostCapacityFree, base::TimePoint now) const
+{
+    return isRelaxed(isMostCapacityFree, now) && now - since < MaxYieldTime;
+}
+
 bool PreemptionPlanner::isPreemptible(const LiveRun &run, std::int32_t priority)
 {
     return run.stage == LiveRun::Stage::Running && run.resumable && run.priority > priority && run.run < MaxRuns;
@@ -53,63 +82,171 @@
     return found->second - placement::elementwiseMin(found->second, claimed->second);
 }
 
-void PreemptionPlanner::claimCapacity(const StepPlacer &placer,
-                                      const StepPlacer::Request &request,
-                                      CapacityClaims &claims)
+base::TimePoint PreemptionPlanner::expectedEnd(const LiveRun &run, base::TimePoint now)
+{
+    if (run.stage == LiveRun::Stage::Stopping || run.stage == LiveRun::Stage::ReleaseProposed
+        || run.stage == LiveRun::Stage::EndProposed) {
+        return now;
+    }
+    if (run.longRunning) {
+        return base::TimePoint::max();
+    }
+    const base::TimePoint startedAt = run.runningSince == base::TimePoint{} ? now : run.runningSince;
+    const base::TimePoint planned = startedAt + run.expectedRunTime;
+    // A run that takes longer than expected is likely to take half of its elapsed time again.
+    return planned > now ? planned : now + (now - startedAt) / 2;
+}
+
+const std::vector<PreemptionPlanner::ExpectedEnd> &PreemptionPlanner::endsOn(WorkerNumber number,
+                                                                             base::TimePoint now) const
+{
+    const auto [found, added] = ends_.try_emplace(number);
+    std::vector<ExpectedEnd> &ends = found->second;
+    if (!added) {
+        return ends;
+    }
+    placement::Resources uncommitted = ledger_.reserved(number);
+    for (const auto &[task, run] : workers_.at(number).runs) {
+        uncommitted -= run.reserved;
+        ends.push_back({expectedEnd(run, now), run.reserved, &run});
+    }
+    std::sort(
+        ends.begin(), ends.end(), [](const ExpectedEnd &left, const ExpectedEnd &right) { return left.at < right.at; });
+    if (!uncommitted.isZero()) {
+        const auto afterAll = std::find_if(
+            ends.begin(), ends.end(), [](const ExpectedEnd &end) { return end.at == base::TimePoint::max(); });
+        ends.insert(afterAll, {afterAll == ends.begin() ? now : std::prev(afterAll)->at, uncommitted, nullptr});
+    }
+    return ends;
+}
+
+PreemptionPlanner::Collector PreemptionPlanner::makeCollector(const StepPlacer &placer,
+                                                              const StepPlacer::Request &request,
+                                                              const CapacityClaims &claims,
+                                                              WorkerNumber number,
+                                                              base::TimePoint now) const
 {
-    struct Collector {
-        WorkerNumber worker = 0;
-        std::uint32_t tasks = 0; ///< Tasks of the gang that the whole worker could hold.
-        std::uint32_t reachableTasks = 0; ///< Tasks that fit now, after preemption if the gang may preempt.
-        std::int64_t freeMilliCpu = 0;
+    Collector collector;
+    collector.worker = number;
+    collector.available = placer.availableOn(request, number);
+    const std::int32_t priority = request.job.policy.priority;
+    placement::Resources room = ledger_.free(number) - claims.reservedCapacity(number);
+    room += request.mayPreempt ? preemptibleCapacity(number, priority) : placement::Resources{};
+    const auto addOpenings = [&](base::TimePoint at) {
+        const std::uint32_t tasks = placer.fittingTasksIn(request, number, room);
+        collector.openings.resize(std::max<std::size_t>(collector.openings.size(), tasks), at);
     };
+    addOpenings(now);
+    placement::Resources lasting;
+    for (const ExpectedEnd &end : endsOn(number, now)) {
+        if (end.at == base::TimePoint::max()) {
+            lasting += end.amount;
+        } else if (!request.mayPreempt || end.run == nullptr || !isPreemptible(*end.run, priority)) {
+            room += end.amount;
+            addOpenings(end.at);
+        }
+    }
+    // What other gangs are to get first becomes free as well, at a time that nothing tells yet.
+    room = ledger_.capacity(number) - lasting;
+    addOpenings(base::TimePoint::max());
+    return collector;
+}
+
+// Tasks that were started beside the claim don't count, since their ends must not make room for more of them: if run
+// times can't be predicted, the gang would be overtaken for ever.
+PreemptionPlanner::OlderRuns PreemptionPlanner::olderRuns(const StepPlacer::Request &request,
+                                                          WorkerNumber number,
+                                                          base::TimePoint since,
+                                                          base::TimePoint endingBy,
+                                                          base::TimePoint now) const
+{
+    OlderRuns older;
+    for (const ExpectedEnd &end : endsOn(number, now)) {
+        const bool isOlder = end.run != nullptr && end.run->orderedAt < since;
+        if (!isOlder || end.at > endingBy || end.at == base::TimePoint::max()) {
+            continue;
+        }
+        older.lastEnd = end.at;
+        if (!request.mayPreempt || !isPreemptible(*end.run, request.job.policy.priority)) {
+            older.amount += end.amount;
+        }
+    }
+    return older;
+}
+
+bool PreemptionPlanner::claimCapacity(const StepPlacer &placer,
+                                      const StepPlacer::Request &request,
+                                      ClaimHistory &history,
+                                      CapacityClaims &claims,
+                                      base::TimePoint now)
+{
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
     const auto needed = static_cast<std::uint32_t>(request.waiting.size());
-    if (!claims.askAdmission(amount * needed)) {
-        return;
-    }
-    std::vector<Collector> candidates;
-    std::uint32_t possible = 0;
+    std::vector<Collector> collectors;
+    std::size_t possible = 0;
+    std::size_t possibleIfEmpty = 0;
     placer.forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
-        const std::uint32_t tasks = placer.fittingTasksIn(request, number, ledger_.capacity(number));
-        const std::uint32_t reachable =
-            request.mayPreempt ? maxFittingTasks(placer, request, number) : placer.fittingTasks(request, number);
-        candidates.push_back({number, tasks, reachable, placer.availableOn(request, number).milliCpu});
-        possible += tasks;
+        collectors.push_back(makeCollector(placer, request, claims, number, now));
+        possible += collectors.back().openings.size();
+        possibleIfEmpty += placer.fittingTasksIn(request, number, ledger_.capacity(number));
     });
     if (possible < needed) {
-        return;
+        return possibleIfEmpty < needed;
+    }
+    if (!claims.askAdmission(amount * needed)) {
+        return true;
     }
     claims.admit(amount * needed);
-    std::sort(candidates.begin(), candidates.end(), [](const Collector &left, const Collector &right) {
-        return std::tuple(right.reachableTasks, right.freeMilliCpu, left.worker)
-            < std::tuple(left.reachableTasks, left.freeMilliCpu, right.worker);
+    // The earliest openings, on workers that can give many.
+    std::sort(collectors.begin(), collectors.end(), [now](const Collector &left, const Collector &right) {
+        return std::tuple(right.tasksBy(now), right.available.milliCpu, left.worker)
+            < std::tuple(left.tasksBy(now), left.available.milliCpu, right.worker);
     });
-    // Capacity within reach goes first; what is missing is collected on the same workers as their tasks end.
-    std::uint32_t remaining = needed;
-    const auto claim = [&](const Collector &candidate, std::uint32_t tasks) {
-        const placement::Resources wanted = amount * tasks;
-        const placement::Resources claimed =
-            placement::elementwiseMin(wanted, placer.availableOn(request, candidate.worker));
-        if (claimed.isNonNegative()) {
-            claims.claim(candidate.worker, claimed, request.job.policy.priority);
-            claimedPreemptible_[candidate.worker] += wanted - claimed;
+    std::vector<std::pair<base::TimePoint, std::size_t>> openings; // Time and index of the collector.
+    for (std::size_t index = 0; index < collectors.size(); ++index) {
+        for (const base::TimePoint at : collectors[index].openings) {
+            openings.emplace_back(at, index);
         }
-        remaining -= tasks;
+    }
+    std::nth_element(openings.begin(), openings.begin() + (needed - 1), openings.end());
+    openings.resize(needed);
+    const base::TimePoint start = std::max_element(openings.begin(), openings.end())->first;
+    const bool isMostCapacityFree = claims.isMostCapacityFree();
+    history.note(start, isMostCapacityFree, now);
+    std::map<std::size_t, std::uint32_t> tasksByCollector;
+    for (const auto &[at, index] : openings) {
+        ++tasksByCollector[index];
+    }
+    const auto olderRunsOn = [&](WorkerNumber number) {
+        return olderRuns(request, number, history.since, start, now);
     };
-    for (Collector &candidate : candidates) {
-        const std::uint32_t tasks = std::min(candidate.reachableTasks, remaining);
-        if (tasks > 0) {
-            claim(candidate, tasks);
-            candidate.tasks -= tasks;
+    base::TimePoint backfillUntil{};
+    if (history.isOnSchedule(now)) {
+        backfillUntil = start;
+    } else if (history.isRelaxed(isMostCapacityFree, now)) {
+        for (const auto &[index, tasks] : tasksByCollector) {
+            backfillUntil = std::max(backfillUntil, olderRunsOn(collectors[index].worker).lastEnd);
         }
     }
-    for (const Collector &candidate : candidates) {
-        const std::uint32_t tasks = std::min(candidate.tasks, remaining);
-        if (tasks > 0) {
-            claim(candidate, tasks);
-        }
+    for (const auto &[index, tasks] : tasksByCollector) {
+        const Collector &collector = collectors[index];
+        const placement::Resources wanted = amount * tasks;
+        const placement::Resources free = placement::elementwiseMax(collector.available, {});
+        placement::Resources &promised = promisedEnds_[collector.worker];
+        const placement::Resources ending = placement::elementwiseMin(
+            placement::elementwiseMax(olderRunsOn(collector.worker).amount - promised, {}), wanted);
+        promised += ending;
+        const placement::Resources claimed = placement::elementwiseMin(wanted - ending, free);
+        CapacityClaims::Claim claim;
+        claim.amount = claimed;
+        claim.reserved = wanted;
+        claim.priority = request.job.policy.priority;
+        claim.backfillUntil = backfillUntil;
+        claim.yieldsToOverdue = history.yieldsToOverdue(isMostCapacityFree, now);
+        claims.claim(collector.worker, claim);
+        claimedPreemptible_[collector.worker] += wanted - ending - claimed;
     }
+    return true;
 }
 
 void PreemptionPlanner::forgetWorker(WorkerNumber number)
@@ -117,6 +254,7 @@
     for (auto &[priority, byWorker] : preemptible_) {
         byWorker.erase(number);
     }
+    ends_.erase(number);
 }
 
 PreemptionPlanner::Candidate PreemptionPlanner::makeCandidate(const StepPlacer &placer,
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -66,7 +66,12 @@
 placement::Resources StepPlacer::availableOn(const Request &request, WorkerNumber number) const
 {
     const StepSpec &step = request.job.specOf(request.position);
-    return ledger_.free(number) - claims_.withheldCapacity(number, request.job.policy.priority, step.isResumable());
+    const ClaimedCapacityUser user{request.job.policy.priority,
+                                   step.isResumable(),
+                                   step.longRunning,
+                                   request.overdue,
+                                   now_ + request.expectedRunTime};
+    return ledger_.free(number) - claims_.withheldCapacity(number, user);
 }
 
 // A worker that holds less than is reserved takes nothing more, not even a task that asks for none of what it lacks.
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -62,6 +62,8 @@
         bool mayPreempt = false; ///< Resumable tasks of less urgent jobs may be preempted.
         TaskRef unit; ///< For isolation: the only task to place, or the first member of the gang.
         Suspicion suspicion = Suspicion::None;
+        std::chrono::milliseconds expectedRunTime{0};
+        bool overdue = false; ///< Has waited for so long that it may not wait on beside free capacity.
     };
 
     /// Returns whether any task, or all of a gang, may fit, by free CPU alone. Costs a fraction of place().
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -32,6 +32,8 @@
     placement::Resources reserved; ///< Reservation of the task on its worker.
     std::int32_t priority = 0; ///< Of the job's queue.
     bool resumable = false; ///< Can be stopped and resumed on another worker without losing work.
+    bool longRunning = false; ///< Ends only if it fails or its job is cancelled.
+    std::chrono::milliseconds expectedRunTime{0};
     std::string ticket; ///< Sent with the start order.
     std::string checkpoint; ///< Last known checkpoint.
     base::TimePoint orderedAt{}; ///< When the latest start order was handed to the port.
