Limit claims of gangs by service

Cause: one limit and one admission for the gangs of all services. The first one that is over the limit closes admission for all behind it, and without admission a gang asks for no tickets, unless most capacity is free in total.

Change: each service has its own limit, admission and share of free capacity.

Test: WorkflowClaims.GangStartsBesideAGangThatWaitsForAnotherService fails before the change. workflow_load_test and workflow_manager_test pass.

--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -6,7 +6,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace yuccawheel::workflow
@@ -25,7 +28,8 @@
 /// is unlikely to delay the gang, or if they would wait for too long.
 /// Load pattern: under a steady stream of small tasks, which take any capacity as soon as it is free, a gang that needs
 /// much capacity at once would never start. Many gangs that each collect a part would not start either, so only as many
-/// collect at a time as the limit holds whole.
+/// collect at a time as the limit holds whole. Each service has a limit of its own, since gangs wait only for its
+/// workers.
 class CapacityClaims
 {
 public:
@@ -37,10 +41,14 @@
         bool yieldsToOverdue = false;
     };
 
-    /// `limit` is the maximum that all gangs which claim capacity need together; only CPU is limited.
-    CapacityClaims(const placement::Resources &limit, bool isMostCapacityFree)
-        : available_(limit)
-        , isMostCapacityFree_(isMostCapacityFree)
+    /// How much of a service's workers gangs may claim.
+    struct Limit {
+        placement::Resources total; ///< What all gangs that claim capacity need together; only CPU is limited.
+        bool isMostCapacityFree = false;
+    };
+    using LimitOfService = std::function<Limit(const std::string &service)>;
+
+    explicit CapacityClaims(LimitOfService limitOfService) : limitOfService_(std::move(limitOfService))
     {
     }
 
@@ -50,29 +58,33 @@
         claims_[worker].reserved += claim.reserved;
         total_ += claim.amount;
     }
-    /// Returns whether a gang that needs this much may claim capacity.
-    bool admits(const placement::Resources &need) const
+    /// Returns whether a gang of a service that needs this much may claim capacity.
+    bool admits(const std::string &service, const placement::Resources &need)
     {
-        return !closed_ && (!admitted_ || need.milliCpu <= available_.milliCpu);
+        const Admission &admission = admissionTo(service);
+        return !admission.closed && (!admission.admitted || need.milliCpu <= admission.available.milliCpu);
     }
-    /// The same, and closes admission if it may not: small gangs of lower rank would overtake a large one for ever.
-    /// Waiting gangs have to ask in order of rank. One that exceeds the limit by itself may claim if it is the first.
-    bool askAdmission(const placement::Resources &need)
+    /// The same, and closes admission to the service if it may not: small gangs of lower rank would overtake a large
+    /// one for ever. Waiting gangs have to ask in order of rank. One that exceeds the limit by itself may claim if it
+    /// is the first.
+    bool askAdmission(const std::string &service, const placement::Resources &need)
     {
-        closed_ = !admits(need);
-        return !closed_;
+        const bool admitted = admits(service, need);
+        admissionTo(service).closed = !admitted;
+        return admitted;
     }
-    /// Whether most capacity is free. A gang without admission may ask for tickets then, which it needs to start: those
-    /// ahead of it that still don't start wait for something else than capacity, maybe for ever.
-    bool isMostCapacityFree() const
+    /// Whether most capacity of a service is free. A gang without admission may ask for tickets then, which it needs to
+    /// start: those ahead of it that still don't start wait for something else than capacity, maybe for ever.
+    bool isMostCapacityFree(const std::string &service)
     {
-        return isMostCapacityFree_;
+        return admissionTo(service).isMostCapacityFree;
     }
     /// Counts a gang's whole need against the limit.
-    void admit(const placement::Resources &need)
+    void admit(const std::string &service, const placement::Resources &need)
     {
-        available_ -= need;
-        admitted_ = true;
+        Admission &admission = admissionTo(service);
+        admission.available -= need;
+        admission.admitted = true;
     }
     /// Holds capacity freed by preemption against all other tasks. It does not count against the limit.
     void hold(WorkerNumber worker, const placement::Resources &amount)
@@ -124,12 +136,27 @@
             || user.expectedEnd <= claim.backfillUntil || (user.overdue && claim.yieldsToOverdue);
     }
 
+    struct Admission {
+        placement::Resources available;
+        bool isMostCapacityFree = false;
+        bool admitted = false;
+        bool closed = false;
+    };
+    // The limit takes a look at all workers, and most dispatches have no gang that waits.
+    Admission &admissionTo(const std::string &service)
+    {
+        const auto found = admissions_.find(service);
+        if (found != admissions_.end()) {
+            return found->second;
+        }
+        const Limit limit = limitOfService_(service);
+        return admissions_[service] = {limit.total, limit.isMostCapacityFree, false, false};
+    }
+
+    LimitOfService limitOfService_;
+    std::unordered_map<std::string, Admission> admissions_;
     std::unordered_map<WorkerNumber, WorkerClaims> claims_;
-    placement::Resources available_;
     placement::Resources total_;
-    bool isMostCapacityFree_;
-    bool admitted_ = false;
-    bool closed_ = false;
 };
 
 } // namespace yuccawheel::workflow
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -195,14 +195,13 @@
     bool canProgress(const JobRecord &job, StepKey key, const ReadyStep &step, Pass &pass) const;
     /// Returns whether a gang that needs this much may claim capacity. Admission is closed behind it if it may not,
     /// unless it is blocked.
-    static bool askAdmission(const ReadyStep &step, const placement::Resources &need, Pass &pass);
+    static bool askAdmission(const JobRecord &job, const ReadyStep &step, const placement::Resources &need, Pass &pass);
     void placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass);
     std::size_t placeTasks(const StepPlacer::Request &request, StepKey key, Pass &pass);
     void placeSuspects(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void queryIfDue(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
     void setWorkersAside(const StepPlacer::Request &request, const Pass &pass);
-    placement::Resources claimLimit() const;
-    double freeShare() const; ///< Of all CPU capacity.
+    CapacityClaims::Limit claimLimit(const std::string &service) const;
     void holdCapacity(StepKey key, const ReadyStep &step, Pass &pass) const;
     static void releaseHold(StepKey key, Pass &pass);
     void secureGangCapacity(const StepPlacer::Request &request, StepKey key, ReadyStep &step, Pass &pass);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -244,7 +244,7 @@
 JobManager::Pass::Pass(const JobManager &manager, DispatchCost &dispatchCost, base::TimePoint time)
     : now(time)
     , cost(dispatchCost)
-    , claims(manager.claimLimit(), manager.freeShare() > MostShare)
+    , claims([&manager](const std::string &service) { return manager.claimLimit(service); })
     , planner(manager.workers_, manager.ledger_)
 {
     resume(manager, time);
@@ -307,16 +307,19 @@
 }
 
 // Capacity that nobody else needs costs nothing to claim.
-placement::Resources JobManager::claimLimit() const
-{
-    const double share = std::max(MaxClaimedShare, freeShare() - UnclaimedFreeShare);
-    return {static_cast<std::int64_t>(static_cast<double>(ledger_.totalCapacity().milliCpu) * share), 0, 0};
-}
-
-double JobManager::freeShare() const
-{
-    const std::int64_t total = ledger_.totalCapacity().milliCpu;
-    return total == 0 ? 0 : 1 - static_cast<double>(ledger_.totalReserved().milliCpu) / static_cast<double>(total);
+CapacityClaims::Limit JobManager::claimLimit(const std::string &service) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    for (const auto &[number, worker] : workers_) {
+        if (worker.identity.service == service) {
+            capacity += ledger_.capacity(number).milliCpu;
+            reserved += ledger_.reserved(number).milliCpu;
+        }
+    }
+    const double freeShare = capacity == 0 ? 0 : 1 - static_cast<double>(reserved) / static_cast<double>(capacity);
+    const double share = std::max(MaxClaimedShare, freeShare - UnclaimedFreeShare);
+    return {{static_cast<std::int64_t>(static_cast<double>(capacity) * share), 0, 0}, freeShare > MostShare};
 }
 
 // Skips steps that can neither start tasks nor ask for tickets in this pass, without looking at all their tasks. In a
@@ -339,10 +342,10 @@
         if (!waits) {
             return false;
         }
-        if (askAdmission(step, need, pass) || (step.isBlocked && pass.now >= step.nextBlockCheck)) {
+        if (askAdmission(job, step, need, pass) || (step.isBlocked && pass.now >= step.nextBlockCheck)) {
             return true; // It claims capacity even while it can't query.
         }
-        if (!pass.claims.isMostCapacityFree()) {
+        if (!pass.claims.isMostCapacityFree(job.policy.service)) {
             return false;
         }
     }
@@ -350,9 +353,10 @@
         && chooseGateway(job.policy.eligibility->perCall, pass).has_value();
 }
 
-bool JobManager::askAdmission(const ReadyStep &step, const placement::Resources &need, Pass &pass)
+bool JobManager::askAdmission(const JobRecord &job, const ReadyStep &step, const placement::Resources &need, Pass &pass)
 {
-    return step.isBlocked ? pass.claims.admits(need) : pass.claims.askAdmission(need);
+    const std::string &service = job.policy.service;
+    return step.isBlocked ? pass.claims.admits(service, need) : pass.claims.askAdmission(service, need);
 }
 
 void JobManager::placeStep(StepKey key, ReadyStep &step, Rank::Lateness lateness, Pass &pass)
@@ -561,7 +565,7 @@
     const placement::Resources need =
         reservationOf(request.job.specOf(request.position)) * static_cast<std::int64_t>(request.waiting.size());
     const bool isCheckDue = pass.now >= step.nextBlockCheck;
-    if (!isCheckDue && (step.isBlocked || !askAdmission(step, need, pass))) {
+    if (!isCheckDue && (step.isBlocked || !askAdmission(request.job, step, need, pass))) {
         return;
     }
     const bool wasBlocked = step.isBlocked;
@@ -619,8 +623,8 @@
     const StepEligibility &eligibility = *request.eligibility;
     const StepSpec &spec = request.job.specOf(request.position);
     const std::size_t needed = request.waiting.size();
-    if (spec.gang && !askAdmission(step, reservationOf(spec) * static_cast<std::int64_t>(needed), pass)
-        && !pass.claims.isMostCapacityFree()) {
+    if (spec.gang && !askAdmission(request.job, step, reservationOf(spec) * static_cast<std::int64_t>(needed), pass)
+        && !pass.claims.isMostCapacityFree(request.job.policy.service)) {
         return {};
     }
     const auto fittingTasksOn = [&](WorkerNumber number) {
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -180,6 +180,7 @@
                                       CapacityClaims &claims,
                                       base::TimePoint now)
 {
+    const std::string &service = request.job.policy.service;
     const placement::Resources amount = reservationOf(request.job.specOf(request.position));
     const auto needed = static_cast<std::uint32_t>(request.waiting.size());
     std::vector<Collector> collectors;
@@ -193,10 +194,10 @@
     if (possible < needed) {
         return possibleIfEmpty < needed;
     }
-    if (!claims.askAdmission(amount * needed)) {
+    if (!claims.askAdmission(service, amount * needed)) {
         return true;
     }
-    claims.admit(amount * needed);
+    claims.admit(service, amount * needed);
     // The earliest openings, on workers that can give many.
     std::sort(collectors.begin(), collectors.end(), [now](const Collector &left, const Collector &right) {
         return std::tuple(right.tasksBy(now), right.available.milliCpu, left.worker)
@@ -211,7 +212,7 @@
     std::nth_element(openings.begin(), openings.begin() + (needed - 1), openings.end());
     openings.resize(needed);
     const base::TimePoint start = std::max_element(openings.begin(), openings.end())->first;
-    const bool isMostCapacityFree = claims.isMostCapacityFree();
+    const bool isMostCapacityFree = claims.isMostCapacityFree(service);
     history.note(start, isMostCapacityFree, now);
     std::map<std::size_t, std::uint32_t> tasksByCollector;
     for (const auto &[at, index] : openings) {
--- a/tests/workflow_claims_test.cpp
+++ b/tests/workflow_claims_test.cpp
@@ -231,6 +231,30 @@
     EXPECT_TRUE(simulation.runUntil(isAtWork, MaxWait));
 }
 
+// Guards against a gang that never asks for tickets for idle workers, because another one waits for those of another
+// service.
+TEST_F(WorkflowClaims, GangStartsBesideAGangThatWaitsForAnotherService)
+{
+    runTimes[Background] = 60s;
+    for (const char *const id : {"other0", "other1"}) {
+        simulation.workers.add(id, WorkerMilliCpu, "rack", simulation.now);
+        simulation.workers.worker(id).identity.service = "other";
+    }
+    simulation.loseLeader();
+    simulation.lead(); // Now all workers report.
+    simulation.run(2s);
+    blockGang(false, 60s, WorkerMilliCpu);
+    workflow::JobSpec filling = oneEach(WorkerMilliCpu - 7'000, 60s, false);
+    runTimes[FirstOfStream] = 60s;
+    simulation.submit(FirstOfStream, filling, policy(0));
+    simulation.run(500ms);
+    workflow::QueuePolicy other = policy(2);
+    other.service = "other";
+    other.eligibility = workflow::EligibilityPolicy{10ms, 1ms, 1'500ms};
+    simulation.submit(Small, gang(2, 8'000), other);
+    EXPECT_TRUE(starts(Small, MaxWait));
+}
+
 // Guards against a wide gang that small tasks overtake for ever.
 TEST_F(WorkflowClaims, GangIsDoneUnderAStreamOfSmallTasks)
 {
