Log quarantines of called workers

`worker_quarantined` names the worker, the last failure and how usual failures are; `load` counts the workers in quarantine or on probation.

No functional change.

--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -247,6 +247,7 @@
     void noteCrash(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     TimeAtWork timeAtWork(const WorkerView &worker, const TaskRef &task, const LiveRun &run, base::TimePoint now) const;
     bool proposeCrash(WorkerNumber number, WorkerView &worker);
+    void recordFailure(WorkerView &worker, const TaskRef &task, std::chrono::milliseconds ran, base::TimePoint now);
     void retireWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void handleOtherIncarnation(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -289,9 +289,12 @@
             tasksWithoutTicket += waiting;
         }
     }
+    const auto restricted = std::count_if(
+        workers_.begin(), workers_.end(), [](const auto &item) { return item.second.health.onProbation(); });
     const DispatchCost before = std::exchange(reportedCost_, cost_);
     base::logInfo("load")
         .with("workers", workers_.size())
+        .with("restricted_workers", restricted)
         .with("millicores", ledger_.totalCapacity().milliCpu)
         .with("reserved_millicores", ledger_.totalReserved().milliCpu)
         .with("claimed_millicores", claims.total().milliCpu)
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -284,6 +284,21 @@
     return time;
 }
 
+void JobManager::recordFailure(WorkerView &worker,
+                               const TaskRef &task,
+                               std::chrono::milliseconds ran,
+                               base::TimePoint now)
+{
+    if (worker.health.recordFailure(task.job, now)) {
+        base::logWarning("worker_quarantined")
+            .with("worker", worker.identity.id)
+            .with("task", toString(task))
+            .with("runs", worker.runs.size())
+            .with("ran_ms", ran.count())
+            .with("usual_share", usualFailures_.share());
+    }
+}
+
 // Returns false if the log accepts no entries at the moment.
 bool JobManager::proposeCrash(WorkerNumber number, WorkerView &worker)
 {
@@ -725,7 +740,7 @@
         run->stage = LiveRun::Stage::Uncertain;
         return;
     case OrderOutcome::Unhealthy:
-        worker.health.recordFailure(task.job, now);
+        recordFailure(worker, task, std::chrono::milliseconds{0}, now);
         break;
     case OrderOutcome::NoTicket: {
         const JobRecord *const job = state_->findJob(task.job);
@@ -883,7 +898,7 @@
                 }
             }
         } else if (ended.outcome == RunOutcome::Failed) {
-            worker.health.recordFailure(task->job, now);
+            recordFailure(worker, *task, ran, now);
         }
         base::logInfo("task_ended")
             .with("task", ended.task)
--- a/src/workflow/worker_health.cpp
+++ b/src/workflow/worker_health.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 // Runs on workers that have been quarantined tell little about the others, so they don't count as usual.
-void WorkerHealth::recordFailure(JobKey job, base::TimePoint now)
+bool WorkerHealth::recordFailure(JobKey job, base::TimePoint now)
 {
     failureWeight_ += usual_ == nullptr ? 1 : usual_->weightOfFailure();
     if (usual_ != nullptr && !onProbation()) {
@@ -27,11 +27,13 @@
         ++jobsInRow_;
         lastJob_ = job;
     }
-    if (failureWeight_ >= WeightToQuarantine && jobsInRow_ >= JobsToQuarantine) {
-        failureWeight_ = WeightToQuarantine - 1; // One failure on probation is enough while failures are rare.
-        quarantinedUntil_ = now + FirstQuarantine * (1U << std::min(quarantines_, MaxDoublings));
-        ++quarantines_;
+    if (failureWeight_ < WeightToQuarantine || jobsInRow_ < JobsToQuarantine) {
+        return false;
     }
+    failureWeight_ = WeightToQuarantine - 1; // One failure on probation is enough while failures are rare.
+    quarantinedUntil_ = now + FirstQuarantine * (1U << std::min(quarantines_, MaxDoublings));
+    ++quarantines_;
+    return true;
 }
 
 void WorkerHealth::recordSuccess()
--- a/src/workflow/worker_health.h
+++ b/src/workflow/worker_health.h
@@ -22,7 +22,8 @@
     }
 
     /// Records a failed run, or a start refused because the worker is unhealthy.
-    void recordFailure(JobKey job, base::TimePoint now);
+    /// Returns whether the worker is quarantined for it.
+    bool recordFailure(JobKey job, base::TimePoint now);
     void recordSuccess();
     bool canAccept(base::TimePoint now, std::size_t runningTasks) const;
     bool onProbation() const
