Let called workers leave probation by trials that go on

Cause: a worker on probation got a task only while it ran none, and only an end `done` ended that. A long-running task that was there before closed it for good. The workers were quarantined although the same two jobs failed on all of them.

Change: only what was placed on probation is a trial, from its placement on, and one that has been at work for a second lets the next one start. A run that was ordered after the latest failure and outlasts the failed ones ends the probation. A gang may be a trial as a whole. Failures weigh less the more of a job's tasks fail on other workers. A worker on which all tasks fail at once still gets one at a time, after ever longer quarantines: what ran there before says nothing in its favour.

WorkerHealth::canAccept no longer takes the number of running tasks, as it counts trials itself; the two tests that called it check the same as before.

--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -84,6 +84,7 @@
     state_ = nullptr;
     workers_.clear();
     usualFailures_ = {};
+    jobFailures_.clear();
     directory_ = {};
     ledger_ = {};
     isolation_ = {};
@@ -457,6 +458,7 @@
         return;
     }
     nextForget_ = now + ForgetInterval;
+    forgetJobFailures(now);
     ForgetEntry entry;
     for (const auto &[key, job] : state_->jobs()) {
         if (job.hasEnded() && job.placed == 0 && wall_ - job.endedAt > JobRetention
--- a/src/workflow/job_manager.h
+++ b/src/workflow/job_manager.h
@@ -130,6 +130,7 @@
         std::string ticket;
         TaskRef unit; ///< For isolation.
         Suspicion suspicion = Suspicion::None;
+        WorkerHealth::TrialRound trialRound = 0;
     };
 
     /// What the steps of one dispatch share.
@@ -247,7 +248,16 @@
     void noteCrash(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     TimeAtWork timeAtWork(const WorkerView &worker, const TaskRef &task, const LiveRun &run, base::TimePoint now) const;
     bool proposeCrash(WorkerNumber number, WorkerView &worker);
-    void recordFailure(WorkerView &worker, const TaskRef &task, std::chrono::milliseconds ran, base::TimePoint now);
+    void recordFailure(WorkerNumber number,
+                       WorkerView &worker,
+                       const TaskRef &task,
+                       std::chrono::milliseconds ran,
+                       base::TimePoint now);
+    /// Returns the weight of a job's failures as evidence against a worker, from 0 to 1.
+    double weightOfFailures(JobKey key, WorkerNumber number, base::TimePoint now) const;
+    /// Ends trials that go on, and probations by them.
+    void reviewHealth(WorkerNumber number, WorkerView &worker);
+    void forgetJobFailures(base::TimePoint now);
     void retireWorker(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void handleOtherIncarnation(WorkerNumber number, WorkerView &worker, base::TimePoint now);
     void proposeGone(WorkerNumber number, WorkerView &worker, std::string_view reason);
@@ -302,6 +312,12 @@
     base::TimePoint leaseEnd_{};
     WallTime wall_{0};
     base::UsualFailures usualFailures_; ///< Of runs on workers that haven't been quarantined.
+    struct JobFailures {
+        std::map<WorkerNumber, base::TimePoint> workers; ///< Where runs have failed lately, and when the last one did.
+        std::size_t position = 0; ///< Of the step that failed last.
+        std::chrono::milliseconds ran{0}; ///< How long its run took to fail.
+    };
+    std::unordered_map<JobKey, JobFailures> jobFailures_;
     WorkerViews workers_;
     WorkerDirectory directory_; ///< Of `workers_`.
     placement::Ledger ledger_;
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -85,7 +85,8 @@
     const TaskRef unit = job.crashUnitOf(task);
     const Suspicion suspicion = job.crashesOf(job.positionOf(task.occurrence, task.step), task.index).suspicion();
     isolation_.add(worker, unit, suspicion);
-    reservations_[task] = {worker, amount, std::move(ticket), unit, suspicion};
+    const WorkerHealth::TrialRound round = workers_.at(worker).health.addTask();
+    reservations_[task] = {worker, amount, std::move(ticket), unit, suspicion, round};
 }
 
 void JobManager::unreserve(const TaskRef &task)
@@ -95,6 +96,7 @@
         const Reservation &reservation = found->second;
         ledger_.release(reservation.worker, reservation.amount);
         isolation_.remove(reservation.worker, reservation.unit, reservation.suspicion);
+        workers_.at(reservation.worker).health.endTrial(reservation.trialRound);
         reservations_.erase(found);
     }
 }
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::milliseconds ReportTimeout{10'000}; ///< Six missed reports.
 constexpr unsigned FenceIncarnationBits = 20; ///< The term takes the others.
 constexpr std::chrono::milliseconds LeaseMargin{200}; ///< For rounding and the delay of a worker's last answer.
+constexpr std::chrono::seconds JobFailureMemory{60};
 constexpr std::size_t MaxCheckpointBytesPerEntry = std::size_t{256} * 1024; ///< The log refuses entries of 768 KiB.
 
 } // namespace
@@ -284,12 +285,20 @@
     return time;
 }
 
-void JobManager::recordFailure(WorkerView &worker,
-                               const TaskRef &task,
-                               std::chrono::milliseconds ran,
-                               base::TimePoint now)
+void JobManager::recordFailure(
+    WorkerNumber number, WorkerView &worker, const TaskRef &task, std::chrono::milliseconds ran, base::TimePoint now)
 {
-    if (worker.health.recordFailure(task.job, now)) {
+    const JobRecord *const job = state_->findJob(task.job);
+    if (job != nullptr) {
+        JobFailures &failures = jobFailures_[task.job];
+        failures.workers[number] = now;
+        failures.position = job->positionOf(task.occurrence, task.step);
+        failures.ran = ran;
+    }
+    const auto weightOfJob = [&](JobKey key) {
+        return weightOfFailures(key, number, now);
+    };
+    if (worker.health.recordFailure(task.job, ran, weightOfJob, now)) {
         base::logWarning("worker_quarantined")
             .with("worker", worker.identity.id)
             .with("task", toString(task))
@@ -299,6 +308,65 @@
     }
 }
 
+// A job that fails elsewhere as well is likely to be at fault itself, unless its tasks do better on most workers.
+double JobManager::weightOfFailures(JobKey key, WorkerNumber number, base::TimePoint now) const
+{
+    const auto found = jobFailures_.find(key);
+    const JobRecord *const job = state_->findJob(key);
+    if (found == jobFailures_.end() || job == nullptr) {
+        return 1;
+    }
+    const JobFailures &failures = found->second;
+    const std::size_t failedElsewhere = failures.workers.size() - failures.workers.count(number);
+    if (failedElsewhere == 0) {
+        return 1;
+    }
+    std::size_t sound = job->steps[failures.position].done;
+    const TaskRef first = job->refOf(key, failures.position, 0);
+    const TaskRef last = job->refOf(key, failures.position, UINT32_MAX);
+    for (auto task = reservations_.lower_bound(first); task != reservations_.upper_bound(last); ++task) {
+        const WorkerNumber worker = task->second.worker;
+        const auto &runs = workers_.at(worker).runs;
+        const auto run = runs.find(task->first);
+        const bool isSound = run != runs.end() && run->second.stage == LiveRun::Stage::Running && run->second.isTimed
+            && now - run->second.runningSince > failures.ran && !failures.workers.contains(worker);
+        sound += isSound ? 1 : 0;
+    }
+    const auto failed = static_cast<double>(failedElsewhere);
+    return 1 - failed / (failed + static_cast<double>(sound) + 1);
+}
+
+void JobManager::reviewHealth(WorkerNumber number, WorkerView &worker)
+{
+    const bool wasOnProbation = worker.health.onProbation();
+    for (const auto &[task, run] : worker.runs) {
+        if (run.stage != LiveRun::Stage::Running || run.isDoubted || run.orderedAt == base::TimePoint{}) {
+            continue;
+        }
+        const auto atWork = std::chrono::duration_cast<std::chrono::milliseconds>(worker.lastHeard - run.runningSince);
+        const auto reservation = reservations_.find(task);
+        if (reservation != reservations_.end() && reservation->second.worker == number
+            && atWork >= WorkerHealth::TrialTime) {
+            worker.health.endTrial(std::exchange(reservation->second.trialRound, 0));
+        }
+        if (worker.health.recordAtWork(run.orderedAt, atWork)) {
+            if (wasOnProbation) {
+                base::logInfo("worker_restored").with("worker", worker.identity.id).with("task", toString(task));
+            }
+            dispatchDue_ = true;
+            return;
+        }
+    }
+}
+
+void JobManager::forgetJobFailures(base::TimePoint now)
+{
+    for (auto &[key, failures] : jobFailures_) {
+        std::erase_if(failures.workers, [now](const auto &item) { return now - item.second > JobFailureMemory; });
+    }
+    std::erase_if(jobFailures_, [](const auto &item) { return item.second.workers.empty(); });
+}
+
 // Returns false if the log accepts no entries at the moment.
 bool JobManager::proposeCrash(WorkerNumber number, WorkerView &worker)
 {
@@ -405,6 +473,9 @@
     for (auto &[task, run] : worker.runs) {
         reviewRun(number, worker, task, run, now);
     }
+    if (worker.health.isSuspect()) {
+        reviewHealth(number, worker);
+    }
     reviewPolls(number, worker, now);
 }
 
@@ -740,7 +811,7 @@
         run->stage = LiveRun::Stage::Uncertain;
         return;
     case OrderOutcome::Unhealthy:
-        recordFailure(worker, task, std::chrono::milliseconds{0}, now);
+        recordFailure(number, worker, task, std::chrono::milliseconds{0}, now);
         break;
     case OrderOutcome::NoTicket: {
         const JobRecord *const job = state_->findJob(task.job);
@@ -898,7 +969,7 @@
                 }
             }
         } else if (ended.outcome == RunOutcome::Failed) {
-            recordFailure(worker, *task, ran, now);
+            recordFailure(number, worker, *task, ran, now);
         }
         base::logInfo("task_ended")
             .with("task", ended.task)
--- a/src/workflow/step_placer.cpp
+++ b/src/workflow/step_placer.cpp
@@ -50,8 +50,25 @@
 std::vector<Assignment> StepPlacer::place(const Request &request) const
 {
     std::vector<Candidate> candidates = candidatesFor(request);
-    return request.job.specOf(request.position).gang ? placeGang(request, candidates)
-                                                     : placeBatch(request, std::move(candidates));
+    if (!request.job.specOf(request.position).gang) {
+        return placeBatch(request, std::move(candidates));
+    }
+    std::vector<Assignment> assignments = placeGang(request, candidates);
+    if (assignments.empty() && mayTryOnProbation(candidates)) {
+        // Otherwise, a gang that needs several places on such a worker would depend on other tasks to end its
+        // probation.
+        Request trial = request;
+        trial.trialOfGang = true;
+        assignments = placeGang(trial, candidatesFor(trial));
+    }
+    return assignments;
+}
+
+bool StepPlacer::mayTryOnProbation(const std::vector<Candidate> &candidates) const
+{
+    return std::any_of(candidates.begin(), candidates.end(), [this](const Candidate &candidate) {
+        return workers_.at(candidate.worker).health.onProbation();
+    });
 }
 
 bool StepPlacer::canRun(const Request &request, WorkerNumber number, const WorkerView &worker) const
@@ -94,8 +111,8 @@
         const std::uint32_t placed = found == request.tasksByWorker.end() ? 0 : found->second;
         tasks = std::min(tasks, step.maxPerWorker - std::min(step.maxPerWorker, placed));
     }
-    // A worker on probation takes one task at a time.
-    return workers_.at(number).health.onProbation() ? std::min(tasks, 1U) : tasks;
+    // A worker on probation takes one task at a time, or one gang.
+    return workers_.at(number).health.onProbation() && !request.trialOfGang ? std::min(tasks, 1U) : tasks;
 }
 
 std::vector<StepPlacer::Candidate> StepPlacer::candidatesFor(const Request &request) const
--- a/src/workflow/step_placer.h
+++ b/src/workflow/step_placer.h
@@ -64,6 +64,7 @@
         Suspicion suspicion = Suspicion::None;
         std::chrono::milliseconds expectedRunTime{0};
         bool overdue = false; ///< Has waited for so long that it may not wait on beside free capacity.
+        bool trialOfGang = false; ///< A worker on probation may get several members.
     };
 
     /// Returns whether any task, or all of a gang, may fit, by free CPU alone. Costs a fraction of place().
@@ -112,6 +113,7 @@
         std::int64_t freeMilliCpu = 0;
     };
 
+    bool mayTryOnProbation(const std::vector<Candidate> &candidates) const;
     int speedRank(const Request &request, WorkerNumber number) const;
     std::vector<Candidate> candidatesFor(const Request &request) const;
     std::vector<Assignment> placeBatch(const Request &request, std::vector<Candidate> candidates) const;
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -94,7 +94,7 @@
     bool isUsable(base::TimePoint now) const
     {
         return !draining && !retired && isCapacityReported && failedCalls == 0 && lease.isClockKnown()
-            && hasSettledEnds() && now - lastHeard <= MaxSilence && health.canAccept(now, runs.size());
+            && hasSettledEnds() && now - lastHeard <= MaxSilence && health.canAccept(now);
     }
     /// Returns whether the ends that this leader found on the worker are recorded and acknowledged. They may tell that
     /// tasks which are waiting are done.
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -285,7 +285,7 @@
         const auto count =
             std::count_if(simulation.manager->workers().begin(),
                           simulation.manager->workers().end(),
-                          [&](const auto &entry) { return !entry.second.health.canAccept(simulation.now, 0); });
+                          [&](const auto &entry) { return entry.second.health.isQuarantined(simulation.now); });
         quarantined = std::max(quarantined, static_cast<std::size_t>(count));
     }
     EXPECT_LE(quarantined, Workers / 4);
--- a/tests/workflow_order_test.cpp
+++ b/tests/workflow_order_test.cpp
@@ -118,18 +118,57 @@
 TEST(WorkerHealth, FailuresOfASingleJobDoNotQuarantine)
 {
     WorkerHealth health;
+    const auto fullWeight = [](workflow::JobKey) {
+        return 1.0;
+    };
+    for (int task = 0; task < 3; ++task) {
+        health.addTask();
+    }
     for (int run = 0; run < 5; ++run) {
-        health.recordFailure(1, Start);
+        health.recordFailure(1, 0ms, fullWeight, Start);
     }
-    EXPECT_TRUE(health.canAccept(Start, 3));
-    health.recordFailure(2, Start);
-    EXPECT_FALSE(health.canAccept(Start + 1s, 0));
-    EXPECT_TRUE(health.canAccept(Start + 3s, 0)) << "the quarantine has ended";
-    EXPECT_FALSE(health.canAccept(Start + 3s, 1)) << "on probation: one task at a time";
-    health.recordFailure(3, Start + 3s);
-    EXPECT_FALSE(health.canAccept(Start + 6s, 0)) << "the second quarantine lasts twice as long";
+    EXPECT_TRUE(health.canAccept(Start));
+    health.recordFailure(2, 0ms, fullWeight, Start);
+    EXPECT_FALSE(health.canAccept(Start + 1s));
+    EXPECT_TRUE(health.canAccept(Start + 3s)) << "the quarantine has ended";
+    health.addTask();
+    EXPECT_FALSE(health.canAccept(Start + 3s)) << "on probation: one task at a time";
+    health.recordFailure(3, 0ms, fullWeight, Start + 3s);
+    EXPECT_FALSE(health.canAccept(Start + 6s)) << "the second quarantine lasts twice as long";
     health.recordSuccess();
-    EXPECT_TRUE(health.canAccept(Start + 6s, 5));
+    for (int task = 0; task < 5; ++task) {
+        health.addTask();
+    }
+    EXPECT_TRUE(health.canAccept(Start + 6s));
+}
+
+// Guards against jobs that fail on all workers and keep each of them from others.
+TEST(WorkerHealth, FailuresOfJobsThatFailElsewhereWeighLess)
+{
+    WorkerHealth health;
+    const auto halfWeight = [](workflow::JobKey) {
+        return 0.5;
+    };
+    EXPECT_FALSE(health.recordFailure(1, 0ms, halfWeight, Start));
+    EXPECT_FALSE(health.recordFailure(2, 0ms, halfWeight, Start));
+    EXPECT_FALSE(health.recordFailure(3, 0ms, halfWeight, Start));
+    EXPECT_TRUE(health.recordFailure(4, 0ms, halfWeight, Start));
+}
+
+// Guards against a worker that a task at work since before the failures, or one just started, puts back in use.
+TEST(WorkerHealth, OnlyRunsThatOutlastTheFailedOnesEndProbation)
+{
+    WorkerHealth health;
+    const auto fullWeight = [](workflow::JobKey) {
+        return 1.0;
+    };
+    health.recordFailure(1, 2s, fullWeight, Start);
+    ASSERT_TRUE(health.recordFailure(2, 3s, fullWeight, Start));
+    EXPECT_FALSE(health.recordAtWork(Start - 1h, 1h));
+    EXPECT_FALSE(health.recordAtWork(Start + 3s, 5s));
+    EXPECT_TRUE(health.onProbation());
+    EXPECT_TRUE(health.recordAtWork(Start + 3s, 6s));
+    EXPECT_FALSE(health.onProbation());
 }
 
 TEST(WorkerLease, ExpiryBoundAllowsForASlowClock)
