Count only trials on polled workers that are on probation

Change: tasks that were started on probation are trials; what ran before doesn't count. A trial that has run for as long as the first quarantine counts as a success and lets the next one start.

Tests: ProbationTest.workerThatRunsATaskOfAServiceGetsATrial and trialsThatLastEndProbation fail before the change; failedTrialPutsAWorkerThatRunsATaskOfAServiceInQuarantineAgain holds the other side.

--- a/src/placement/attempt_end_handler.cpp
+++ b/src/placement/attempt_end_handler.cpp
@@ -183,7 +183,10 @@
         return;
     }
     if (worker.health.recordFailure(task.job, job.successes > 0, zone_.usualFailures, zone_.now)) {
-        zone_.quarantinedWorkers.push_back(task.worker);
+        auto &restricted = zone_.restrictedWorkers;
+        if (std::find(restricted.begin(), restricted.end(), task.worker) == restricted.end()) {
+            restricted.push_back(task.worker);
+        }
         worker.quarantineReason = fmt::format("{} failures in a row counted, the last one of job {} {}",
                                               worker.health.consecutiveFailures(),
                                               job.spec.id,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -55,13 +55,14 @@
 void Planner::Impl::runTimers()
 {
     endHandler.requeueDueRetries();
-    std::erase_if(zone.quarantinedWorkers, [this](WorkerId worker) {
-        if (!zone.workers[worker].health.expire(zone.now)) {
-            return zone.workers[worker].health.state() != WorkerHealth::State::Quarantined;
+    std::erase_if(zone.restrictedWorkers, [this](WorkerId worker) {
+        WorkerHealth &health = zone.workers[worker].health;
+        const bool hasExpired = health.expire(zone.now);
+        if (hasExpired || health.recordLastingTrials(static_cast<int>(zone.countTrials(worker, true)))) {
+            zone.updateIndexes(worker);
+            zone.markDirty(worker);
         }
-        zone.updateIndexes(worker);
-        zone.markDirty(worker);
-        return true;
+        return health.state() == WorkerHealth::State::Healthy;
     });
     std::erase_if(zone.pendingCheckpoints, [this](const TaskId &task) {
         const auto live = zone.jobs.findLive(task);
--- a/src/placement/worker_health.cpp
+++ b/src/placement/worker_health.cpp
@@ -40,7 +40,25 @@
     consecutiveFailures_ = 0;
     lastJob_ = 0xffffffff;
     failureWeight_ = 0;
-    if (state_ == State::Probation && ++successes_ >= ProbationSuccesses) {
+    if (state_ == State::Probation) {
+        ++successes_;
+        endProbationIfDone();
+    }
+}
+
+bool WorkerHealth::recordLastingTrials(int count)
+{
+    if (state_ != State::Probation || count <= lastingTrials_) {
+        return false;
+    }
+    lastingTrials_ = count;
+    endProbationIfDone();
+    return true;
+}
+
+void WorkerHealth::endProbationIfDone()
+{
+    if (successes_ + lastingTrials_ >= ProbationSuccesses) {
         state_ = State::Healthy;
         nextQuarantine_ = InitialQuarantine;
     }
@@ -53,6 +71,8 @@
     }
     state_ = State::Probation;
     successes_ = 0;
+    lastingTrials_ = 0;
+    probationSince_ = now;
     return true;
 }
 
--- a/src/placement/worker_health.h
+++ b/src/placement/worker_health.h
@@ -11,7 +11,8 @@
 {
 
 /// Health of one worker, judged by how its tasks end: quarantine after several consecutive failures, then probation
-/// with one task at a time. The more usual failures are on all workers, the more of them it takes.
+/// with one trial at a time until some succeed or outlast the trial time. The more usual failures are on all workers,
+/// the more of them it takes.
 class WorkerHealth
 {
 public:
@@ -41,13 +42,24 @@
     {
         return state_ != State::Healthy || consecutiveFailures_ >= SuspectFailures;
     }
-    /// Returns whether the worker may start a task while it runs `runningTasks`.
-    bool canTakeTask(std::size_t runningTasks) const
+    /// Returns whether the worker may start a task while `trials` that haven't outlasted the trial time are there.
+    bool canTakeTask(std::size_t trials) const
     {
-        return state_ == State::Healthy ? true : state_ == State::Probation && runningTasks == 0;
+        return state_ == State::Healthy || (state_ == State::Probation && trials == 0);
     }
+    /// Returns whether a task that was started at this time, on probation, is a trial.
+    bool isTrial(base::TimePoint startedAt) const
+    {
+        return state_ == State::Probation && startedAt >= probationSince_;
+    }
+    /// Records how many trials have outlasted the trial time and go on. Returns whether there are more than before;
+    /// they count as successes.
+    bool recordLastingTrials(int count);
+    static constexpr std::chrono::seconds TrialTime{60};
 
 private:
+    void endProbationIfDone();
+
     static constexpr double QuarantineWeight = 3; ///< Failures that quarantine a worker while failures are rare.
     static constexpr int SuspectFailures = 2;
     static constexpr int ProbationSuccesses = 2;
@@ -58,6 +70,8 @@
     int consecutiveFailures_ = 0;
     double failureWeight_ = 0; ///< Of the consecutive failures, as evidence against the worker.
     int successes_ = 0; ///< During this probation.
+    int lastingTrials_ = 0; ///< The same.
+    base::TimePoint probationSince_;
     JobHandle lastJob_ = 0xffffffff;
     base::TimePoint quarantinedUntil_;
     base::Duration nextQuarantine_ = InitialQuarantine;
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -10,7 +10,21 @@
 bool ZoneState::acceptsTasks(WorkerId worker) const
 {
     const Worker &entry = workers[worker];
-    return entry.liveness == Liveness::Up && !entry.draining && entry.health.canTakeTask(entry.tasks.size());
+    if (entry.liveness != Liveness::Up || entry.draining) {
+        return false;
+    }
+    return entry.health.state() == WorkerHealth::State::Healthy || entry.health.canTakeTask(countTrials(worker, false));
+}
+
+// What ran there before the probation doesn't tell whether tasks that start now fail.
+std::size_t ZoneState::countTrials(WorkerId worker, bool lasting) const
+{
+    const Worker &entry = workers[worker];
+    return static_cast<std::size_t>(std::count_if(entry.tasks.begin(), entry.tasks.end(), [&](LiveHandle live) {
+        const LiveTask &task = jobs.live(live);
+        const bool hasLasted = task.seenRunning && now - task.startedAt >= WorkerHealth::TrialTime;
+        return entry.health.isTrial(task.startedAt) && hasLasted == lasting;
+    }));
 }
 
 void ZoneState::updateIndexes(WorkerId worker)
--- a/src/placement/zone_state.h
+++ b/src/placement/zone_state.h
@@ -97,7 +97,7 @@
     std::unordered_map<std::string, RackId> rackIds;
     std::priority_queue<Retry, std::vector<Retry>, std::greater<>> retries;
     std::vector<WorkerId> dirtyWorkers; ///< Workers that may have gained room since the last decision.
-    std::vector<WorkerId> quarantinedWorkers;
+    std::vector<WorkerId> restrictedWorkers; ///< In quarantine or on probation.
     base::UsualFailures usualFailures; ///< Of tasks on workers that aren't quarantined or on probation.
     std::vector<WorkerId> drainingWorkers;
     std::vector<TaskId> pendingCheckpoints; ///< Attempts whose stop waits for a checkpoint.
@@ -115,6 +115,8 @@
 
     // Workers.
     bool acceptsTasks(WorkerId worker) const;
+    /// Returns the number of trials on a worker on probation that have outlasted the trial time, or that haven't.
+    std::size_t countTrials(WorkerId worker, bool lasting) const;
     /// Updates a worker's entry in openWorkers and heldWorkers.
     void updateIndexes(WorkerId worker);
     void markDirty(WorkerId worker);
--- a/tests/placement_planner_test.cpp
+++ b/tests/placement_planner_test.cpp
@@ -518,6 +518,78 @@
     EXPECT_GE(commandsOf<StartTask>().size(), Workers * TasksPerWorker * 3 / 4);
 }
 
+/// A single worker that runs a task of a service and is on probation for the failures of three jobs.
+struct ProbationTest : PlannerTest {
+    ProbationTest()
+    {
+        join(0);
+        assign(job(1, 1, Size, JobKind::Service));
+        decide();
+        for (const StartTask &start : commandsOf<StartTask>()) {
+            report(0, start.task, TaskState::Running);
+        }
+        for (JobId id = 2; id <= 4; ++id) {
+            assign(job(id, 1, Size));
+            decide();
+            for (const StartTask &start : commandsOf<StartTask>()) {
+                report(0, start.task, TaskState::Failed);
+            }
+        }
+        for (JobId id = 2; id <= 4; ++id) {
+            planner.handle(JobCancelled{id}, now);
+        }
+        decide();
+        EXPECT_EQ(planner.restrictedWorkers().size(), 1U);
+        decide(61s);
+    }
+    static constexpr Resources Size{1'000, 1'024, 0};
+};
+
+// Guards against a worker on probation that never gets a task again because it runs one of a service.
+TEST_F(ProbationTest, workerThatRunsATaskOfAServiceGetsATrial)
+{
+    assign(job(5, 2, Size));
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U) << "one at a time";
+    report(0, commandsOf<StartTask>().front().task, TaskState::Finished);
+    decide();
+    ASSERT_EQ(commandsOf<StartTask>().size(), 1U);
+    report(0, commandsOf<StartTask>().front().task, TaskState::Finished);
+    decide();
+    EXPECT_TRUE(planner.restrictedWorkers().empty());
+}
+
+// Guards against a probation without end because the tasks given on probation last.
+TEST_F(ProbationTest, trialsThatLastEndProbation)
+{
+    assign(job(5, 3, Size, JobKind::Service));
+    decide();
+    for (int trial = 0; trial < 2; ++trial) {
+        ASSERT_EQ(commandsOf<StartTask>().size(), 1U) << "one at a time";
+        report(0, commandsOf<StartTask>().front().task, TaskState::Running);
+        decide(61s);
+    }
+    EXPECT_TRUE(planner.restrictedWorkers().empty());
+    EXPECT_EQ(commandsOf<StartTask>().size(), 1U) << "the third task";
+}
+
+// Guards against a failing worker that is fed with tasks because one of a service works there.
+TEST_F(ProbationTest, failedTrialPutsAWorkerThatRunsATaskOfAServiceInQuarantineAgain)
+{
+    for (JobId id = 5; id < 13; ++id) {
+        assign(job(id, 1, Size));
+    }
+    std::size_t starts = 0;
+    for (int second = 0; second < 300; ++second) {
+        decide(1s);
+        for (const StartTask &start : commandsOf<StartTask>()) {
+            ++starts;
+            report(0, start.task, TaskState::Failed);
+        }
+    }
+    EXPECT_LE(starts, 3U) << "quarantines of 120 and 240 s follow";
+}
+
 // Guards against a failing worker that is kept in use because some failures are usual on the others.
 TEST_F(PlannerTest, workerThatFailsEveryTaskIsQuarantinedBesideUsualFailures)
 {
