Set no worker aside that runs a long-running task

Cause: a task that has to run alone has the worker with the least on it set aside, so that it becomes empty. A worker with a long-running task never does, and as long as it could run the task, no other one was chosen.

Change: such workers aren't set aside.

--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -440,7 +440,8 @@
     }
     std::vector<std::pair<std::int64_t, WorkerNumber>> candidates;
     pass.placer->forEachEligible(request, std::nullopt, [&](WorkerNumber number) {
-        if (!isolation_.isSetAside(number)) {
+        // A worker with a long-running task doesn't become empty.
+        if (!isolation_.isSetAside(number) && !workers_.at(number).runsLongRunningTask()) {
             candidates.emplace_back(ledger_.reserved(number).milliCpu, number);
         }
     });
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -88,6 +88,10 @@
         return std::any_of(
             pendingPolls.begin(), pendingPolls.end(), [quick](const auto &poll) { return poll.second.quick == quick; });
     }
+    bool runsLongRunningTask() const
+    {
+        return std::any_of(runs.begin(), runs.end(), [](const auto &item) { return item.second.longRunning; });
+    }
     /// Returns whether the worker answers calls and may be given new tasks. A worker that has told this leader nothing
     /// for a while may be cut off: a gang with a task there would wait in vain. One that has not reported its capacity
     /// to this leader may have shrunk while there was none.
--- a/tests/workflow_probation_test.cpp
+++ b/tests/workflow_probation_test.cpp
@@ -222,3 +222,40 @@
     EXPECT_LE(failures, 10U) << "8 places at first, and one task after each of the quarantines of 2, 4 and 8 s";
     EXPECT_EQ(tasksAtWork(FirstService), 2U);
 }
+
+// Guards against a task that has to run alone and waits for a worker to become empty on which another one lasts.
+TEST_F(WorkflowProbation, SuspectGetsAWorkerWithoutALongRunningTask)
+{
+    constexpr JobKey Suspect = 10;
+    constexpr std::uint32_t Workers = 4;
+    JobKey next = 100;
+    const auto load = [&](std::uint32_t count) {
+        workflow::JobSpec spec = job(count);
+        spec.steps[0].perTask.milliCpu = 4'000;
+        simulation.submit(next++, spec, policy());
+    };
+    addWorkers(Workers);
+    workflow::JobSpec suspect = job(1);
+    suspect.steps[0].perTask.milliCpu = 2'000;
+    simulation.submit(Suspect, suspect, policy());
+    simulation.run(30ms); // Until it is committed.
+    const workflow::TaskRef task{Suspect, 0, 0, 0};
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        ASSERT_TRUE(simulation.runUntil(
+            [&] {
+                const workflow::TaskRecord &record = *simulation.state.findTask(task);
+                return record.phase == workflow::TaskPhase::Placed && record.run == run;
+            },
+            5s));
+        const workflow::WorkerNumber worker = simulation.state.findTask(task)->worker;
+        load(8); // Some of these run beside it.
+        simulation.run(100ms);
+        simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+    }
+    simulation.submit(FirstService, job(Workers / 2, true), policy());
+    for (int tick = 0; tick < 200 && !simulation.state.findJob(Suspect)->hasEnded(); ++tick) {
+        load(Workers); // As much as the workers can do.
+        simulation.run(100ms);
+    }
+    EXPECT_EQ(simulation.phaseOf(Suspect), JobPhase::Completed);
+}
