--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -5,6 +5,8 @@
 #include <fmt/core.h>
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
 using namespace yuccawheel;
 using namespace std::chrono_literals;
 using platform::FormatError;
@@ -116,6 +118,34 @@
     EXPECT_TRUE(platform::decodeReport("i-1", replaced(Report, "ready", "draining")).draining);
 }
 
+// Guards against managers that a worker's report of 4 MiB of opening brackets takes over their memory limit, one after
+// the other. Three managers hold 256 MB each.
+TEST(PlatformFormat, RefusesDeepOrWideBodiesWithoutMuchMemory)
+{
+    constexpr std::size_t BodyBytes = std::size_t{4} * 1024 * 1024;
+    constexpr long MaxKibibytes = 64 * 1024;
+    std::string wide = "{\"a\":[";
+    while (wide.size() < BodyBytes - 8) {
+        wide += "[[]],";
+    }
+    wide += "[]]}";
+    std::string deepObjects;
+    while (deepObjects.size() < BodyBytes) {
+        deepObjects += "{\"a\":";
+    }
+    const auto peak = [] {
+        rusage usage{};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    };
+    const long before = peak();
+    for (const std::string &body : {std::string(BodyBytes, '['), deepObjects, wide}) {
+        EXPECT_THROW(platform::decodeReport("i-1", body), FormatError);
+        EXPECT_THROW(platform::decodeConfiguration(body), FormatError);
+    }
+    EXPECT_LE(peak() - before, MaxKibibytes);
+}
+
 TEST(PlatformFormat, RefusesMalformedWorkerReports)
 {
     EXPECT_THROW(platform::decodeReport("i-1", replaced(Report, "ready", "resting")), FormatError);
