Count no crash against a run whose start order got no answer

Cause: an order without an answer counted as one that may have started the run, and an order in flight too. A worker that is cut off answers nothing either, and its next incarnation says nothing of what the one before ran.

Change: a crash counts against a run only if the worker has confirmed or listed it, an earlier leader placed it, or the connection ended instead of an answer, as it does when the process ends. A timeout tells nothing.

Tests: LostOrdersToWorkersThatCrashAreNoCrashesOfTheirTask fails before the change. The other side, CrashCountsIfItEndsTheConnectionOfTheStartOrder and the tests of tasks that crash their workers, held before and after.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -59,6 +59,7 @@
     base::Verdict verdict = base::Verdict::MayHaveRun;
     std::string text;
     CallTiming timing{};
+    bool timedOut = false; ///< Else the connection failed or ended, if the request was written.
 };
 
 /// Sends a request over a new connection and waits for the complete answer, for at most `timeout` in total.
--- a/src/platform/worker_answers.cpp
+++ b/src/platform/worker_answers.cpp
@@ -173,14 +173,12 @@
             .with("reason", answer.error().text)
             .with("sent_after_ms", timing.sentAfter ? timing.sentAfter->count() : -1)
             .with("ended_after_ms", timing.endedAfter.count());
-        return {OrderOutcome::NoAnswer,
-                std::nullopt,
-                answer.error().verdict != base::Verdict::NotRun,
-                answer.error().timing.sentAfter};
+        const bool mayHaveArrived = answer.error().verdict != base::Verdict::NotRun;
+        return {OrderOutcome::NoAnswer, std::nullopt, timing.sentAfter, mayHaveArrived && !answer.error().timedOut};
     }
     try {
         const Json body = parseBody(*answer);
-        return {parseOutcome(answer->status, body), parseClock(body), true, answer->timing.sentAfter};
+        return {parseOutcome(answer->status, body), parseClock(body), answer->timing.sentAfter};
     } catch (const FormatError &error) {
         base::logWarning("order_answer_unreadable").with("worker", worker).with("reason", error.what());
         return {};
--- a/src/workflow/job_manager.cpp
+++ b/src/workflow/job_manager.cpp
@@ -54,7 +54,7 @@
             YW_INVARIANT(placed != nullptr, "a placed task exists");
             LiveRun &run = worker.runs[task] = makeRun(task, placed->run);
             run.stage = placed->doneEarlier ? LiveRun::Stage::Stopping : LiveRun::Stage::Uncertain;
-            run.mayHaveStarted = true;
+            run.wasOnWorker = true;
             adoptReservation(task, number, run.reserved);
         }
     }
--- a/src/workflow/job_manager_workers.cpp
+++ b/src/workflow/job_manager_workers.cpp
@@ -244,9 +244,8 @@
         return;
     }
     for (const auto &[task, run] : worker.runs) {
-        const bool mayBeStarting = run.stage == LiveRun::Stage::Starting && run.callInFlight;
         const bool hasEnded = run.stage == LiveRun::Stage::ReleaseProposed || run.stage == LiveRun::Stage::EndProposed;
-        if ((run.mayHaveStarted || mayBeStarting) && !hasEnded && !run.mayBeInSuccessor) {
+        if (run.wasOnWorker && !hasEnded && !run.mayBeInSuccessor) {
             worker.crashedRuns.push_back({task, run.run});
             worker.timesAtWork.push_back(timeAtWork(worker, task, run, now));
         }
@@ -614,7 +613,6 @@
     }
     const bool startInFlight = run.stage == LiveRun::Stage::Starting && run.callInFlight;
     run.startUnanswered = run.startUnanswered || startInFlight;
-    run.mayHaveStarted = run.mayHaveStarted || startInFlight;
     run.stage = LiveRun::Stage::Stopping;
     run.stopAnsweredAt.reset();
     run.callInFlight = false;
@@ -648,7 +646,7 @@
                               base::TimePoint now)
 {
     run.stage = LiveRun::Stage::Running;
-    run.mayHaveStarted = true;
+    run.wasOnWorker = true;
     run.runningSince = now;
     run.callInFlight = false;
     startedJobs_.insert(task.job);
@@ -772,8 +770,8 @@
             // Of another incarnation, or handled late: the next list names the incarnation.
             run->stage = LiveRun::Stage::Uncertain;
             run->startUnanswered = true;
-            run->mayBeInSuccessor = !run->mayHaveStarted; // An earlier call may have reached this one.
-            run->mayHaveStarted = true;
+            run->mayBeInSuccessor = !run->wasOnWorker; // An earlier call may have reached this one.
+            run->wasOnWorker = true;
             reviewPolls(number, worker, now);
             return;
         }
@@ -796,7 +794,8 @@
     case OrderOutcome::NoAnswer:
         recordTimeout(number, worker, now);
         run->startUnanswered = true;
-        run->mayHaveStarted = run->mayHaveStarted || answer.mayHaveArrived;
+        // An order to a worker that is cut off gets no answer either, and tells nothing of a crash behind the cut.
+        run->wasOnWorker = run->wasOnWorker || answer.connectionEnded;
         // It is sent again only to the same incarnation: another one knows nothing of the first order, and what that
         // has done may be listed elsewhere, if the task belongs to a gang.
         run->stage = LiveRun::Stage::Uncertain;
--- a/src/workflow/manager_port.h
+++ b/src/workflow/manager_port.h
@@ -58,8 +58,8 @@
 struct OrderAnswer {
     OrderOutcome outcome = OrderOutcome::NoAnswer;
     std::optional<std::chrono::milliseconds> clock; ///< Reading of the worker's clock.
-    bool mayHaveArrived = true; ///< False if no part of the order was sent, so that it can't take effect.
     std::optional<std::chrono::milliseconds> sentAfter{}; ///< From the order to its first write; nothing if unknown.
+    bool connectionEnded = false; ///< Instead of an answer, as when the worker's process ends; not by a timeout.
 };
 
 struct PollAnswer {
--- a/src/workflow/worker_view.h
+++ b/src/workflow/worker_view.h
@@ -48,7 +48,8 @@
     bool startUnanswered = false; ///< An unanswered start order may still take effect.
     bool isDoubted = false; ///< Confirmed, but a poll has to find out whether it is still there.
     bool mayBeInSuccessor = false; ///< The next incarnation may have carried out the start order.
-    bool mayHaveStarted = false; ///< The worker has confirmed the run, or may have without an answer.
+    /// The worker has confirmed the run, or ended the connection after the start order, or an earlier leader placed it.
+    bool wasOnWorker = false;
 };
 
 /// A poll that has not been answered yet.
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -182,6 +182,7 @@
     const Answer unanswered = callThatEndsUnanswered({"GET", "/", {}, ""}, true);
     ASSERT_FALSE(unanswered.has_value());
     EXPECT_EQ(unanswered.error().verdict, base::Verdict::MayHaveRun);
+    EXPECT_FALSE(unanswered.error().timedOut);
 }
 
 namespace
--- a/tests/workflow_crash_test.cpp
+++ b/tests/workflow_crash_test.cpp
@@ -425,6 +425,58 @@
     EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
 }
 
+// Guards against a job that fails without having run: its orders got lost in cuts, behind which the workers crashed.
+TEST(WorkflowCrash, LostOrdersToWorkersThatCrashAreNoCrashesOfTheirTask)
+{
+    constexpr std::uint32_t Crashes = 5;
+    CrashSimulation crashes(8);
+    ManagerSimulation &simulation = crashes.simulation;
+    bool isCut = true;
+    simulation.losesStart = [&](const workflow::TaskRef &) {
+        return isCut;
+    };
+    crashes.submit(job(1, 2'000), false);
+    const workflow::TaskRef task{1, 0, 0, 0};
+    for (std::uint32_t crash = 0; crash < Crashes; ++crash) {
+        const auto isPlacedAgain = [&] {
+            const workflow::TaskRecord *const record = simulation.state.findTask(task);
+            return record != nullptr && record->phase == workflow::TaskPhase::Placed && record->run > crash;
+        };
+        ASSERT_TRUE(simulation.runUntil(isPlacedAgain, 10s)) << crash;
+        const auto worker = simulation.state.workers().at(simulation.state.findTask(task)->worker).identity.id;
+        // Once while the order is on its way, and once after it was given up.
+        simulation.run(crash % 2 == 0 ? 100ms : 800ms);
+        simulation.workers.crash(worker, simulation.now);
+    }
+    isCut = false;
+    EXPECT_TRUE(simulation.runUntil([&] { return crashes.allEnded(); }, 30s));
+    EXPECT_EQ(simulation.phaseOf(1), JobPhase::Completed);
+}
+
+// Guards against a task that crashes its worker before that answers, which would count for nothing.
+TEST(WorkflowCrash, CrashCountsIfItEndsTheConnectionOfTheStartOrder)
+{
+    CrashSimulation crashes(2);
+    ManagerSimulation &simulation = crashes.simulation;
+    simulation.losesStart = [](const workflow::TaskRef &) {
+        return true;
+    };
+    crashes.submit(job(1, 2'000), false);
+    const workflow::TaskRef task{1, 0, 0, 0};
+    ASSERT_TRUE(simulation.runUntil(
+        [&] {
+            const workflow::TaskRecord *const record = simulation.state.findTask(task);
+            return record != nullptr && record->phase == workflow::TaskPhase::Placed;
+        },
+        1s));
+    const workflow::WorkerNumber worker = simulation.state.findTask(task)->worker;
+    workflow::OrderAnswer ended;
+    ended.connectionEnded = true;
+    simulation.manager->onStartAnswer(worker, task, 1, ended, simulation.now);
+    simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.state.findTask(task)->crashes.total == 1; }, 10s));
+}
+
 // Guards against jobs that are given up because the network or an operator took their workers away.
 TEST(WorkflowCrash, CutsAndDrainsAreNoCrashes)
 {
--- a/tests/workflow_manager_test.cpp
+++ b/tests/workflow_manager_test.cpp
@@ -1316,7 +1316,7 @@
     simulation.run(100ms);
     const workflow::TaskRef task{Key + 1, 0, 0, 0};
     ASSERT_NE(simulation.state.findTask(task), nullptr);
-    simulation.manager->onStartAnswer(1, task, 1, {workflow::OrderOutcome::Done, clock - 2s, true, {}}, simulation.now);
+    simulation.manager->onStartAnswer(1, task, 1, {workflow::OrderOutcome::Done, clock - 2s, {}}, simulation.now);
     simulation.losesStart = {};
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key, JobPhase::Completed); }, 8s));
     EXPECT_TRUE(simulation.runUntil([&] { return ended(simulation, Key + 1, JobPhase::Completed); }, 10s));
@@ -1557,7 +1557,7 @@
         ASSERT_EQ(simulation.state.findTask(task)->run, 1U);
         EXPECT_EQ(orders, 1) << offset;
         simulation.manager->onStartAnswer(
-            1, task, 1, {workflow::OrderOutcome::Unhealthy, std::nullopt, true, {}}, simulation.now);
+            1, task, 1, {workflow::OrderOutcome::Unhealthy, std::nullopt, {}}, simulation.now);
         simulation.run(100ms);
         EXPECT_TRUE(simulation.state.findTask(task)->phase == workflow::TaskPhase::Placed || orders == 1) << offset;
     }
--- a/tests/workflow_simulation.h
+++ b/tests/workflow_simulation.h
@@ -373,7 +373,7 @@
                 if (now < worker.downUntil) {
                     scheduleEffect(now + Delay, [this, done, generation] {
                         if (generation == generation_) {
-                            done(workflow::OrderAnswer{workflow::OrderOutcome::NoAnswer, {}, false});
+                            done(workflow::OrderAnswer{});
                         }
                     });
                     return;
