Run services and a gang that they block in the fault soak

Two services whose tasks fail at times run all the while, and a gang waits that doesn't fit beside them. After the last fault all other jobs have to end while it waits, all tasks that last have to be at work, and the gang has to be done once the services are cancelled.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -3,7 +3,8 @@
 Faults come in series and overlap: processes are killed, terminated, paused and reloaded, managers lose their disks,
 workers crash, move, stand still, drain and leave, refuse orders, lose answers, carry orders out late and send reports
 late, and their links are delayed, reset or silenced in one or both directions. Callers keep their connections until the
-gateway closes them. Everything is checked from outside, by what callers, operators and workers see."""
+gateway closes them. Services of long-running tasks, which fail at times, run all the while, and a gang waits that doesn't
+fit beside them. Everything is checked from outside, by what callers, operators and workers see."""
 
 import collections
 import http.client
@@ -30,7 +31,13 @@
 SETTLE_S = 90  # For all accepted jobs to complete after the last fault
 REQUEST_TIMEOUT_MS = 3000  # Less than the gateways' drain limit
 GANG_TIMEOUT_S = 3.0
+SERVICE_SPEC = "service"  # Text of a job whose tasks last
+FAILING_RUNS_S = {1: 3.0, 2: 4.5}  # Run of such a task -> time after which it fails
+SERVICES = 2
+SERVICE_MILLI_CPU = 2500
+SERVICE_RESTART_S = 15  # Of all tasks that last, after the last fault
 STOP_S = 0.2  # A run goes on for this long after it was told to stop.
+CANCEL_S = 3.0 + 2 * STOP_S  # Until no task of a cancelled job runs
 CLOCK_RATES = (0.98, 1.0)  # Of workers
 MAX_LEAVE_S = 3.0  # A worker that leaves waits no longer for an acknowledgement.
 READ_MARGIN_S = 0.3  # A request sent this long before its gateway's end has been read.
@@ -123,6 +130,10 @@
         spec = self.jobs[key][int(step)]
         return [f"{key}.{occurrence}.{step}.{member}" for member in range(spec["count"])] if spec.get("gang") else []
 
+    def is_long_running(self, task):
+        key, _, step, _ = task.split(".")
+        return self.jobs[key][int(step)].get("long_running", False)
+
     def _milli_cpu(self, task):
         key, _, step, _ = task.split(".")
         return self.jobs[key][int(step)]["cpu"]
@@ -140,6 +151,8 @@
         self.relay.target = self.address
 
     def run_time(self, order):
+        if order["task_spec"] == SERVICE_SPEC:
+            return FAILING_RUNS_S.get(order["run"], 3600)
         run_s = float(order["task_spec"])
         members = self.observer.gang_members(order["task"])
         if not members:
@@ -158,6 +171,8 @@
         members = self.observer.gang_members(task)
         if members and outcome == "done" and task not in self.complete:
             outcome = "alone"
+        if outcome == "done" and self.observer.is_long_running(task):
+            outcome = "failed"
         self.complete.discard(task)
         super()._end(task, run, outcome)
         self._end_others(members, run, outcome if outcome == "done" else "broken")
@@ -230,6 +245,8 @@
         self.maybe_accepted = set()  # Submitted without a clear answer
         self.refused = set()  # Every attempt was refused
         self.cancelled = set()
+        self.services = []  # Keys of the jobs whose tasks last
+        self.blocked_gang = None  # Key of the gang that doesn't fit beside them
         self.acknowledged_versions = []  # (version, time of the acknowledgement)
         self.managers, self.gateways, self.workers, self.threads = [], [], [], []
         self.service = None
@@ -257,6 +274,7 @@
         wait_until(lambda: self._put(1), "the configuration is accepted")
         for gateway in self.gateways:
             wait_until(lambda at=gateway: self._read_state(at, 0) == 410, "every gateway reaches the leader")
+        self._submit_services(workers)
         self.threads = [threading.Thread(target=self._call, args=(random.Random(f"{self.seed} {number}"), number))
                         for number in range(callers)]
         self.threads += [threading.Thread(target=self._read_steadily, args=(random.Random(f"{self.seed} reader {number}"),))
@@ -436,6 +454,7 @@
         for thread in running:
             thread.join()
         self._settle()
+        self._settle_services()
         self.stopping.set()
         for thread in self.threads:
             thread.join()
@@ -555,7 +574,27 @@
         steps = [dict(first, gang=draw.random() < 0.3)]
         if draw.random() < 0.3:
             steps.append({"count": 2, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300, "after": [0]})
-        body = json.dumps({"task_spec": f"{draw.uniform(0.05, 1.0):.2f}", "steps": steps})
+        return self._hand_in(draw, connections, key, f"{draw.uniform(0.05, 1.0):.2f}", steps)
+
+    def _submit_services(self, workers):
+        draw = random.Random(f"{self.seed} services")
+        connections = {}
+        for number in range(SERVICES):
+            key = f"{0xfffe:04x}{number:012x}"
+            step = {"count": workers // 2, "cpu": SERVICE_MILLI_CPU, "mem_mb": 100, "estimated_ms": 60000,
+                    "long_running": True, "max_per_server": 1}
+            if self._hand_in(draw, connections, key, SERVICE_SPEC, [step]):
+                self.services.append(key)
+        wait_until(lambda: not any(self._missing_tasks(service) for service in self.services), "the services run")
+        key = f"{0xffff:04x}{0:012x}"
+        # More members than workers without a service, but not all: one that moves while it is replaced may stay away.
+        gang = {"count": workers // 2 + 1, "cpu": WORKER_MILLI_CPU - SERVICE_MILLI_CPU // 2, "mem_mb": 100, "estimated_ms": 300,
+                "gang": True}
+        if self._hand_in(draw, connections, key, "0.30", [gang]):
+            self.blocked_gang = key
+
+    def _hand_in(self, draw, connections, key, spec, steps):
+        body = json.dumps({"task_spec": spec, "steps": steps})
         with self.lock:
             self.observer.jobs[key] = steps
         ambiguous = False
@@ -618,7 +657,7 @@
         """Waits until every accepted job has ended."""
         self._settling = True
         with self.lock:
-            waiting = set(self.accepted)
+            waiting = set(self.accepted) - {*self.services, self.blocked_gang}
         deadline = time.monotonic() + SETTLE_S
         while waiting and time.monotonic() < deadline:
             for key in sorted(waiting):
@@ -634,6 +673,52 @@
             state = self._read_state(self.gateways[0], int(key, 16))
             self.violation(f"job {key} has not ended after {SETTLE_S} s: {state}")
 
+    def _settle_services(self):
+        """Waits until all tasks that last are at work, cancels them, and waits for the gang that they blocked."""
+        deadline = time.monotonic() + SERVICE_RESTART_S
+        missing = {}
+        while time.monotonic() < deadline:
+            missing = {key: self._missing_tasks(key) for key in self.services}
+            if not any(missing.values()):
+                break
+            time.sleep(0.2)
+        for key, tasks in missing.items():
+            if tasks:
+                self.violation(f"tasks of {key} that last are not at work after {SERVICE_RESTART_S} s: {tasks}")
+        connections = {}
+        for key in self.services:
+            with self.lock:
+                self.cancelled.add(key)
+            wait_until(lambda at=key: self._request(connections, self.gateways[0], "DELETE", at)[0] in (200, 202, 204, 410),
+                       "a service is cancelled")
+        deadline = time.monotonic() + CANCEL_S
+        while time.monotonic() < deadline and any(map(self._running_tasks, self.services)):
+            time.sleep(0.1)
+        deadline = time.monotonic() + SETTLE_S
+        state = None
+        while self.blocked_gang and time.monotonic() < deadline:
+            state = self._read_state(self.gateways[0], int(self.blocked_gang, 16))
+            if state in ("completed", "failed"):
+                self._check_state(self.blocked_gang, state)
+                return
+            time.sleep(0.2)
+        if self.blocked_gang:
+            self.violation(f"the gang {self.blocked_gang} has not ended {SETTLE_S} s after the services: {state}")
+
+    def _missing_tasks(self, key):
+        """Returns the tasks of a service that run on no worker; none if its job has ended."""
+        state = self._read_state(self.gateways[0], int(key, 16))
+        if state in ("failed", "cancelled"):
+            self._check_state(key, state)
+            return []
+        running = self._running_tasks(key)
+        tasks = [f"{key}.0.0.{index}" for index in range(self.observer.jobs[key][0]["count"])]
+        return [task for task in tasks if task not in running]
+
+    def _running_tasks(self, key):
+        with self.lock:
+            return {task for worker in self.workers for task in worker.runs if task.startswith(key)}
+
     def _check_end(self):
         with self.lock:
             for key in self.refused:
