--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -306,11 +306,10 @@
             return;
         }
         const std::string text = error ? error.message() : "answer without a length";
-        pool->finish(call,
-                     tl::unexpected(CallError{call.verdictAfter(verdict_),
-                                              pool->host + ": " + text,
-                                              call.timing(),
-                                              error == beast::error::timeout}));
+        pool->finish(
+            call,
+            tl::unexpected(CallError{
+                call.verdictAfter(verdict_), pool->host + ": " + text, call.timing(), error == beast::error::timeout}));
     }
 
     std::shared_ptr<CallPool::Impl> pool_;
--- a/src/workflow/job_manager_placement.cpp
+++ b/src/workflow/job_manager_placement.cpp
@@ -578,7 +578,7 @@
     step.isBlocked = !pass.planner.claimCapacity(*pass.placer, request, step.claimHistory, pass.claims, pass.now);
     step.nextBlockCheck = pass.now + BlockCheckInterval;
     if (step.isBlocked != wasBlocked) {
-        base::logInfo(step.isBlocked ? "gang_blocked" : "gang_unblocked")
+        (step.isBlocked ? base::logInfo("gang_blocked") : base::logInfo("gang_unblocked"))
             .with("job", toString(key.job))
             .with("step", key.position)
             .with("needed_millicores", need.milliCpu);
--- a/src/workflow/worker_health.cpp
+++ b/src/workflow/worker_health.cpp
@@ -9,8 +9,6 @@
 {
 
 constexpr double WeightToQuarantine = 2; ///< Failures that it takes while they are rare.
-// Requires failures of two jobs, because a job that fails everywhere must not quarantine every worker it runs on.
-constexpr std::uint32_t JobsToQuarantine = 2;
 constexpr std::size_t MaxFailures = 16; ///< Earlier ones say less than the latest.
 constexpr std::chrono::milliseconds FirstQuarantine{2'000};
 constexpr std::uint32_t MaxDoublings = 3;
@@ -32,6 +30,7 @@
     }
     longestFailedRun_ = std::max(longestFailedRun_, ran);
     lastFailure_ = now;
+    // A job that fails everywhere must not quarantine every worker it runs on.
     const bool ofSeveralJobs =
         std::any_of(failures_.begin(), failures_.end(), [&](const Failure &failure) { return failure.job != job; });
     if (!onProbation() && !ofSeveralJobs) {
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -123,7 +123,7 @@
 TEST(PlatformFormat, RefusesDeepOrWideBodiesWithoutMuchMemory)
 {
     constexpr std::size_t BodyBytes = std::size_t{4} * 1024 * 1024;
-    constexpr long MaxKibibytes = 64 * 1024;
+    constexpr long MaxKibibytes = 64L * 1024;
     std::string wide = "{\"a\":[";
     while (wide.size() < BodyBytes - 8) {
         wide += "[[]],";
--- a/tests/workflow_claims_test.cpp
+++ b/tests/workflow_claims_test.cpp
@@ -66,34 +66,34 @@
 class WorkflowClaims : public testing::Test
 {
 protected:
-    WorkflowClaims() : simulation(options())
+    WorkflowClaims() : simulation_(options())
     {
         for (std::uint32_t number = 0; number < Workers; ++number) {
-            simulation.workers.add("w" + std::to_string(number), WorkerMilliCpu, "rack", simulation.now);
+            simulation_.workers.add("w" + std::to_string(number), WorkerMilliCpu, "rack", simulation_.now);
         }
-        simulation.lead();
-        simulation.run(100ms);
+        simulation_.lead();
+        simulation_.run(100ms);
     }
 
     /// Runs a task on each worker that holds less than half of it, and hands in a gang that fits beside none of them.
     void blockGang(bool longRunning, std::chrono::milliseconds estimate, std::int64_t gangMilliCpu = 10'000)
     {
-        simulation.submit(Background, oneEach(7'000, estimate, longRunning), policy(2));
-        simulation.run(500ms);
-        ASSERT_EQ(simulation.state.findJob(Background)->placed, Workers);
+        simulation_.submit(Background, oneEach(7'000, estimate, longRunning), policy(2));
+        simulation_.run(500ms);
+        ASSERT_EQ(simulation_.state.findJob(Background)->placed, Workers);
         workflow::QueuePolicy patient = policy(1);
         patient.target = 1h; // Never late, so that it stays ahead.
-        simulation.submit(Gang, gang(Workers, gangMilliCpu), patient);
-        simulation.run(500ms);
+        simulation_.submit(Gang, gang(Workers, gangMilliCpu), patient);
+        simulation_.run(500ms);
     }
     /// Returns whether a task of the job is started within `limit`.
     bool starts(JobKey key, std::chrono::milliseconds limit)
     {
-        return simulation.runUntil([&] { return isStarted(key); }, limit);
+        return simulation_.runUntil([&] { return isStarted(key); }, limit);
     }
     bool isStarted(JobKey key) const
     {
-        const workflow::JobRecord *const record = simulation.state.findJob(key);
+        const workflow::JobRecord *const record = simulation_.state.findJob(key);
         return record != nullptr && (record->placed > 0 || record->phase == JobPhase::Completed);
     }
     /// Keeps the workers nearly full with a stream of small tasks, and returns whether a gang that needs most of all
@@ -112,39 +112,39 @@
                 waiting += isStarted(key) ? 0 : 1;
             }
             for (; waiting < Backlog; ++waiting) {
-                runTimes[next] = next % 2 == 0 ? shortest : longest;
-                simulation.submit(next++, job(1, 1'000, estimate), policy(2));
+                runTimes_[next] = next % 2 == 0 ? shortest : longest;
+                simulation_.submit(next++, job(1, 1'000, estimate), policy(2));
             }
-            simulation.run(10ms);
+            simulation_.run(10ms);
         };
         for (int round = 0; round < 300; ++round) {
             feed();
         }
         workflow::QueuePolicy patient = policy(1);
         patient.target = 1h; // Never late, so that it stays ahead.
-        simulation.submit(Gang, gang(Workers, 12'000), patient);
-        const base::TimePoint end = simulation.now + limit;
-        while (simulation.now < end && !isCompleted(Gang)) {
+        simulation_.submit(Gang, gang(Workers, 12'000), patient);
+        const base::TimePoint end = simulation_.now + limit;
+        while (simulation_.now < end && !isCompleted(Gang)) {
             feed();
         }
         return isCompleted(Gang);
     }
     bool isCompleted(JobKey key) const
     {
-        const workflow::JobRecord *const record = simulation.state.findJob(key);
+        const workflow::JobRecord *const record = simulation_.state.findJob(key);
         return record != nullptr && record->phase == JobPhase::Completed;
     }
 
-    std::map<JobKey, std::chrono::milliseconds> runTimes; ///< A second if unset.
-    ManagerSimulation simulation;
+    std::map<JobKey, std::chrono::milliseconds> runTimes_; ///< A second if unset.
+    ManagerSimulation simulation_;
 
 private:
     ManagerSimulation::Options options()
     {
         ManagerSimulation::Options result;
         result.workers.runTimeOf = [this](const workflow::TaskRef &task, const std::string &) {
-            const auto found = runTimes.find(task.job);
-            return found != runTimes.end() ? found->second : task.job == Gang ? GangRunTime : 1'000ms;
+            const auto found = runTimes_.find(task.job);
+            return found != runTimes_.end() ? found->second : task.job == Gang ? GangRunTime : 1'000ms;
         };
         return result;
     }
@@ -155,57 +155,57 @@
 // Guards against a small job that waits for ever beside a gang which waits for long-running tasks to end.
 TEST_F(WorkflowClaims, SmallJobStartsBesideAGangThatLongRunningTasksBlock)
 {
-    runTimes[Background] = 1h;
+    runTimes_[Background] = 1h;
     blockGang(true, 60s);
-    simulation.submit(Small, job(1, 1'000, 1s), policy(2));
+    simulation_.submit(Small, job(1, 1'000, 1s), policy(2));
     EXPECT_TRUE(starts(Small, MaxWait));
 }
 
 // Guards against gangs that wait behind one that long-running tasks block.
 TEST_F(WorkflowClaims, GangStartsBesideAGangThatLongRunningTasksBlock)
 {
-    runTimes[Background] = 1h;
+    runTimes_[Background] = 1h;
     blockGang(true, 60s);
-    simulation.submit(Small, gang(Workers, 4'000), policy(2));
+    simulation_.submit(Small, gang(Workers, 4'000), policy(2));
     EXPECT_TRUE(starts(Small, MaxWait));
 }
 
 // Guards against a blocked gang that doesn't start once the long-running tasks are gone.
 TEST_F(WorkflowClaims, BlockedGangStartsOnceLongRunningTasksEnd)
 {
-    runTimes[Background] = 1h;
+    runTimes_[Background] = 1h;
     blockGang(true, 60s);
-    simulation.run(3s);
-    simulation.cancel(Background);
+    simulation_.run(3s);
+    simulation_.cancel(Background);
     EXPECT_TRUE(starts(Gang, 2s));
 }
 
 // Guards against a small job that waits beside free capacity for as long as a gang waits for long tasks.
 TEST_F(WorkflowClaims, SmallJobStartsBesideAGangThatWaitsForLongTasks)
 {
-    runTimes[Background] = 60s;
+    runTimes_[Background] = 60s;
     blockGang(false, 60s, WorkerMilliCpu);
-    simulation.submit(Small, job(1, 1'000, 1s), policy(2));
+    simulation_.submit(Small, job(1, 1'000, 1s), policy(2));
     EXPECT_TRUE(starts(Small, MaxWait));
 }
 
 // The same for a job that would end after the gang is expected to start.
 TEST_F(WorkflowClaims, LongJobStartsBesideAGangThatWaitsWhileMostCapacityIsFree)
 {
-    runTimes[Background] = 30s;
-    runTimes[Small] = 60s;
+    runTimes_[Background] = 30s;
+    runTimes_[Small] = 60s;
     blockGang(false, 30s, WorkerMilliCpu);
-    simulation.submit(Small, job(1, 1'000, 60s), policy(2));
+    simulation_.submit(Small, job(1, 1'000, 60s), policy(2));
     EXPECT_TRUE(starts(Small, MaxWait));
 }
 
 // Guards against a small job that waits because the tasks that a gang waits for take far longer than estimated.
 TEST_F(WorkflowClaims, SmallJobStartsBesideAGangThatWaitsForUnderestimatedTasks)
 {
-    runTimes[Background] = 60s;
+    runTimes_[Background] = 60s;
     blockGang(false, 100ms, WorkerMilliCpu);
-    simulation.run(2s);
-    simulation.submit(Small, job(1, 1'000, 1s), policy(2));
+    simulation_.run(2s);
+    simulation_.submit(Small, job(1, 1'000, 1s), policy(2));
     EXPECT_TRUE(starts(Small, MaxWait));
 }
 
@@ -213,45 +213,45 @@
 TEST_F(WorkflowClaims, LongRunningTaskRestartsBesideAGangThatWaits)
 {
     constexpr JobKey Service = 4;
-    runTimes[Background] = 20s;
-    runTimes[Service] = 1h;
+    runTimes_[Background] = 20s;
+    runTimes_[Service] = 1h;
     workflow::JobSpec service = job(1, 1'000, 60s);
     service.steps[0].longRunning = true;
-    simulation.submit(Service, service, policy(2));
-    simulation.run(500ms);
+    simulation_.submit(Service, service, policy(2));
+    simulation_.run(500ms);
     const workflow::TaskRef task{Service, 0, 0, 0};
     const auto isAtWork = [&] {
-        return simulation.state.findTask(task)->phase == workflow::TaskPhase::Placed;
+        return simulation_.state.findTask(task)->phase == workflow::TaskPhase::Placed;
     };
     ASSERT_TRUE(isAtWork());
     blockGang(false, 20s, WorkerMilliCpu);
-    simulation.workers.fail(
-        simulation.state.workers().at(simulation.state.findTask(task)->worker).identity.id, task, {});
-    ASSERT_TRUE(simulation.runUntil([&] { return !isAtWork(); }, 1s));
-    EXPECT_TRUE(simulation.runUntil(isAtWork, MaxWait));
+    simulation_.workers.fail(
+        simulation_.state.workers().at(simulation_.state.findTask(task)->worker).identity.id, task, {});
+    ASSERT_TRUE(simulation_.runUntil([&] { return !isAtWork(); }, 1s));
+    EXPECT_TRUE(simulation_.runUntil(isAtWork, MaxWait));
 }
 
 // Guards against a gang that never asks for tickets for idle workers, because another one waits for those of another
 // service.
 TEST_F(WorkflowClaims, GangStartsBesideAGangThatWaitsForAnotherService)
 {
-    runTimes[Background] = 60s;
+    runTimes_[Background] = 60s;
     for (const char *const id : {"other0", "other1"}) {
-        simulation.workers.add(id, WorkerMilliCpu, "rack", simulation.now);
-        simulation.workers.worker(id).identity.service = "other";
+        simulation_.workers.add(id, WorkerMilliCpu, "rack", simulation_.now);
+        simulation_.workers.worker(id).identity.service = "other";
     }
-    simulation.loseLeader();
-    simulation.lead(); // Now all workers report.
-    simulation.run(2s);
+    simulation_.loseLeader();
+    simulation_.lead(); // Now all workers report.
+    simulation_.run(2s);
     blockGang(false, 60s, WorkerMilliCpu);
     workflow::JobSpec filling = oneEach(WorkerMilliCpu - 7'000, 60s, false);
-    runTimes[FirstOfStream] = 60s;
-    simulation.submit(FirstOfStream, filling, policy(0));
-    simulation.run(500ms);
+    runTimes_[FirstOfStream] = 60s;
+    simulation_.submit(FirstOfStream, filling, policy(0));
+    simulation_.run(500ms);
     workflow::QueuePolicy other = policy(2);
     other.service = "other";
     other.eligibility = workflow::EligibilityPolicy{10ms, 1ms, 1'500ms};
-    simulation.submit(Small, gang(2, 8'000), other);
+    simulation_.submit(Small, gang(2, 8'000), other);
     EXPECT_TRUE(starts(Small, MaxWait));
 }
 
@@ -276,13 +276,13 @@
 // Guards against a gang that tasks which are let through in the meantime keep from starting in its turn.
 TEST_F(WorkflowClaims, GangStartsSoonAfterTheLongTasksThatItWaitsFor)
 {
-    runTimes[Background] = 10s;
+    runTimes_[Background] = 10s;
     blockGang(false, 10s, WorkerMilliCpu);
     JobKey next = FirstOfStream;
-    const base::TimePoint end = simulation.now + 13s;
-    while (simulation.now < end && !isStarted(Gang)) {
-        simulation.submit(next++, job(1, 1'000, 1s), policy(2));
-        simulation.run(50ms);
+    const base::TimePoint end = simulation_.now + 13s;
+    while (simulation_.now < end && !isStarted(Gang)) {
+        simulation_.submit(next++, job(1, 1'000, 1s), policy(2));
+        simulation_.run(50ms);
     }
     EXPECT_TRUE(isStarted(Gang));
 }
--- a/tests/workflow_probation_test.cpp
+++ b/tests/workflow_probation_test.cpp
@@ -50,22 +50,22 @@
 class WorkflowProbation : public testing::Test
 {
 protected:
-    WorkflowProbation() : simulation(options())
+    WorkflowProbation() : simulation_(options())
     {
     }
 
     void addWorkers(std::uint32_t count)
     {
         for (std::uint32_t number = 0; number < count; ++number) {
-            simulation.workers.add("w" + std::to_string(number), WorkerMilliCpu, "rack", simulation.now);
+            simulation_.workers.add("w" + std::to_string(number), WorkerMilliCpu, "rack", simulation_.now);
         }
-        simulation.lead();
-        simulation.run(100ms);
+        simulation_.lead();
+        simulation_.run(100ms);
     }
     std::size_t tasksAtWork(JobKey key)
     {
         std::size_t count = 0;
-        for (const auto &[id, worker] : simulation.workers.all()) {
+        for (const auto &[id, worker] : simulation_.workers.all()) {
             count += static_cast<std::size_t>(std::count_if(
                 worker.runs.begin(), worker.runs.end(), [key](const auto &item) { return item.first.job == key; }));
         }
@@ -74,14 +74,14 @@
     /// Lets all tasks of a job fail that are at work.
     void failAll(JobKey key)
     {
-        for (const auto &[id, worker] : simulation.workers.all()) {
+        for (const auto &[id, worker] : simulation_.workers.all()) {
             std::set<workflow::TaskRef> tasks;
             for (const auto &[task, run] : worker.runs) {
                 tasks.insert(task);
             }
             for (const workflow::TaskRef &task : tasks) {
                 if (task.job == key) {
-                    simulation.workers.fail(id, task, {});
+                    simulation_.workers.fail(id, task, {});
                 }
             }
         }
@@ -89,35 +89,36 @@
     /// Has a single worker run a long-running task, and puts it on probation for the failures of two other jobs.
     void putOnProbation(std::chrono::milliseconds failingAfter)
     {
-        simulation.submit(FirstService, job(1, true), policy());
-        simulation.run(500ms);
+        simulation_.submit(FirstService, job(1, true), policy());
+        simulation_.run(500ms);
         failingFrom_ = FirstOfFailing;
         failingAfter_ = failingAfter;
-        simulation.workers.worker("w0").failsAll = true;
-        simulation.submit(FirstOfFailing, job(1), policy());
-        simulation.submit(FirstOfFailing + 1, job(1), policy());
-        ASSERT_TRUE(simulation.runUntil([this] { return health().onProbation(); }, failingAfter + 1s));
-        simulation.workers.worker("w0").failsAll = false;
-        simulation.cancel(FirstOfFailing);
-        simulation.cancel(FirstOfFailing + 1);
-        ASSERT_TRUE(simulation.runUntil([this] { return !health().isQuarantined(simulation.now); }, 20s));
+        simulation_.workers.worker("w0").failsAll = true;
+        simulation_.submit(FirstOfFailing, job(1), policy());
+        simulation_.submit(FirstOfFailing + 1, job(1), policy());
+        ASSERT_TRUE(simulation_.runUntil([this] { return health().onProbation(); }, failingAfter + 1s));
+        simulation_.workers.worker("w0").failsAll = false;
+        simulation_.cancel(FirstOfFailing);
+        simulation_.cancel(FirstOfFailing + 1);
+        ASSERT_TRUE(simulation_.runUntil([this] { return !health().isQuarantined(simulation_.now); }, 20s));
     }
     const workflow::WorkerHealth &health()
     {
-        return simulation.manager->workers().begin()->second.health;
+        return simulation_.manager->workers().begin()->second.health;
     }
 
     static constexpr JobKey FirstOfFailing = 50;
     static constexpr std::chrono::milliseconds LongTime = 1h;
-    std::set<JobKey> longRunning{FirstService, SecondService};
-    ManagerSimulation simulation;
+    ManagerSimulation simulation_;
 
 private:
     ManagerSimulation::Options options()
     {
         ManagerSimulation::Options result;
         result.workers.runTimeOf = [this](const workflow::TaskRef &task, const std::string &) {
-            return longRunning.contains(task.job) ? LongTime : task.job >= failingFrom_ ? failingAfter_ : 400ms;
+            return task.job == FirstService || task.job == SecondService ? LongTime
+                : task.job >= failingFrom_                               ? failingAfter_
+                                                                         : 400ms;
         };
         return result;
     }
@@ -134,17 +135,17 @@
 {
     constexpr std::uint32_t Workers = 3;
     addWorkers(Workers);
-    simulation.submit(FirstService, job(Workers, true), policy());
-    simulation.submit(SecondService, job(Workers, true), policy());
-    simulation.run(4s);
+    simulation_.submit(FirstService, job(Workers, true), policy());
+    simulation_.submit(SecondService, job(Workers, true), policy());
+    simulation_.run(4s);
     failAll(FirstService);
-    simulation.run(300ms);
+    simulation_.run(300ms);
     failAll(SecondService);
-    simulation.run(100ms);
-    EXPECT_TRUE(simulation.runUntil(
+    simulation_.run(100ms);
+    EXPECT_TRUE(simulation_.runUntil(
         [&] { return tasksAtWork(FirstService) == Workers && tasksAtWork(SecondService) == Workers; }, MaxRestart));
-    simulation.submit(Later, job(1), policy());
-    EXPECT_TRUE(simulation.runUntil([&] { return tasksAtWork(Later) == 1; }, MaxWait));
+    simulation_.submit(Later, job(1), policy());
+    EXPECT_TRUE(simulation_.runUntil([&] { return tasksAtWork(Later) == 1; }, MaxWait));
 }
 
 // Guards against a worker on probation that is never given a task again because it runs one that lasts.
@@ -152,9 +153,9 @@
 {
     addWorkers(1);
     putOnProbation(100ms);
-    simulation.submit(Later, job(1), policy());
-    EXPECT_TRUE(simulation.runUntil([&] { return tasksAtWork(Later) == 1; }, MaxWait));
-    EXPECT_TRUE(simulation.runUntil([this] { return !health().onProbation(); }, 2s));
+    simulation_.submit(Later, job(1), policy());
+    EXPECT_TRUE(simulation_.runUntil([&] { return tasksAtWork(Later) == 1; }, MaxWait));
+    EXPECT_TRUE(simulation_.runUntil([this] { return !health().onProbation(); }, 2s));
 }
 
 // Guards against a probation that never ends because the task given on probation is one that lasts.
@@ -162,11 +163,11 @@
 {
     addWorkers(1);
     putOnProbation(500ms);
-    simulation.submit(SecondService, job(1, true), policy());
-    ASSERT_TRUE(simulation.runUntil([&] { return tasksAtWork(SecondService) == 1; }, MaxWait));
-    simulation.submit(Later, job(4), policy());
-    EXPECT_TRUE(simulation.runUntil([&] { return tasksAtWork(Later) > 0; }, MaxWait));
-    EXPECT_TRUE(simulation.runUntil([this] { return !health().onProbation(); }, 5s));
+    simulation_.submit(SecondService, job(1, true), policy());
+    ASSERT_TRUE(simulation_.runUntil([&] { return tasksAtWork(SecondService) == 1; }, MaxWait));
+    simulation_.submit(Later, job(4), policy());
+    EXPECT_TRUE(simulation_.runUntil([&] { return tasksAtWork(Later) > 0; }, MaxWait));
+    EXPECT_TRUE(simulation_.runUntil([this] { return !health().onProbation(); }, 5s));
 }
 
 // Guards against tasks that wait for a long trial to outlast runs that took long to fail.
@@ -174,10 +175,10 @@
 {
     addWorkers(1);
     putOnProbation(20s);
-    simulation.submit(SecondService, job(1, true), policy());
-    ASSERT_TRUE(simulation.runUntil([&] { return tasksAtWork(SecondService) == 1; }, MaxWait));
-    simulation.submit(Later, job(1), policy());
-    EXPECT_TRUE(simulation.runUntil([&] { return tasksAtWork(Later) > 0; }, MaxWait));
+    simulation_.submit(SecondService, job(1, true), policy());
+    ASSERT_TRUE(simulation_.runUntil([&] { return tasksAtWork(SecondService) == 1; }, MaxWait));
+    simulation_.submit(Later, job(1), policy());
+    EXPECT_TRUE(simulation_.runUntil([&] { return tasksAtWork(Later) > 0; }, MaxWait));
 }
 
 // Guards against a gang that needs two places on a worker on probation, and waits for others to end that.
@@ -187,8 +188,8 @@
     putOnProbation(100ms);
     workflow::JobSpec gang = job(3);
     gang.steps[0].gang = true;
-    simulation.submit(Later, gang, policy());
-    EXPECT_TRUE(simulation.runUntil([&] { return tasksAtWork(Later) == 3; }, MaxWait));
+    simulation_.submit(Later, gang, policy());
+    EXPECT_TRUE(simulation_.runUntil([&] { return tasksAtWork(Later) == 3; }, MaxWait));
 }
 
 // Guards against a worker that is fed with tasks which all fail there at once, because a task that lasts works there.
@@ -196,24 +197,24 @@
 {
     constexpr JobKey Jobs = 200;
     addWorkers(2);
-    simulation.submit(FirstService, job(2, true), policy());
-    simulation.run(500ms);
-    simulation.workers.worker("w0").failsAll = true;
+    simulation_.submit(FirstService, job(2, true), policy());
+    simulation_.run(500ms);
+    simulation_.workers.worker("w0").failsAll = true;
     // Fills the other worker, so that tasks wait all the time.
     std::size_t most = 0;
     for (JobKey key = 100; key < 100 + Jobs; ++key) {
         workflow::JobSpec spec = job(2);
         spec.steps[0].perTask.milliCpu = 4'000;
-        simulation.submit(key, spec, policy());
+        simulation_.submit(key, spec, policy());
         for (int passed = 0; passed < 100; ++passed) {
-            simulation.run(1ms);
-            if (health().onProbation() && !health().isQuarantined(simulation.now)) {
-                most = std::max(most, simulation.workers.worker("w0").runs.size());
+            simulation_.run(1ms);
+            if (health().onProbation() && !health().isQuarantined(simulation_.now)) {
+                most = std::max(most, simulation_.workers.worker("w0").runs.size());
             }
         }
     }
     std::uint64_t failures = 0;
-    for (const auto &[key, record] : simulation.state.jobs()) {
+    for (const auto &[key, record] : simulation_.state.jobs()) {
         for (const workflow::TaskRecord &task : record.steps[0].tasks) {
             failures += task.failures;
         }
@@ -232,30 +233,30 @@
     const auto load = [&](std::uint32_t count) {
         workflow::JobSpec spec = job(count);
         spec.steps[0].perTask.milliCpu = 4'000;
-        simulation.submit(next++, spec, policy());
+        simulation_.submit(next++, spec, policy());
     };
     addWorkers(Workers);
     workflow::JobSpec suspect = job(1);
     suspect.steps[0].perTask.milliCpu = 2'000;
-    simulation.submit(Suspect, suspect, policy());
-    simulation.run(30ms); // Until it is committed.
+    simulation_.submit(Suspect, suspect, policy());
+    simulation_.run(30ms); // Until it is committed.
     const workflow::TaskRef task{Suspect, 0, 0, 0};
     for (std::uint32_t run = 1; run <= 2; ++run) {
-        ASSERT_TRUE(simulation.runUntil(
+        ASSERT_TRUE(simulation_.runUntil(
             [&] {
-                const workflow::TaskRecord &record = *simulation.state.findTask(task);
+                const workflow::TaskRecord &record = *simulation_.state.findTask(task);
                 return record.phase == workflow::TaskPhase::Placed && record.run == run;
             },
             5s));
-        const workflow::WorkerNumber worker = simulation.state.findTask(task)->worker;
+        const workflow::WorkerNumber worker = simulation_.state.findTask(task)->worker;
         load(8); // Some of these run beside it.
-        simulation.run(100ms);
-        simulation.workers.crash(simulation.state.workers().at(worker).identity.id, simulation.now);
+        simulation_.run(100ms);
+        simulation_.workers.crash(simulation_.state.workers().at(worker).identity.id, simulation_.now);
     }
-    simulation.submit(FirstService, job(Workers / 2, true), policy());
-    for (int tick = 0; tick < 200 && !simulation.state.findJob(Suspect)->hasEnded(); ++tick) {
+    simulation_.submit(FirstService, job(Workers / 2, true), policy());
+    for (int tick = 0; tick < 200 && !simulation_.state.findJob(Suspect)->hasEnded(); ++tick) {
         load(Workers); // As much as the workers can do.
-        simulation.run(100ms);
+        simulation_.run(100ms);
     }
-    EXPECT_EQ(simulation.phaseOf(Suspect), JobPhase::Completed);
+    EXPECT_EQ(simulation_.phaseOf(Suspect), JobPhase::Completed);
 }
