--- a/src/placement/worker_health.h
+++ b/src/placement/worker_health.h
@@ -42,11 +42,6 @@
     {
         return state_ != State::Healthy || consecutiveFailures_ >= SuspectFailures;
     }
-    /// Returns whether the worker may start a task while `trials` that haven't outlasted the trial time are there.
-    bool canTakeTask(std::size_t trials) const
-    {
-        return state_ == State::Healthy || (state_ == State::Probation && trials == 0);
-    }
     /// Returns whether a task that was started at this time, on probation, is a trial.
     bool isTrial(base::TimePoint startedAt) const
     {
@@ -70,7 +65,7 @@
     int consecutiveFailures_ = 0;
     double failureWeight_ = 0; ///< Of the consecutive failures, as evidence against the worker.
     int successes_ = 0; ///< During this probation.
-    int lastingTrials_ = 0; ///< The same.
+    int lastingTrials_ = 0; ///< Trials of this probation that have outlasted the trial time.
     base::TimePoint probationSince_;
     JobHandle lastJob_ = 0xffffffff;
     base::TimePoint quarantinedUntil_;
--- a/src/placement/zone_state.cpp
+++ b/src/placement/zone_state.cpp
@@ -13,7 +13,9 @@
     if (entry.liveness != Liveness::Up || entry.draining) {
         return false;
     }
-    return entry.health.state() == WorkerHealth::State::Healthy || entry.health.canTakeTask(countTrials(worker, false));
+    const WorkerHealth::State state = entry.health.state();
+    return state == WorkerHealth::State::Healthy
+        || (state == WorkerHealth::State::Probation && countTrials(worker, false) == 0);
 }
 
 // What ran there before the probation doesn't tell whether tasks that start now fail.
--- a/src/workflow/capacity_claims.h
+++ b/src/workflow/capacity_claims.h
@@ -4,7 +4,6 @@
 #include "placement/resources.h"
 #include "workflow/worker.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
--- a/src/workflow/preemption_planner.cpp
+++ b/src/workflow/preemption_planner.cpp
@@ -11,7 +11,8 @@
 constexpr std::uint32_t MaxRuns = 3; ///< From this run on, a task is no longer preempted, so that it makes progress.
 // A worker needs up to 400 ms to stop a task; then its end and the new start must be committed.
 constexpr std::chrono::milliseconds PreemptionTime{600};
-constexpr std::chrono::seconds CollectionTime{10}; ///< Most tasks take less.
+// Capacity that is free when a gang has been claiming for longer is not put down to what the gang collects.
+constexpr std::chrono::seconds CollectionTime{10};
 constexpr std::chrono::seconds MaxYieldTime{60}; ///< Overdue tasks may delay a gang for this long.
 
 } // namespace
@@ -32,7 +33,7 @@
     return firstExpectedStart == base::TimePoint{} || now < firstExpectedStart;
 }
 
-// Under load, capacity becomes free because the gang collects it.
+// A gang that begins to claim under load makes capacity free by collecting it, which must not end its claim.
 bool PreemptionPlanner::ClaimHistory::isRelaxed(bool isMostCapacityFree, base::TimePoint now) const
 {
     return isMostCapacityFree && (wasMostCapacityFree || now - since >= CollectionTime);
@@ -214,28 +215,29 @@
     const base::TimePoint start = std::max_element(openings.begin(), openings.end())->first;
     const bool isMostCapacityFree = claims.isMostCapacityFree(service);
     history.note(start, isMostCapacityFree, now);
-    std::map<std::size_t, std::uint32_t> tasksByCollector;
+    struct Share {
+        std::uint32_t tasks = 0;
+        OlderRuns older;
+    };
+    std::map<std::size_t, Share> shares; // By index of the collector.
     for (const auto &[at, index] : openings) {
-        ++tasksByCollector[index];
+        ++shares[index].tasks;
     }
-    const auto olderRunsOn = [&](WorkerNumber number) {
-        return olderRuns(request, number, history.since, start, now);
-    };
-    base::TimePoint backfillUntil{};
-    if (history.isOnSchedule(now)) {
-        backfillUntil = start;
-    } else if (history.isRelaxed(isMostCapacityFree, now)) {
-        for (const auto &[index, tasks] : tasksByCollector) {
-            backfillUntil = std::max(backfillUntil, olderRunsOn(collectors[index].worker).lastEnd);
-        }
+    base::TimePoint lastOlderEnd{};
+    for (auto &[index, share] : shares) {
+        share.older = olderRuns(request, collectors[index].worker, history.since, start, now);
+        lastOlderEnd = std::max(lastOlderEnd, share.older.lastEnd);
     }
-    for (const auto &[index, tasks] : tasksByCollector) {
+    const base::TimePoint backfillUntil = history.isOnSchedule(now) ? start
+        : history.isRelaxed(isMostCapacityFree, now)                ? lastOlderEnd
+                                                                    : base::TimePoint{};
+    for (const auto &[index, share] : shares) {
         const Collector &collector = collectors[index];
-        const placement::Resources wanted = amount * tasks;
+        const placement::Resources wanted = amount * share.tasks;
         const placement::Resources free = placement::elementwiseMax(collector.available, {});
         placement::Resources &promised = promisedEnds_[collector.worker];
-        const placement::Resources ending = placement::elementwiseMin(
-            placement::elementwiseMax(olderRunsOn(collector.worker).amount - promised, {}), wanted);
+        const placement::Resources ending =
+            placement::elementwiseMin(placement::elementwiseMax(share.older.amount - promised, {}), wanted);
         promised += ending;
         const placement::Resources claimed = placement::elementwiseMin(wanted - ending, free);
         CapacityClaims::Claim claim;
--- a/src/workflow/worker_health.h
+++ b/src/workflow/worker_health.h
@@ -5,7 +5,6 @@
 #include "workflow/job.h"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <vector>
@@ -78,7 +77,7 @@
     base::TimePoint lastFailure_{};
     std::uint32_t quarantines_ = 0;
     base::TimePoint quarantinedUntil_{};
-    TrialRound round_ = 0; ///< One for each quarantine.
+    TrialRound round_ = 0; ///< Rises with each quarantine and each success.
     std::uint32_t trials_ = 0; ///< Of this round.
 };
 
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -127,16 +127,18 @@
     def gang_members(self, task):
         """Returns the tasks of the gang that a task belongs to; none if it belongs to none."""
         key, occurrence, step, _ = task.split(".")
-        spec = self.jobs[key][int(step)]
+        spec = self._step(task)
         return [f"{key}.{occurrence}.{step}.{member}" for member in range(spec["count"])] if spec.get("gang") else []
 
     def is_long_running(self, task):
-        key, _, step, _ = task.split(".")
-        return self.jobs[key][int(step)].get("long_running", False)
+        return self._step(task).get("long_running", False)
 
     def _milli_cpu(self, task):
+        return self._step(task)["cpu"]
+
+    def _step(self, task):
         key, _, step, _ = task.split(".")
-        return self.jobs[key][int(step)]["cpu"]
+        return self.jobs[key][int(step)]
 
 
 class SoakWorker(CalledWorker):
--- a/tests/workflow_claims_test.cpp
+++ b/tests/workflow_claims_test.cpp
@@ -1,3 +1,4 @@
+#include "workflow_jobs.h"
 #include "workflow_simulation.h"
 
 #include <gtest/gtest.h>
@@ -7,6 +8,7 @@
 
 using namespace yuccawheel;
 using namespace std::chrono_literals;
+using tests::job;
 using tests::ManagerSimulation;
 using workflow::JobKey;
 using workflow::JobPhase;
@@ -23,18 +25,6 @@
 constexpr auto MaxWait = 3s; ///< Beside free capacity, while most of it is free.
 constexpr auto GangRunTime = 2s;
 
-workflow::JobSpec job(std::uint32_t count, std::int64_t milliCpu, std::chrono::milliseconds estimate)
-{
-    workflow::StepSpec step;
-    step.count = count;
-    step.perTask = {milliCpu, 100, 0};
-    step.estimatedRunTime = estimate;
-    workflow::JobSpec spec;
-    spec.payload = "payload";
-    spec.steps = {step};
-    return spec;
-}
-
 workflow::JobSpec gang(std::uint32_t count, std::int64_t milliCpu)
 {
     workflow::JobSpec spec = job(count, milliCpu, GangRunTime);
@@ -42,6 +32,11 @@
     return spec;
 }
 
+workflow::QueuePolicy policy(std::int32_t priority)
+{
+    return tests::policy("queue" + std::to_string(priority), priority);
+}
+
 /// One task on each worker.
 workflow::JobSpec oneEach(std::int64_t milliCpu, std::chrono::milliseconds estimate, bool longRunning)
 {
@@ -51,18 +46,6 @@
     return spec;
 }
 
-workflow::QueuePolicy policy(std::int32_t priority)
-{
-    workflow::QueuePolicy result;
-    result.queue = "queue" + std::to_string(priority);
-    result.service = "service";
-    result.priority = priority;
-    result.attempts = 3;
-    result.stretch = 2;
-    result.target = 1s;
-    return result;
-}
-
 class WorkflowClaims : public testing::Test
 {
 protected:
--- a/tests/workflow_load_test.cpp
+++ b/tests/workflow_load_test.cpp
@@ -1,41 +1,20 @@
+#include "workflow_jobs.h"
 #include "workflow_load.h"
 
 #include <gtest/gtest.h>
 
 using namespace yuccawheel;
 using namespace std::chrono_literals;
+using tests::job;
 using tests::ManagerSimulation;
 using tests::MixedLoad;
+using tests::policy;
 
 namespace
 {
 
 constexpr std::int64_t WorkerMilliCpu = 8'000;
 
-workflow::JobSpec job(std::uint32_t count, std::int64_t milliCpu, std::chrono::milliseconds estimate)
-{
-    workflow::StepSpec step;
-    step.count = count;
-    step.perTask = {milliCpu, 100, 0};
-    step.estimatedRunTime = estimate;
-    workflow::JobSpec spec;
-    spec.payload = "payload";
-    spec.steps = {step};
-    return spec;
-}
-
-workflow::QueuePolicy policy(const std::string &queue, std::int32_t priority)
-{
-    workflow::QueuePolicy result;
-    result.queue = queue;
-    result.service = "service";
-    result.priority = priority;
-    result.attempts = 3;
-    result.stretch = 2;
-    result.target = 1s;
-    return result;
-}
-
 void addWorkers(ManagerSimulation &simulation, std::size_t count)
 {
     for (std::size_t number = 0; number < count; ++number) {
--- a/tests/workflow_probation_test.cpp
+++ b/tests/workflow_probation_test.cpp
@@ -1,3 +1,4 @@
+#include "workflow_jobs.h"
 #include "workflow_simulation.h"
 
 #include <gtest/gtest.h>
@@ -24,26 +25,16 @@
 
 workflow::QueuePolicy policy()
 {
-    workflow::QueuePolicy result;
-    result.queue = "queue";
-    result.service = "service";
+    workflow::QueuePolicy result = tests::policy("queue", 0);
     result.attempts = 20;
-    result.stretch = 2;
-    result.target = 1s;
     return result;
 }
 
 workflow::JobSpec job(std::uint32_t count, bool longRunning = false)
 {
-    workflow::StepSpec step;
-    step.count = count;
-    step.perTask = {1'000, 100, 0};
-    step.estimatedRunTime = 400ms;
-    step.longRunning = longRunning;
-    step.maxPerWorker = longRunning ? 1 : 0;
-    workflow::JobSpec spec;
-    spec.payload = "payload";
-    spec.steps = {step};
+    workflow::JobSpec spec = tests::job(count, 1'000, 400ms);
+    spec.steps[0].longRunning = longRunning;
+    spec.steps[0].maxPerWorker = longRunning ? 1 : 0;
     return spec;
 }
 
