Limit the memory of answers that arrive from workers together

Cause: an answer may have 4 MiB, and a leader has up to two thousand connections to workers. Nothing bounded their sum, so some dozens of large answers exceed the memory limit of a manager.

Change: MemoryBudget is shared by the pools of a WorkerClient (32 MiB). A call whose answer finds none fails, with the verdict may-have-run. An answer without a length fails at its head instead of at its end.

Test: AnswerMemoryTest.AnswersThatArriveTogetherShareTheMemory; its options don't exist before.

--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -94,6 +94,9 @@
         boost::system::error_code invalid;
         endpoint = {asio::ip::make_address(server.ip, invalid), server.port};
         host = settings::toString(server);
+        if (!options.memory) {
+            options.memory = std::make_shared<MemoryBudget>(options.maxAnswerMemory);
+        }
     }
 
     void startQueuedCalls();
@@ -138,6 +141,7 @@
     explicit PooledConnection(std::shared_ptr<CallPool::Impl> pool)
         : pool_(std::move(pool))
         , limiter_(pool_->options.limiter)
+        , memory_(pool_->options.memory)
         , socket_(pool_->io)
         , timer_(pool_->io)
     {
@@ -254,19 +258,35 @@
     {
         parser_.emplace();
         parser_->body_limit(pool_->options.maxAnswerBytes);
-        beast::http::async_read(
+        parser_->eager(true);
+        readMore();
+    }
+
+    void readMore()
+    {
+        beast::http::async_read_some(
             socket_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
                 const base::DutyScope duty(base::Duty::Calls);
                 base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
-                self->anyByteRead_ = bytes > 0;
-                if (error || self->parser_->need_eof()) {
-                    self->fail(error);
-                    return;
-                }
-                self->succeed();
+                self->anyByteRead_ = self->anyByteRead_ || bytes > 0;
+                self->onRead(error);
             });
     }
 
+    void onRead(beast::error_code error)
+    {
+        if (!error && !memory_.resize(buffer_.capacity() + parser_->get().body().capacity())) {
+            error = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+        }
+        if (error || parser_->need_eof()) {
+            fail(error);
+        } else if (parser_->is_done()) {
+            succeed();
+        } else {
+            readMore();
+        }
+    }
+
     void succeed()
     {
         ClientResponse response;
@@ -279,6 +299,7 @@
         const bool reusable = parser_->get().keep_alive();
         response.body = std::move(parser_->get().body());
         parser_.reset();
+        memory_.release();
         QueuedCall call = std::move(*call_);
         call_.reset();
         response.timing = call.timing();
@@ -294,6 +315,8 @@
         }
         QueuedCall call = std::move(*call_);
         call_.reset();
+        parser_.reset();
+        memory_.release();
         const auto pool = pool_;
         const bool closedWhileIdle =
             reused_ && !anyByteRead_ && !isClosed_ && error != beast::error::timeout && !call.retried;
@@ -314,6 +337,7 @@
 
     std::shared_ptr<CallPool::Impl> pool_;
     std::shared_ptr<ConnectionLimiter> limiter_; ///< Null once the connection is closed.
+    MemoryShare memory_; ///< For the answer that arrives.
     Socket socket_;
     Timer timer_;
     beast::flat_buffer output_; ///< The request.
--- a/src/http/call_pool.h
+++ b/src/http/call_pool.h
@@ -2,6 +2,7 @@
 
 #include "http/client.h"
 #include "http/connection_limiter.h"
+#include "http/memory_budget.h"
 #include "settings/endpoint.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,12 +20,15 @@
     std::size_t maxConnections = 4;
     std::size_t maxQueued = 1'000; ///< Calls that wait for a connection.
     std::size_t maxAnswerBytes = 4U << 20U;
+    std::size_t maxAnswerMemory = 8U << 20U; ///< For all answers that arrive at a time, if `memory` is null.
     std::shared_ptr<ConnectionLimiter> limiter{}; ///< Shared by several pools; null if only maxConnections counts.
+    std::shared_ptr<MemoryBudget> memory{}; ///< For the answers of several pools; null if the pool has its own.
 };
 
 /// Client with persistent connections to one server. All calls and callbacks are on the io_context's thread.
 /// A call that finds its idle connection closed by the server is sent once more on a new connection, unless its request
-/// may not be repeated. A connection whose call timed out is closed. Calls for which no connection is left wait.
+/// may not be repeated. A connection whose call timed out is closed. Calls for which no connection is left wait. A call
+/// fails if its answer has no length, is too large, or finds no memory while it arrives.
 class CallPool
 {
 public:
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -13,6 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds OrderTimeout{700}; ///< A healthy worker answers within a few milliseconds.
+constexpr std::size_t MaxAnswerMemory = 32U << 20U; ///< For the answers that arrive from all workers at a time.
 constexpr std::size_t MaxConnections = 6; ///< One for the long poll `hold`, the others for orders. Workers accept 64.
 
 http::ClientRequest makeRequest(const workflow::WorkerIdentity &worker, const char *path, std::string body)
@@ -44,6 +45,7 @@
     : io_(io)
     , work_(work)
     , limiter_(std::make_shared<http::ConnectionLimiter>(io, std::move(connectionLimit)))
+    , answerMemory_(std::make_shared<http::MemoryBudget>(MaxAnswerMemory))
 {
 }
 
@@ -73,6 +75,7 @@
         http::CallPoolOptions options;
         options.maxConnections = MaxConnections;
         options.limiter = limiter_;
+        options.memory = answerMemory_;
         // Reports with a malformed address are refused, so parsing can't fail here.
         pool = std::make_unique<http::CallPool>(io_, *settings::parseEndpoint(address), options);
     }
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -57,6 +57,7 @@
     base::WorkQueue &work_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::shared_ptr<http::ConnectionLimiter> limiter_;
+    std::shared_ptr<http::MemoryBudget> answerMemory_;
     std::map<std::string, std::unique_ptr<http::CallPool>> pools_; ///< By worker address.
 };
 
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -83,6 +83,47 @@
     http::CallPool pool_;
 };
 
+/// A server whose answers have as many bytes as the path says, and a pool with little memory for answers.
+class AnswerMemoryTest : public testing::Test
+{
+protected:
+    static http::CallPoolOptions options()
+    {
+        http::CallPoolOptions options;
+        options.maxConnections = 8;
+        options.maxAnswerMemory = MaxAnswerMemory;
+        return options;
+    }
+    /// Makes calls at the same time. Returns the length of each answer; nothing for those that failed.
+    std::vector<std::optional<std::size_t>> call(const std::vector<std::size_t> &lengths)
+    {
+        std::vector<std::optional<std::size_t>> answers(lengths.size());
+        std::size_t answered = 0;
+        for (std::size_t number = 0; number < lengths.size(); ++number) {
+            pool_.call({"POST", "/" + std::to_string(lengths[number]), {}, ""}, 10s, [&, number](const Answer &answer) {
+                answers[number] = answer ? std::optional(answer->body.size()) : std::nullopt;
+                ++answered;
+            });
+        }
+        const auto end = std::chrono::steady_clock::now() + 20s;
+        while (answered < lengths.size() && std::chrono::steady_clock::now() < end) {
+            io_.run_one_for(10ms);
+        }
+        EXPECT_EQ(answered, lengths.size());
+        return answers;
+    }
+
+    static constexpr std::size_t MaxAnswerMemory = std::size_t{4} * 1024 * 1024;
+    boost::asio::io_context io_{1};
+    http::Server server_{io_,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0},
+                         http::ServerOptions{},
+                         [](const http::Request &request, const http::Responder &respond) {
+                             respond({200, std::string(std::stoul(request.path.substr(1)), 'a'), "text/plain", {}});
+                         }};
+    http::CallPool pool_{io_, {"127.0.0.1", server_.address().port()}, options()};
+};
+
 } // namespace
 
 // Guards against a short call that gets the deadline of a long one, because a connection's timer outlives its calls.
@@ -432,3 +473,17 @@
     EXPECT_TRUE(isAnswered(idle.back(), "/"));
     EXPECT_TRUE(isAnswered(added, "/"));
 }
+
+// Guards against processes that exceed their memory limit, as each of many workers sends a large answer.
+TEST_F(AnswerMemoryTest, AnswersThatArriveTogetherShareTheMemory)
+{
+    constexpr std::size_t Large = std::size_t{3} * 1024 * 1024;
+    const auto answers = call({Large, Large, Large, 100, 8'000});
+    EXPECT_EQ(std::count(answers.begin(), answers.end(), std::optional(Large)), 1);
+    EXPECT_EQ(std::count(answers.begin(), answers.end(), std::nullopt), 2);
+    EXPECT_EQ(answers[3], 100U) << "small answers have room";
+    EXPECT_EQ(answers[4], 8'000U);
+    for (int repeated = 0; repeated < 3; ++repeated) {
+        EXPECT_EQ(call({Large}), std::vector<std::optional<std::size_t>>{Large}) << "the memory is free again";
+    }
+}
