Limit the memory of requests that arrive together

Connections with parts of requests can't be closed for others: with 256 descriptors a job beside 200 of them was accepted after 100 s.

Cause: requests were limited one by one, with the limit of the largest on all paths, and only idle connections made room.

Change: a request is parsed as it arrives. Its head is checked before memory is taken for its body: the limit depends on the path (reports 64 KiB, configurations 4 MiB), and a head has at most 64 fields. All requests of a server that arrive or wait for their answer share 16 MiB, beyond 12 KiB each, and so do large answers to reads. What finds no room gets 503 with Retry-After, what is too large 413, both with one log line a second. Requests that have been arriving for long give way to new ones that find no room, with 503 and the verdict not-run.

Why it works: the sum is bounded whatever the number of connections, and messages of the usual size need nothing of it.

The other side: many reports and jobs at once, a large configuration by the first call and by a resend, small requests beside large ones.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "base/duty_time.h"
 #include "base/log.h"
 #include "base/traffic.h"
+#include "http/memory_budget.h"
 #include "http/server_group.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <list>
 #include <optional>
 #include <utility>
@@ -52,6 +54,10 @@
 
 // Without free file descriptors, accepting again at once would keep the thread busy.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+// A sound request arrives within a few round trips, unless it is large. One that takes longer gives way to others if
+// they find no room.
+constexpr std::chrono::milliseconds MinArrivalTime{100};
+constexpr std::chrono::milliseconds MinLargeArrivalTime{500};
 
 class Session;
 
@@ -64,8 +70,9 @@
         : io(context)
         , acceptor(context, address)
         , acceptTimer(context)
-        , options(opts)
+        , options(std::move(opts))
         , handler(std::move(handle))
+        , memory(std::make_shared<MemoryBudget>(options.maxRequestMemory))
     {
     }
 
@@ -91,6 +98,8 @@
     void onAccepted(asio::ip::tcp::socket socket);
     void acceptLater(const boost::system::error_code &error);
     bool makeRoom();
+    bool giveUpOldestArrival(std::chrono::milliseconds minTime, const Session *except = nullptr);
+    void reportLimits();
     void closeIdleSessions();
 
     asio::io_context &io;
@@ -102,7 +111,12 @@
     std::size_t unansweredRequests = 0;
     /// Those that wait for a request or for the client to close them, the one that waits for longest first.
     std::list<Session *> idleSessions;
-    std::size_t closedIdle = 0; ///< Since the last report.
+    std::list<Session *> arrivingSessions; ///< Those with a part of a request, the one that began first in front.
+    std::shared_ptr<MemoryBudget> memory;
+    std::size_t closedIdle = 0; ///< Since the last report, like the next ones.
+    std::size_t givenUpArrivals = 0;
+    std::size_t refusedForMemory = 0;
+    std::size_t refusedConnections = 0;
     std::chrono::steady_clock::time_point nextReport{};
     bool closing = false; ///< Answers close their connections.
     bool refusing = false;
@@ -127,6 +141,7 @@
     Session(asio::ip::tcp::socket socket, std::shared_ptr<Server::Impl> server)
         : stream_(std::move(socket))
         , server_(std::move(server))
+        , memory_(server_->memory)
     {
         boost::system::error_code ignored;
         stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -137,6 +152,7 @@
     ~Session()
     {
         setIdle(false);
+        setArriving(false);
         setUnanswered(false);
         release();
     }
@@ -145,9 +161,14 @@
 
     // The socket is checked too, since closing it would lose a request that has arrived but was not read yet.
     bool isIdle() const
+    {
+        return idlePosition_ && !lingering_ && !hasUnreadInput();
+    }
+
+    bool hasUnreadInput() const
     {
         boost::system::error_code error;
-        return idlePosition_ && !lingering_ && (stream_.socket().available(error) == 0 || error);
+        return stream_.socket().available(error) > 0 && !error;
     }
 
     // Unlike a close, this keeps a request that has been read already and whose handler has not run yet.
@@ -165,11 +186,40 @@
         stream_.socket().close(ignored);
     }
 
+    /// Returns since when a request has been arriving.
+    std::chrono::steady_clock::time_point arrivingSince() const
+    {
+        return arrivingSince_;
+    }
+
+    /// Answers a request of which a part has arrived, and closes the connection. The answer is sent only if that needs
+    /// no wait.
+    void giveUpArrival()
+    {
+        constexpr std::string_view Body =
+            R"({"error":"unavailable","message":"the request takes too long to arrive","verdict":"not-run"})";
+        const std::string answer = fmt::format("HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+                                               "Retry-After: 1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
+                                               Body.size(),
+                                               Body);
+        setArriving(false);
+        release();
+        dropRequest();
+        boost::system::error_code ignored;
+        auto &socket = stream_.socket();
+        socket.non_blocking(true, ignored);
+        socket.send(asio::buffer(answer), 0, ignored);
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        socket.close(ignored);
+    }
+
     void waitForRequest()
     {
         parser_.emplace();
         parser_->body_limit(server_->options.maxBodyBytes);
         parser_->header_limit(static_cast<std::uint32_t>(server_->options.maxHeaderBytes));
+        parser_->eager(false); // The head is checked before memory is taken for the body.
+        headBytes_ = 0;
         if (buffer_.size() > 0) {
             readRequest();
             return;
@@ -214,17 +264,127 @@
         server_->connections -= std::exchange(counted_, false) ? 1 : 0;
     }
 
+    void setArriving(bool arriving)
+    {
+        if (arrivingPosition_) {
+            server_->arrivingSessions.erase(*arrivingPosition_);
+            arrivingPosition_.reset();
+        }
+        if (arriving) {
+            arrivingSince_ = std::chrono::steady_clock::now();
+            arrivingPosition_ = server_->arrivingSessions.insert(server_->arrivingSessions.end(), this);
+        }
+    }
+
     void readRequest()
     {
         stream_.expires_after(server_->options.readTimeout);
-        bhttp::async_read(stream_,
-                          buffer_,
-                          *parser_,
-                          [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-                              const base::DutyScope duty(base::Duty::Reports);
-                              base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
-                              self->onRead(error);
-                          });
+        setArriving(true);
+        parse();
+    }
+
+    void readMore()
+    {
+        stream_.async_read_some(buffer_.prepare(ReadChunkBytes),
+                                [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                    const base::DutyScope duty(base::Duty::Reports);
+                                    if (!self->counted_) {
+                                        return;
+                                    }
+                                    self->buffer_.commit(bytes);
+                                    if (error == asio::error::eof) {
+                                        self->onRead(bhttp::error::partial_message);
+                                    } else if (error) {
+                                        self->onRead(error);
+                                    } else {
+                                        self->parse();
+                                    }
+                                });
+    }
+
+    // Parses what has been read. Continues to read unless the request is complete or refused.
+    void parse()
+    {
+        while (!parser_->is_done() && buffer_.size() > 0) {
+            const bool isHead = !parser_->is_header_done();
+            boost::system::error_code error;
+            const std::size_t bytes = parser_->put(buffer_.cdata(), error);
+            buffer_.consume(bytes);
+            base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
+            if (error == bhttp::error::need_more) {
+                break;
+            }
+            if (!error && isHead && parser_->is_header_done()) {
+                headBytes_ = bytes;
+                error = checkHead();
+            }
+            if (error) {
+                onRead(error);
+                return;
+            }
+            if (!holdMemory()) {
+                refuseForMemory();
+                return;
+            }
+        }
+        if (parser_->is_done()) {
+            onRead({});
+        } else if (holdMemory()) {
+            readMore();
+        } else {
+            refuseForMemory();
+        }
+    }
+
+    boost::system::error_code checkHead()
+    {
+        const ServerOptions &options = server_->options;
+        const auto &head = parser_->get();
+        if (static_cast<std::size_t>(std::distance(head.begin(), head.end())) > options.maxHeaderFields) {
+            return bhttp::error::header_limit;
+        }
+        parser_->eager(true);
+        if (options.bodyLimit) {
+            const std::string_view target(head.target().data(), head.target().size());
+            const std::size_t limit = options.bodyLimit(target.substr(0, target.find('?')));
+            parser_->body_limit(limit);
+            if (parser_->content_length().value_or(0) > limit) {
+                return bhttp::error::body_limit;
+            }
+        }
+        return {};
+    }
+
+    // The parser reserves memory for a body of a declared length with its first bytes.
+    bool holdMemory()
+    {
+        std::size_t body = parser_->get().body().capacity();
+        if (parser_->is_header_done() && !parser_->is_done()) {
+            body = std::max<std::size_t>(body, parser_->content_length().value_or(0));
+        }
+        const std::size_t bytes = buffer_.capacity() + headBytes_ + body;
+        while (!memory_.resize(bytes)) {
+            if (!server_->giveUpOldestArrival(MinLargeArrivalTime, this)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void refuseForMemory()
+    {
+        ++server_->refusedForMemory;
+        server_->reportLimits();
+        refuse("there is no memory for the request now", "1");
+    }
+
+    // Frees what has arrived of a request that is not handled.
+    void dropRequest()
+    {
+        parser_.reset();
+        buffer_.clear();
+        buffer_.shrink_to_fit();
+        memory_.release();
     }
 
     void onRead(const boost::system::error_code &error)
@@ -232,6 +392,7 @@
         if (server_->stopped) {
             return;
         }
+        setArriving(false);
         if (error) {
             rejectRequest(error);
             return;
@@ -241,11 +402,13 @@
             return;
         }
         if (server_->refusing) {
-            refuse();
+            // The client reaches another process at once if it connects again.
+            refuse("the process is ending", "0");
             return;
         }
         stream_.expires_never();
         keepAlive_ = parser_->get().keep_alive();
+        isRead_ = parser_->get().method() == bhttp::verb::get;
         setUnanswered(true);
         auto responder = [answered = false, self = shared_from_this()](Response response) mutable {
             if (!answered) {
@@ -301,25 +464,36 @@
             code = "request_timeout";
         }
         keepAlive_ = false;
+        dropRequest();
         writeResponse({status,
                        fmt::format(R"({{"error":"{}","message":"{}","verdict":"not-run"}})", code, error.message()),
                        "application/json",
                        {}});
     }
 
-    // The client reaches another process at once if it connects again.
-    void refuse()
+    void refuse(std::string_view reason, std::string_view retryAfter)
     {
+        setArriving(false);
         keepAlive_ = false;
+        dropRequest();
         writeResponse({503,
-                       R"({"error":"unavailable","message":"the process is ending","verdict":"not-run"})",
+                       fmt::format(R"({{"error":"unavailable","message":"{}","verdict":"not-run"}})", reason),
                        "application/json",
-                       {{"Retry-After", "0"}}});
+                       {{"Retry-After", std::string(retryAfter)}}});
     }
 
     void writeResponse(Response response)
     {
         setUnanswered(false);
+        memory_.release();
+        if (isRead_ && !memory_.resize(response.body.size())) {
+            ++server_->refusedForMemory;
+            server_->reportLimits();
+            response = {503,
+                        R"({"error":"unavailable","message":"there is no memory for the response now"})",
+                        "application/json",
+                        {{"Retry-After", "1"}}};
+        }
         keepAlive_ = keepAlive_ && !server_->closing;
         response_.emplace();
         response_->version(11);
@@ -338,6 +512,7 @@
                                const base::DutyScope duty(base::Duty::Reports);
                                base::controlTraffic().addSent(base::ControlTraffic::HttpKind, bytes);
                                self->response_.reset();
+                               self->memory_.release();
                                if (error || self->server_->stopped) {
                                    return;
                                }
@@ -378,11 +553,16 @@
     std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
     std::optional<bhttp::response<bhttp::string_body>> response_;
     std::string peer_;
+    MemoryShare memory_; ///< For the current request until it is answered, then for the response.
+    std::size_t headBytes_ = 0;
     std::optional<std::list<Session *>::iterator> idlePosition_;
+    std::optional<std::list<Session *>::iterator> arrivingPosition_;
+    std::chrono::steady_clock::time_point arrivingSince_{};
     bool counted_ = true; ///< Among the server's connections.
     bool unanswered_ = false; ///< Has a request without a response.
     bool lingering_ = false; ///< Has sent its last answer and waits for the client to close the connection.
     bool keepAlive_ = true;
+    bool isRead_ = false; ///< The current request changes nothing, so its response may be replaced by a refusal.
 };
 
 } // namespace
@@ -408,6 +588,9 @@
 {
     if (connections < options.maxConnections || makeRoom()) {
         std::make_shared<Session>(std::move(socket), shared_from_this())->waitForRequest();
+    } else {
+        ++refusedConnections;
+        reportLimits();
     }
 }
 
@@ -455,24 +638,55 @@
 bool Server::Impl::makeRoom()
 {
     if (idleSessions.empty()) {
-        return false;
+        return giveUpOldestArrival(MinArrivalTime);
     }
     idleSessions.front()->closeIdle();
     ++closedIdle;
+    reportLimits();
+    return true;
+}
+
+// Clients that send parts of requests must not keep others out. After a pause of this process, parts that have arrived
+// meanwhile are still to be read.
+bool Server::Impl::giveUpOldestArrival(std::chrono::milliseconds minTime, const Session *except)
+{
+    const auto latest = std::chrono::steady_clock::now() - minTime;
+    for (Session *const session : arrivingSessions) {
+        if (session->arrivingSince() > latest) {
+            break;
+        }
+        if (session != except && !session->hasUnreadInput()) {
+            session->giveUpArrival();
+            ++givenUpArrivals;
+            reportLimits();
+            return true;
+        }
+    }
+    return false;
+}
+
+void Server::Impl::reportLimits()
+{
     const auto now = std::chrono::steady_clock::now();
-    if (now >= nextReport) {
-        constexpr std::chrono::seconds ReportInterval{1};
-        nextReport = now + ReportInterval;
-        base::logWarning("connection_limit_reached")
-            .with("port", acceptor.local_endpoint().port())
-            .with("limit", options.maxConnections)
-            .with("idle_closed", std::exchange(closedIdle, 0));
+    if (now < nextReport) {
+        return;
     }
-    return true;
+    constexpr std::chrono::seconds ReportInterval{1};
+    nextReport = now + ReportInterval;
+    base::logWarning("server_limit_reached")
+        .with("port", acceptor.local_endpoint().port())
+        .with("connections", connections)
+        .with("max_connections", options.maxConnections)
+        .with("request_bytes", memory->used())
+        .with("max_request_bytes", options.maxRequestMemory)
+        .with("idle_closed", std::exchange(closedIdle, 0))
+        .with("arrivals_given_up", std::exchange(givenUpArrivals, 0))
+        .with("requests_refused", std::exchange(refusedForMemory, 0))
+        .with("connections_refused", std::exchange(refusedConnections, 0));
 }
 
 Server::Server(asio::io_context &io, const asio::ip::tcp::endpoint &address, ServerOptions options, Handler handler)
-    : impl_(std::make_shared<Impl>(io, address, options, std::move(handler)))
+    : impl_(std::make_shared<Impl>(io, address, std::move(options), std::move(handler)))
 {
     ServerGroup::of(io).add(*impl_);
     impl_->accept();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -44,15 +44,23 @@
 
 struct ServerOptions {
     std::size_t maxBodyBytes = 4U << 20U;
+    /// Returns the limit for the body of a request to a path; at most maxBodyBytes. Null if all paths have the same.
+    std::function<std::size_t(std::string_view path)> bodyLimit{};
     std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxHeaderFields = 64;
     std::size_t maxConnections = 1024;
+    /// For all requests that arrive or wait for their response, and for responses to reads that are being sent; see
+    /// MemoryBudget for what counts.
+    std::size_t maxRequestMemory = 16U << 20U;
     std::chrono::milliseconds readTimeout{10'000}; ///< For one complete request, from its first byte on.
     std::chrono::milliseconds idleTimeout{60'000}; ///< Between two requests, and for writing one answer.
     bool refusable = true; ///< Refuses requests while its process ends. False for health checks.
 };
 
 /// Small HTTP/1.1 server for control interfaces. Malformed or oversized requests are answered with a 4xx status, and
-/// their connection is closed. Belongs to the ServerGroup of its io_context.
+/// requests for which there is no memory now with 503; their connection is closed. If a new connection or request needs
+/// room, idle connections are closed, and then requests that have been arriving for long are given up with 503. Belongs
+/// to the ServerGroup of its io_context.
 class Server
 {
 public:
--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -14,7 +14,9 @@
 namespace
 {
 
-constexpr std::size_t MaxBodyBytes = 4U << 20U; ///< The platform sends no larger body.
+constexpr std::string_view PutPath = "/config/put";
+constexpr std::size_t MaxConfigurationBytes = 4U << 20U; ///< The platform sends no larger body.
+constexpr std::size_t MaxReportBytes = 64U << 10U; ///< Reports have some hundred bytes.
 
 // Returns the worker id from a path `/instances/ID/ACTION`; nothing for any other path.
 std::optional<std::string> workerIdFromPath(std::string_view path, std::string_view action)
@@ -27,6 +29,15 @@
     return id.find('/') == std::string_view::npos ? std::optional(std::string(id)) : std::nullopt;
 }
 
+http::ServerOptions controlOptions(std::size_t maxConnections)
+{
+    http::ServerOptions options = serverOptions(MaxConfigurationBytes, maxConnections);
+    options.bodyLimit = [](std::string_view path) {
+        return path == PutPath ? MaxConfigurationBytes : MaxReportBytes;
+    };
+    return options;
+}
+
 } // namespace
 
 ControlApi::ControlApi(boost::asio::io_context &io,
@@ -38,7 +49,7 @@
     , handler_(handler)
     , server_(io,
               address,
-              serverOptions(MaxBodyBytes, maxConnections),
+              controlOptions(maxConnections),
               [this](const http::Request &request, const http::Responder &respond) { handle(request, respond); })
 {
 }
@@ -54,7 +65,7 @@
             respond(errorResponse(405, "the methods are GET and POST"));
             return;
         }
-        if (request.path == "/config/put") {
+        if (request.path == PutPath) {
             putConfiguration(request, respond);
         } else {
             queueReport(request, respond);
