Decode large configurations on a thread of their own

What callers saw: while 24 clients sent documents of just under 500,000 values, managers answered reads with 503, since they lost their leader.

Cause: the network thread decoded them, twice (check and build), for a quarter of a second and more each. Messages between managers, reports and answers of workers waited meanwhile, longer than an election timeout.

Change: bodies over 64 KiB are decoded on a thread of ControlApi. The network thread goes on, and gets the result.

--- a/src/platform/control_api.cpp
+++ b/src/platform/control_api.cpp
@@ -6,6 +6,8 @@
 #include "platform/json_fields.h"
 #include "platform/responses.h"
 
+#include <boost/asio/post.hpp>
+
 #include <optional>
 
 namespace yuccawheel::platform
@@ -17,6 +19,8 @@
 constexpr std::string_view PutPath = "/config/put";
 constexpr std::size_t MaxConfigurationBytes = 4U << 20U; ///< The platform sends no larger body.
 constexpr std::size_t MaxReportBytes = 64U << 10U; ///< Reports have some hundred bytes.
+/// Larger configurations are decoded on a thread of their own.
+constexpr std::size_t MaxImmediateBytes = 64U << 10U;
 
 // Returns the worker id from a path `/instances/ID/ACTION`; nothing for any other path.
 std::optional<std::string> workerIdFromPath(std::string_view path, std::string_view action)
@@ -38,6 +42,22 @@
     return options;
 }
 
+tl::expected<workflow::Configuration, std::string> readConfiguration(std::string_view body)
+{
+    const base::DutyScope duty(base::Duty::Reports);
+    try {
+        workflow::Configuration configuration = decodeConfiguration(body);
+        if (const auto fault = workflow::findFault(configuration)) {
+            base::logInfo("configuration_invalid").with("version", configuration.version).with("reason", *fault);
+            return tl::unexpected(*fault);
+        }
+        return configuration;
+    } catch (const FormatError &error) {
+        base::logInfo("request_unreadable").with("path", PutPath).with("reason", error.what());
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
 } // namespace
 
 ControlApi::ControlApi(boost::asio::io_context &io,
@@ -45,7 +65,8 @@
                        base::WorkQueue &work,
                        workflow::ControlHandler &handler,
                        std::size_t maxConnections)
-    : work_(work)
+    : io_(io)
+    , work_(work)
     , handler_(handler)
     , server_(io,
               address,
@@ -54,25 +75,21 @@
 {
 }
 
+ControlApi::~ControlApi()
+{
+    *alive_ = false;
+}
+
 void ControlApi::handle(const http::Request &request, const http::Responder &respond)
 {
-    try {
-        if (request.method == "GET" && request.path == "/config/get") {
-            getConfiguration(respond);
-            return;
-        }
-        if (request.method != "POST") {
-            respond(errorResponse(405, "the methods are GET and POST"));
-            return;
-        }
-        if (request.path == PutPath) {
-            putConfiguration(request, respond);
-        } else {
-            queueReport(request, respond);
-        }
-    } catch (const FormatError &error) {
-        base::logInfo("request_unreadable").with("path", request.path).with("reason", error.what());
-        respond(errorResponse(400, error.what()));
+    if (request.method == "GET" && request.path == "/config/get") {
+        getConfiguration(respond);
+    } else if (request.method != "POST") {
+        respond(errorResponse(405, "the methods are GET and POST"));
+    } else if (request.path == PutPath) {
+        putConfiguration(request, respond);
+    } else {
+        queueReport(request, respond);
     }
 }
 
@@ -121,16 +138,36 @@
     });
 }
 
+// Decoding a large document takes a good part of the time after which a leader counts as lost, and elections, leases
+// and reports need the network thread meanwhile.
 void ControlApi::putConfiguration(const http::Request &request, const http::Responder &respond)
 {
-    workflow::Configuration configuration = decodeConfiguration(request.body);
-    if (const auto fault = workflow::findFault(configuration)) {
-        base::logInfo("configuration_invalid").with("version", configuration.version).with("reason", *fault);
-        respond(errorResponse(400, *fault));
+    if (request.body.size() <= MaxImmediateBytes) {
+        storeConfiguration(readConfiguration(request.body), respond);
+        return;
+    }
+    // The responder belongs to the network thread: it is moved on, so that no copy is destroyed on the other one.
+    boost::asio::post(
+        decoder_, [this, alive = alive_, body = request.body, respond = http::Responder(respond)]() mutable {
+            auto configuration = readConfiguration(body);
+            boost::asio::post(
+                io_, [this, alive, configuration = std::move(configuration), respond = std::move(respond)]() mutable {
+                    if (*alive) {
+                        storeConfiguration(std::move(configuration), respond);
+                    }
+                });
+        });
+}
+
+void ControlApi::storeConfiguration(tl::expected<workflow::Configuration, std::string> configuration,
+                                    const http::Responder &respond)
+{
+    if (!configuration) {
+        respond(errorResponse(400, configuration.error()));
         return;
     }
     handler_.putConfiguration(
-        std::move(configuration),
+        std::move(*configuration),
         [respond](const tl::expected<workflow::PutConfigurationReply, workflow::Unanswered> &reply) {
             respond(reply ? http::Response{200, encodeJson(Json{{"version", reply->version}}), "application/json", {}}
                           : errorResponse(503, "no confirmation that the configuration is stored"));
--- a/tests/process_memory_test.py
+++ b/tests/process_memory_test.py
@@ -126,6 +126,26 @@
         self.assertEqual((status, json.loads(answer)["version"]), (200, 7))
         self.assert_managers_hold()
 
+    # Guards against managers whose network thread decodes large documents while calls, elections and leases wait.
+    def test_managers_answer_in_time_while_large_documents_arrive(self):
+        deep = b'{"version":9,"routes":' + b"[" * 240_000 + b"]" * 240_000 + b"}"
+        elections = self.election_count()
+        self.write_from(self.control, 24, request_text("/config/put", deep))
+        time.sleep(1)
+        times = []
+        for _ in range(20):
+            for address in self.control:
+                begin = time.monotonic()
+                self.assertEqual(self.call(address, "GET", "/config/get")[0], 200)
+                times.append(time.monotonic() - begin)
+        print(f"the slowest of {len(times)} calls took {max(times):.2f} s")
+        self.assertLessEqual(max(times), ANSWER_S)
+        self.assertEqual(self.election_count(), elections, "the leader stays")
+        self.assert_managers_hold()
+
+    def election_count(self):
+        return sum(manager.log_text().count("event=leading ") for manager in self.managers)
+
     def test_reports_of_many_workers_at_once_are_acknowledged(self):
         def report(number):
             body = {"service": "other", "address": f"10.1.{number // 200}.{number % 200 + 1}:8080", "zone": "zone",
