Send odd messages and limit the memory in the fault soak

The soak ran without the memory limit of a platform, and nothing but sound messages. Now another program sends large, deep, incomplete and malformed ones over up to 90 connections to each listening address, processes have 4,096 descriptors, and a process that uses more than 256 MB (managers) or 160 MB (gateways) is a violation.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -2,7 +2,8 @@
 
 Faults come in series and overlap: processes are killed, terminated, paused and reloaded, managers lose their disks,
 workers crash, move, stand still, drain and leave, refuse orders, lose answers, carry orders out late and send reports
-late, and their links are delayed, reset or silenced in one or both directions. Callers keep their connections until the
+late, and their links are delayed, reset or silenced in one or both directions. Another program sends large, deep, slow and
+malformed messages over many connections, and no process may use more memory than a platform gives it. Callers keep their connections until the
 gateway closes them. Services of long-running tasks, which fail at times, run all the while, and a gang waits that doesn't
 fit beside them. Everything is checked from outside, by what callers, operators and workers see."""
 
@@ -14,6 +15,7 @@
 import re
 import shutil
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -41,6 +43,9 @@
 CLOCK_RATES = (0.98, 1.0)  # Of workers
 MAX_LEAVE_S = 3.0  # A worker that leaves waits no longer for an acknowledgement.
 READ_MARGIN_S = 0.3  # A request sent this long before its gateway's end has been read.
+MEMORY_MB = {"manager": 256, "gateway": 160}
+MAX_OPEN_FILES = 4096  # Of a process, as a platform limits them
+ODD_MESSAGES_S = 2.0  # Connections with odd messages are held for this long.
 CLOSE_RACE_S = 0.05  # A connection that ends sooner after a request may have been closed before.
 
 
@@ -54,6 +59,23 @@
     return all(caught >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM))
 
 
+def odd_message(draw):
+    """Returns a message that is large, deep, incomplete or malformed."""
+    length = draw.choice([100, 64 * 1024, 256 * 1024, 4 * 1024 * 1024, 4 * 1024 * 1024])
+    unit = draw.choice([b"[", b'{"a":', b"{},", b"a", b"\xff\x00", b'"9e999",'])
+    body = (draw.choice([b"", b'{"steps":[', b'{"version":9,"routes":[']) + unit * (length // len(unit) + 1))[:length]
+    framing = draw.choice(["whole", "whole", "without its last byte", "chunked", "fields", "inner protocol"])
+    if framing == "inner protocol":
+        return length.to_bytes(4, "big") + bytes([0, draw.choice([1, 50, 102])]) + bytes(9) + body
+    path = draw.choice(["/instances/i-odd/heartbeat", "/instances/i-odd/leave", "/config/put", PREFIX + "0" * 16, "/odd"])
+    head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+    if framing == "chunked":
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + f"{length:x}\r\n".encode() + body + b"\r\n"
+    fields = b"a:\r\n" * (3000 if framing == "fields" else 0)
+    text = head + fields + f"Content-Length: {length}\r\n\r\n".encode() + body
+    return text if framing == "whole" else text[:-1]
+
+
 class Observer:
     """Checks the starts and ends that workers see. Workers call it with their common lock held."""
 
@@ -220,8 +242,10 @@
 class Daemon:
     """A process of the system, with what the soak has done to it."""
 
-    def __init__(self, process, settings, data_dir, address):
+    def __init__(self, process, settings, data_dir, address, memory_mb):
         self.process = process
+        self.memory_mb = memory_mb  # Limit
+        self.exceeded = set()  # Ids of processes that went over it
         self.settings = settings  # Path of the settings file
         self.data_dir = data_dir  # Of a manager
         self.address = address  # Of callers, for a gateway
@@ -232,6 +256,14 @@
     def is_running(self):
         return self.process.child.poll() is None
 
+    def peak_memory_mb(self):
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        except OSError:
+            return 0
+        peak = re.search(r"VmHWM:\s*(\d+)", status)
+        return int(peak[1]) // 1024 if peak else 0
+
 
 class Soak:
     def __init__(self, seed):
@@ -262,6 +294,7 @@
         manager_ips = [f"{net}.{number}" for number in range(1, managers + 1)]
         inner, control = (address[1] for address in free_addresses(manager_ips[0], 2))
         self.control = [(ip, control) for ip in manager_ips]
+        self.inner = [(ip, inner) for ip in manager_ips]
         seeds = [f"{ip}:{control}" for ip in manager_ips[:3]]
         fake_ip = f"{net}.{FAKE_HOST}"
         self.service = EligibilityService(fake_ip)
@@ -309,11 +342,11 @@
     def _start(self, role, ip, ports, seeds, extra):
         lines = ["cluster: soak", "zone: zone", f"node: {role}-{ip.rsplit('.', 1)[1]}", "listen:"]
         lines += [f'  {name}: "{ip}:{port}"' for name, port in ports.items()]
-        lines += ["seeds:"] + [f'  - "{seed}"' for seed in seeds] + extra
+        lines += ["seeds:"] + [f'  - "{seed}"' for seed in seeds] + extra + [f"max_open_files: {MAX_OPEN_FILES}"]
         file = self.folder / f"{role}-{ip}.yaml"
         file.write_text("\n".join(lines) + "\n", encoding="utf-8")
         process = Process(f"{role}-{ip}", [BIN / f"yw-{role}", "--settings", file], self.folder)
-        return Daemon(process, file, self.folder / ip, (ip, ports.get("caller")))
+        return Daemon(process, file, self.folder / ip, (ip, ports.get("caller")), MEMORY_MB[role])
 
     # Faults: each is called in a thread of its own.
 
@@ -388,6 +421,27 @@
             worker.relay.reset()
         self._add_worker(clock_rate, worker.relay if same_address else None)
 
+    def _send_odd_messages(self, choices):
+        """Sends an odd message to one address over many connections, and holds these."""
+        draw = random.Random(choices)
+        address = draw.choice(self.control + self.inner + [gateway.address for gateway in self.gateways])
+        message = odd_message(draw)
+        threads = [threading.Thread(target=self._send_odd_message, args=(address, message))
+                   for _ in range(draw.choice([5, 90, 90]))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _send_odd_message(self, address, message):
+        try:
+            with socket.create_connection(address, timeout=ODD_MESSAGES_S) as connection:
+                connection.sendall(message)
+                while connection.recv(4096):
+                    pass
+        except OSError:
+            pass  # The connection is refused, closed or silent.
+
     def _random_fault(self):
         """Returns the name and the action of the next fault. All choices come from the seed."""
         draw = self.random
@@ -398,6 +452,7 @@
         clock_rate = draw.choice(CLOCK_RATES)
         same_address, lose_acknowledgement = draw.random() < 0.5, draw.random() < 0.5
         direction = draw.choice(["both", "forward", "backward"])
+        odd_choices = draw.random()
         return draw.choice([
             ("manager killed", lambda: self._restart_killed(manager, down_s)),
             ("manager terminated", lambda: self._restart_terminated(manager, down_s)),
@@ -421,6 +476,10 @@
             ("orders late", lambda: self._set_for(worker, pause_s / 3, late_s=link_s)),
             ("all managers killed", lambda: self._kill_all_managers(down_s)),
             ("disk lost", lambda: self._lose_disk(manager)),
+            ("odd messages", lambda: self._send_odd_messages(odd_choices)),
+            ("odd messages", lambda: self._send_odd_messages(odd_choices)),
+            ("odd messages", lambda: self._send_odd_messages(odd_choices)),
+            ("odd messages", lambda: self._send_odd_messages(odd_choices)),
         ])
 
     def _kill_all_managers(self, down_s):
@@ -465,6 +524,10 @@
 
     def _check_processes(self):
         for daemon in self.managers + self.gateways:
+            peak_mb, pid = daemon.peak_memory_mb(), daemon.process.pid
+            if peak_mb > daemon.memory_mb and pid not in daemon.exceeded:
+                daemon.exceeded.add(pid)
+                self.violation(f"{daemon.process.name} uses {peak_mb} MB of {daemon.memory_mb}")
             if daemon.lock.acquire(False):
                 try:
                     if not daemon.is_running():
