Check large polls of workers before a document is built

What callers saw: nothing yet; found as the fuzz targets were given a bound on the cost of an input.

A poll of 4 MB of brackets took 176 MB and 0.44 s in yw-scheduler, which built the document before it looked at it.

Test: fuzz_worker_poll failed before ("an input of 4000514 bytes takes 175880 KiB and 440 ms") and passes now, as do all fuzz targets.

--- a/src/programs/yw_scheduler/worker_protocol.cpp
+++ b/src/programs/yw_scheduler/worker_protocol.cpp
@@ -1,5 +1,6 @@
 #include "worker_protocol.h"
 
+#include "base/json_check.h"
 #include "placement/resources_json.h"
 
 #include <fmt/format.h>
@@ -106,6 +107,9 @@
 
 tl::expected<Poll, std::string> parsePoll(std::string_view body)
 {
+    if (!base::isParsableJson(body)) {
+        return tl::unexpected(std::string("the body is no JSON document or has too many values"));
+    }
     try {
         const json object = json::parse(body);
         Poll poll;
