Simplify how requests are parsed and refused

Clean-up without a change of limits or answers: room is checked in one place of the parse loop, a request that is given up gets its answer from the same code as all others instead of from text of its own, one function counts and logs what a limit led to, and CallPoolOptions has one field for the memory of answers where it had two.

--- a/src/http/call_pool.cpp
+++ b/src/http/call_pool.cpp
@@ -94,9 +94,6 @@
         boost::system::error_code invalid;
         endpoint = {asio::ip::make_address(server.ip, invalid), server.port};
         host = settings::toString(server);
-        if (!options.memory) {
-            options.memory = std::make_shared<MemoryBudget>(options.maxAnswerMemory);
-        }
     }
 
     void startQueuedCalls();
--- a/src/http/call_pool.h
+++ b/src/http/call_pool.h
@@ -20,9 +20,9 @@
     std::size_t maxConnections = 4;
     std::size_t maxQueued = 1'000; ///< Calls that wait for a connection.
     std::size_t maxAnswerBytes = 4U << 20U;
-    std::size_t maxAnswerMemory = 8U << 20U; ///< For all answers that arrive at a time, if `memory` is null.
     std::shared_ptr<ConnectionLimiter> limiter{}; ///< Shared by several pools; null if only maxConnections counts.
-    std::shared_ptr<MemoryBudget> memory{}; ///< For the answers of several pools; null if the pool has its own.
+    /// For the answers that arrive at a time; several pools may share it.
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>(8U << 20U);
 };
 
 /// Client with persistent connections to one server. All calls and callbacks are on the io_context's thread.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -99,7 +99,8 @@
     void acceptLater(const boost::system::error_code &error);
     bool makeRoom();
     bool giveUpOldestArrival(std::chrono::milliseconds minTime, const Session *except = nullptr);
-    void reportLimits();
+    /// Counts what a limit led to, and logs all such counts from time to time.
+    void reportLimit(std::size_t &count);
     void closeIdleSessions();
 
     asio::io_context &io;
@@ -196,19 +197,14 @@
     /// no wait.
     void giveUpArrival()
     {
-        constexpr std::string_view Body =
-            R"({"error":"unavailable","message":"the request takes too long to arrive","verdict":"not-run"})";
-        const std::string answer = fmt::format("HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
-                                               "Retry-After: 1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
-                                               Body.size(),
-                                               Body);
-        setArriving(false);
         release();
         dropRequest();
+        keepAlive_ = false;
+        prepareResponse(makeRefusal("the request takes too long to arrive", "1"));
         boost::system::error_code ignored;
         auto &socket = stream_.socket();
         socket.non_blocking(true, ignored);
-        socket.send(asio::buffer(answer), 0, ignored);
+        bhttp::write(socket, *response_, ignored);
         socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         socket.close(ignored);
     }
@@ -305,35 +301,39 @@
     // Parses what has been read. Continues to read unless the request is complete or refused.
     void parse()
     {
-        while (!parser_->is_done() && buffer_.size() > 0) {
-            const bool isHead = !parser_->is_header_done();
-            boost::system::error_code error;
-            const std::size_t bytes = parser_->put(buffer_.cdata(), error);
-            buffer_.consume(bytes);
-            base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
-            if (error == bhttp::error::need_more) {
-                break;
-            }
-            if (!error && isHead && parser_->is_header_done()) {
-                headBytes_ = bytes;
-                error = checkHead();
+        boost::system::error_code error;
+        while (holdMemory()) {
+            if (parser_->is_done()) {
+                onRead({});
+                return;
             }
-            if (error) {
-                onRead(error);
+            if (buffer_.size() == 0 || error == bhttp::error::need_more) {
+                readMore();
                 return;
             }
-            if (!holdMemory()) {
-                refuseForMemory();
+            error = parseNext();
+            if (error && error != bhttp::error::need_more) {
+                onRead(error);
                 return;
             }
         }
-        if (parser_->is_done()) {
-            onRead({});
-        } else if (holdMemory()) {
-            readMore();
-        } else {
-            refuseForMemory();
+        server_->reportLimit(server_->refusedForMemory);
+        refuse("there is no memory for the request now", "1");
+    }
+
+    // Parses the head, or what there is of the body.
+    boost::system::error_code parseNext()
+    {
+        const bool isHead = !parser_->is_header_done();
+        boost::system::error_code error;
+        const std::size_t bytes = parser_->put(buffer_.cdata(), error);
+        buffer_.consume(bytes);
+        base::controlTraffic().addReceived(base::ControlTraffic::HttpKind, bytes);
+        if (!error && isHead && parser_->is_header_done()) {
+            headBytes_ = bytes;
+            error = checkHead();
         }
+        return error;
     }
 
     boost::system::error_code checkHead()
@@ -371,16 +371,10 @@
         return true;
     }
 
-    void refuseForMemory()
-    {
-        ++server_->refusedForMemory;
-        server_->reportLimits();
-        refuse("there is no memory for the request now", "1");
-    }
-
     // Frees what has arrived of a request that is not handled.
     void dropRequest()
     {
+        setArriving(false);
         parser_.reset();
         buffer_.clear();
         buffer_.shrink_to_fit();
@@ -471,30 +465,23 @@
                        {}});
     }
 
+    static Response makeRefusal(std::string_view reason, std::string_view retryAfter)
+    {
+        return {503,
+                fmt::format(R"({{"error":"unavailable","message":"{}","verdict":"not-run"}})", reason),
+                "application/json",
+                {{"Retry-After", std::string(retryAfter)}}};
+    }
+
     void refuse(std::string_view reason, std::string_view retryAfter)
     {
-        setArriving(false);
         keepAlive_ = false;
         dropRequest();
-        writeResponse({503,
-                       fmt::format(R"({{"error":"unavailable","message":"{}","verdict":"not-run"}})", reason),
-                       "application/json",
-                       {{"Retry-After", std::string(retryAfter)}}});
+        writeResponse(makeRefusal(reason, retryAfter));
     }
 
-    void writeResponse(Response response)
+    void prepareResponse(Response response)
     {
-        setUnanswered(false);
-        memory_.release();
-        if (isRead_ && !memory_.resize(response.body.size())) {
-            ++server_->refusedForMemory;
-            server_->reportLimits();
-            response = {503,
-                        R"({"error":"unavailable","message":"there is no memory for the response now"})",
-                        "application/json",
-                        {{"Retry-After", "1"}}};
-        }
-        keepAlive_ = keepAlive_ && !server_->closing;
         response_.emplace();
         response_->version(11);
         response_->result(static_cast<unsigned>(response.status));
@@ -505,6 +492,21 @@
         response_->body() = std::move(response.body);
         response_->keep_alive(keepAlive_);
         response_->prepare_payload();
+    }
+
+    void writeResponse(Response response)
+    {
+        setUnanswered(false);
+        memory_.release();
+        if (isRead_ && !memory_.resize(response.body.size())) {
+            server_->reportLimit(server_->refusedForMemory);
+            response = {503,
+                        R"({"error":"unavailable","message":"there is no memory for the response now"})",
+                        "application/json",
+                        {{"Retry-After", "1"}}};
+        }
+        keepAlive_ = keepAlive_ && !server_->closing;
+        prepareResponse(std::move(response));
         stream_.expires_after(server_->options.idleTimeout);
         bhttp::async_write(stream_,
                            *response_,
@@ -554,7 +556,7 @@
     std::optional<bhttp::response<bhttp::string_body>> response_;
     std::string peer_;
     MemoryShare memory_; ///< For the current request until it is answered, then for the response.
-    std::size_t headBytes_ = 0;
+    std::size_t headBytes_ = 0; ///< The parser keeps them as fields.
     std::optional<std::list<Session *>::iterator> idlePosition_;
     std::optional<std::list<Session *>::iterator> arrivingPosition_;
     std::chrono::steady_clock::time_point arrivingSince_{};
@@ -589,8 +591,7 @@
     if (connections < options.maxConnections || makeRoom()) {
         std::make_shared<Session>(std::move(socket), shared_from_this())->waitForRequest();
     } else {
-        ++refusedConnections;
-        reportLimits();
+        reportLimit(refusedConnections);
     }
 }
 
@@ -641,8 +642,7 @@
         return giveUpOldestArrival(MinArrivalTime);
     }
     idleSessions.front()->closeIdle();
-    ++closedIdle;
-    reportLimits();
+    reportLimit(closedIdle);
     return true;
 }
 
@@ -657,16 +657,16 @@
         }
         if (session != except && !session->hasUnreadInput()) {
             session->giveUpArrival();
-            ++givenUpArrivals;
-            reportLimits();
+            reportLimit(givenUpArrivals);
             return true;
         }
     }
     return false;
 }
 
-void Server::Impl::reportLimits()
+void Server::Impl::reportLimit(std::size_t &count)
 {
+    ++count;
     const auto now = std::chrono::steady_clock::now();
     if (now < nextReport) {
         return;
--- a/tests/http_call_pool_test.cpp
+++ b/tests/http_call_pool_test.cpp
@@ -91,7 +91,7 @@
     {
         http::CallPoolOptions options;
         options.maxConnections = 8;
-        options.maxAnswerMemory = MaxAnswerMemory;
+        options.memory = std::make_shared<http::MemoryBudget>(MaxAnswerMemory);
         return options;
     }
     /// Makes calls at the same time. Returns the length of each answer; nothing for those that failed.
--- a/tests/http_server_limits_test.cpp
+++ b/tests/http_server_limits_test.cpp
@@ -30,6 +30,12 @@
     return fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", path, length);
 }
 
+/// A large request that lacks its last byte.
+std::string largePart()
+{
+    return head(LargeBytes) + std::string(LargeBytes - 1, 'a');
+}
+
 /// A server that answers each request with the length of its body, and reads with a large text; and its clients.
 class ServerLimitsTest : public testing::Test
 {
@@ -145,10 +151,9 @@
 // Guards against processes that exceed their memory limit, as each of many connections holds a large part of a body.
 TEST_F(ServerLimitsTest, RequestsThatFindNoMemoryAreRefusedAndSmallOnesAreNot)
 {
-    const std::string part = head(LargeBytes) + std::string(LargeBytes - 1, 'a');
-    tcp::socket first = send(part);
-    tcp::socket second = send(part);
-    tcp::socket third = send(part);
+    tcp::socket first = send(largePart());
+    tcp::socket second = send(largePart());
+    tcp::socket third = send(largePart());
     const std::string refusal = received(third);
     EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
     EXPECT_NE(refusal.find("Retry-After: 1"), std::string::npos);
@@ -169,9 +174,8 @@
 TEST_F(ServerLimitsTest, AnswersToReadsThatFindNoMemoryAreRefused)
 {
     const std::string read = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
-    const std::string part = head(LargeBytes) + std::string(LargeBytes - 1, 'a');
-    tcp::socket first = send(part);
-    tcp::socket second = send(part);
+    tcp::socket first = send(largePart());
+    tcp::socket second = send(largePart());
     tcp::socket reader = send(read);
     const std::string refusal = received(reader);
     EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
@@ -185,11 +189,10 @@
 // Guards against callers that are refused for as long as others hold half of a request.
 TEST_F(ServerLimitsTest, RequestsThatHaveBeenArrivingForLongMakeRoomForOthers)
 {
-    const std::string part = head(LargeBytes) + std::string(LargeBytes - 1, 'a');
-    tcp::socket first = send(part);
-    tcp::socket second = send(part);
+    tcp::socket first = send(largePart());
+    tcp::socket second = send(largePart());
     std::this_thread::sleep_for(LongArrival);
-    tcp::socket whole = send(part + "a");
+    tcp::socket whole = send(largePart() + "a");
     EXPECT_TRUE(received(whole).ends_with(fmt::format("{} bytes", LargeBytes)));
     const std::string answer = received(first);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
@@ -200,14 +203,13 @@
 // A body without a length asks for more memory as it grows, and must not give up itself meanwhile.
 TEST_F(ServerLimitsTest, GrowingRequestThatFindsNoMemoryIsRefused)
 {
-    const std::string part = head(LargeBytes) + std::string(LargeBytes - 1, 'a');
     const auto chunk = [](std::size_t bytes) {
         return fmt::format("{:x}\r\n{}\r\n", bytes, std::string(bytes, 'a'));
     };
     tcp::socket growing = send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(100));
     std::this_thread::sleep_for(LongArrival);
-    tcp::socket first = send(part);
-    tcp::socket second = send(part);
+    tcp::socket first = send(largePart());
+    tcp::socket second = send(largePart());
     write(growing, chunk(LargeBytes));
     const std::string answer = received(growing);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
